--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,58 @@
+export type {
+  Address,
+  Branded,
+  ControlId,
+  EntryId,
+  Epoch,
+  FailureDomain,
+  JobId,
+  RegionName,
+  ServiceName,
+  SiteName,
+  TargetId,
+  TaskRef,
+  TaskSpec,
+  TeamName,
+} from './id.js';
+export {computeDigest, deriveJobId} from './id.js';
+
+export type {Clock, Instant} from './time.js';
+export {computeDeadline, computeRemainingMs, monotonicClock} from './time.js';
+
+export type {
+  FailureReason,
+  JobAnswer,
+  NotRunReason,
+  TaskFate,
+  TaskRefusal,
+  TaskStanding,
+  UnknownReason,
+} from './outcome.js';
+
+export type {
+  Configuration,
+  ConfigurationSource,
+  Limits,
+  Objective,
+  PlacementPolicy,
+  ResourceDemand,
+  ServiceConfig,
+  TeamConfig,
+  VersionedSource,
+} from './configuration.js';
+
+export type {
+  Capacity,
+  EndedEpoch,
+  EntryInfo,
+  Place,
+  TargetInfo,
+} from './target.js';
+
+export type {Submission} from './submission.js';
+
+export {
+  assertInvariant,
+  BrokenInvariant,
+  failUnreachable,
+} from './unreachable.js';
--- /dev/null
+++ b/packages/protocol/src/checks.ts
@@ -0,0 +1,253 @@
+import {type Either, Left, Right} from 'purify-ts';
+import {
+  array,
+  boolean,
+  Codec,
+  type Codec as CodecOf,
+  exactly,
+  number,
+  oneOf,
+  optional,
+  record,
+  string,
+  unknown,
+} from 'purify-ts/Codec';
+import type {MethodName, ParamsOf} from './methods.js';
+
+/** Checks parameters from the wire: the same value, or which part is wrong. */
+export type Check<Checked> = (input: unknown) => Either<string, Checked>;
+
+/** A whole number of at least 0. */
+const count: CodecOf<number> = Codec.custom({
+  decode: input =>
+    Number.isSafeInteger(input) && (input as number) >= 0
+      ? Right(input as number)
+      : Left(`expected a whole number of at least 0, got ${String(input)}`),
+  encode: value => value,
+});
+
+/** A span of time in ms: finite and at least 0. */
+const span: CodecOf<number> = Codec.custom({
+  decode: input =>
+    Number.isFinite(input) && (input as number) >= 0
+      ? Right(input as number)
+      : Left(`expected a time in ms of at least 0, got ${String(input)}`),
+  encode: value => value,
+});
+
+const nothing = Codec.interface({});
+const taskRef = {job: string, task: count};
+const place = Codec.interface({
+  site: string,
+  region: string,
+  failureDomain: string,
+  rack: string,
+});
+const capacity = oneOf([
+  Codec.interface({
+    kind: exactly('executor'),
+    slots: count,
+    maxConnections: count,
+  }),
+  Codec.interface({
+    kind: exactly('worker'),
+    cores: number,
+    memoryMb: number,
+    accelerators: count,
+  }),
+]);
+const target = Codec.interface({
+  target: string,
+  incarnation: count,
+  service: string,
+  address: string,
+  place,
+  capacity,
+  leaving: boolean,
+});
+const entryInfo = Codec.interface({
+  entry: string,
+  epoch: count,
+  address: string,
+  place,
+});
+const endedEpoch = Codec.interface({
+  entry: string,
+  epoch: count,
+  heir: optional(count),
+});
+const source = Codec.interface({
+  base: string,
+  overlays: record(string, string),
+});
+const versionedSource = Codec.interface({
+  version: count,
+  changeId: string,
+  author: string,
+  source,
+});
+const refusal = exactly(
+  'no-slot',
+  'draining',
+  'fenced',
+  'expired',
+  'cancelled',
+  'wrong-service',
+  'too-large',
+);
+const fate = oneOf([
+  Codec.interface({kind: exactly('succeeded'), result: unknown}),
+  Codec.interface({kind: exactly('failed'), detail: string}),
+  Codec.interface({kind: exactly('cancelled')}),
+  Codec.interface({kind: exactly('unknown'), detail: string}),
+  Codec.interface({kind: exactly('not-run'), reason: refusal}),
+]);
+const startTask = Codec.interface({
+  ...taskRef,
+  payload: unknown,
+  remainingMs: span,
+  keepMs: span,
+  granted: boolean,
+});
+const taskReport = Codec.interface({...taskRef, fate, runMs: span});
+const taskSpec = Codec.interface({
+  payload: unknown,
+  expectedMs: optional(span),
+});
+const submission = Codec.interface({
+  job: string,
+  team: string,
+  service: string,
+  digest: string,
+  unrepeatable: boolean,
+  tasks: array(taskSpec),
+});
+const admission = Codec.interface({
+  job: string,
+  digest: string,
+  epoch: count,
+  tasks: count,
+  unrepeatable: boolean,
+  keepMs: span,
+});
+const viewChange = oneOf([
+  Codec.interface({kind: exactly('target-joined'), target}),
+  Codec.interface({
+    kind: exactly('target-gone'),
+    target: string,
+    incarnation: count,
+  }),
+  Codec.interface({kind: exactly('entry-opened'), entry: entryInfo}),
+  Codec.interface({kind: exactly('epoch-ended'), ended: endedEpoch}),
+  Codec.interface({
+    kind: exactly('configured'),
+    configuration: versionedSource,
+  }),
+]);
+const viewUpdate = oneOf([
+  Codec.interface({
+    kind: exactly('full'),
+    revision: count,
+    view: Codec.interface({
+      targets: array(target),
+      entries: array(entryInfo),
+      ended: array(endedEpoch),
+      configuration: versionedSource,
+    }),
+  }),
+  Codec.interface({
+    kind: exactly('delta'),
+    from: count,
+    revision: count,
+    changes: array(viewChange),
+  }),
+]);
+const slots = Codec.interface({slots: count});
+const tasks = Codec.interface({tasks: array(Codec.interface(taskRef))});
+const job = Codec.interface({job: string});
+const entryEpoch = {entry: string, epoch: count};
+
+/** Keeps only the decoder, so that read-only parameter types can be checked. */
+function toCheck<Checked>(codec: {
+  readonly decode: (input: unknown) => Either<string, Checked>;
+}): Check<Checked> {
+  return input => codec.decode(input);
+}
+
+const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
+  'agent.hello': toCheck(Codec.interface({...entryEpoch, connection: count})),
+  'agent.query': toCheck(tasks),
+  'agent.fence': toCheck(Codec.interface({epochs: array(count), heir: count})),
+  'agent.drain': toCheck(Codec.interface({remainingMs: span})),
+  'agent.status': toCheck(nothing),
+  'agent.start': toCheck(
+    Codec.interface({tasks: array(startTask), waiting: count}),
+  ),
+  'agent.reserve': toCheck(slots),
+  'agent.release': toCheck(slots),
+  'agent.demand': toCheck(Codec.interface({waiting: count})),
+  'agent.cancel': toCheck(tasks),
+  'entry.attach': toCheck(Codec.interface({submission, remainingMs: span})),
+  'entry.cancel': toCheck(job),
+  'entry.peek': toCheck(job),
+  'entry.grant': toCheck(slots),
+  'entry.recall': toCheck(slots),
+  'entry.report': toCheck(
+    Codec.interface({tasks: array(taskReport), slots: count}),
+  ),
+  'control.openEntry': toCheck(
+    Codec.interface({entry: string, address: string, place}),
+  ),
+  'control.renewEntry': toCheck(
+    Codec.interface({...entryEpoch, configVersion: count}),
+  ),
+  'control.closeEntry': toCheck(Codec.interface(entryEpoch)),
+  'control.announce': toCheck(Codec.interface({target, configVersion: count})),
+  'control.renewTarget': toCheck(
+    Codec.interface({
+      target: string,
+      incarnation: count,
+      configVersion: count,
+    }),
+  ),
+  'control.withdraw': toCheck(
+    Codec.interface({target: string, incarnation: count}),
+  ),
+  'control.admit': toCheck(Codec.interface({admissions: array(admission)})),
+  'control.lookup': toCheck(Codec.interface({jobs: array(string)})),
+  'control.epochJobs': toCheck(Codec.interface({epochs: array(count)})),
+  'control.watch': toCheck(
+    Codec.interface({since: count, topics: exactly('all', 'configuration')}),
+  ),
+  'control.applyConfig': toCheck(
+    Codec.interface({
+      changeId: string,
+      expectedVersion: count,
+      author: string,
+      source,
+    }),
+  ),
+  'control.configStatus': toCheck(nothing),
+  'control.changeMembers': toCheck(
+    Codec.interface({
+      change: exactly('add-learner', 'promote', 'remove'),
+      member: string,
+      address: optional(string),
+    }),
+  ),
+  'control.status': toCheck(nothing),
+  'control.replicate': toCheck(
+    Codec.interface({from: string, message: unknown}),
+  ),
+  'watcher.update': toCheck(viewUpdate),
+  'peer.ping': toCheck(nothing),
+};
+
+/** Checks a method's parameters; fails with the part that is wrong and what was expected. */
+export function checkParams<Name extends MethodName>(
+  method: Name,
+  params: unknown,
+): Either<string, ParamsOf<Name>> {
+  const check: Check<ParamsOf<Name>> = checks[method];
+  return check(params ?? {});
+}
--- /dev/null
+++ b/packages/protocol/src/endpoint.ts
@@ -0,0 +1,106 @@
+import {connect, createServer, type Server, type Socket} from 'node:net';
+import {type Either, Left, Right} from 'purify-ts';
+import type {Address, Instant} from '#model';
+import {monotonicClock, computeRemainingMs} from '#model';
+import {type Handlers, type Liveness, Peer} from './peer.js';
+
+/** Splits `host:port`; fails with what is wrong. */
+export function parseAddress(
+  address: Address,
+): Either<string, {readonly host: string; readonly port: number}> {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  const port = Number(address.slice(colon + 1));
+  if (colon < 1 || !Number.isInteger(port) || port < 0 || port > 65535) {
+    return Left(`address "${address}" is not host:port`);
+  }
+  return Right({host, port});
+}
+
+/** Connects to a peer by the deadline, or says why it could not. */
+export async function dialPeer(
+  address: Address,
+  handlers: Handlers,
+  deadline: Instant,
+  liveness?: Liveness,
+): Promise<Either<string, Peer>> {
+  return parseAddress(address).caseOf({
+    Left: async detail => Left(detail),
+    Right: async ({host, port}) =>
+      (await openSocket(host, port, deadline)).map(
+        socket => new Peer(socket, handlers, liveness),
+      ),
+  });
+}
+
+function openSocket(
+  host: string,
+  port: number,
+  deadline: Instant,
+): Promise<Either<string, Socket>> {
+  return new Promise(resolve => {
+    const socket = connect({host, port});
+    const timer = setTimeout(
+      () => giveUp('no connection by the deadline'),
+      computeRemainingMs(monotonicClock.now(), deadline),
+    );
+    const giveUp = (cause: string) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(Left(`${host}:${port}: ${cause}`));
+    };
+    socket.once('error', error => giveUp(error.message));
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.removeAllListeners('error');
+      resolve(Right(socket));
+    });
+  });
+}
+
+/** Accepts inner connections. Disposal closes them all. */
+export class PeerListener implements AsyncDisposable {
+  readonly peers = new Set<Peer>();
+
+  private constructor(
+    private readonly server: Server,
+    /** Where it listens, with the port that the system chose for port 0. */
+    readonly address: Address,
+  ) {}
+
+  /** Listens at an address; fails with the system's error. Every connection serves the same handlers. */
+  static listen(
+    address: Address,
+    handlers: Handlers,
+    onPeer: (peer: Peer) => void = () => {},
+    liveness?: Liveness,
+  ): Promise<Either<string, PeerListener>> {
+    return parseAddress(address).caseOf<Promise<Either<string, PeerListener>>>({
+      Left: async detail => Left(detail),
+      Right: ({host, port}) =>
+        new Promise(resolve => {
+          const server = createServer();
+          server.once('error', error => resolve(Left(error.message)));
+          server.listen(port, host, () => {
+            const bound = server.address();
+            const boundPort =
+              bound !== null && typeof bound === 'object' ? bound.port : port;
+            const listener = new PeerListener(server, `${host}:${boundPort}`);
+            server.on('connection', socket => {
+              const peer = new Peer(socket, handlers, liveness);
+              listener.peers.add(peer);
+              void peer.closed.then(() => listener.peers.delete(peer));
+              onPeer(peer);
+            });
+            resolve(Right(listener));
+          });
+        }),
+    });
+  }
+
+  /** Stops accepting and closes every connection after its last message left. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.server.close();
+    await Promise.all([...this.peers].map(peer => peer[Symbol.asyncDispose]()));
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,18 @@
+export type * from './messages.js';
+export type {
+  MethodName,
+  Nothing,
+  Notices,
+  NoticeName,
+  ParamsOf,
+  RequestName,
+  Requests,
+  ResultOf,
+} from './methods.js';
+
+export {checkParams} from './checks.js';
+export {encodeFrame, FrameReader, maxFrameBytes, preface} from './frame.js';
+
+export type {Handlers, Liveness, RpcFailure} from './peer.js';
+export {defaultLiveness, Peer} from './peer.js';
+export {dialPeer, parseAddress, PeerListener} from './endpoint.js';
--- /dev/null
+++ b/packages/protocol/src/methods.ts
@@ -0,0 +1,126 @@
+import type {
+  AdmitParams,
+  AdmitResult,
+  AgentStatus,
+  AnnounceParams,
+  ApplyConfigParams,
+  ApplyConfigResult,
+  AttachParams,
+  AttachResult,
+  ChangeMembersParams,
+  CloseEntryParams,
+  ConfigStatus,
+  ControlReply,
+  ControlStatus,
+  DemandParams,
+  DrainParams,
+  EpochJob,
+  EpochJobsParams,
+  FenceParams,
+  FenceResult,
+  GrantParams,
+  HelloParams,
+  HelloResult,
+  JobParams,
+  JobState,
+  LeaseGrant,
+  LookupParams,
+  LookupResult,
+  OpenEntryParams,
+  QueryResult,
+  RecallParams,
+  ReleaseParams,
+  Renewal,
+  RenewEntryParams,
+  RenewTargetParams,
+  ReplicateParams,
+  ReportParams,
+  ReserveParams,
+  StartParams,
+  TasksParams,
+  ViewUpdate,
+  WatchParams,
+  WithdrawParams,
+} from './messages.js';
+
+/** Nothing: the parameters or the result of a method that needs none. */
+export type Nothing = Readonly<Record<string, never>>;
+
+/** Methods that are answered. Those of `control` are answered by its leader only, but for status and watch. */
+export interface Requests {
+  'agent.hello': {params: HelloParams; result: HelloResult};
+  'agent.query': {params: TasksParams; result: QueryResult};
+  'agent.fence': {params: FenceParams; result: FenceResult};
+  'agent.drain': {params: DrainParams; result: Nothing};
+  'agent.status': {params: Nothing; result: AgentStatus};
+  'entry.attach': {params: AttachParams; result: AttachResult};
+  'entry.cancel': {params: JobParams; result: JobState};
+  'entry.peek': {params: JobParams; result: JobState};
+  'control.openEntry': {
+    params: OpenEntryParams;
+    result: ControlReply<LeaseGrant>;
+  };
+  'control.renewEntry': {
+    params: RenewEntryParams;
+    result: ControlReply<Renewal>;
+  };
+  'control.closeEntry': {
+    params: CloseEntryParams;
+    result: ControlReply<Nothing>;
+  };
+  'control.announce': {params: AnnounceParams; result: ControlReply<Renewal>};
+  'control.renewTarget': {
+    params: RenewTargetParams;
+    result: ControlReply<Renewal>;
+  };
+  'control.withdraw': {params: WithdrawParams; result: ControlReply<Nothing>};
+  'control.admit': {
+    params: AdmitParams;
+    result: ControlReply<readonly AdmitResult[]>;
+  };
+  'control.lookup': {
+    params: LookupParams;
+    result: ControlReply<readonly LookupResult[]>;
+  };
+  'control.epochJobs': {
+    params: EpochJobsParams;
+    result: ControlReply<readonly EpochJob[]>;
+  };
+  'control.watch': {params: WatchParams; result: ViewUpdate};
+  'control.applyConfig': {
+    params: ApplyConfigParams;
+    result: ControlReply<ApplyConfigResult>;
+  };
+  'control.configStatus': {params: Nothing; result: ControlReply<ConfigStatus>};
+  'control.changeMembers': {
+    params: ChangeMembersParams;
+    result: ControlReply<Nothing>;
+  };
+  'control.status': {params: Nothing; result: ControlStatus};
+}
+
+/** Methods that are not answered. Each is safe to lose with its connection. */
+export interface Notices {
+  'agent.start': StartParams;
+  'agent.reserve': ReserveParams;
+  'agent.release': ReleaseParams;
+  'agent.demand': DemandParams;
+  'agent.cancel': TasksParams;
+  'entry.grant': GrantParams;
+  'entry.recall': RecallParams;
+  'entry.report': ReportParams;
+  'control.replicate': ReplicateParams;
+  'watcher.update': ViewUpdate;
+  /** Shows that the sender is alive when it has nothing else to send. */
+  'peer.ping': Nothing;
+}
+
+export type RequestName = keyof Requests;
+export type NoticeName = keyof Notices;
+export type MethodName = RequestName | NoticeName;
+export type ParamsOf<Name extends MethodName> = Name extends RequestName
+  ? Requests[Name]['params']
+  : Name extends NoticeName
+    ? Notices[Name]
+    : never;
+export type ResultOf<Name extends RequestName> = Requests[Name]['result'];
--- /dev/null
+++ b/packages/protocol/src/peer.ts
@@ -0,0 +1,241 @@
+import type {Socket} from 'node:net';
+import {
+  createJSONRPCErrorResponse,
+  type JSONRPCErrorException,
+  JSONRPCClient,
+  JSONRPCErrorCode,
+  JSONRPCServer,
+  JSONRPCServerAndClient,
+} from 'json-rpc-2.0';
+import {type Either, Left, Right} from 'purify-ts';
+import {type Instant, monotonicClock, computeRemainingMs} from '#model';
+import {checkParams} from './checks.js';
+import {encodeFrame, FrameReader, preface} from './frame.js';
+import type {
+  MethodName,
+  NoticeName,
+  ParamsOf,
+  RequestName,
+  ResultOf,
+} from './methods.js';
+
+/** Why a request has no result. Only `rejected` proves that the other end saw it. */
+export type RpcFailure =
+  | {readonly kind: 'timeout'}
+  | {readonly kind: 'disconnected'; readonly detail: string}
+  | {readonly kind: 'rejected'; readonly detail: string};
+
+type Handler<Name extends MethodName> = (
+  params: ParamsOf<Name>,
+  peer: Peer,
+) => Name extends RequestName ? Promise<ResultOf<Name>> | ResultOf<Name> : void;
+
+/** What one end of a connection serves. A method left out is refused by name. */
+export type Handlers = {readonly [Name in MethodName]?: Handler<Name>};
+
+/** How a connection tells a live peer from a silent one; all in ms. */
+export interface Liveness {
+  /** A ping is sent when nothing else was for this long. */
+  readonly pingIntervalMs: number;
+  /** The connection is closed when nothing was received for this long. */
+  readonly silenceLimitMs: number;
+}
+
+export const defaultLiveness: Liveness = {
+  pingIntervalMs: 1000,
+  silenceLimitMs: 4000,
+};
+
+const maxBufferedBytes = 128 * 1024 * 1024;
+const maxRequestMs = 2 ** 31 - 1;
+
+/**
+ * One end of an inner connection: JSON-RPC 2.0 messages in MessagePack frames.
+ * Messages are handled in the order sent. A peer that falls silent is closed.
+ */
+export class Peer implements AsyncDisposable {
+  /** Resolves with the cause once the connection is over. */
+  readonly closed: Promise<string>;
+
+  private readonly rpc: JSONRPCServerAndClient;
+  private readonly reader = new FrameReader();
+  private readonly heartbeat: NodeJS.Timeout;
+  private resolveClosed!: (cause: string) => void;
+  private closeCause: string | undefined;
+  private lastSent: Instant = monotonicClock.now();
+  private lastReceived: Instant = monotonicClock.now();
+  private outgoing: Buffer[] = [];
+
+  constructor(
+    private readonly socket: Socket,
+    handlers: Handlers,
+    private readonly liveness: Liveness = defaultLiveness,
+  ) {
+    this.closed = new Promise(resolve => (this.resolveClosed = resolve));
+    this.rpc = new JSONRPCServerAndClient(
+      new JSONRPCServer({errorListener: () => {}}),
+      new JSONRPCClient(message => this.send(message)),
+      {errorListener: () => {}},
+    );
+    this.rpc.server.mapErrorToJSONRPCErrorResponse = (id, error) =>
+      createJSONRPCErrorResponse(
+        id,
+        (error as JSONRPCErrorException).code ?? JSONRPCErrorCode.InternalError,
+        String((error as Error).message ?? error),
+      );
+    this.addHandlers(handlers);
+    this.heartbeat = setInterval(
+      () => this.checkLiveness(),
+      Math.max(
+        1,
+        Math.min(liveness.pingIntervalMs, liveness.silenceLimitMs) / 2,
+      ),
+    );
+    this.heartbeat.unref();
+    socket.setNoDelay(true);
+    socket.on('data', chunk => this.receive(chunk));
+    socket.on('error', error => this.close(error.message));
+    socket.on('close', () => this.close('closed by the other end'));
+    socket.write(preface);
+  }
+
+  /** True until the connection is over. */
+  get isOpen(): boolean {
+    return this.closeCause === undefined;
+  }
+
+  /** `host:port` of the other end, for logs. */
+  get remoteAddress(): string {
+    return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
+  }
+
+  /** Sends a request and waits for its result until the deadline. */
+  async request<Name extends RequestName>(
+    method: Name,
+    params: ParamsOf<Name>,
+    deadline: Instant,
+  ): Promise<Either<RpcFailure, ResultOf<Name>>> {
+    if (!this.isOpen) {
+      return Left({kind: 'disconnected', detail: this.closeCause ?? ''});
+    }
+    const remainingMs = Math.min(
+      maxRequestMs,
+      Math.max(1, computeRemainingMs(monotonicClock.now(), deadline)),
+    );
+    try {
+      const requester = this.rpc.timeout(remainingMs);
+      return Right(await requester.request(method, params, undefined));
+    } catch (error) {
+      return Left(this.describeFailure(error, deadline));
+    }
+  }
+
+  /** Sends a notice. It is lost when the connection ends before it arrives. */
+  notify<Name extends NoticeName>(method: Name, params: ParamsOf<Name>): void {
+    if (!this.isOpen) return;
+    this.enqueue({jsonrpc: '2.0', method, params});
+  }
+
+  /** Ends the connection at once. Unanswered requests fail as disconnected. */
+  close(cause: string): void {
+    if (this.closeCause !== undefined) return;
+    this.flush();
+    this.closeCause = cause;
+    clearInterval(this.heartbeat);
+    this.socket.destroy();
+    this.rpc.rejectAllPendingRequests(`disconnected: ${cause}`);
+    this.resolveClosed(cause);
+  }
+
+  /** Flushes what was sent, then ends the connection. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (!this.isOpen) return;
+    this.flush();
+    await new Promise<void>(resolve => this.socket.end(() => resolve()));
+    this.close('closed by this end');
+  }
+
+  private addHandlers(handlers: Handlers): void {
+    this.rpc.addMethod('peer.ping', () => undefined);
+    for (const [name, handler] of Object.entries(handlers)) {
+      const method = name as MethodName;
+      const handle = handler as (params: unknown, peer: Peer) => unknown;
+      this.rpc.addMethod(method, params =>
+        checkParams(method, params).caseOf({
+          Left: detail => {
+            throw Object.assign(new Error(`${method}: ${detail}`), {
+              code: JSONRPCErrorCode.InvalidParams,
+            });
+          },
+          Right: checked => handle(checked, this),
+        }),
+      );
+    }
+  }
+
+  private receive(chunk: Buffer): void {
+    this.lastReceived = monotonicClock.now();
+    this.reader.readChunk(chunk).caseOf({
+      Left: cause => this.close(`protocol error: ${cause}`),
+      Right: messages => {
+        for (const message of messages) this.dispatch(message);
+      },
+    });
+  }
+
+  private dispatch(message: unknown): void {
+    this.rpc.receiveAndSend(message, undefined, undefined).catch(error => {
+      this.close(`protocol error: ${String(error)}`);
+    });
+  }
+
+  private send(message: unknown): Promise<void> {
+    if (!this.isOpen) {
+      return Promise.reject(new Error(`disconnected: ${this.closeCause}`));
+    }
+    this.enqueue(message);
+    return Promise.resolve();
+  }
+
+  /** Messages of one turn of the loop leave in one write. */
+  private enqueue(message: unknown): void {
+    if (this.outgoing.length === 0) setImmediate(() => this.flush());
+    this.outgoing.push(encodeFrame(message));
+  }
+
+  private flush(): void {
+    if (!this.isOpen || this.outgoing.length === 0) return;
+    const chunk =
+      this.outgoing.length === 1
+        ? this.outgoing[0]!
+        : Buffer.concat(this.outgoing);
+    this.outgoing = [];
+    this.lastSent = monotonicClock.now();
+    this.socket.write(chunk);
+    if (this.socket.writableLength > maxBufferedBytes) {
+      this.close('the other end does not read');
+    }
+  }
+
+  private checkLiveness(): void {
+    const now = monotonicClock.now();
+    if (now - this.lastReceived > this.liveness.silenceLimitMs) {
+      this.close(`silent for ${Math.round(now - this.lastReceived)} ms`);
+      return;
+    }
+    if (now - this.lastSent > this.liveness.pingIntervalMs) {
+      this.notify('peer.ping', {});
+    }
+  }
+
+  private describeFailure(error: unknown, deadline: Instant): RpcFailure {
+    if (!this.isOpen) {
+      return {kind: 'disconnected', detail: this.closeCause ?? ''};
+    }
+    const detail = error instanceof Error ? error.message : String(error);
+    if (detail === 'Request timeout' && monotonicClock.now() >= deadline - 1) {
+      return {kind: 'timeout'};
+    }
+    return {kind: 'rejected', detail};
+  }
+}
--- /dev/null
+++ b/packages/protocol/test/peer.test.ts
@@ -0,0 +1,91 @@
+import test from 'ava';
+import {monotonicClock} from '#model';
+import {
+  dialPeer,
+  type Handlers,
+  type Liveness,
+  type Peer,
+  PeerListener,
+} from '#protocol';
+
+const soon = () => monotonicClock.now() + 5000;
+
+async function connectPair(
+  served: Handlers,
+  dialled: Handlers = {},
+  liveness?: Liveness,
+) {
+  const listener = (
+    await PeerListener.listen('127.0.0.1:0', served, undefined, liveness)
+  ).unsafeCoerce();
+  const peer: Peer = (
+    await dialPeer(listener.address, dialled, soon(), liveness)
+  ).unsafeCoerce();
+  return {listener, peer};
+}
+
+test('a request is answered with the handler result', async t => {
+  const {listener, peer} = await connectPair({
+    'entry.peek': ({job}) => ({kind: 'running', tasks: job.length, ended: 0}),
+  });
+  const reply = await peer.request('entry.peek', {job: 'abc'}, soon());
+  t.deepEqual(reply.extract(), {kind: 'running', tasks: 3, ended: 0});
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
+
+test('wrong parameters are rejected by name and the connection goes on', async t => {
+  const {listener, peer} = await connectPair({
+    'entry.peek': () => ({kind: 'absent'}),
+  });
+  const wrong = await peer.request('entry.peek', {job: 7} as never, soon());
+  const failure = wrong.swap().unsafeCoerce();
+  t.is(failure.kind, 'rejected');
+  t.true(failure.kind === 'rejected' && failure.detail.includes('"job"'));
+  t.true((await peer.request('entry.peek', {job: 'a'}, soon())).isRight());
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
+
+test('notices arrive in the order sent', async t => {
+  const seen: number[] = [];
+  let resolveAll = () => {};
+  const all = new Promise<void>(resolve => (resolveAll = resolve));
+  const {listener, peer} = await connectPair({
+    'agent.release': ({slots}) => {
+      if (seen.push(slots) === 100) resolveAll();
+    },
+  });
+  for (let i = 0; i < 100; i++) peer.notify('agent.release', {slots: i});
+  await all;
+  t.deepEqual(
+    seen,
+    Array.from({length: 100}, (_, i) => i),
+  );
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
+
+test('a request in flight fails as disconnected when the connection ends', async t => {
+  const {listener, peer} = await connectPair({
+    'entry.peek': () => new Promise(() => {}),
+  });
+  const reply = peer.request('entry.peek', {job: 'a'}, soon());
+  await listener[Symbol.asyncDispose]();
+  t.is((await reply).swap().unsafeCoerce().kind, 'disconnected');
+});
+
+test('bytes that are not the protocol close the connection only', async t => {
+  const {listener} = await connectPair({});
+  const {connect} = await import('node:net');
+  const port = Number(listener.address.split(':')[1]);
+  const stranger = connect(port, '127.0.0.1');
+  stranger.resume();
+  stranger.on('error', () => {});
+  stranger.write('GET / HTTP/1.1\r\n\r\n');
+  await new Promise(resolve => stranger.once('close', resolve));
+  const again = await dialPeer(listener.address, {}, soon());
+  t.true(again.isRight());
+  await again.unsafeCoerce()[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,41 @@
+// Bundles the compiled packages into one CommonJS file and puts it into a copy
+// of the running node: dist/wasabiring.
+import process from 'node:process';
+import {execFileSync} from 'node:child_process';
+import {chmodSync, copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
+import {build} from 'esbuild';
+import {inject} from 'postject';
+import {readFileSync} from 'node:fs';
+
+const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync('dist', {recursive: true});
+await build({
+  entryPoints: ['build/cli/src/main.js'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: 'dist/wasabiring.cjs',
+  external: ['msgpackr-extract', 'unix-dgram', 'pino-pretty'],
+  logLevel: 'warning',
+});
+writeFileSync(
+  'dist/sea.json',
+  JSON.stringify({
+    main: 'dist/wasabiring.cjs',
+    output: 'dist/wasabiring.blob',
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {
+  stdio: 'ignore',
+});
+copyFileSync(process.execPath, 'dist/wasabiring');
+chmodSync('dist/wasabiring', 0o755);
+await inject(
+  'dist/wasabiring',
+  'NODE_SEA_BLOB',
+  readFileSync('dist/wasabiring.blob'),
+  {sentinelFuse: fuse},
+);
