--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+export type {
+  AgentRole,
+  ControlMember,
+  ControlRole,
+  EntryRole,
+  LeaseSettings,
+  MetricsSettings,
+  ProcessSettings,
+  Role,
+} from './process.js';
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+export type {Logger} from './log.js';
+export {openLog} from './log.js';
+export type {Metrics, Tags} from './metrics.js';
+export {openMetrics} from './metrics.js';
+export type {ExitCode, Runtime} from './runtime.js';
+export {exitCode} from './runtime.js';
--- /dev/null
+++ b/packages/telemetry/src/log.ts
@@ -0,0 +1,16 @@
+import {type DestinationStream, type Logger, pino} from 'pino';
+
+export type {Logger};
+
+/** Makes a logger of JSON lines on standard error, each with the process's role and id. */
+export function openLog(
+  level: string,
+  role: string,
+  id: string,
+  destination: DestinationStream = pino.destination({dest: 2, sync: true}),
+): Logger {
+  return pino(
+    {level, base: {role, id}, timestamp: pino.stdTimeFunctions.isoTime},
+    destination,
+  );
+}
