--- a/packages/consensus/src/check.ts
+++ b/packages/consensus/src/check.ts
@@ -27,6 +27,9 @@
   encode: value => value,
 });
 
+/** The largest snapshot that a replica takes from another. */
+const maxSnapshotBytes = 512 * 1024 * 1024;
+
 const place = {index: count, term: count};
 const members = array(
   Codec.interface({id: string, address: string, voter: boolean}),
@@ -96,5 +99,28 @@
     return Left(`expected a replica message, got kind ${String(kind)}`);
   }
   const codec = codecs[kind as Message['kind']];
-  return codec.decode(input) as Either<string, Message>;
+  return (codec.decode(input) as Either<string, Message>).chain(checkShape);
+}
+
+/** Checks what the fields' types don't say. */
+function checkShape(message: Message): Either<string, Message> {
+  if (message.kind === 'append') {
+    const {entries, previousIndex} = message;
+    const gap = entries.findIndex(
+      (one, i) => one.index !== previousIndex + 1 + i,
+    );
+    if (gap < 0) return Right(message);
+    return Left(
+      `expected entry ${previousIndex + 1 + gap}, got ${entries[gap].index}`,
+    );
+  }
+  if (message.kind !== 'install') return Right(message);
+  const {offset, data, totalBytes} = message;
+  if (totalBytes > maxSnapshotBytes) {
+    return Left(`snapshot of ${totalBytes} bytes is over ${maxSnapshotBytes}`);
+  }
+  if (offset + data.byteLength <= totalBytes) return Right(message);
+  return Left(
+    `chunk at ${offset} ends after the snapshot's ${totalBytes} bytes`,
+  );
 }
