--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -88,9 +88,9 @@
     };
   }
 
-  /** The place of a snapshot of the state as it is now applied. */
-  describeSnapshotPlace(): SnapshotPlace {
-    return this.core.log.getSnapshotPlace(this.core.commitIndex);
+  /** Describes the place of a snapshot of the state after a committed entry. */
+  describeSnapshotPlace(index: number): SnapshotPlace {
+    return this.core.log.getSnapshotPlace(index);
   }
 
   /** Takes one input; the effects must be carried out in order. */
--- /dev/null
+++ b/packages/consensus/test/five-replicas.test.ts
@@ -0,0 +1,3 @@
+import {runProfile} from './run.js';
+
+runProfile('five-replicas', 600);
--- /dev/null
+++ b/packages/consensus/test/node.ts
@@ -0,0 +1,53 @@
+import type {LogEntry, Replica} from '#consensus';
+import {MemoryDisk} from './disk.js';
+
+interface PendingWrite {
+  readonly term: number;
+  readonly command: string;
+}
+
+/** A monotonic clock of its own: each replica's runs at another rate. */
+interface NodeClock {
+  readonly rate: number;
+  readonly offset: number;
+}
+
+/** One replica's disk and, while it runs, its process. */
+export interface Node {
+  readonly id: string;
+  readonly disk: MemoryDisk;
+  readonly clock: NodeClock;
+  replica: Replica | undefined;
+  /** Grows at each start: what an earlier life began is void. */
+  life: number;
+  applied: number;
+  digest: number;
+  snapshotIndex: number;
+  writes: Map<number, PendingWrite>;
+  wakeAt: number;
+  diskLost: boolean;
+}
+
+export function createNode(
+  id: string,
+  entries: readonly LogEntry[],
+  clock: NodeClock,
+): Node {
+  return {
+    id,
+    disk: new MemoryDisk(entries),
+    clock,
+    replica: undefined,
+    life: 0,
+    applied: 0,
+    digest: 0,
+    snapshotIndex: 0,
+    writes: new Map(),
+    wakeAt: Infinity,
+    diskLost: false,
+  };
+}
+
+export function readClock({clock}: Node, now: number): number {
+  return clock.offset + now * clock.rate;
+}
--- a/packages/consensus/test/profiles.ts
+++ b/packages/consensus/test/profiles.ts
@@ -1,4 +1,16 @@
-import type {Faults} from './simulation.js';
+/** What goes wrong; probabilities in percent. */
+export interface Faults {
+  readonly replicas: number;
+  readonly loss: number;
+  readonly duplication: number;
+  /** At each disturbance, which comes every 40 to 160 ms. */
+  readonly crash: number;
+  readonly partition: number;
+  /** Replaces a disk, or a live replica, by a new one. */
+  readonly replace: number;
+  /** Also checks writes and messages as they happen, not only what they lead to. */
+  readonly checkSteps: boolean;
+}
 
 const mixed: Faults = {
   replicas: 3,
--- /dev/null
+++ b/packages/consensus/test/replaced-disks.test.ts
@@ -0,0 +1,3 @@
+import {runProfile} from './run.js';
+
+runProfile('replaced-disks', 600);
--- a/packages/consensus/test/simulation.ts
+++ b/packages/consensus/test/simulation.ts
@@ -8,8 +8,6 @@
   type Effect,
   type Input,
   type LogEntry,
-  type MemberChange,
-  type Members,
   type Message,
   Replica,
   type ReplicaBounds,
@@ -18,22 +16,10 @@
   type Snapshot,
 } from '#consensus';
 import {Agenda} from './agenda.js';
-import {MemoryDisk} from './disk.js';
+import {createNode, type Node, readClock} from './node.js';
 import {Oracle, readCommand} from './oracle.js';
-
-/** What goes wrong; probabilities in percent. */
-export interface Faults {
-  readonly replicas: number;
-  readonly loss: number;
-  readonly duplication: number;
-  /** At each disturbance, which comes every 40 to 160 ms. */
-  readonly crash: number;
-  readonly partition: number;
-  /** Replaces a disk, or a live replica, by a new one. */
-  readonly replace: number;
-  /** Also checks writes and messages as they happen, not only what they lead to. */
-  readonly checkSteps: boolean;
-}
+import type {Faults} from './profiles.js';
+import {chooseChange, type Replacement} from './replacement.js';
 
 const timing: ReplicaTiming = {
   heartbeatIntervalMs: 20,
@@ -53,34 +39,6 @@
 const maxRecoveryMs = 6000;
 const snapshotBytes = 64;
 
-interface PendingWrite {
-  readonly term: number;
-  readonly command: string;
-}
-
-interface Node {
-  readonly id: string;
-  readonly disk: MemoryDisk;
-  readonly clockRate: number;
-  readonly clockOffset: number;
-  replica: Replica | undefined;
-  /** Grows at each start: what an earlier life began is void. */
-  life: number;
-  applied: number;
-  digest: number;
-  snapshotIndex: number;
-  writes: Map<number, PendingWrite>;
-  wakeAt: number;
-  syncDue: boolean;
-  diskLost: boolean;
-}
-
-interface Replacement {
-  readonly leaving: string;
-  readonly joining: string;
-  readonly promoteFirst: boolean;
-}
-
 /** Drives replicas in memory through faults drawn from a seed. */
 export class Simulation {
   private readonly random;
@@ -110,7 +68,7 @@
 
   /** Runs the faults, then checks that all recover without them. */
   run(): void {
-    this.agenda.add(50, () => this.disturb());
+    this.agenda.add(50, () => this.injectFaults());
     this.agenda.add(0, () => this.submit());
     this.agenda.add(0, () => this.sampleFloor());
     this.agenda.runUntil(faultyMs);
@@ -148,7 +106,7 @@
     return uniformInt(this.random, from, to);
   }
 
-  private happens(percent: number): boolean {
+  private decide(percent: number): boolean {
     return this.faulty && this.draw(1, 100) <= percent;
   }
 
@@ -157,48 +115,33 @@
   }
 
   private addNode(id: string, entries: readonly LogEntry[]): void {
-    const node: Node = {
-      id,
-      disk: new MemoryDisk(entries),
-      clockRate: 1 + this.draw(-maxDriftPercent, maxDriftPercent) / 100,
-      clockOffset: this.draw(0, 100_000),
-      replica: undefined,
-      life: 0,
-      applied: 0,
-      digest: 0,
-      snapshotIndex: 0,
-      writes: new Map(),
-      wakeAt: Infinity,
-      syncDue: false,
-      diskLost: false,
-    };
+    const drift = this.draw(-maxDriftPercent, maxDriftPercent);
+    const node = createNode(id, entries, {
+      rate: 1 + drift / 100,
+      offset: this.draw(0, 100_000),
+    });
     this.nodes.set(id, node);
     this.restart(node);
   }
 
-  private readClock(node: Node): number {
-    return node.clockOffset + this.agenda.now * node.clockRate;
-  }
-
   private restart(node: Node): void {
     if (node.replica || node.diskLost) return;
     const recovered: RecoveredState = node.disk.recover();
     node.life++;
     node.writes = new Map();
     node.wakeAt = Infinity;
-    node.syncDue = false;
     node.applied = 0;
     node.digest = 0;
     if (recovered.snapshot) this.restore(node, recovered.snapshot);
     node.replica = new Replica(
       {id: node.id, timing, bounds, random: this.random},
       recovered,
-      this.readClock(node),
+      readClock(node, this.agenda.now),
     );
     this.arm(node);
   }
 
-  private crash(node: Node): void {
+  private kill(node: Node): void {
     if (!node.replica) return;
     node.replica = undefined;
     node.life++;
@@ -207,15 +150,18 @@
 
   private step(node: Node, input: Input): void {
     if (!node.replica) return;
-    const effects = node.replica.step(input, this.readClock(node));
-    for (const effect of effects) this.perform(node, effect);
+    const effects = node.replica.step(input, readClock(node, this.agenda.now));
+    for (const effect of effects) this.execute(node, effect);
     this.arm(node);
   }
 
   /** Keeps one tick ahead at the instant that the replica asks for. */
   private arm(node: Node): void {
     const {wakeAt} = node.replica!;
-    const delay = Math.max(0, (wakeAt - this.readClock(node)) / node.clockRate);
+    const delay = Math.max(
+      0,
+      (wakeAt - readClock(node, this.agenda.now)) / node.clock.rate,
+    );
     const at = this.agenda.now + delay + 0.01;
     if (node.wakeAt <= at && node.wakeAt > this.agenda.now) return;
     node.wakeAt = at;
@@ -234,7 +180,7 @@
     });
   }
 
-  private perform(node: Node, effect: Effect): void {
+  private execute(node: Node, effect: Effect): void {
     switch (effect.kind) {
       case 'persist':
         node.disk.write(effect);
@@ -248,7 +194,7 @@
         return;
       case 'apply':
         for (const entry of effect.entries) this.apply(node, entry);
-        this.considerSnapshot(node);
+        this.snapshotIfDue(node);
         return;
       case 'restore':
         this.restore(node, effect.snapshot);
@@ -275,10 +221,10 @@
   private send(from: Node, to: string, message: Message): void {
     if (this.faults.checkSteps) this.checkSent(from, to, message);
     if (this.cuts.has(`${from.id} ${to}`)) return;
-    if (this.happens(this.faults.loss)) return;
-    const copies = this.happens(this.faults.duplication) ? 2 : 1;
+    if (this.decide(this.faults.loss)) return;
+    const copies = this.decide(this.faults.duplication) ? 2 : 1;
     for (let i = 0; i < copies; i++) {
-      const delay = this.happens(3) ? this.draw(10, 150) : this.draw(1, 6);
+      const delay = this.decide(3) ? this.draw(10, 150) : this.draw(1, 6);
       this.agenda.add(delay, () => {
         const node = this.nodes.get(to);
         if (!node?.replica) return;
@@ -322,11 +268,14 @@
     this.oracle.seenIndex = Math.max(this.oracle.seenIndex, entry.index);
   }
 
-  private considerSnapshot(node: Node): void {
+  private snapshotIfDue(node: Node): void {
     if (node.applied - node.snapshotIndex < this.draw(15, 60)) return;
     const {replica, digest, applied} = node;
     const data = Buffer.alloc(snapshotBytes, `${digest} ${applied} `);
-    const snapshot: Snapshot = {...replica!.describeSnapshotPlace(), data};
+    const snapshot: Snapshot = {
+      ...replica!.describeSnapshotPlace(applied),
+      data,
+    };
     node.snapshotIndex = applied;
     this.schedule(node, this.draw(1, 30), () => {
       node.disk.saveSnapshot(snapshot);
@@ -398,18 +347,18 @@
     return found;
   }
 
-  private disturb(): void {
-    this.agenda.add(this.draw(40, 160), () => this.disturb());
-    this.operate();
+  private injectFaults(): void {
+    this.agenda.add(this.draw(40, 160), () => this.injectFaults());
+    this.stepReplacement();
     if (!this.faulty) return;
     const nodes = [...this.nodes.values()];
     const node = nodes[this.draw(0, nodes.length - 1)];
-    if (this.happens(this.faults.crash)) {
-      this.crash(node);
+    if (this.decide(this.faults.crash)) {
+      this.kill(node);
       this.schedule(node, this.draw(5, 400), () => this.restart(node));
     }
-    if (this.happens(this.faults.partition)) this.cut(nodes, node);
-    if (this.happens(this.faults.replace)) this.beginReplacement();
+    if (this.decide(this.faults.partition)) this.cut(nodes, node);
+    if (this.decide(this.faults.replace)) this.beginReplacement();
   }
 
   /** Cuts one replica, or the connection to another one, in one or both directions. */
@@ -436,7 +385,7 @@
     const leaving = voters[this.draw(0, voters.length - 1)].id;
     const node = this.nodes.get(leaving)!;
     if (this.draw(0, 1) === 0) {
-      this.crash(node);
+      this.kill(node);
       node.diskLost = true;
     }
     const joining = this.nameNode();
@@ -445,11 +394,11 @@
   }
 
   /** Takes an operator's next step towards a replacement, if the leader takes it. */
-  private operate(): void {
+  private stepReplacement(): void {
     const leader = this.findLeader();
     if (!this.replacement || !leader) return;
     const {members} = leader.replica!.describeStatus();
-    const change = this.chooseChange(this.replacement, members);
+    const change = chooseChange(this.replacement, members);
     if (!change) {
       this.finishReplacement(this.replacement, leader);
       return;
@@ -462,20 +411,6 @@
     if (begun && change.kind === 'promote') this.checkPromotion(change.member);
   }
 
-  private chooseChange(
-    {leaving, joining, promoteFirst}: Replacement,
-    members: Members,
-  ): MemberChange | undefined {
-    const joined = members.find(member => member.id === joining);
-    if (!joined)
-      return {kind: 'add-learner', member: joining, address: joining};
-    const gone = !members.some(member => member.id === leaving);
-    const remove: MemberChange = {kind: 'remove', member: leaving};
-    const promote: MemberChange = {kind: 'promote', member: joining};
-    if (gone) return joined.voter ? undefined : promote;
-    return joined.voter || !promoteFirst ? remove : promote;
-  }
-
   private finishReplacement({leaving}: Replacement, leader: Node): void {
     const {members, commitIndex, lastIndex} = leader.replica!.describeStatus();
     const settled = commitIndex === lastIndex;
--- /dev/null
+++ b/packages/consensus/test/three-replicas.test.ts
@@ -0,0 +1,3 @@
+import {runProfile} from './run.js';
+
+runProfile('three-replicas', 600);
--- a/packages/storage/src/error.ts
+++ b/packages/storage/src/error.ts
@@ -36,3 +36,9 @@
       return 'the store is closed';
   }
 }
+
+/** Turns an operating system's error into a value. */
+export function describeFailure(file: string, error: unknown): StoreError {
+  const detail = error instanceof Error ? error.message : String(error);
+  return {kind: 'failed', file, detail};
+}
--- /dev/null
+++ b/packages/storage/src/frame.ts
@@ -0,0 +1,117 @@
+import {crc32} from 'node:zlib';
+import {Packr} from 'msgpackr';
+import {type Either, Left, Right} from 'purify-ts';
+import type {StoreError} from './error.js';
+
+/** The body's length, its CRC-32, and the CRC-32 of these two; big-endian. */
+const headerBytes = 12;
+/** A disk writes a sector wholly or not at all. */
+const sectorBytes = 512;
+
+const packr = new Packr({useRecords: false});
+
+/** A frame's body and where the next frame begins. */
+interface ReadFrame {
+  readonly body: unknown;
+  readonly end: number;
+}
+
+/** The frames of a file and how many of its bytes they fill. */
+export interface ScannedFile {
+  readonly bodies: readonly unknown[];
+  readonly validBytes: number;
+}
+
+/** Encodes a body as a frame. */
+export function encodeFrame(body: unknown): Buffer {
+  const packed = packr.pack(body);
+  const frame = Buffer.allocUnsafe(headerBytes + packed.length);
+  frame.writeUInt32BE(packed.length, 0);
+  frame.writeUInt32BE(crc32(packed), 4);
+  frame.writeUInt32BE(crc32(frame.subarray(0, 8)), 8);
+  packed.copy(frame, headerBytes);
+  return frame;
+}
+
+/**
+ * Reads a file's frames. A frame is written and synced before the next one, so
+ * a crash can leave only the last one torn: cut short, or with a sector that
+ * was never written and reads as zeros. That one was never acknowledged and
+ * ends the scan. Anything else that does not match its checksum is corruption.
+ */
+export function readFrames(
+  file: string,
+  data: Buffer,
+): Either<StoreError, ScannedFile> {
+  const bodies: unknown[] = [];
+  let pos = 0;
+  while (pos < data.length) {
+    const frame = readFrame(data, pos);
+    if (!frame) {
+      const expected = findFault(data, pos);
+      if (!expected) return Right({bodies, validBytes: pos});
+      const found = `${data.length - pos} bytes that do not match`;
+      return Left({kind: 'corrupt', file, offset: pos, expected, found});
+    }
+    bodies.push(frame.body);
+    pos = frame.end;
+  }
+  return Right({bodies, validBytes: pos});
+}
+
+function readFrame(data: Buffer, pos: number): ReadFrame | undefined {
+  if (!hasValidHeader(data, pos)) return undefined;
+  const start = pos + headerBytes;
+  const end = start + data.readUInt32BE(pos);
+  if (end > data.length) return undefined;
+  const packed = data.subarray(start, end);
+  if (crc32(packed) !== data.readUInt32BE(pos + 4)) return undefined;
+  return {body: packr.unpack(packed), end};
+}
+
+function hasValidHeader(data: Buffer, pos: number): boolean {
+  if (pos + headerBytes > data.length) return false;
+  const sum = data.readUInt32BE(pos + 8);
+  return crc32(data.subarray(pos, pos + 8)) === sum;
+}
+
+/** Finds what was expected where a frame does not match; undefined when it is torn. */
+function findFault(data: Buffer, pos: number): string | undefined {
+  if (pos + headerBytes > data.length) return undefined;
+  if (!hasValidHeader(data, pos)) {
+    const torn =
+      hasUnwrittenSector(data, pos, pos + headerBytes) &&
+      !hasFrameAfter(data, pos);
+    return torn ? undefined : 'a frame header with a matching checksum';
+  }
+  const end = pos + headerBytes + data.readUInt32BE(pos);
+  if (end > data.length) return undefined;
+  const isLast = end === data.length;
+  return isLast && hasUnwrittenSector(data, pos, end)
+    ? undefined
+    : `a frame that ends at byte ${end} with a matching checksum`;
+}
+
+function nextSector(pos: number): number {
+  return (Math.floor(pos / sectorBytes) + 1) * sectorBytes;
+}
+
+/** Whether a sector that a range touches is all zeros, as far as it belongs to the file's tail. */
+function hasUnwrittenSector(data: Buffer, from: number, end: number): boolean {
+  for (let pos = from; pos < end; pos = nextSector(pos)) {
+    if (isZero(data, pos, Math.min(data.length, nextSector(pos)))) return true;
+  }
+  return false;
+}
+
+function hasFrameAfter(data: Buffer, pos: number): boolean {
+  for (let at = pos + 1; at + headerBytes <= data.length; at++) {
+    if (readFrame(data, at)) return true;
+  }
+  return false;
+}
+
+function isZero(data: Buffer, from: number, end: number): boolean {
+  for (let pos = from; pos < end; pos++) if (data[pos] !== 0) return false;
+  return true;
+}
--- a/packages/storage/src/host.ts
+++ b/packages/storage/src/host.ts
@@ -1,122 +1,307 @@
-import type {Either} from 'purify-ts';
-import type {Address, Clock, ControlId} from '#model';
-import type {
-  ChangeRefusal,
-  MemberChange,
-  Members,
-  Message,
-  ReplicaBounds,
-  ReplicaStatus,
-  ReplicaTiming,
+import {Packr} from 'msgpackr';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Either} from 'purify-ts';
+import {
+  type Address,
+  computeRemainingMs,
+  type ControlId,
+  type Instant,
+} from '#model';
+import {
+  type CommandEntry,
+  defaultBounds,
+  defaultTiming,
+  type Effect,
+  type Input,
+  type LogEntry,
+  type MemberChange,
+  type Members,
+  type Message,
+  type Persist,
+  Replica,
+  type ReplicaStatus,
+  type Snapshot,
 } from '#consensus';
 import type {StoreError} from './error.js';
+import {type Proposal, ProposalQueue} from './proposal.js';
+import {RequestTable} from './request.js';
+import {Store} from './store.js';
+import type {
+  ChangeResult,
+  NotLeader,
+  ProposeResult,
+  ReadResult,
+  ReplicaHostOptions,
+} from './hosting.js';
 
-/** A committed command as the state machine gets it. */
-export interface AppliedCommand<Command> {
-  readonly index: number;
-  readonly term: number;
-  readonly command: Command;
-}
-
-/** The state that the log's commands build. Each method runs to its end at once. */
-export interface StateMachine<Command, Result> {
-  /** Applies committed commands in order; returns one result for each, given to its proposer. */
-  apply(entries: readonly AppliedCommand<Command>[]): readonly Result[];
-  /** Returns the whole state as bytes. */
-  takeSnapshot(): Uint8Array;
-  /** Replaces the whole state; the index is the last one that it contains. */
-  restoreSnapshot(data: Uint8Array, index: number): void;
-}
-
-export interface ReplicaHostOptions<Command, Result> {
-  /** The data folder; made when absent. */
-  readonly folder: string;
-  readonly id: ControlId;
-  /** The voters of a new group; left out by a replica that joins a running one. Ignored once the folder holds a log. */
-  readonly bootstrap?: Members;
-  readonly machine: StateMachine<Command, Result>;
-  /** Sends a message or drops it; never waits. */
-  readonly send: (to: ControlId, address: Address, message: Message) => void;
-  /** Called after each change of role, term, leader or members. */
-  readonly observe?: (status: ReplicaStatus) => void;
-  /** Called once when the store has failed: the process must stop. */
-  readonly fail?: (error: StoreError) => void;
-  readonly clock: Clock;
-  /** Seeds the election timeouts. */
-  readonly seed: number;
-  readonly timing?: ReplicaTiming;
-  readonly bounds?: ReplicaBounds;
-  /** Entries between two snapshots. */
-  readonly snapshotInterval?: number;
-}
+const packr = new Packr({useRecords: false});
+const defaultSnapshotInterval = 10_000;
+const maxTimerMs = 60_000;
 
-export interface NotLeader {
-  readonly kind: 'not-leader';
-  /** Set while a leader is known. */
-  readonly leader?: {readonly id: ControlId; readonly address?: Address};
-}
+/**
+ * Runs one replica on a data folder, a clock and a way to send. Proposals made
+ * while a sync runs go into the log together after it.
+ */
+export class ReplicaHost<Command, Result> implements AsyncDisposable {
+  private readonly replica: Replica;
+  private readonly requests = new RequestTable<Result>();
+  private readonly proposals: ProposalQueue<Result>;
+  private readonly inputs: Input[] = [];
+  private stepping = false;
+  private closed = false;
+  private timer: NodeJS.Timeout | undefined;
+  private timerAt: Instant = Infinity;
+  private addresses: ReadonlyMap<ControlId, Address> = new Map();
+  private appliedIndex: number;
+  private snapshotIndex: number;
 
-export type ProposeResult<Result> =
-  | {
-      readonly kind: 'committed';
-      readonly index: number;
-      readonly result: Result;
-    }
-  /** The command was not written and never takes effect. */
-  | NotLeader
-  /** Leadership was lost while in flight: it may or may not take effect. */
-  | {readonly kind: 'unknown'};
-
-export type ReadResult =
-  /** The state now applied holds all writes acknowledged before the call. */
-  {readonly kind: 'confirmed'; readonly index: number} | NotLeader;
-
-export type ChangeResult =
-  | {readonly kind: 'committed'; readonly index: number}
-  | NotLeader
-  | {readonly kind: 'unknown'}
-  | {
-      readonly kind: 'refused';
-      readonly reason: Exclude<ChangeRefusal, 'not-leader'>;
-    };
+  private constructor(
+    private readonly options: ReplicaHostOptions<Command, Result>,
+    private readonly store: Store,
+  ) {
+    const {id, seed, clock} = options;
+    const {snapshot} = store.recovered;
+    if (snapshot)
+      options.machine.restoreSnapshot(snapshot.data, snapshot.index);
+    this.appliedIndex = snapshot?.index ?? 0;
+    this.snapshotIndex = this.appliedIndex;
+    this.proposals = new ProposalQueue(batch => this.appendProposals(batch));
+    this.replica = new Replica(
+      {
+        id,
+        timing: options.timing ?? defaultTiming,
+        bounds: options.bounds ?? defaultBounds,
+        random: xoroshiro128plus(seed),
+      },
+      store.recovered,
+      clock.now(),
+    );
+    this.followMembers(this.describeStatus().members);
+    this.armTimer();
+  }
 
-/** Runs one replica on a data folder, a clock and a way to send. */
-export class ReplicaHost<Command, Result> implements AsyncDisposable {
   /** Opens the folder and starts the replica on what it holds. */
   static async start<Command, Result>(
     options: ReplicaHostOptions<Command, Result>,
   ): Promise<Either<StoreError, ReplicaHost<Command, Result>>> {
-    void options;
-    throw new Error('not written yet');
+    const {folder, id, bootstrap, disk} = options;
+    const store = await Store.open(folder, {
+      id,
+      ...(bootstrap && {bootstrap}),
+      ...(disk && {disk}),
+    });
+    return store.map(opened => new ReplicaHost(options, opened));
   }
 
   /** Proposes a command. Resolves at the latest soon after leadership is lost. */
   propose(command: Command): Promise<ProposeResult<Result>> {
-    void command;
-    throw new Error('not written yet');
+    if (this.closed) return Promise.resolve({kind: 'not-leader'});
+    return new Promise(settle =>
+      this.proposals.add({command: packr.pack(command), settle}),
+    );
   }
 
   /** Confirms that a read of the state machine made right after is linearizable. */
   confirmRead(): Promise<ReadResult> {
-    throw new Error('not written yet');
+    if (this.closed) return Promise.resolve({kind: 'not-leader'});
+    return new Promise(settle => {
+      const ticket = this.requests.addRead(settle);
+      this.step({kind: 'read', ticket});
+    });
   }
 
   /** Takes a checked message from another replica. */
   receive(from: ControlId, message: Message): void {
-    void [from, message];
+    this.step({kind: 'message', from, message});
   }
 
   /** Changes one member. `promote` is refused as `not-caught-up` until the learner is. */
   changeMembers(change: MemberChange): Promise<ChangeResult> {
-    void change;
-    throw new Error('not written yet');
+    if (this.closed) return Promise.resolve({kind: 'not-leader'});
+    return new Promise(settle => {
+      const ticket = this.requests.addChange(settle);
+      this.step({kind: 'change-members', ticket, change});
+    });
   }
 
   /** Describes the replica. */
   describeStatus(): ReplicaStatus {
-    throw new Error('not written yet');
+    return this.replica.describeStatus();
   }
 
   /** Stops the replica; what is in flight resolves as `unknown`. */
-  async [Symbol.asyncDispose](): Promise<void> {}
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (this.closed) return;
+    this.stop();
+    await this.store[Symbol.asyncDispose]();
+  }
+
+  private stop(): void {
+    this.closed = true;
+    clearTimeout(this.timer);
+    for (const {settle} of this.proposals.close()) settle({kind: 'not-leader'});
+    this.requests.endAll();
+  }
+
+  /** Steps the replica; an input that an effect brings about waits for the step's end. */
+  private step(input: Input): void {
+    this.inputs.push(input);
+    if (this.stepping) return;
+    this.stepping = true;
+    try {
+      while (this.inputs.length > 0 && !this.closed) {
+        const next = this.inputs.shift()!;
+        const effects = this.replica.step(next, this.options.clock.now());
+        for (const effect of effects) this.execute(effect);
+      }
+    } finally {
+      this.stepping = false;
+    }
+    this.armTimer();
+  }
+
+  private execute(effect: Effect): void {
+    switch (effect.kind) {
+      case 'persist':
+        void this.write(effect);
+        return;
+      case 'send':
+        this.options.send(
+          effect.to,
+          this.addresses.get(effect.to),
+          effect.message,
+        );
+        return;
+      case 'apply':
+        this.apply(effect.entries);
+        return;
+      case 'restore':
+        this.restore(effect.snapshot);
+        return;
+      case 'proposed':
+        this.requests.trackProposed(effect);
+        return;
+      case 'refused':
+        this.requests.refuse(effect, this.describeLeader());
+        return;
+      case 'readable':
+        this.requests.confirmRead(effect);
+        return;
+      case 'role':
+        if (effect.role !== 'leader') this.requests.loseLeadership();
+        this.options.observe?.(this.describeStatus());
+        return;
+      case 'members':
+        this.followMembers(effect.members);
+        return;
+    }
+  }
+
+  private async write(effect: Persist): Promise<void> {
+    this.proposals.beginSync();
+    const {sequence, hardState, entries, snapshot} = effect;
+    const outcomes: Promise<Either<StoreError, void>>[] = [];
+    if (hardState || entries.length > 0) {
+      const write = {entries, ...(hardState && {hardState})};
+      outcomes.push(this.store.append(write));
+    }
+    if (snapshot) outcomes.push(this.store.saveSnapshot(snapshot, 'replace'));
+    const outcome = Either.sequence(await Promise.all(outcomes));
+    if (!this.checkStored(outcome)) return;
+    this.step({kind: 'synced', sequence});
+    this.proposals.endSync();
+  }
+
+  /** Stops the replica when the store has failed; returns whether it has not. */
+  private checkStored(outcome: Either<StoreError, unknown>): boolean {
+    if (outcome.isRight()) return true;
+    if (this.closed) return false;
+    this.stop();
+    this.options.fail?.(outcome.extract() as StoreError);
+    return false;
+  }
+
+  private apply(entries: readonly LogEntry[]): void {
+    const commands = entries.filter(entry => entry.kind === 'command');
+    const results = commands.length > 0 ? this.applyCommands(commands) : [];
+    let next = 0;
+    for (const entry of entries) {
+      const result = entry.kind === 'command' ? results[next++] : undefined;
+      this.requests.commit(entry, result);
+    }
+    this.appliedIndex = entries.at(-1)!.index;
+    this.snapshotIfDue();
+  }
+
+  private applyCommands(commands: readonly CommandEntry[]): readonly Result[] {
+    return this.options.machine.apply(
+      commands.map(({index, term, command}) => ({
+        index,
+        term,
+        command: packr.unpack(command) as Command,
+      })),
+    );
+  }
+
+  private snapshotIfDue(): void {
+    const interval = this.options.snapshotInterval ?? defaultSnapshotInterval;
+    if (this.appliedIndex - this.snapshotIndex < interval) return;
+    this.snapshotIndex = this.appliedIndex;
+    const data = this.options.machine.takeSnapshot();
+    const snapshot = {
+      ...this.replica.describeSnapshotPlace(this.appliedIndex),
+      data,
+    };
+    void this.saveSnapshot(snapshot);
+  }
+
+  private async saveSnapshot(snapshot: Snapshot): Promise<void> {
+    const outcome = await this.store.saveSnapshot(snapshot, 'continue');
+    if (!this.checkStored(outcome)) return;
+    this.step({kind: 'snapshot-saved', snapshot});
+  }
+
+  private restore({data, index}: Snapshot): void {
+    this.options.machine.restoreSnapshot(data, index);
+    this.appliedIndex = index;
+    this.snapshotIndex = index;
+  }
+
+  private appendProposals(batch: readonly Proposal<Result>[]): void {
+    const ticket = this.requests.addProposals(batch);
+    const commands = batch.map(proposal => proposal.command);
+    this.step({kind: 'propose', ticket, commands});
+  }
+
+  /** Keeps one timer, at or before the instant that the replica asks for. */
+  private armTimer(): void {
+    if (this.closed) return;
+    const {wakeAt} = this.replica;
+    if (this.timerAt <= wakeAt) return;
+    clearTimeout(this.timer);
+    const delayMs = computeRemainingMs(this.options.clock.now(), wakeAt);
+    this.timerAt = wakeAt;
+    this.timer = setTimeout(
+      () => {
+        this.timerAt = Infinity;
+        this.step({kind: 'tick'});
+      },
+      Math.min(Math.ceil(delayMs), maxTimerMs),
+    );
+  }
+
+  private followMembers(members: Members): void {
+    this.addresses = new Map(members.map(({id, address}) => [id, address]));
+    this.options.observe?.(this.describeStatus());
+  }
+
+  private describeLeader(): NotLeader {
+    const {leader} = this.describeStatus();
+    if (leader === undefined) return {kind: 'not-leader'};
+    const address = this.addresses.get(leader);
+    return {
+      kind: 'not-leader',
+      leader: {id: leader, ...(address !== undefined && {address})},
+    };
+  }
 }
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -9,5 +9,11 @@
   ReadResult,
   ReplicaHostOptions,
   StateMachine,
-} from './host.js';
+} from './hosting.js';
 export {ReplicaHost} from './host.js';
+
+export type {SnapshotLog, StoreOptions, StoreWrite} from './store.js';
+export {Store} from './store.js';
+
+export type {Disk, DiskFile} from './disk.js';
+export {nodeDisk} from './disk.js';
--- /dev/null
+++ b/packages/storage/test/store.test.ts
@@ -0,0 +1,199 @@
+import test from 'ava';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {createMembers, type LogEntry, type Snapshot} from '#consensus';
+import {Store, type StoreError} from '#storage';
+import {ForgetfulDisk} from './forgetful.js';
+
+const folder = '/data';
+const segment = (number: number) =>
+  `/data/log-${String(number).padStart(16, '0')}`;
+const members = createMembers([{id: 'a', address: '127.0.0.1:1'}]);
+
+const openOn = (disk: ForgetfulDisk) =>
+  Store.open(folder, {id: 'a', disk, bootstrap: members});
+
+const openSound = async (disk: ForgetfulDisk) =>
+  (await openOn(disk)).unsafeCoerce();
+
+const makeEntry = (index: number, term = 1, size = 20): LogEntry => ({
+  kind: 'command',
+  index,
+  term,
+  command: Buffer.alloc(size, 65 + (index % 26)),
+});
+
+const makeSnapshot = (index: number, term = 1): Snapshot => ({
+  index,
+  term,
+  members,
+  data: Buffer.from(`state ${index}`),
+});
+
+const listIndexes = (store: Store) =>
+  store.recovered.entries.map(entry => entry.index);
+
+async function openWith(disk: ForgetfulDisk, ...entries: LogEntry[]) {
+  const store = await openSound(disk);
+  for (const entry of entries) await store.append({entries: [entry]});
+  return store;
+}
+
+test('a new folder holds the first members entry', async t => {
+  const disk = new ForgetfulDisk();
+  await openSound(disk);
+  const {recovered} = await openSound(disk);
+  t.deepEqual(recovered.entries, [
+    {kind: 'members', index: 1, term: 0, members},
+  ]);
+  t.deepEqual(recovered.hardState, {term: 0});
+});
+
+test('entries and the hard state come back; a later entry replaces those from its index on', async t => {
+  const disk = new ForgetfulDisk();
+  const store = await openWith(disk, makeEntry(2), makeEntry(3), makeEntry(4));
+  await store.append({
+    hardState: {term: 2, vote: 'a'},
+    entries: [makeEntry(3, 2)],
+  });
+  const {recovered} = await openSound(disk);
+  t.deepEqual(recovered.hardState, {term: 2, vote: 'a'});
+  t.deepEqual(recovered.entries.slice(1), [makeEntry(2), makeEntry(3, 2)]);
+});
+
+test('appends that wait together share one sync', async t => {
+  const disk = new ForgetfulDisk();
+  const store = await openSound(disk);
+  const before = (disk.operationsLeft = 1000);
+  await Promise.all(
+    Array.from({length: 50}, (_, i) =>
+      store.append({entries: [makeEntry(2 + i)]}),
+    ),
+  );
+  t.true(before - disk.operationsLeft <= 4);
+  t.is((await openSound(disk)).recovered.entries.length, 51);
+});
+
+test('a torn last frame is cut off and the log goes on', async t => {
+  for (const cut of [1, 5, 20, 40]) {
+    const disk = new ForgetfulDisk();
+    await openWith(disk, makeEntry(2), makeEntry(3));
+    disk.cut(segment(1), cut);
+    const reopened = await openWith(disk, makeEntry(3, 2));
+    t.deepEqual(listIndexes(reopened), [1, 2]);
+    t.deepEqual(listIndexes(await openSound(disk)), [1, 2, 3]);
+  }
+});
+
+test('damage before the last frame is refused with file, offset and what was expected', async t => {
+  const disk = new ForgetfulDisk();
+  await openWith(disk, makeEntry(2), makeEntry(3));
+  const size = disk.measure(segment(1));
+  for (let offset = 0; offset < size; offset++) {
+    disk.toggleByte(segment(1), offset);
+    const error = (await openOn(disk)).swap().unsafeCoerce() as Extract<
+      StoreError,
+      {kind: 'corrupt'}
+    >;
+    t.is(error.kind, 'corrupt');
+    t.is(error.file, segment(1));
+    t.true(error.offset <= offset && error.expected.length > 0);
+    disk.toggleByte(segment(1), offset);
+  }
+  t.deepEqual(listIndexes(await openSound(disk)), [1, 2, 3]);
+});
+
+test('a folder of another replica is refused', async t => {
+  const disk = new ForgetfulDisk();
+  await openSound(disk);
+  const error = (await Store.open(folder, {id: 'b', disk})).extract();
+  t.like(error, {kind: 'wrong-identity', expected: 'b', found: 'a'});
+});
+
+test('a snapshot replaces the entries up to its index and its files', async t => {
+  const disk = new ForgetfulDisk();
+  const store = await openWith(disk, makeEntry(2), makeEntry(3), makeEntry(4));
+  await store.saveSnapshot(makeSnapshot(2), 'continue');
+  await store.saveSnapshot(makeSnapshot(3), 'continue');
+  await store.append({entries: [makeEntry(5)]});
+  const {recovered} = await openSound(disk);
+  t.is(recovered.snapshot?.index, 3);
+  t.deepEqual(recovered.entries, [makeEntry(4), makeEntry(5)]);
+  t.false((await disk.list(folder)).includes('snapshot-0000000000000002'));
+});
+
+test('a received snapshot voids a log that does not lead to it', async t => {
+  const disk = new ForgetfulDisk();
+  const store = await openWith(disk, makeEntry(2), makeEntry(3), makeEntry(4));
+  await store.saveSnapshot(makeSnapshot(3, 2), 'replace');
+  await store.append({entries: [makeEntry(4, 2)]});
+  const {recovered} = await openSound(disk);
+  t.is(recovered.snapshot?.term, 2);
+  t.deepEqual(recovered.entries, [makeEntry(4, 2)]);
+});
+
+test('a store that failed to sync acknowledges nothing more', async t => {
+  const disk = new ForgetfulDisk();
+  const store = await openSound(disk);
+  disk.operationsLeft = 2;
+  t.like((await store.append({entries: [makeEntry(2)]})).extract(), {
+    kind: 'failed',
+  });
+  disk.operationsLeft = Infinity;
+  t.like((await store.append({entries: [makeEntry(2)]})).extract(), {
+    kind: 'failed',
+  });
+});
+
+/** Writes until the power goes, then checks that all that was acknowledged is there. */
+async function runUntilCrash(disk: ForgetfulDisk, seed: number, step: number) {
+  const random = xoroshiro128plus(seed * 1000 + step);
+  const opened = await openOn(disk);
+  if (opened.isLeft()) return {error: opened.extract()};
+  const store = opened.unsafeCoerce();
+  const before = store.recovered.snapshot?.index ?? 0;
+  const last = store.recovered.entries.at(-1)?.index ?? before;
+  let acknowledged = last;
+  let saved = before;
+  disk.operationsLeft = uniformInt(random, 1, 40);
+  for (let index = last + 1; index <= last + 10; index++) {
+    const entry = makeEntry(index, 1, uniformInt(random, 1, 1500));
+    const appended = await store.append({entries: [entry]});
+    if (appended.isLeft()) break;
+    acknowledged = index;
+    if (uniformInt(random, 0, 2) > 0) continue;
+    const outcome = await store.saveSnapshot(makeSnapshot(index), 'continue');
+    if (outcome.isLeft()) break;
+    saved = index;
+  }
+  disk.losePower(random);
+  return {acknowledged, saved};
+}
+
+test('what was acknowledged outlives power cuts at any operation', async t => {
+  for (let seed = 1; seed <= 60; seed++) {
+    const disk = new ForgetfulDisk();
+    await openSound(disk);
+    for (let step = 0; step < 6; step++) {
+      const {error, acknowledged, saved} = await runUntilCrash(
+        disk,
+        seed,
+        step,
+      );
+      t.is(error, undefined, `seed ${seed}, step ${step}`);
+      const {recovered} = await openSound(disk);
+      const start = recovered.snapshot?.index ?? 0;
+      const indexes = recovered.entries.map(entry => entry.index);
+      t.true(start >= saved!, `seed ${seed}, step ${step}`);
+      t.true(
+        start + indexes.length >= acknowledged!,
+        `seed ${seed}, step ${step}`,
+      );
+      t.deepEqual(
+        indexes,
+        indexes.map((_, i) => start + 1 + i),
+      );
+      if (start > 0) t.is(String(recovered.snapshot!.data), `state ${start}`);
+    }
+  }
+});
