Keep ended lives of agents in the view

An heir that fences the agents of today cannot see what an agent that died before it started. Without this record it would start such a task again.

--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -130,13 +130,14 @@
   unrepeatable: boolean,
   keepMs: span,
 });
+const goneTarget = Codec.interface({
+  target: string,
+  incarnation: count,
+  revision: count,
+});
 const viewChange = oneOf([
   Codec.interface({kind: exactly('target-joined'), target}),
-  Codec.interface({
-    kind: exactly('target-gone'),
-    target: string,
-    incarnation: count,
-  }),
+  Codec.interface({kind: exactly('target-gone'), gone: goneTarget}),
   Codec.interface({kind: exactly('entry-opened'), entry: entryInfo}),
   Codec.interface({kind: exactly('epoch-ended'), ended: endedEpoch}),
   Codec.interface({
@@ -150,6 +151,7 @@
     revision: count,
     view: Codec.interface({
       targets: array(target),
+      gone: array(goneTarget),
       entries: array(entryInfo),
       ended: array(endedEpoch),
       configuration: versionedSource,
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -240,6 +240,8 @@
   readonly owner: Epoch;
   /** Unset when the owner's epoch is over and no entry has taken over. */
   readonly address?: Address;
+  /** The log index of the admission. */
+  readonly revision: number;
 }
 
 export interface LookupParams {
@@ -270,8 +272,22 @@
   readonly topics: 'all' | 'configuration';
 }
 
+/** A life of an agent that is over. What it started cannot be asked for any more. */
+export interface GoneTarget {
+  readonly target: TargetId;
+  readonly incarnation: number;
+  /** The log index at which it went. */
+  readonly revision: number;
+}
+
 export interface View {
   readonly targets: readonly TargetInfo[];
+  /**
+   * Lives of agents that ended within the last retention period, also by
+   * a restart. An heir may start a task that nobody reported only when none
+   * of these went at or after the job's admission.
+   */
+  readonly gone: readonly GoneTarget[];
   readonly entries: readonly EntryInfo[];
   readonly ended: readonly EndedEpoch[];
   readonly configuration: VersionedSource;
@@ -279,11 +295,7 @@
 
 export type ViewChange =
   | {readonly kind: 'target-joined'; readonly target: TargetInfo}
-  | {
-      readonly kind: 'target-gone';
-      readonly target: TargetId;
-      readonly incarnation: number;
-    }
+  | {readonly kind: 'target-gone'; readonly gone: GoneTarget}
   | {readonly kind: 'entry-opened'; readonly entry: EntryInfo}
   | {readonly kind: 'epoch-ended'; readonly ended: EndedEpoch}
   | {readonly kind: 'configured'; readonly configuration: VersionedSource};
