--- /dev/null
+++ b/packages/entry/src/execution.ts
@@ -0,0 +1,56 @@
+import type {JobAnswer, TaskRef} from '#model';
+import {applyJobEvent, type Job, type JobEvent} from './job.js';
+
+/** A job in hand and the promise of its one answer. */
+export class Execution {
+  /** Resolves once, with the job's answer. */
+  readonly answered: Promise<JobAnswer>;
+
+  private resolveAnswer!: (answer: JobAnswer) => void;
+  private detached = false;
+  private sent = false;
+
+  constructor(
+    public job: Job,
+    private readonly maxPlacements: number,
+  ) {
+    this.answered = new Promise(resolve => (this.resolveAnswer = resolve));
+  }
+
+  /** True when nothing more may be placed for this job here. */
+  get isOver(): boolean {
+    return this.detached || this.job.answer !== undefined;
+  }
+
+  /** True when a task may have started from here. */
+  get hasSent(): boolean {
+    return this.sent;
+  }
+
+  /** Applies an event and resolves the answer when the job is over. */
+  apply(event: JobEvent): void {
+    if (this.job.answer !== undefined) return;
+    if (this.detached && event.kind !== 'abandoned') return;
+    this.sent ||= event.kind === 'sent';
+    this.job = applyJobEvent(this.job, event, this.maxPlacements);
+    if (this.job.answer !== undefined) this.resolveAnswer(this.job.answer);
+  }
+
+  /** Ends the job with an answer from elsewhere, unless it has one. */
+  resolve(answer: JobAnswer): void {
+    this.apply({kind: 'abandoned', answer});
+  }
+
+  /** Stops placing tasks here: another entry owns the job now. */
+  detach(): void {
+    this.detached = true;
+  }
+
+  /** Lists the tasks that were sent and have not ended. */
+  listSent(): readonly TaskRef[] {
+    const {job, tasks} = {job: this.job.submission.job, tasks: this.job.tasks};
+    return tasks.flatMap((state, task) =>
+      state.kind === 'sent' ? [{job, task}] : [],
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/heir.ts
@@ -0,0 +1,89 @@
+import type {EndedEpoch, Epoch, TargetId, TaskRef} from '#model';
+import type {AdmittedJob, FenceResult, GoneTarget} from '#protocol';
+import {type AgentLink, formatTask, type TaskEnd} from './link.js';
+
+/** What the agents know of a task that an ended epoch started. */
+export type Inherited =
+  | {readonly kind: 'ended'; readonly end: TaskEnd}
+  | {
+      readonly kind: 'running';
+      readonly target: TargetId;
+      readonly incarnation: number;
+      readonly end: Promise<TaskEnd>;
+    };
+
+/** What fencing a set of ended epochs at every agent has brought. */
+export interface Estate {
+  readonly tasks: ReadonlyMap<string, Inherited>;
+  /** Agents that did not answer before they left the view. */
+  readonly silent: readonly TargetId[];
+}
+
+/** Lists the ended epochs whose jobs belong to an epoch, through every heir between. */
+export function listInherited(
+  ended: readonly EndedEpoch[],
+  heir: Epoch,
+): readonly Epoch[] {
+  const heirs = new Map(ended.map(({epoch, heir: next}) => [epoch, next]));
+  const leadsToHeir = (epoch: Epoch): boolean => {
+    const next = heirs.get(epoch);
+    if (next === undefined) return false;
+    return next === heir || leadsToHeir(next);
+  };
+  return [...heirs.keys()].filter(leadsToHeir).sort((a, b) => a - b);
+}
+
+/** Fences epochs at every agent in one message each and gathers what they started. */
+export async function collectEstate(
+  links: readonly AgentLink[],
+  epochs: readonly Epoch[],
+  heir: Epoch,
+): Promise<Estate> {
+  const tasks = new Map<string, Inherited>();
+  const silent: TargetId[] = [];
+  await Promise.all(
+    links.map(async link => {
+      const result = await link.fence(epochs, heir);
+      if (result === undefined) silent.push(link.target.target);
+      else takeOver(link, result, tasks);
+    }),
+  );
+  return {tasks, silent};
+}
+
+function takeOver(
+  link: AgentLink,
+  result: FenceResult,
+  tasks: Map<string, Inherited>,
+): void {
+  for (const {job, task, standing} of result.tasks) {
+    const ref: TaskRef = {job, task};
+    if (standing.kind === 'ended') {
+      tasks.set(formatTask(ref), {
+        kind: 'ended',
+        end: {fate: standing.fate, runMs: 0},
+      });
+    }
+    if (standing.kind === 'running') {
+      tasks.set(formatTask(ref), {
+        kind: 'running',
+        target: result.target,
+        incarnation: result.incarnation,
+        end: link.adopt(ref),
+      });
+    }
+  }
+}
+
+/**
+ * True when a task of the job that no agent reported cannot have started: every
+ * agent answered, and none that the job's epoch may have used is gone.
+ */
+export function isUnreportedSafe(
+  estate: Estate,
+  gone: readonly GoneTarget[],
+  standing: AdmittedJob,
+): boolean {
+  if (estate.silent.length > 0) return false;
+  return gone.every(({revision}) => revision < standing.revision);
+}
--- /dev/null
+++ b/packages/entry/src/lease.ts
@@ -0,0 +1,104 @@
+import {type Clock, computeDeadline, type Epoch, type Instant} from '#model';
+import type {LeaseGrant, Renewal} from '#protocol';
+import type {LeaseSettings} from '#settings';
+
+/** How a lease reaches control. Undefined: control could not be asked. */
+export interface LeasePort {
+  readonly open: (deadline: Instant) => Promise<LeaseGrant | undefined>;
+  readonly renew: (
+    epoch: Epoch,
+    deadline: Instant,
+  ) => Promise<Renewal | undefined>;
+  readonly close: (epoch: Epoch, deadline: Instant) => Promise<void>;
+  readonly onOpened: (epoch: Epoch) => void;
+  readonly onEnded: (epoch: Epoch) => void;
+}
+
+/**
+ * The entry's epoch and the lease on it. The lease is counted from the moment
+ * before a renewal is sent, so that it ends here before it ends at control.
+ */
+export class EntryLease implements AsyncDisposable {
+  private current: Epoch | undefined;
+  private deadline: Instant = 0;
+  private stopped = false;
+  private wake = () => {};
+  private readonly loop: Promise<void>;
+
+  constructor(
+    private readonly port: LeasePort,
+    private readonly settings: LeaseSettings,
+    private readonly clock: Clock,
+  ) {
+    this.loop = this.keepRenewed();
+  }
+
+  /** The epoch held, if any; it may be past its lease. */
+  get epoch(): Epoch | undefined {
+    return this.current;
+  }
+
+  /** The epoch under which tasks may start now, if any. */
+  get startingEpoch(): Epoch | undefined {
+    const limit = this.deadline - this.settings.clockMarginMs;
+    return this.clock.now() < limit ? this.current : undefined;
+  }
+
+  /** Ends the epoch for good: nothing will start under it. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped = true;
+    this.wake();
+    await this.loop;
+    const epoch = this.current;
+    this.current = undefined;
+    if (epoch === undefined) return;
+    await this.port.close(epoch, this.computeRequestDeadline());
+  }
+
+  private async keepRenewed(): Promise<void> {
+    while (!this.stopped) {
+      const sentAt = this.clock.now();
+      if (this.current === undefined) await this.open(sentAt);
+      else await this.renew(this.current, sentAt);
+      if (!this.stopped) await this.pause();
+    }
+  }
+
+  private async open(sentAt: Instant): Promise<void> {
+    const grant = await this.port.open(this.computeRequestDeadline());
+    if (grant === undefined) return;
+    this.current = grant.epoch;
+    this.deadline = computeDeadline(sentAt, grant.leaseMs);
+    this.port.onOpened(grant.epoch);
+  }
+
+  private async renew(epoch: Epoch, sentAt: Instant): Promise<void> {
+    const renewal = await this.port.renew(epoch, this.computeRequestDeadline());
+    if (renewal === undefined) return;
+    if (renewal.kind === 'renewed') {
+      this.deadline = computeDeadline(sentAt, renewal.leaseMs);
+      return;
+    }
+    this.current = undefined;
+    this.deadline = 0;
+    this.port.onEnded(epoch);
+  }
+
+  private computeRequestDeadline(): Instant {
+    return computeDeadline(this.clock.now(), this.settings.entryLeaseMs);
+  }
+
+  private pause(): Promise<void> {
+    const pauseMs =
+      this.current === undefined
+        ? this.settings.renewalIntervalMs / 10
+        : this.settings.renewalIntervalMs;
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, pauseMs);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/link.ts
@@ -0,0 +1,382 @@
+import {
+  type Clock,
+  computeDeadline,
+  failUnreachable,
+  type Epoch,
+  type EntryId,
+  type TargetInfo,
+  type TaskFate,
+  type TaskRef,
+  type TaskStanding,
+} from '#model';
+import {
+  dialPeer,
+  type FenceResult,
+  type Liveness,
+  type Peer,
+  type ReportParams,
+  type StartTask,
+} from '#protocol';
+import type {Logger} from '#telemetry';
+
+/** How a task that was sent to an agent ended, as far as can be known. */
+export interface TaskEnd {
+  readonly fate: TaskFate;
+  /** Time at the target, in ms. */
+  readonly runMs: number;
+}
+
+/** What a link needs of the entry that owns it. */
+export interface LinkOwner {
+  readonly entry: EntryId;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly liveness?: Liveness;
+  /** The epoch that the entry holds, or undefined while it holds none. */
+  readonly getEpoch: () => Epoch | undefined;
+  /** Slots fell free, the link opened or it closed. */
+  readonly onSlots: (link: AgentLink) => void;
+  /** A task of an ended epoch, now this entry's as the heir, has ended. */
+  readonly onStray: (ref: TaskRef, end: TaskEnd) => void;
+}
+
+const dialTimeoutMs = 2000;
+const helloTimeoutMs = 3000;
+const queryTimeoutMs = 5000;
+const firstBackoffMs = 20;
+const maxBackoffMs = 1000;
+
+/** Names one task in maps. */
+export function formatTask(ref: TaskRef): string {
+  return `${ref.job}.${ref.task}`;
+}
+
+interface SentTask {
+  readonly ref: TaskRef;
+  readonly resolve: (end: TaskEnd) => void;
+}
+
+/**
+ * The entry's side of one agent: keeps a connection open, holds the slots that
+ * the agent granted, and accounts for every task sent until its fate is known.
+ */
+export class AgentLink implements AsyncDisposable {
+  /** Granted slots not in use. */
+  free = 0;
+  /** Messages sent by kind, for the wasted-message score. */
+  readonly sentMessages = {start: 0, reserve: 0, release: 0, demand: 0};
+
+  private peer: Peer | undefined;
+  private ready = false;
+  private connection = 0;
+  private stopped = false;
+  private inView = true;
+  private wakeBackoff = () => {};
+  private readonly sent = new Map<string, SentTask>();
+  private outgoing: StartTask[] = [];
+  private waiting = 0;
+  private readonly opened: (() => void)[] = [];
+  private readonly loop: Promise<void>;
+
+  constructor(
+    /** The target as last announced. */
+    public target: TargetInfo,
+    private readonly owner: LinkOwner,
+  ) {
+    this.loop = this.keepConnected();
+  }
+
+  /** True while tasks can be sent. */
+  get isReady(): boolean {
+    return this.ready;
+  }
+
+  /** Tasks sent whose fate is not known yet. */
+  get inFlight(): number {
+    return this.sent.size;
+  }
+
+  /** True once the target left the view and nothing is owed to it. */
+  get isSpent(): boolean {
+    return !this.inView && this.sent.size === 0;
+  }
+
+  /** Sends a task and waits for its fate. A fate of `not-run` proves that it did not start. */
+  start(task: StartTask, waiting: number): Promise<TaskEnd> {
+    return new Promise(resolve => {
+      if (!this.ready) {
+        resolve({fate: {kind: 'not-run', reason: 'no-slot'}, runMs: 0});
+        return;
+      }
+      if (task.granted) this.free--;
+      this.sent.set(formatTask(task), {ref: task, resolve});
+      this.waiting = waiting;
+      if (this.outgoing.length === 0) setImmediate(() => this.flush());
+      this.outgoing.push(task);
+    });
+  }
+
+  /** Waits for the fate of a task that an ended epoch started at this agent. */
+  adopt(ref: TaskRef): Promise<TaskEnd> {
+    return new Promise(resolve => {
+      this.sent.set(formatTask(ref), {ref, resolve});
+    });
+  }
+
+  /** Gives up the tasks of an epoch that is over; its heir is told their fates. */
+  relinquish(): void {
+    this.loseTasks('the epoch of the entry is over');
+    this.peer?.close('the epoch of the entry is over');
+    this.wakeBackoff();
+  }
+
+  /** Asks for slots as they fall free. */
+  reserve(slots: number): void {
+    if (!this.ready || slots === 0) return;
+    this.sentMessages.reserve++;
+    this.peer?.notify('agent.reserve', {slots});
+  }
+
+  /** Gives back granted slots, or withdraws reservations. */
+  release(slots: number): void {
+    if (!this.ready || slots === 0) return;
+    this.free = Math.max(0, this.free - slots);
+    this.sentMessages.release++;
+    this.peer?.notify('agent.release', {slots});
+  }
+
+  /** Tells the agent how many tasks wait here. */
+  reportDemand(waiting: number): void {
+    if (!this.ready) return;
+    this.sentMessages.demand++;
+    this.peer?.notify('agent.demand', {waiting});
+  }
+
+  /** Asks the agent to stop tasks or never to start them. */
+  cancel(tasks: readonly TaskRef[]): void {
+    if (tasks.length === 0) return;
+    this.peer?.notify('agent.cancel', {
+      tasks: tasks.map(({job, task}) => ({job, task})),
+    });
+  }
+
+  /** Bars epochs at the agent. Undefined when it left the view before it answered. */
+  async fence(
+    epochs: readonly Epoch[],
+    heir: Epoch,
+  ): Promise<FenceResult | undefined> {
+    for (;;) {
+      if (!this.ready && !(await this.waitOpen())) return undefined;
+      const reply = await this.peer!.request(
+        'agent.fence',
+        {epochs, heir},
+        this.getDeadline(queryTimeoutMs),
+      );
+      const result = reply.toMaybe().extractNullable();
+      if (result !== null) return result;
+      if (!this.inView || this.stopped) return undefined;
+      this.peer?.close('fence was not answered');
+    }
+  }
+
+  /** Takes in a newer announcement of the same target. */
+  update(target: TargetInfo): void {
+    const restarted = target.incarnation !== this.target.incarnation;
+    this.target = target;
+    this.inView = true;
+    if (!restarted) return;
+    this.loseTasks('the agent restarted');
+    this.peer?.close('the agent restarted');
+    this.wakeBackoff();
+  }
+
+  /** The target left the view. What is still connected may finish. */
+  retire(): void {
+    this.inView = false;
+    this.free = 0;
+    if (!this.ready) this.loseTasks('the agent is gone');
+    this.wakeBackoff();
+    this.wakeWaiters();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped = true;
+    this.wakeBackoff();
+    this.wakeWaiters();
+    await this.peer?.[Symbol.asyncDispose]();
+    await this.loop;
+  }
+
+  private async keepConnected(): Promise<void> {
+    let backoffMs = firstBackoffMs;
+    while (!this.stopped && !this.isSpent) {
+      const epoch = this.owner.getEpoch();
+      if (epoch !== undefined && (await this.connect(epoch))) {
+        backoffMs = firstBackoffMs;
+      }
+      if (!this.inView) this.loseTasks('the agent is gone');
+      if (this.stopped || this.isSpent) return;
+      await this.pause(backoffMs);
+      backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
+    }
+  }
+
+  /** Opens one connection and returns once it is over; true when it had opened. */
+  private async connect(epoch: Epoch): Promise<boolean> {
+    const dialled = await dialPeer(
+      this.target.address,
+      {
+        'entry.grant': ({slots}, peer) => this.receiveSlots(peer, slots),
+        'entry.recall': ({slots}, peer) => this.giveBack(peer, slots),
+        'entry.report': (report, peer) => this.receiveReport(peer, report),
+      },
+      this.getDeadline(dialTimeoutMs),
+      this.owner.liveness,
+    );
+    const peer = dialled.toMaybe().extractNullable();
+    if (peer === null) return false;
+    this.peer = peer;
+    this.free = 0;
+    const opened = await this.openSession(peer, epoch);
+    if (!opened) {
+      peer.close('the agent did not welcome this entry');
+      return false;
+    }
+    this.ready = true;
+    this.wakeWaiters();
+    this.owner.onSlots(this);
+    const cause = await peer.closed;
+    this.ready = false;
+    this.free = 0;
+    this.owner.log.debug(
+      {event: 'link-closed', target: this.target.target, cause},
+      'connection to an agent closed',
+    );
+    this.owner.onSlots(this);
+    return true;
+  }
+
+  private async openSession(peer: Peer, epoch: Epoch): Promise<boolean> {
+    const hello = await peer.request(
+      'agent.hello',
+      {entry: this.owner.entry, epoch, connection: ++this.connection},
+      this.getDeadline(helloTimeoutMs),
+    );
+    const welcome = hello.toMaybe().extractNullable();
+    if (welcome === null || welcome.kind !== 'welcome') return false;
+    if (welcome.target.target !== this.target.target) return false;
+    if (welcome.target.incarnation !== this.target.incarnation) {
+      this.update(welcome.target);
+    }
+    return await this.settleSent(peer);
+  }
+
+  /** Asks about every task sent on an earlier connection. */
+  private async settleSent(peer: Peer): Promise<boolean> {
+    const tasks = [...this.sent.values()].map(({ref}) => ({
+      job: ref.job,
+      task: ref.task,
+    }));
+    if (tasks.length === 0) return peer.isOpen;
+    const reply = await peer.request(
+      'agent.query',
+      {tasks},
+      this.getDeadline(queryTimeoutMs),
+    );
+    const result = reply.toMaybe().extractNullable();
+    if (result === null || result.standings.length !== tasks.length) {
+      return false;
+    }
+    tasks.forEach((ref, i) => this.settle(ref, result.standings[i]!));
+    return peer.isOpen;
+  }
+
+  private settle(ref: TaskRef, standing: TaskStanding): void {
+    switch (standing.kind) {
+      case 'running':
+        return;
+      case 'ended':
+        this.finish(ref, {fate: standing.fate, runMs: 0});
+        return;
+      case 'never-started':
+        this.finish(ref, {
+          fate: {kind: 'not-run', reason: 'fenced'},
+          runMs: 0,
+        });
+        return;
+      default:
+        failUnreachable(standing);
+    }
+  }
+
+  private receiveSlots(peer: Peer, slots: number): void {
+    if (peer !== this.peer || !this.inView) return;
+    this.free += slots;
+    if (this.ready && slots > 0) this.owner.onSlots(this);
+  }
+
+  private giveBack(peer: Peer, slots: number): void {
+    if (peer !== this.peer) return;
+    const idle = Math.min(this.free, slots);
+    this.release(idle);
+    if (idle > 0) this.owner.onSlots(this);
+  }
+
+  private receiveReport(peer: Peer, report: ReportParams): void {
+    if (peer === this.peer && this.inView) this.free += report.slots;
+    for (const {job, task, fate, runMs} of report.tasks) {
+      this.finish({job, task}, {fate, runMs});
+    }
+    if (this.ready) this.owner.onSlots(this);
+  }
+
+  private finish(ref: TaskRef, end: TaskEnd): void {
+    const key = formatTask(ref);
+    const task = this.sent.get(key);
+    if (task === undefined) {
+      this.owner.onStray(ref, end);
+      return;
+    }
+    this.sent.delete(key);
+    task.resolve(end);
+  }
+
+  private loseTasks(detail: string): void {
+    for (const {ref} of [...this.sent.values()]) {
+      this.finish(ref, {fate: {kind: 'unknown', detail}, runMs: 0});
+    }
+  }
+
+  private flush(): void {
+    const tasks = this.outgoing;
+    this.outgoing = [];
+    if (tasks.length === 0 || !this.ready) return;
+    this.sentMessages.start++;
+    this.peer?.notify('agent.start', {tasks, waiting: this.waiting});
+  }
+
+  private waitOpen(): Promise<boolean> {
+    if (this.stopped || !this.inView) return Promise.resolve(false);
+    return new Promise(resolve => {
+      this.opened.push(() => resolve(this.ready));
+    });
+  }
+
+  private wakeWaiters(): void {
+    for (const wake of this.opened.splice(0)) wake();
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, ms);
+      this.wakeBackoff = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  private getDeadline(ms: number): number {
+    return computeDeadline(this.owner.clock.now(), ms);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/neighbours.ts
@@ -0,0 +1,72 @@
+import type {Address, Instant, JobAnswer, JobId, Submission} from '#model';
+import {computeRemainingMs, monotonicClock} from '#model';
+import {dialPeer, type JobState, type Liveness, type Peer} from '#protocol';
+
+/** Connections to other entries, opened when first needed. */
+export class Neighbours implements AsyncDisposable {
+  private readonly peers = new Map<Address, Promise<Peer | undefined>>();
+
+  constructor(private readonly liveness?: Liveness) {}
+
+  /** Waits for the answer of a job at its owner. Undefined: the owner cannot be reached or was cut off. */
+  async attach(
+    address: Address,
+    submission: Submission,
+    deadline: Instant,
+  ): Promise<JobAnswer | undefined> {
+    const peer = await this.open(address, deadline);
+    if (peer === undefined) return undefined;
+    const remainingMs = computeRemainingMs(monotonicClock.now(), deadline);
+    const reply = await peer.request(
+      'entry.attach',
+      {submission, remainingMs},
+      deadline,
+    );
+    return reply.toMaybe().extract()?.answer;
+  }
+
+  /** Asks how far a job has come at its owner. */
+  async peek(
+    address: Address,
+    job: JobId,
+    deadline: Instant,
+  ): Promise<JobState | undefined> {
+    const peer = await this.open(address, deadline);
+    return (await peer?.request('entry.peek', {job}, deadline))
+      ?.toMaybe()
+      .extract();
+  }
+
+  /** Cancels a job at its owner. */
+  async cancel(
+    address: Address,
+    job: JobId,
+    deadline: Instant,
+  ): Promise<JobState | undefined> {
+    const peer = await this.open(address, deadline);
+    return (await peer?.request('entry.cancel', {job}, deadline))
+      ?.toMaybe()
+      .extract();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const opening of this.peers.values()) {
+      await (await opening)?.[Symbol.asyncDispose]();
+    }
+  }
+
+  private open(address: Address, deadline: Instant): Promise<Peer | undefined> {
+    const known = this.peers.get(address);
+    if (known !== undefined) return known;
+    const opening = dialPeer(address, {}, deadline, this.liveness).then(
+      dialled => {
+        const peer = dialled.toMaybe().extract();
+        if (peer === undefined) this.peers.delete(address);
+        else void peer.closed.then(() => this.peers.delete(address));
+        return peer;
+      },
+    );
+    this.peers.set(address, opening);
+    return opening;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/registrar.ts
@@ -0,0 +1,78 @@
+import type {Clock, Instant, JobId, Submission, Epoch} from '#model';
+import {computeDeadline} from '#model';
+import type {AdmitResult, Admission, LookupResult} from '#protocol';
+import {Batcher} from './batcher.js';
+import type {ControlPort} from './control-port.js';
+
+const maxBatchesInFlight = 4;
+const maxBatch = 2000;
+const requestTimeoutMs = 5000;
+
+/** Records jobs with control and asks about them, in batches. Undefined: control did not answer. */
+export class Registrar {
+  private readonly admissions: Batcher<Admission, AdmitResult | undefined>;
+  private readonly lookups: Batcher<JobId, LookupResult | undefined>;
+
+  constructor(
+    private readonly control: ControlPort,
+    private readonly clock: Clock,
+  ) {
+    this.admissions = new Batcher(
+      items => this.sendAdmissions(items),
+      maxBatchesInFlight,
+      maxBatch,
+    );
+    this.lookups = new Batcher(
+      items => this.sendLookups(items),
+      maxBatchesInFlight,
+      maxBatch,
+    );
+  }
+
+  /** Commits that an epoch owns a job, unless another does. */
+  admit(
+    submission: Submission,
+    epoch: Epoch,
+    keepMs: number,
+  ): Promise<AdmitResult | undefined> {
+    return this.admissions.add({
+      job: submission.job,
+      digest: submission.digest,
+      epoch,
+      tasks: submission.tasks.length,
+      unrepeatable: submission.unrepeatable,
+      keepMs,
+    });
+  }
+
+  /** Asks whether a job has a record. */
+  lookUp(job: JobId): Promise<LookupResult | undefined> {
+    return this.lookups.add(job);
+  }
+
+  private async sendAdmissions(
+    admissions: readonly Admission[],
+  ): Promise<readonly (AdmitResult | undefined)[]> {
+    const reply = await this.control.request(
+      'control.admit',
+      {admissions},
+      this.getDeadline(),
+    );
+    return reply.orDefault([]);
+  }
+
+  private async sendLookups(
+    jobs: readonly JobId[],
+  ): Promise<readonly (LookupResult | undefined)[]> {
+    const reply = await this.control.request(
+      'control.lookup',
+      {jobs},
+      this.getDeadline(),
+    );
+    return reply.orDefault([]);
+  }
+
+  private getDeadline(): Instant {
+    return computeDeadline(this.clock.now(), requestTimeoutMs);
+  }
+}
