--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -16,6 +16,8 @@
 } from './id.js';
 export {computeDigest, deriveJobId} from './id.js';
 
+export {parseAddress} from './address.js';
+
 export type {Clock, Instant} from './time.js';
 export {computeDeadline, computeRemainingMs, monotonicClock} from './time.js';
 
--- a/packages/protocol/src/endpoint.ts
+++ b/packages/protocol/src/endpoint.ts
@@ -1,22 +1,9 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts';
 import type {Address, Instant} from '#model';
-import {monotonicClock, computeRemainingMs} from '#model';
+import {monotonicClock, computeRemainingMs, parseAddress} from '#model';
 import {type Handlers, type Liveness, Peer} from './peer.js';
 
-/** Splits `host:port`; fails with what is wrong. */
-export function parseAddress(
-  address: Address,
-): Either<string, {readonly host: string; readonly port: number}> {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  const port = Number(address.slice(colon + 1));
-  if (colon < 1 || !Number.isInteger(port) || port < 0 || port > 65535) {
-    return Left(`address "${address}" is not host:port`);
-  }
-  return Right({host, port});
-}
-
 /** Connects to a peer by the deadline, or says why it could not. */
 export async function dialPeer(
   address: Address,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -15,4 +15,5 @@
 
 export type {Handlers, Liveness, RpcFailure} from './peer.js';
 export {defaultLiveness, Peer} from './peer.js';
-export {dialPeer, parseAddress, PeerListener} from './endpoint.js';
+export {parseAddress} from '#model';
+export {dialPeer, PeerListener} from './endpoint.js';
