--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -8,3 +8,20 @@
   ProcessSettings,
   Role,
 } from './process.js';
+
+export type {SettingsError} from './error.js';
+export {describeSettingsError} from './error.js';
+
+export type {
+  LoadedSettings,
+  RoleOf,
+  SettingsFiles,
+  SettingsText,
+} from './load.js';
+export {loadProcessSettings, parseProcessSettings} from './load.js';
+
+export {
+  checkSource,
+  extractSource,
+  parseConfiguration,
+} from './configuration.js';
