--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,5 @@
+export type {HistogramSummary, Measure} from './histogram.js';
+export {Histograms, overflowTeam} from './histogram.js';
 export type {Logger} from './log.js';
 export {openLog} from './log.js';
 export type {Metrics, Tags} from './metrics.js';
