--- a/packages/entry/src/answer.ts
+++ b/packages/entry/src/answer.ts
@@ -1,8 +1,4 @@
-import {
-  failUnreachable,
-  type JobAnswer,
-  type NotRunReason,
-} from '#model';
+import {failUnreachable, type JobAnswer, type NotRunReason} from '#model';
 
 /** An answer as it goes to a caller by HTTP. */
 export interface HttpAnswer {
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -86,20 +86,31 @@
   const serve =
     (route: Route) =>
     (req: IncomingMessage, res: ServerResponse): void => {
-      void route(req as IncomingMessage & {params: Params}, owner).then(answer =>
-        send(res, answer, owner.isDraining()),
+      void route(req as IncomingMessage & {params: Params}, owner).then(
+        answer => send(res, answer, owner.isDraining()),
       );
     };
   const router = polka({
     onError: (_error, _req, res) =>
-      send(res, refuse({reason: 'bad-request', detail: 'malformed URL'}), false),
+      send(
+        res,
+        refuse({reason: 'bad-request', detail: 'malformed URL'}),
+        false,
+      ),
     onNoMatch: (_req, res) =>
-      send(res, {status: 404, retryAfterMs: 0, body: {status: 'absent'}}, false),
+      send(
+        res,
+        {status: 404, retryAfterMs: 0, body: {status: 'absent'}},
+        false,
+      ),
   })
     .post('/v1/services/:service/jobs', serve(submitJob))
     .get('/v1/jobs/:key', serve(peekJob))
     .delete('/v1/jobs/:key', serve(cancelJob))
-    .get('/v1/health/live', serve(async () => formatHealth(true)))
+    .get(
+      '/v1/health/live',
+      serve(async () => formatHealth(true)),
+    )
     .get(
       '/v1/health/ready',
       serve(async () => formatHealth(owner.isReady())),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export {Entry} from './entry.js';
+export {runEntry} from './run.js';
--- a/packages/entry/src/registrar.ts
+++ b/packages/entry/src/registrar.ts
@@ -2,7 +2,7 @@
 import {computeDeadline} from '#model';
 import type {AdmitResult, Admission, LookupResult} from '#protocol';
 import {Batcher} from './batcher.js';
-import type {ControlPort} from './control-port.js';
+import type {ControlClient} from '#membership';
 
 const maxBatchesInFlight = 4;
 const maxBatch = 2000;
@@ -14,7 +14,7 @@
   private readonly lookups: Batcher<JobId, LookupResult | undefined>;
 
   constructor(
-    private readonly control: ControlPort,
+    private readonly control: Pick<ControlClient, 'request'>,
     private readonly clock: Clock,
   ) {
     this.admissions = new Batcher(
--- a/packages/entry/src/request.ts
+++ b/packages/entry/src/request.ts
@@ -1,5 +1,12 @@
 import {type Either, Left, Right} from 'purify-ts';
-import {array, Codec, number, optional, boolean, unknown} from 'purify-ts/Codec';
+import {
+  array,
+  Codec,
+  number,
+  optional,
+  boolean,
+  unknown,
+} from 'purify-ts/Codec';
 import {
   computeDigest,
   deriveJobId,
@@ -63,7 +70,9 @@
 ): Either<BadRequest, CheckedRequest> {
   return checkName('Idempotency-Key', raw.key).chain(key =>
     checkName('Wasabiring-Team', raw.team).chain(team =>
-      parseBody(raw.body).chain(body => checkBody(raw, key, team, body, limits)),
+      parseBody(raw.body).chain(body =>
+        checkBody(raw, key, team, body, limits),
+      ),
     ),
   );
 }
@@ -85,9 +94,10 @@
 ): Either<BadRequest, CheckedRequest> {
   return bodyCodec
     .decode(body)
-    .mapLeft(
-      (detail): BadRequest => ({reason: 'bad-request', detail: `body: ${detail}`}),
-    )
+    .mapLeft((detail): BadRequest => ({
+      reason: 'bad-request',
+      detail: `body: ${detail}`,
+    }))
     .chain(({deadlineMs, unrepeatable = false, tasks}) => {
       const remainingMs = deadlineMs ?? defaultDeadlineMs;
       if (!(remainingMs >= 1 && remainingMs <= limits.maxDeadlineMs)) {
--- /dev/null
+++ b/packages/entry/src/run.ts
@@ -0,0 +1,38 @@
+import {computeDeadline, type ConfigurationSource} from '#model';
+import type {EntryRole, ProcessSettings} from '#settings';
+import {type ExitCode, exitCode, type Runtime} from '#telemetry';
+import {Entry} from './entry.js';
+
+/** Runs an entry until it is told to drain; returns the process's exit code. */
+export async function runEntry(
+  settings: ProcessSettings<EntryRole>,
+  configuration: ConfigurationSource,
+  runtime: Runtime,
+): Promise<ExitCode> {
+  const {log, clock} = runtime;
+  const opened = await Entry.open(settings, configuration, runtime);
+  const entry = opened.extract();
+  if (typeof entry === 'string') {
+    log.error({event: 'start-failed', detail: entry}, 'cannot start');
+    return exitCode.environment;
+  }
+  log.info({event: 'listening', http: entry.httpAddress}, 'listening');
+  await waitForAbort(runtime.drain);
+  log.info({event: 'draining'}, 'draining');
+  const deadline = computeDeadline(clock.now(), settings.role.drainMs);
+  const drained = await entry.drain(deadline);
+  if (!drained) {
+    log.error({event: 'drain-incomplete'}, 'jobs were left at the deadline');
+    return exitCode.drainIncomplete;
+  }
+  await entry[Symbol.asyncDispose]();
+  log.info({event: 'drained'}, 'drained');
+  return exitCode.ok;
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return Promise.resolve();
+  return new Promise(resolve =>
+    signal.addEventListener('abort', () => resolve(), {once: true}),
+  );
+}
