--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -139,6 +139,7 @@
   }),
   Codec.interface({kind: exactly('entry-opened'), entry: entryInfo}),
   Codec.interface({kind: exactly('epoch-ended'), ended: endedEpoch}),
+  Codec.interface({kind: exactly('epoch-forgotten'), epoch: count}),
   Codec.interface({
     kind: exactly('configured'),
     configuration: versionedSource,
@@ -196,7 +197,12 @@
     Codec.interface({tasks: array(taskReport), slots: count}),
   ),
   'control.openEntry': toCheck(
-    Codec.interface({entry: string, address: string, place}),
+    Codec.interface({
+      entry: string,
+      nonce: optional(string),
+      address: string,
+      place,
+    }),
   ),
   'control.renewEntry': toCheck(
     Codec.interface({...entryEpoch, configVersion: count}),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -154,6 +154,8 @@
   readonly kind: 'not-leader';
   /** Where the leader was last seen, if anywhere. */
   readonly leader?: Address;
+  /** The request was proposed to the log and may yet be committed. */
+  readonly maybeApplied?: boolean;
 }
 
 export type ControlReply<Result> =
@@ -161,6 +163,8 @@
 
 export interface OpenEntryParams {
   readonly entry: EntryId;
+  /** Chosen anew by each process; a resend with the same one gets the same epoch while that lives. */
+  readonly nonce?: string;
   readonly address: Address;
   readonly place: Place;
 }
@@ -286,6 +290,8 @@
     }
   | {readonly kind: 'entry-opened'; readonly entry: EntryInfo}
   | {readonly kind: 'epoch-ended'; readonly ended: EndedEpoch}
+  /** Control keeps no job of this ended epoch any more. */
+  | {readonly kind: 'epoch-forgotten'; readonly epoch: Epoch}
   | {readonly kind: 'configured'; readonly configuration: VersionedSource};
 
 export type ViewUpdate =
