--- /dev/null
+++ b/packages/membership/src/admissions.ts
@@ -0,0 +1,292 @@
+import {type Epoch, type JobId, assertInvariant} from '#model';
+
+/** What control keeps of an admitted job. */
+export interface AdmissionRecord {
+  readonly job: JobId;
+  readonly digest: string;
+  readonly epoch: Epoch;
+  readonly tasks: number;
+  readonly unrepeatable: boolean;
+  /** Log time in whole seconds from which the record may be forgotten. */
+  readonly expirySecond: number;
+}
+
+const idBytes = 16;
+/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second. */
+const recordBytes = 2 * idBytes + 3 * 4;
+const epochOffset = 2 * idBytes;
+const tasksOffset = epochOffset + 4;
+const expiryOffset = tasksOffset + 4;
+const unrepeatableBit = 0x80000000;
+const recordsPerChunk = 8192;
+const none = -1;
+const firstBuckets = 1024;
+
+/** The most tasks that a record can state. */
+export const maxRecordTasks = unrepeatableBit - 1;
+
+/** True for the ids and digests that a record can hold: 32 lower-case hex digits. */
+export function isRecordId(id: string): boolean {
+  return /^[0-9a-f]{32}$/.test(id);
+}
+
+interface Chunk {
+  readonly records: Buffer;
+  /** The next record of the same hash bucket, or of the free list. */
+  readonly nextInBucket: Int32Array;
+  /** The next record that expires in the same second. */
+  readonly nextToExpire: Int32Array;
+}
+
+/**
+ * Admitted jobs by id, in flat memory: 52 bytes a record and 4 to 8 of index.
+ * Records that expire in one second form a list, so that forgetting costs only what is forgotten.
+ */
+export class AdmissionTable {
+  private readonly chunks: Chunk[] = [];
+  private buckets = new Int32Array(firstBuckets).fill(none);
+  private readonly expiryHeads = new Map<number, number>();
+  private readonly epochCounts = new Map<Epoch, number>();
+  private firstFree = none;
+  private used = 0;
+  private count = 0;
+
+  /** `forgottenSecond` is the last second whose records are already gone. */
+  constructor(private forgottenSecond = 0) {}
+
+  get size(): number {
+    return this.count;
+  }
+
+  /** Every record that expires in this second or before has been forgotten. */
+  get lastForgottenSecond(): number {
+    return this.forgottenSecond;
+  }
+
+  /** Returns a job's record, unless it is unknown or forgotten. */
+  find(job: JobId): AdmissionRecord | undefined {
+    if (!isRecordId(job)) return undefined;
+    const slot = this.locate(Buffer.from(job, 'hex'));
+    return slot === none ? undefined : this.read(slot);
+  }
+
+  /** Adds a record whose job is not in the table. Ids are 32 hex digits. */
+  add(record: AdmissionRecord): void {
+    assertInvariant(
+      isRecordId(record.job) && isRecordId(record.digest),
+      `job "${record.job}" or digest "${record.digest}" is not 32 hex digits`,
+    );
+    if (this.count >= this.buckets.length) this.growBuckets();
+    const slot = this.takeSlot();
+    const {records, nextInBucket, nextToExpire} = this.getChunk(slot);
+    const at = slot % recordsPerChunk;
+    const pos = at * recordBytes;
+    records.write(record.job, pos, 'hex');
+    records.write(record.digest, pos + idBytes, 'hex');
+    records.writeUInt32LE(record.epoch, pos + epochOffset);
+    records.writeUInt32LE(
+      record.tasks + (record.unrepeatable ? unrepeatableBit : 0),
+      pos + tasksOffset,
+    );
+    const second = Math.max(record.expirySecond, this.forgottenSecond + 1);
+    records.writeUInt32LE(second, pos + expiryOffset);
+    const bucket = this.hash(records, pos);
+    nextInBucket[at] = this.buckets[bucket];
+    this.buckets[bucket] = slot;
+    nextToExpire[at] = this.expiryHeads.get(second) ?? none;
+    this.expiryHeads.set(second, slot);
+    this.epochCounts.set(record.epoch, this.countOf(record.epoch) + 1);
+    this.count++;
+  }
+
+  /**
+   * Forgets the records that expire in `untilSecond` or before, whole seconds at a time,
+   * and stops after the second in which `limit` was reached. Returns how many it forgot.
+   */
+  forgetExpired(untilSecond: number, limit: number): number {
+    if (this.count === 0) {
+      this.forgottenSecond = Math.max(this.forgottenSecond, untilSecond);
+      return 0;
+    }
+    let forgotten = 0;
+    while (this.forgottenSecond < untilSecond && forgotten < limit) {
+      this.forgottenSecond++;
+      forgotten += this.forgetSecond(this.forgottenSecond);
+    }
+    return forgotten;
+  }
+
+  /** Counts the records of one epoch. */
+  countOf(epoch: Epoch): number {
+    return this.epochCounts.get(epoch) ?? 0;
+  }
+
+  /** Lists every record, in no particular order. */
+  *list(): Generator<AdmissionRecord> {
+    for (const head of this.expiryHeads.values()) {
+      for (let slot = head; slot !== none; slot = this.getNextToExpire(slot)) {
+        yield this.read(slot);
+      }
+    }
+  }
+
+  /** Lists the records of some epochs. */
+  listOfEpochs(epochs: ReadonlySet<Epoch>): readonly AdmissionRecord[] {
+    let left = 0;
+    for (const epoch of epochs) left += this.countOf(epoch);
+    const found: AdmissionRecord[] = [];
+    for (const head of this.expiryHeads.values()) {
+      if (found.length === left) break;
+      for (let slot = head; slot !== none; slot = this.getNextToExpire(slot)) {
+        if (epochs.has(this.readEpoch(slot))) found.push(this.read(slot));
+      }
+    }
+    return found;
+  }
+
+  /** Encodes every record, `recordBytes` each. */
+  encode(): Buffer {
+    const bytes = Buffer.allocUnsafe(this.count * recordBytes);
+    let end = 0;
+    for (const head of this.expiryHeads.values()) {
+      for (let slot = head; slot !== none; slot = this.getNextToExpire(slot)) {
+        const pos = (slot % recordsPerChunk) * recordBytes;
+        this.getChunk(slot).records.copy(bytes, end, pos, pos + recordBytes);
+        end += recordBytes;
+      }
+    }
+    return bytes;
+  }
+
+  /** Rebuilds a table from `encode`. */
+  static decode(bytes: Buffer, forgottenSecond: number): AdmissionTable {
+    assertInvariant(
+      bytes.length % recordBytes === 0,
+      `${bytes.length} bytes of admissions are not whole records of ${recordBytes}`,
+    );
+    const table = new AdmissionTable(forgottenSecond);
+    for (let pos = 0; pos < bytes.length; pos += recordBytes) {
+      table.add(readRecord(bytes, pos));
+    }
+    return table;
+  }
+
+  private forgetSecond(second: number): number {
+    let slot = this.expiryHeads.get(second) ?? none;
+    this.expiryHeads.delete(second);
+    let forgotten = 0;
+    while (slot !== none) {
+      const next = this.getNextToExpire(slot);
+      this.removeSlot(slot);
+      slot = next;
+      forgotten++;
+    }
+    return forgotten;
+  }
+
+  private removeSlot(slot: number): void {
+    const chunk = this.getChunk(slot);
+    const at = slot % recordsPerChunk;
+    const epoch = this.readEpoch(slot);
+    const bucket = this.hash(chunk.records, at * recordBytes);
+    this.removeFromBucket(bucket, slot);
+    chunk.nextInBucket[at] = this.firstFree;
+    this.firstFree = slot;
+    const left = this.countOf(epoch) - 1;
+    if (left === 0) this.epochCounts.delete(epoch);
+    else this.epochCounts.set(epoch, left);
+    this.count--;
+  }
+
+  private removeFromBucket(bucket: number, slot: number): void {
+    const next = this.getNextInBucket(slot);
+    if (this.buckets[bucket] === slot) {
+      this.buckets[bucket] = next;
+      return;
+    }
+    let before = this.buckets[bucket];
+    while (this.getNextInBucket(before) !== slot) {
+      before = this.getNextInBucket(before);
+    }
+    this.getChunk(before).nextInBucket[before % recordsPerChunk] = next;
+  }
+
+  private locate(job: Buffer): number {
+    let slot = this.buckets[this.hash(job, 0)];
+    while (slot !== none) {
+      const pos = (slot % recordsPerChunk) * recordBytes;
+      const {records} = this.getChunk(slot);
+      if (records.compare(job, 0, idBytes, pos, pos + idBytes) === 0) break;
+      slot = this.getNextInBucket(slot);
+    }
+    return slot;
+  }
+
+  private takeSlot(): number {
+    if (this.firstFree !== none) {
+      const slot = this.firstFree;
+      this.firstFree = this.getNextInBucket(slot);
+      return slot;
+    }
+    if (this.used === this.chunks.length * recordsPerChunk) {
+      this.chunks.push({
+        records: Buffer.alloc(recordsPerChunk * recordBytes),
+        nextInBucket: new Int32Array(recordsPerChunk),
+        nextToExpire: new Int32Array(recordsPerChunk),
+      });
+    }
+    return this.used++;
+  }
+
+  private growBuckets(): void {
+    this.buckets = new Int32Array(this.buckets.length * 2).fill(none);
+    for (const head of this.expiryHeads.values()) {
+      for (let slot = head; slot !== none; slot = this.getNextToExpire(slot)) {
+        const chunk = this.getChunk(slot);
+        const at = slot % recordsPerChunk;
+        const bucket = this.hash(chunk.records, at * recordBytes);
+        chunk.nextInBucket[at] = this.buckets[bucket];
+        this.buckets[bucket] = slot;
+      }
+    }
+  }
+
+  /** Job ids are digests: their first bytes are already uniform. */
+  private hash(bytes: Buffer, pos: number): number {
+    return bytes.readUInt32LE(pos) & (this.buckets.length - 1);
+  }
+
+  private getChunk(slot: number): Chunk {
+    return this.chunks[Math.floor(slot / recordsPerChunk)];
+  }
+
+  private getNextInBucket(slot: number): number {
+    return this.getChunk(slot).nextInBucket[slot % recordsPerChunk];
+  }
+
+  private getNextToExpire(slot: number): number {
+    return this.getChunk(slot).nextToExpire[slot % recordsPerChunk];
+  }
+
+  private readEpoch(slot: number): Epoch {
+    const pos = (slot % recordsPerChunk) * recordBytes;
+    return this.getChunk(slot).records.readUInt32LE(pos + epochOffset);
+  }
+
+  private read(slot: number): AdmissionRecord {
+    const pos = (slot % recordsPerChunk) * recordBytes;
+    return readRecord(this.getChunk(slot).records, pos);
+  }
+}
+
+function readRecord(bytes: Buffer, pos: number): AdmissionRecord {
+  const tasks = bytes.readUInt32LE(pos + tasksOffset);
+  return {
+    job: bytes.toString('hex', pos, pos + idBytes),
+    digest: bytes.toString('hex', pos + idBytes, pos + 2 * idBytes),
+    epoch: bytes.readUInt32LE(pos + epochOffset),
+    tasks: tasks % unrepeatableBit,
+    unrepeatable: tasks >= unrepeatableBit,
+    expirySecond: bytes.readUInt32LE(pos + expiryOffset),
+  };
+}
--- /dev/null
+++ b/packages/membership/src/command.ts
@@ -0,0 +1,74 @@
+import {Packr, Unpackr} from 'msgpackr';
+import {type Either, Left, Right} from 'purify-ts';
+import type {
+  Address,
+  EntryId,
+  Epoch,
+  Place,
+  TargetId,
+  TargetInfo,
+} from '#model';
+import type {
+  Admission,
+  AdmitResult,
+  ApplyConfigParams,
+  ApplyConfigResult,
+} from '#protocol';
+
+/**
+ * Log time in ms: 0 when the group was formed, carried by each command.
+ * A leader advances it by its monotonic clock from the last one applied; it stands still
+ * while there is no leader, so that it never runs ahead of any host's clock.
+ */
+export type LogTime = number;
+
+/** A change of the replicated state, as the log holds it. */
+export type Command = {readonly time: LogTime} & (
+  | {
+      readonly kind: 'open-entry';
+      readonly entry: EntryId;
+      readonly nonce: string;
+      readonly address: Address;
+      readonly place: Place;
+    }
+  | {readonly kind: 'close-entry'; readonly epoch: Epoch}
+  | {readonly kind: 'end-epoch'; readonly epoch: Epoch}
+  | {readonly kind: 'announce-target'; readonly target: TargetInfo}
+  | {
+      readonly kind: 'target-gone';
+      readonly target: TargetId;
+      readonly incarnation: number;
+    }
+  | {readonly kind: 'admit'; readonly admissions: readonly Admission[]}
+  | {readonly kind: 'forget'}
+  | {readonly kind: 'configure'; readonly change: ApplyConfigParams}
+);
+
+/** What a command came to; the same on every replica. */
+export type CommandResult =
+  | {readonly kind: 'opened'; readonly epoch: Epoch}
+  | {readonly kind: 'done'}
+  /** A newer incarnation of the target is known. */
+  | {readonly kind: 'superseded'}
+  /** One for each admission, in order. */
+  | {readonly kind: 'admitted'; readonly results: readonly AdmitResult[]}
+  /** The table of admissions has no room; nothing of the batch was admitted. */
+  | {readonly kind: 'full'}
+  | {readonly kind: 'configured'; readonly result: ApplyConfigResult};
+
+const packr = new Packr({useRecords: false});
+const unpackr = new Unpackr({useRecords: false});
+
+/** Encodes a command for the log. */
+export function encodeCommand(command: Command): Uint8Array {
+  return packr.pack(command);
+}
+
+/** Decodes a command from the log, or says what is wrong. */
+export function decodeCommand(bytes: Uint8Array): Either<string, Command> {
+  try {
+    return Right(unpackr.unpack(bytes) as Command);
+  } catch (error) {
+    return Left(`command is not MessagePack: ${String(error)}`);
+  }
+}
--- /dev/null
+++ b/packages/membership/src/configure.ts
@@ -0,0 +1,122 @@
+import {createHash} from 'node:crypto';
+import type {VersionedSource} from '#model';
+import type {ApplyConfigParams, ApplyConfigResult, ViewChange} from '#protocol';
+
+/** An accepted change without its texts. */
+export type ChangeSummary = Omit<VersionedSource, 'source'>;
+
+/** The first answer to a change id. */
+export interface ChangeAnswer {
+  readonly contentHash: string;
+  readonly result: ApplyConfigResult;
+}
+
+/** The configuration in force, and what answers resends and losers of a race. */
+export interface ConfigurationState {
+  current: VersionedSource;
+  /** The revision at which the current version came into force. */
+  revision: number;
+  /** The latest accepted changes, oldest first. */
+  readonly history: ChangeSummary[];
+  /** First answers by change id, oldest first. */
+  readonly answers: Map<string, ChangeAnswer>;
+}
+
+const maxHistory = 400;
+const maxAnswers = 800;
+
+/** The change id under which a new group commits the configuration that it was started with. */
+export const bootstrapChangeId = 'bootstrap';
+
+/** No configuration yet: version 0. */
+export function createConfiguration(): ConfigurationState {
+  return {
+    current: {
+      version: 0,
+      changeId: '',
+      author: '',
+      source: {base: '', overlays: {}},
+    },
+    revision: 0,
+    history: [],
+    answers: new Map(),
+  };
+}
+
+/** Finds the answer that a change id already has; a reused id with other content is invalid. */
+export function findAnswer(
+  state: ConfigurationState,
+  change: ApplyConfigParams,
+): ApplyConfigResult | undefined {
+  const answer = state.answers.get(change.changeId);
+  if (answer === undefined) return undefined;
+  if (answer.contentHash === hashChange(change)) return answer.result;
+  return {
+    kind: 'invalid',
+    errors: [
+      `change id "${change.changeId}" was used for another change; choose a new one`,
+    ],
+  };
+}
+
+/** Accepts a change that builds on the current version; any other loses to the one that took its version. */
+export function applyChange(
+  state: ConfigurationState,
+  change: ApplyConfigParams,
+  revision: number,
+): {
+  readonly result: ApplyConfigResult;
+  readonly changes: readonly ViewChange[];
+} {
+  const first = findAnswer(state, change);
+  if (first !== undefined) return {result: first, changes: []};
+  const result = judgeChange(state, change);
+  state.answers.set(change.changeId, {contentHash: hashChange(change), result});
+  dropOldest(state.answers);
+  if (result.kind !== 'accepted') return {result, changes: []};
+  const {changeId, author, source} = change;
+  const {version} = result;
+  state.current = {version, changeId, author, source};
+  state.revision = revision;
+  state.history.push({version, changeId, author});
+  if (state.history.length > maxHistory) state.history.shift();
+  return {
+    result,
+    changes: [{kind: 'configured', configuration: state.current}],
+  };
+}
+
+function judgeChange(
+  {current, history}: ConfigurationState,
+  {expectedVersion}: ApplyConfigParams,
+): ApplyConfigResult {
+  if (expectedVersion === current.version) {
+    return {kind: 'accepted', version: current.version + 1};
+  }
+  const winner =
+    history.find(({version}) => version === expectedVersion + 1) ?? current;
+  return {
+    kind: 'conflict',
+    version: current.version,
+    winner: winner.author,
+    winnerChangeId: winner.changeId,
+  };
+}
+
+function dropOldest(answers: Map<string, ChangeAnswer>): void {
+  if (answers.size <= maxAnswers) return;
+  for (const changeId of answers.keys()) {
+    answers.delete(changeId);
+    return;
+  }
+}
+
+function hashChange({expectedVersion, source}: ApplyConfigParams): string {
+  const overlays = Object.entries(source.overlays).sort(([a], [b]) =>
+    a < b ? -1 : 1,
+  );
+  return createHash('sha256')
+    .update(JSON.stringify([expectedVersion, source.base, overlays]))
+    .digest('hex')
+    .slice(0, 32);
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,31 @@
-export {};
+export type {Command, CommandResult, LogTime} from './command.js';
+export {decodeCommand, encodeCommand} from './command.js';
+
+export type {Applied, ControlState} from './state.js';
+export {
+  applyCommand,
+  buildView,
+  createState,
+  lookupJob,
+  maxAdmissions,
+} from './state.js';
+export type {AdmissionRecord} from './admissions.js';
+export {AdmissionTable, isRecordId, maxRecordTasks} from './admissions.js';
+export type {EpochTable, LiveEntry} from './epochs.js';
+export {resolveOwner} from './epochs.js';
+export type {ChangeSummary, ConfigurationState} from './configure.js';
+export {bootstrapChangeId, findAnswer} from './configure.js';
+export {decodeSnapshot, encodeSnapshot} from './snapshot.js';
+
+export {PersistentMap} from './persistent-map.js';
+export type {View, ViewStep} from './view.js';
+export {applyUpdate, emptyView, findTargets} from './view.js';
+
+export type {
+  ControlClientOptions,
+  ControlFailure,
+  ControlRequest,
+  ControlValue,
+  ViewListener,
+} from './client.js';
+export {ControlClient} from './client.js';
--- /dev/null
+++ b/packages/membership/src/snapshot.ts
@@ -0,0 +1,98 @@
+import {Packr, Unpackr} from 'msgpackr';
+import {type Either, Left, Right} from 'purify-ts';
+import type {EndedEpoch, Epoch, TargetInfo} from '#model';
+import {AdmissionTable} from './admissions.js';
+import type {
+  ChangeAnswer,
+  ChangeSummary,
+  ConfigurationState,
+} from './configure.js';
+import type {LiveEntry} from './epochs.js';
+import type {ControlState} from './state.js';
+
+const snapshotFormat = 1;
+
+interface Snapshot {
+  readonly format: number;
+  readonly revision: number;
+  readonly time: number;
+  readonly nextEpoch: Epoch;
+  readonly live: readonly LiveEntry[];
+  readonly ended: readonly EndedEpoch[];
+  readonly targets: readonly TargetInfo[];
+  readonly configuration: {
+    readonly current: ConfigurationState['current'];
+    readonly revision: number;
+    readonly history: readonly ChangeSummary[];
+    readonly answers: readonly (readonly [string, ChangeAnswer])[];
+  };
+  readonly forgottenSecond: number;
+  readonly admissions: Uint8Array;
+}
+
+const packr = new Packr({useRecords: false});
+const unpackr = new Unpackr({useRecords: false});
+
+/** Encodes the whole state: 44 bytes an admission, and all else is bounded by the site's size. */
+export function encodeSnapshot(state: ControlState): Uint8Array {
+  const {epochs, configuration, admissions} = state;
+  const snapshot: Snapshot = {
+    format: snapshotFormat,
+    revision: state.revision,
+    time: state.time,
+    nextEpoch: epochs.nextEpoch,
+    live: [...epochs.live.values()],
+    ended: [...epochs.ended.values()],
+    targets: [...state.targets.values()],
+    configuration: {
+      current: configuration.current,
+      revision: configuration.revision,
+      history: configuration.history,
+      answers: [...configuration.answers],
+    },
+    forgottenSecond: admissions.lastForgottenSecond,
+    admissions: admissions.encode(),
+  };
+  return packr.pack(snapshot);
+}
+
+/** Rebuilds the state, or says why the bytes are not a snapshot of this format. */
+export function decodeSnapshot(
+  bytes: Uint8Array,
+): Either<string, ControlState> {
+  try {
+    const snapshot = unpackr.unpack(bytes) as Snapshot;
+    if (snapshot?.format !== snapshotFormat) {
+      return Left(
+        `snapshot has format ${snapshot?.format}, expected ${snapshotFormat}`,
+      );
+    }
+    return Right(rebuildState(snapshot));
+  } catch (error) {
+    return Left(`snapshot cannot be read: ${String(error)}`);
+  }
+}
+
+function rebuildState(snapshot: Snapshot): ControlState {
+  const {configuration} = snapshot;
+  return {
+    revision: snapshot.revision,
+    time: snapshot.time,
+    epochs: {
+      nextEpoch: snapshot.nextEpoch,
+      live: new Map(snapshot.live.map(live => [live.info.epoch, live])),
+      ended: new Map(snapshot.ended.map(ended => [ended.epoch, ended])),
+    },
+    targets: new Map(snapshot.targets.map(target => [target.target, target])),
+    configuration: {
+      current: configuration.current,
+      revision: configuration.revision,
+      history: [...configuration.history],
+      answers: new Map(configuration.answers),
+    },
+    admissions: AdmissionTable.decode(
+      Buffer.from(snapshot.admissions),
+      snapshot.forgottenSecond,
+    ),
+  };
+}
--- /dev/null
+++ b/packages/membership/src/state.ts
@@ -0,0 +1,182 @@
+import type {Epoch, JobId, TargetId, TargetInfo} from '#model';
+import {failUnreachable} from '#model';
+import type {
+  Admission,
+  AdmittedJob,
+  AdmitResult,
+  LookupResult,
+  View as WireView,
+  ViewChange,
+} from '#protocol';
+import {type AdmissionRecord, AdmissionTable} from './admissions.js';
+import type {Command, CommandResult, LogTime} from './command.js';
+import {
+  applyChange,
+  type ConfigurationState,
+  createConfiguration,
+} from './configure.js';
+import {endEpoch, type EpochTable, openEpoch, resolveOwner} from './epochs.js';
+
+/** The most admissions kept at a time. */
+export const maxAdmissions = 2 ** 20;
+const maxForgottenPerCommand = 8192;
+
+/**
+ * The replicated state of a control group. One owner holds it and changes it by `applyCommand` only;
+ * equal commands in equal order make equal states on every replica.
+ */
+export interface ControlState {
+  /** The index of the last command applied. */
+  revision: number;
+  /** The largest log time applied. */
+  time: LogTime;
+  readonly epochs: EpochTable;
+  readonly targets: Map<TargetId, TargetInfo>;
+  readonly configuration: ConfigurationState;
+  readonly admissions: AdmissionTable;
+}
+
+/** What a command came to, and what watchers must learn of it. */
+export interface Applied {
+  readonly result: CommandResult;
+  readonly changes: readonly ViewChange[];
+}
+
+/** The state of a group that has applied nothing. */
+export function createState(): ControlState {
+  return {
+    revision: 0,
+    time: 0,
+    epochs: {nextEpoch: 1, live: new Map(), ended: new Map()},
+    targets: new Map(),
+    configuration: createConfiguration(),
+    admissions: new AdmissionTable(),
+  };
+}
+
+/** Applies the committed command at an index. Deterministic: no clock, no chance. */
+export function applyCommand(
+  state: ControlState,
+  command: Command,
+  index: number,
+): Applied {
+  state.revision = index;
+  state.time = Math.max(state.time, command.time);
+  switch (command.kind) {
+    case 'open-entry': {
+      const {epoch, changes} = openEpoch(state.epochs, command);
+      return {result: {kind: 'opened', epoch}, changes};
+    }
+    case 'close-entry':
+    case 'end-epoch':
+      return finish(endEpoch(state.epochs, command.epoch));
+    case 'announce-target':
+      return announceTarget(state, command.target);
+    case 'target-gone':
+      return removeTarget(state, command.target, command.incarnation);
+    case 'admit':
+      return admitJobs(state, command.admissions);
+    case 'forget':
+      return forgetExpired(state);
+    case 'configure': {
+      const applied = applyChange(state.configuration, command.change, index);
+      const {result, changes} = applied;
+      return {result: {kind: 'configured', result}, changes};
+    }
+    default:
+      return failUnreachable(command);
+  }
+}
+
+/** Tells whether a job is admitted, and where to ask about it. */
+export function lookupJob(state: ControlState, job: JobId): LookupResult {
+  const record = state.admissions.find(job);
+  if (record === undefined) return {kind: 'absent'};
+  return {kind: 'exists', standing: describeStanding(state, record)};
+}
+
+/** Builds the whole view for a watcher. */
+export function buildView(state: ControlState): WireView {
+  return {
+    targets: [...state.targets.values()],
+    entries: [...state.epochs.live.values()].map(live => live.info),
+    ended: [...state.epochs.ended.values()],
+    configuration: state.configuration.current,
+  };
+}
+
+function finish(changes: readonly ViewChange[]): Applied {
+  return {result: {kind: 'done'}, changes};
+}
+
+/** Within one incarnation a target that is leaving stays so, whatever a late resend says. */
+function announceTarget(state: ControlState, target: TargetInfo): Applied {
+  const known = state.targets.get(target.target);
+  if (known !== undefined && known.incarnation > target.incarnation) {
+    return {result: {kind: 'superseded'}, changes: []};
+  }
+  const leaves =
+    known?.incarnation === target.incarnation && known.leaving === true;
+  const announced = {...target, leaving: target.leaving || leaves};
+  if (JSON.stringify(known) === JSON.stringify(announced)) return finish([]);
+  state.targets.set(announced.target, announced);
+  return finish([{kind: 'target-joined', target: announced}]);
+}
+
+function removeTarget(
+  state: ControlState,
+  target: TargetId,
+  incarnation: number,
+): Applied {
+  if (state.targets.get(target)?.incarnation !== incarnation) return finish([]);
+  state.targets.delete(target);
+  return finish([{kind: 'target-gone', target, incarnation}]);
+}
+
+function admitJobs(
+  state: ControlState,
+  admissions: readonly Admission[],
+): Applied {
+  if (state.admissions.size + admissions.length > maxAdmissions) {
+    return {result: {kind: 'full'}, changes: []};
+  }
+  const results = admissions.map(admission => admitJob(state, admission));
+  return {result: {kind: 'admitted', results}, changes: []};
+}
+
+/** A resend by the epoch that owns the record is admitted again; nobody else ever is. */
+function admitJob(state: ControlState, admission: Admission): AdmitResult {
+  const {job, digest, epoch, tasks, unrepeatable, keepMs} = admission;
+  if (!state.epochs.live.has(epoch)) return {kind: 'ended'};
+  const known = state.admissions.find(job);
+  if (known !== undefined) {
+    const resent = known.epoch === epoch && known.digest === digest;
+    if (resent) return {kind: 'admitted'};
+    return {kind: 'exists', standing: describeStanding(state, known)};
+  }
+  const expirySecond = Math.ceil((state.time + keepMs) / 1000);
+  state.admissions.add({job, digest, epoch, tasks, unrepeatable, expirySecond});
+  return {kind: 'admitted'};
+}
+
+function describeStanding(
+  state: ControlState,
+  {digest, tasks, unrepeatable, epoch}: AdmissionRecord,
+): AdmittedJob {
+  const owner = resolveOwner(state.epochs, epoch);
+  const address = state.epochs.live.get(owner)?.info.address;
+  const standing = {digest, tasks, unrepeatable, epoch, owner};
+  return address === undefined ? standing : {...standing, address};
+}
+
+/** Forgets expired admissions, then the ended epochs that own none. */
+function forgetExpired(state: ControlState): Applied {
+  const second = Math.floor(state.time / 1000);
+  state.admissions.forgetExpired(second, maxForgottenPerCommand);
+  const forgotten: Epoch[] = [];
+  for (const epoch of state.epochs.ended.keys()) {
+    if (state.admissions.countOf(epoch) === 0) forgotten.push(epoch);
+  }
+  for (const epoch of forgotten) state.epochs.ended.delete(epoch);
+  return finish(forgotten.map(epoch => ({kind: 'epoch-forgotten', epoch})));
+}
--- /dev/null
+++ b/packages/membership/src/view.ts
@@ -0,0 +1,160 @@
+import {
+  type EndedEpoch,
+  type EntryInfo,
+  type Epoch,
+  failUnreachable,
+  type ServiceName,
+  type TargetInfo,
+  type VersionedSource,
+} from '#model';
+import type {View as WireView, ViewChange, ViewUpdate} from '#protocol';
+import {PersistentMap} from './persistent-map.js';
+
+/** What a process knows of the site at a revision. Immutable; a change shares what it leaves alone. */
+export interface View {
+  /** Grows with each update; 0 before the first. */
+  readonly revision: number;
+  /** By target id. */
+  readonly targets: PersistentMap<TargetInfo>;
+  /** The same targets by service, then by target id. */
+  readonly services: ReadonlyMap<ServiceName, PersistentMap<TargetInfo>>;
+  readonly entries: ReadonlyMap<Epoch, EntryInfo>;
+  readonly ended: ReadonlyMap<Epoch, EndedEpoch>;
+  /** Version 0 before the first update. */
+  readonly configuration: VersionedSource;
+}
+
+/** What an update came to. A stale one is older than the view; a gap means that changes are missing before it. */
+export type ViewStep =
+  | {
+      readonly kind: 'applied';
+      readonly view: View;
+    }
+  | {readonly kind: 'stale'}
+  | {readonly kind: 'gap'};
+
+/** The view of a process that has heard nothing. */
+export const emptyView: View = {
+  revision: 0,
+  targets: PersistentMap.collect<TargetInfo>([]),
+  services: new Map(),
+  entries: new Map(),
+  ended: new Map(),
+  configuration: {
+    version: 0,
+    changeId: '',
+    author: '',
+    source: {base: '', overlays: {}},
+  },
+};
+
+/** Applies an update. The revision and the configuration's version never go back. */
+export function applyUpdate(view: View, update: ViewUpdate): ViewStep {
+  if (update.revision < view.revision) return {kind: 'stale'};
+  switch (update.kind) {
+    case 'full':
+      return {
+        kind: 'applied',
+        view: buildIndexedView(update.revision, update.view),
+      };
+    case 'delta':
+      if (update.from > view.revision) return {kind: 'gap'};
+      return {
+        kind: 'applied',
+        view: {
+          ...update.changes.reduce(applyChange, view),
+          revision: update.revision,
+        },
+      };
+    default:
+      return failUnreachable(update);
+  }
+}
+
+/** Finds the targets of a service. */
+export function findTargets(
+  view: View,
+  service: ServiceName,
+): PersistentMap<TargetInfo> {
+  return view.services.get(service) ?? emptyView.targets;
+}
+
+function buildIndexedView(revision: number, wire: WireView): View {
+  const byService = new Map<ServiceName, [string, TargetInfo][]>();
+  for (const target of wire.targets) {
+    const same = byService.get(target.service) ?? [];
+    same.push([target.target, target]);
+    byService.set(target.service, same);
+  }
+  return {
+    revision,
+    targets: PersistentMap.collect(
+      wire.targets.map(target => [target.target, target] as const),
+    ),
+    services: new Map(
+      [...byService].map(([service, targets]) => [
+        service,
+        PersistentMap.collect(targets),
+      ]),
+    ),
+    entries: new Map(wire.entries.map(entry => [entry.epoch, entry])),
+    ended: new Map(wire.ended.map(ended => [ended.epoch, ended])),
+    configuration: wire.configuration,
+  };
+}
+
+function applyChange(view: View, change: ViewChange): View {
+  switch (change.kind) {
+    case 'target-joined':
+      return addTarget(view, change.target);
+    case 'target-gone': {
+      const known = view.targets.get(change.target);
+      return known?.incarnation === change.incarnation
+        ? removeTarget(view, known)
+        : view;
+    }
+    case 'entry-opened': {
+      const entries = new Map(view.entries);
+      entries.set(change.entry.epoch, change.entry);
+      return {...view, entries};
+    }
+    case 'epoch-ended': {
+      const entries = new Map(view.entries);
+      entries.delete(change.ended.epoch);
+      const ended = new Map(view.ended);
+      ended.set(change.ended.epoch, change.ended);
+      return {...view, entries, ended};
+    }
+    case 'epoch-forgotten': {
+      const ended = new Map(view.ended);
+      ended.delete(change.epoch);
+      return {...view, ended};
+    }
+    case 'configured':
+      return {...view, configuration: change.configuration};
+    default:
+      return failUnreachable(change);
+  }
+}
+
+function addTarget(view: View, target: TargetInfo): View {
+  const known = view.targets.get(target.target);
+  const rest =
+    known === undefined || known.service === target.service
+      ? view
+      : removeTarget(view, known);
+  const services = new Map(rest.services);
+  services.set(
+    target.service,
+    findTargets(rest, target.service).set(target.target, target),
+  );
+  return {...rest, targets: rest.targets.set(target.target, target), services};
+}
+
+function removeTarget(view: View, target: TargetInfo): View {
+  const services = new Map(view.services);
+  const left = findTargets(view, target.service).delete(target.target);
+  if (left.size === 0) services.delete(target.service);
+  else services.set(target.service, left);
+  return {...view, targets: view.targets.delete(target.target), services};
+}
