--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -138,6 +138,7 @@
 const viewChange = oneOf([
   Codec.interface({kind: exactly('target-joined'), target}),
   Codec.interface({kind: exactly('target-gone'), gone: goneTarget}),
+  Codec.interface({kind: exactly('gone-forgotten'), untilRevision: count}),
   Codec.interface({kind: exactly('entry-opened'), entry: entryInfo}),
   Codec.interface({kind: exactly('epoch-ended'), ended: endedEpoch}),
   Codec.interface({kind: exactly('epoch-forgotten'), epoch: count}),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -262,6 +262,8 @@
 
 export interface EpochJob {
   readonly job: JobId;
+  /** The log index of the admission. */
+  readonly revision: number;
   readonly digest: string;
   readonly epoch: Epoch;
   readonly tasks: number;
@@ -300,6 +302,8 @@
 export type ViewChange =
   | {readonly kind: 'target-joined'; readonly target: TargetInfo}
   | {readonly kind: 'target-gone'; readonly gone: GoneTarget}
+  /** Control keeps no job admitted before these lives went, up to this revision. */
+  | {readonly kind: 'gone-forgotten'; readonly untilRevision: number}
   | {readonly kind: 'entry-opened'; readonly entry: EntryInfo}
   | {readonly kind: 'epoch-ended'; readonly ended: EndedEpoch}
   /** Control keeps no job of this ended epoch any more. */
