--- a/packages/membership/src/admissions.ts
+++ b/packages/membership/src/admissions.ts
@@ -7,16 +7,20 @@
   readonly epoch: Epoch;
   readonly tasks: number;
   readonly unrepeatable: boolean;
+  /** The log index of the admission. */
+  readonly revision: number;
   /** Log time in whole seconds from which the record may be forgotten. */
   readonly expirySecond: number;
 }
 
 const idBytes = 16;
-/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second. */
-const recordBytes = 2 * idBytes + 3 * 4;
+const revisionBytes = 6;
+/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second, revision. */
+const recordBytes = 2 * idBytes + 3 * 4 + revisionBytes;
 const epochOffset = 2 * idBytes;
 const tasksOffset = epochOffset + 4;
 const expiryOffset = tasksOffset + 4;
+const revisionOffset = expiryOffset + 4;
 const unrepeatableBit = 0x80000000;
 const recordsPerChunk = 8192;
 const none = -1;
@@ -39,7 +43,7 @@
 }
 
 /**
- * Admitted jobs by id, in flat memory: 52 bytes a record and 4 to 8 of index.
+ * Admitted jobs by id, in flat memory: 58 bytes a record and 4 to 8 of index.
  * Records that expire in one second form a list, so that forgetting costs only what is forgotten.
  */
 export class AdmissionTable {
@@ -51,8 +55,11 @@
   private used = 0;
   private count = 0;
 
-  /** `forgottenSecond` is the last second whose records are already gone. */
-  constructor(private forgottenSecond = 0) {}
+  /** `forgottenSecond` is the last second whose records are already forgotten. */
+  constructor(
+    private forgottenSecond = 0,
+    private latestExpiry = 0,
+  ) {}
 
   get size(): number {
     return this.count;
@@ -63,6 +70,11 @@
     return this.forgottenSecond;
   }
 
+  /** No record ever added expires after this second. */
+  get latestExpirySecond(): number {
+    return this.latestExpiry;
+  }
+
   /** Returns a job's record, unless it is unknown or forgotten. */
   find(job: JobId): AdmissionRecord | undefined {
     if (!isRecordId(job)) return undefined;
@@ -90,6 +102,8 @@
     );
     const second = Math.max(record.expirySecond, this.forgottenSecond + 1);
     records.writeUInt32LE(second, pos + expiryOffset);
+    records.writeUIntLE(record.revision, pos + revisionOffset, revisionBytes);
+    this.latestExpiry = Math.max(this.latestExpiry, second);
     const bucket = this.hash(records, pos);
     nextInBucket[at] = this.buckets[bucket];
     this.buckets[bucket] = slot;
@@ -159,12 +173,16 @@
   }
 
   /** Rebuilds a table from `encode`. */
-  static decode(bytes: Buffer, forgottenSecond: number): AdmissionTable {
+  static decode(
+    bytes: Buffer,
+    forgottenSecond: number,
+    latestExpirySecond: number,
+  ): AdmissionTable {
     assertInvariant(
       bytes.length % recordBytes === 0,
       `${bytes.length} bytes of admissions are not whole records of ${recordBytes}`,
     );
-    const table = new AdmissionTable(forgottenSecond);
+    const table = new AdmissionTable(forgottenSecond, latestExpirySecond);
     for (let pos = 0; pos < bytes.length; pos += recordBytes) {
       table.add(readRecord(bytes, pos));
     }
@@ -287,6 +305,7 @@
     epoch: bytes.readUInt32LE(pos + epochOffset),
     tasks: tasks % unrepeatableBit,
     unrepeatable: tasks >= unrepeatableBit,
+    revision: bytes.readUIntLE(pos + revisionOffset, revisionBytes),
     expirySecond: bytes.readUInt32LE(pos + expiryOffset),
   };
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,7 +1,7 @@
 export type {Command, CommandResult, LogTime} from './command.js';
 export {decodeCommand, encodeCommand} from './command.js';
 
-export type {Applied, ControlState} from './state.js';
+export type {Applied, ControlState, GoneLife} from './state.js';
 export {
   applyCommand,
   buildView,
--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -8,7 +8,7 @@
   ConfigurationState,
 } from './configure.js';
 import type {LiveEntry} from './epochs.js';
-import type {ControlState} from './state.js';
+import type {ControlState, GoneLife} from './state.js';
 
 const snapshotFormat = 1;
 
@@ -20,6 +20,7 @@
   readonly live: readonly LiveEntry[];
   readonly ended: readonly EndedEpoch[];
   readonly targets: readonly TargetInfo[];
+  readonly gone: readonly GoneLife[];
   readonly configuration: {
     readonly current: ConfigurationState['current'];
     readonly revision: number;
@@ -27,13 +28,14 @@
     readonly answers: readonly (readonly [string, ChangeAnswer])[];
   };
   readonly forgottenSecond: number;
+  readonly latestExpirySecond: number;
   readonly admissions: Uint8Array;
 }
 
 const packr = new Packr({useRecords: false});
 const unpackr = new Unpackr({useRecords: false});
 
-/** Encodes the whole state: 44 bytes an admission, and all else is bounded by the site's size. */
+/** Encodes the whole state: 50 bytes an admission, and all else is bounded by the site's size. */
 export function encodeSnapshot(state: ControlState): Uint8Array {
   const {epochs, configuration, admissions} = state;
   const snapshot: Snapshot = {
@@ -44,6 +46,7 @@
     live: [...epochs.live.values()],
     ended: [...epochs.ended.values()],
     targets: [...state.targets.values()],
+    gone: state.gone,
     configuration: {
       current: configuration.current,
       revision: configuration.revision,
@@ -51,6 +54,7 @@
       answers: [...configuration.answers],
     },
     forgottenSecond: admissions.lastForgottenSecond,
+    latestExpirySecond: admissions.latestExpirySecond,
     admissions: admissions.encode(),
   };
   return packr.pack(snapshot);
@@ -84,6 +88,7 @@
       ended: new Map(snapshot.ended.map(ended => [ended.epoch, ended])),
     },
     targets: new Map(snapshot.targets.map(target => [target.target, target])),
+    gone: [...snapshot.gone],
     configuration: {
       current: configuration.current,
       revision: configuration.revision,
@@ -93,6 +98,7 @@
     admissions: AdmissionTable.decode(
       Buffer.from(snapshot.admissions),
       snapshot.forgottenSecond,
+      snapshot.latestExpirySecond,
     ),
   };
 }
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -4,6 +4,7 @@
   Admission,
   AdmittedJob,
   AdmitResult,
+  GoneTarget,
   LookupResult,
   View as WireView,
   ViewChange,
@@ -32,10 +33,19 @@
   time: LogTime;
   readonly epochs: EpochTable;
   readonly targets: Map<TargetId, TargetInfo>;
+  /** In the order in which they went. */
+  readonly gone: GoneLife[];
   readonly configuration: ConfigurationState;
   readonly admissions: AdmissionTable;
 }
 
+/** A life of an agent that is over, kept as long as any job that it may have started. */
+export interface GoneLife {
+  readonly gone: GoneTarget;
+  /** Log time in whole seconds from which the record may be forgotten. */
+  readonly expirySecond: number;
+}
+
 /** What a command came to, and what watchers must learn of it. */
 export interface Applied {
   readonly result: CommandResult;
@@ -49,6 +59,7 @@
     time: 0,
     epochs: {nextEpoch: 1, live: new Map(), ended: new Map()},
     targets: new Map(),
+    gone: [],
     configuration: createConfiguration(),
     admissions: new AdmissionTable(),
   };
@@ -99,6 +110,7 @@
 export function buildView(state: ControlState): WireView {
   return {
     targets: [...state.targets.values()],
+    gone: state.gone.map(life => life.gone),
     entries: [...state.epochs.live.values()].map(live => live.info),
     ended: [...state.epochs.ended.values()],
     configuration: state.configuration.current,
@@ -115,12 +127,15 @@
   if (known !== undefined && known.incarnation > target.incarnation) {
     return {result: {kind: 'superseded'}, changes: []};
   }
-  const leaves =
-    known?.incarnation === target.incarnation && known.leaving === true;
-  const announced = {...target, leaving: target.leaving || leaves};
+  const restarted =
+    known !== undefined && known.incarnation < target.incarnation;
+  const leaving =
+    target.leaving || (known?.leaving === true && restarted === false);
+  const announced = {...target, leaving};
   if (JSON.stringify(known) === JSON.stringify(announced)) return finish([]);
+  const changes = restarted ? [endLife(state, known)] : [];
   state.targets.set(announced.target, announced);
-  return finish([{kind: 'target-joined', target: announced}]);
+  return finish([...changes, {kind: 'target-joined', target: announced}]);
 }
 
 function removeTarget(
@@ -128,9 +143,20 @@
   target: TargetId,
   incarnation: number,
 ): Applied {
-  if (state.targets.get(target)?.incarnation !== incarnation) return finish([]);
+  const known = state.targets.get(target);
+  if (known?.incarnation !== incarnation) return finish([]);
+  return finish([endLife(state, known)]);
+}
+
+function endLife(
+  state: ControlState,
+  {target, incarnation}: TargetInfo,
+): ViewChange {
+  const gone = {target, incarnation, revision: state.revision};
+  const expirySecond = state.admissions.latestExpirySecond;
   state.targets.delete(target);
-  return finish([{kind: 'target-gone', target, incarnation}]);
+  state.gone.push({gone, expirySecond});
+  return {kind: 'target-gone', gone};
 }
 
 function admitJobs(
@@ -155,21 +181,30 @@
     return {kind: 'exists', standing: describeStanding(state, known)};
   }
   const expirySecond = Math.ceil((state.time + keepMs) / 1000);
-  state.admissions.add({job, digest, epoch, tasks, unrepeatable, expirySecond});
+  const {revision} = state;
+  state.admissions.add({
+    job,
+    digest,
+    epoch,
+    tasks,
+    unrepeatable,
+    revision,
+    expirySecond,
+  });
   return {kind: 'admitted'};
 }
 
 function describeStanding(
   state: ControlState,
-  {digest, tasks, unrepeatable, epoch}: AdmissionRecord,
+  {digest, tasks, unrepeatable, epoch, revision}: AdmissionRecord,
 ): AdmittedJob {
   const owner = resolveOwner(state.epochs, epoch);
   const address = state.epochs.live.get(owner)?.info.address;
-  const standing = {digest, tasks, unrepeatable, epoch, owner};
+  const standing = {digest, tasks, unrepeatable, epoch, owner, revision};
   return address === undefined ? standing : {...standing, address};
 }
 
-/** Forgets expired admissions, then the ended epochs that own none. */
+/** Forgets expired admissions, then the ended epochs and lives that no admission needs. */
 function forgetExpired(state: ControlState): Applied {
   const second = Math.floor(state.time / 1000);
   state.admissions.forgetExpired(second, maxForgottenPerCommand);
@@ -178,5 +213,19 @@
     if (state.admissions.countOf(epoch) === 0) forgotten.push(epoch);
   }
   for (const epoch of forgotten) state.epochs.ended.delete(epoch);
-  return finish(forgotten.map(epoch => ({kind: 'epoch-forgotten', epoch})));
+  return finish([
+    ...forgotten.map(epoch => ({kind: 'epoch-forgotten', epoch}) as const),
+    ...forgetLives(state),
+  ]);
+}
+
+/** The latest expiry only grows, so the lives that went first are forgotten first. */
+function forgetLives({gone, admissions}: ControlState): readonly ViewChange[] {
+  const kept = gone.findIndex(
+    life => life.expirySecond > admissions.lastForgottenSecond,
+  );
+  const forgotten = gone.splice(0, kept === -1 ? gone.length : kept);
+  if (forgotten.length === 0) return [];
+  const untilRevision = forgotten[forgotten.length - 1].gone.revision;
+  return [{kind: 'gone-forgotten', untilRevision}];
 }
--- a/packages/membership/src/view.ts
+++ b/packages/membership/src/view.ts
@@ -7,7 +7,12 @@
   type TargetInfo,
   type VersionedSource,
 } from '#model';
-import type {View as WireView, ViewChange, ViewUpdate} from '#protocol';
+import type {
+  GoneTarget,
+  View as WireView,
+  ViewChange,
+  ViewUpdate,
+} from '#protocol';
 import {PersistentMap} from './persistent-map.js';
 
 /** What a process knows of the site at a revision. Immutable; a change shares what it leaves alone. */
@@ -18,6 +23,8 @@
   readonly targets: PersistentMap<TargetInfo>;
   /** The same targets by service, then by target id. */
   readonly services: ReadonlyMap<ServiceName, PersistentMap<TargetInfo>>;
+  /** Lives of agents that are over, in the order in which they went. */
+  readonly gone: readonly GoneTarget[];
   readonly entries: ReadonlyMap<Epoch, EntryInfo>;
   readonly ended: ReadonlyMap<Epoch, EndedEpoch>;
   /** Version 0 before the first update. */
@@ -38,6 +45,7 @@
   revision: 0,
   targets: PersistentMap.collect<TargetInfo>([]),
   services: new Map(),
+  gone: [],
   entries: new Map(),
   ended: new Map(),
   configuration: {
@@ -97,6 +105,7 @@
         PersistentMap.collect(targets),
       ]),
     ),
+    gone: wire.gone,
     entries: new Map(wire.entries.map(entry => [entry.epoch, entry])),
     ended: new Map(wire.ended.map(ended => [ended.epoch, ended])),
     configuration: wire.configuration,
@@ -108,10 +117,18 @@
     case 'target-joined':
       return addTarget(view, change.target);
     case 'target-gone': {
-      const known = view.targets.get(change.target);
-      return known?.incarnation === change.incarnation
-        ? removeTarget(view, known)
-        : view;
+      const {target, incarnation, revision} = change.gone;
+      const isKnown = (view.gone.at(-1)?.revision ?? 0) >= revision;
+      const gone = isKnown ? view.gone : [...view.gone, change.gone];
+      const known = view.targets.get(target);
+      const left =
+        known?.incarnation === incarnation ? removeTarget(view, known) : view;
+      return {...left, gone};
+    }
+    case 'gone-forgotten': {
+      const {untilRevision} = change;
+      const gone = view.gone.filter(({revision}) => revision > untilRevision);
+      return {...view, gone};
     }
     case 'entry-opened': {
       const entries = new Map(view.entries);
