--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -154,6 +154,8 @@
   readonly kind: 'not-leader';
   /** Where the leader was last seen, if anywhere. */
   readonly leader?: Address;
+  /** The request was proposed to the log and may yet be committed. */
+  readonly maybeApplied?: boolean;
 }
 
 export type ControlReply<Result> =
@@ -161,6 +163,8 @@
 
 export interface OpenEntryParams {
   readonly entry: EntryId;
+  /** Chosen anew by each process; a resend with the same one gets the same epoch while that lives. */
+  readonly nonce?: string;
   readonly address: Address;
   readonly place: Place;
 }
@@ -258,6 +262,8 @@
 
 export interface EpochJob {
   readonly job: JobId;
+  /** The log index of the admission. */
+  readonly revision: number;
   readonly digest: string;
   readonly epoch: Epoch;
   readonly tasks: number;
@@ -296,8 +302,12 @@
 export type ViewChange =
   | {readonly kind: 'target-joined'; readonly target: TargetInfo}
   | {readonly kind: 'target-gone'; readonly gone: GoneTarget}
+  /** Control keeps no job admitted before these lives went, up to this revision. */
+  | {readonly kind: 'gone-forgotten'; readonly untilRevision: number}
   | {readonly kind: 'entry-opened'; readonly entry: EntryInfo}
   | {readonly kind: 'epoch-ended'; readonly ended: EndedEpoch}
+  /** Control keeps no job of this ended epoch any more. */
+  | {readonly kind: 'epoch-forgotten'; readonly epoch: Epoch}
   | {readonly kind: 'configured'; readonly configuration: VersionedSource};
 
 export type ViewUpdate =
