--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -68,7 +68,8 @@
   | 'expired'
   | 'cancelled'
   | 'wrong-service'
-  | 'too-large';
+  | 'too-large'
+  | 'target-down';
 
 /** What became of a task at one agent. */
 export type TaskFate =
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -94,6 +94,7 @@
   'cancelled',
   'wrong-service',
   'too-large',
+  'target-down',
 );
 const fate = oneOf([
   Codec.interface({kind: exactly('succeeded'), result: unknown}),
