--- /dev/null
+++ b/packages/agent/src/http.ts
@@ -0,0 +1,91 @@
+import type {Pool} from 'undici';
+
+/** What became of one HTTP exchange. */
+export type HttpOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly body: Buffer;
+    }
+  /** Nothing was written to the target: it provably did not see the request. */
+  | {readonly kind: 'not-sent'; readonly detail: string}
+  /** Written, and the exchange broke: the target may have acted on it. */
+  | {readonly kind: 'broken'; readonly detail: string}
+  /** Aborted by the caller after it was written. */
+  | {readonly kind: 'aborted'};
+
+export interface HttpRequest {
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: unknown;
+  readonly signal?: AbortSignal;
+  /** The largest body accepted, in bytes. */
+  readonly maxBytes: number;
+}
+
+/** Sends a request once, never again: undici hands it to at most one connection. */
+export function sendRequest(
+  pool: Pool,
+  request: HttpRequest,
+): Promise<HttpOutcome> {
+  return new Promise(resolve => {
+    const body =
+      request.body === undefined ? undefined : JSON.stringify(request.body);
+    const chunks: Buffer[] = [];
+    let status = 0;
+    let bytes = 0;
+    let sent = false;
+    let abort = (_cause: Error) => {};
+    const {signal} = request;
+    const finish = (outcome: HttpOutcome) => {
+      signal?.removeEventListener('abort', onAbort);
+      resolve(outcome);
+    };
+    const onAbort = () => {
+      finish(
+        sent
+          ? {kind: 'aborted'}
+          : {kind: 'not-sent', detail: 'aborted before it was sent'},
+      );
+      abort(new Error('aborted'));
+    };
+    if (signal?.aborted === true) {
+      onAbort();
+      return;
+    }
+    signal?.addEventListener('abort', onAbort);
+    pool.dispatch(
+      {
+        method: request.method,
+        path: request.path,
+        body,
+        headers: body === undefined ? {} : {'content-type': 'application/json'},
+      },
+      {
+        onRequestStart: controller => {
+          abort = cause => controller.abort(cause);
+          if (sent || signal?.aborted === true) {
+            abort(new Error('not sent again'));
+            return;
+          }
+          sent = true;
+        },
+        onResponseStart: (_controller, statusCode) => {
+          status = statusCode;
+        },
+        onResponseData: (controller, chunk) => {
+          bytes += chunk.length;
+          chunks.push(chunk);
+          if (bytes <= request.maxBytes) return;
+          controller.abort(
+            new Error(`the answer exceeds ${request.maxBytes} bytes`),
+          );
+        },
+        onResponseEnd: () =>
+          finish({kind: 'answered', status, body: Buffer.concat(chunks)}),
+        onResponseError: (_controller, error) =>
+          finish({kind: sent ? 'broken' : 'not-sent', detail: error.message}),
+      },
+    );
+  });
+}
--- /dev/null
+++ b/packages/agent/src/runner.ts
@@ -0,0 +1,141 @@
+import {
+  assertInvariant,
+  type Clock,
+  failUnreachable,
+  type Instant,
+  type TaskFate,
+} from '#model';
+import {formatTask} from './ledger.js';
+import type {RunOutcome, RunRequest, Target} from './target.js';
+
+/** Why a running task is ended before its time. */
+export type StopCause =
+  | {readonly kind: 'cancelled'}
+  | {readonly kind: 'overrun'; readonly maxTaskMs: number}
+  | {readonly kind: 'guard'; readonly detail: string}
+  | {readonly kind: 'halted'};
+
+/** The end of a run. */
+export interface RunEnd {
+  readonly fate: TaskFate;
+  /** Size of the result in bytes; 0 without one. */
+  readonly bytes: number;
+  /** Time at the target, in ms. */
+  readonly runMs: number;
+  /** True when the target could not be reached. */
+  readonly unreachable: boolean;
+}
+
+interface RunningTask {
+  readonly request: RunRequest;
+  readonly startedAt: Instant;
+  readonly abort: AbortController;
+  readonly timer: NodeJS.Timeout;
+  cause: StopCause | undefined;
+  followed: Promise<void> | undefined;
+}
+
+/** Runs tasks at the target, ends those that run too long, and tells each one's fate once. */
+export class Runner {
+  private readonly tasks = new Map<string, RunningTask>();
+
+  constructor(
+    private readonly target: Target,
+    private readonly clock: Clock,
+    private readonly onEnd: (request: RunRequest, end: RunEnd) => void,
+  ) {}
+
+  get running(): number {
+    return this.tasks.size;
+  }
+
+  /** Starts a task; it is stopped once it has run for `maxTaskMs`. */
+  run(request: RunRequest, maxTaskMs: number): void {
+    const key = formatTask(request);
+    assertInvariant(!this.tasks.has(key), `task ${key} runs already`);
+    const task: RunningTask = {
+      request,
+      startedAt: this.clock.now(),
+      abort: new AbortController(),
+      timer: setTimeout(
+        () => this.stop(key, {kind: 'overrun', maxTaskMs}),
+        maxTaskMs,
+      ),
+      cause: undefined,
+      followed: undefined,
+    };
+    this.tasks.set(key, task);
+    task.followed = this.follow(key, task);
+  }
+
+  /** Ends a task. Its fate follows once the target has let go of it. */
+  stop(key: string, cause: StopCause): void {
+    const task = this.tasks.get(key);
+    if (task === undefined || task.cause !== undefined) return;
+    task.cause = cause;
+    task.abort.abort();
+  }
+
+  /** Ends every task because the agent itself ends, and waits for it. */
+  async stopAll(): Promise<void> {
+    for (const key of this.tasks.keys()) this.stop(key, {kind: 'halted'});
+    await Promise.all([...this.tasks.values()].map(({followed}) => followed));
+  }
+
+  private async follow(key: string, task: RunningTask): Promise<void> {
+    const outcome = await this.target.run(task.request, task.abort.signal);
+    clearTimeout(task.timer);
+    this.tasks.delete(key);
+    this.onEnd(task.request, {
+      fate: judgeOutcome(outcome, task.cause),
+      bytes: outcome.kind === 'succeeded' ? outcome.bytes : 0,
+      runMs: Math.max(0, this.clock.now() - task.startedAt),
+      unreachable: outcome.kind === 'not-run' && task.cause === undefined,
+    });
+  }
+}
+
+/** Tells the fate of a task from how it ended and why it was stopped, if it was. */
+export function judgeOutcome(
+  outcome: RunOutcome,
+  cause: StopCause | undefined,
+): TaskFate {
+  switch (outcome.kind) {
+    case 'succeeded':
+      return {kind: 'succeeded', result: outcome.result};
+    case 'failed':
+      return cause === undefined
+        ? {kind: 'failed', detail: outcome.detail}
+        : describeStop(cause);
+    case 'not-run':
+      return {
+        kind: 'not-run',
+        reason: cause?.kind === 'cancelled' ? 'cancelled' : 'target-down',
+      };
+    case 'unknown':
+      return {kind: 'unknown', detail: outcome.detail};
+    case 'stopped':
+      assertInvariant(cause !== undefined, 'a task is stopped for a cause');
+      return describeStop(cause);
+    default:
+      return failUnreachable(outcome);
+  }
+}
+
+function describeStop(cause: StopCause): TaskFate {
+  switch (cause.kind) {
+    case 'cancelled':
+      return {kind: 'cancelled'};
+    case 'overrun':
+      return {
+        kind: 'failed',
+        detail: `stopped after ${cause.maxTaskMs} ms, the longest that a task may run`,
+      };
+    case 'guard':
+      return {kind: 'failed', detail: `stopped: ${cause.detail}`};
+    case 'halted':
+      return {kind: 'unknown', detail: 'the agent ended before the task'};
+    default:
+      return failUnreachable(cause);
+  }
+}
--- /dev/null
+++ b/packages/agent/src/target.ts
@@ -0,0 +1,35 @@
+import type {TaskRef} from '#model';
+
+/** How a task ended at the target. */
+export type RunOutcome =
+  | {
+      readonly kind: 'succeeded';
+      readonly result: unknown;
+      /** Size of the result as the target sent it. */
+      readonly bytes: number;
+    }
+  | {readonly kind: 'failed'; readonly detail: string}
+  /** The target provably never saw the task. */
+  | {readonly kind: 'not-run'; readonly detail: string}
+  /** The target had the task and nothing tells how it ended. */
+  | {readonly kind: 'unknown'; readonly detail: string}
+  /** Ended by the signal. */
+  | {readonly kind: 'stopped'};
+
+export interface RunRequest extends TaskRef {
+  readonly payload: unknown;
+}
+
+/** The back end beside this agent. */
+export interface Target extends AsyncDisposable {
+  /** Runs a task once and waits for its end; an abort of the signal stops it. */
+  readonly run: (
+    request: RunRequest,
+    signal: AbortSignal,
+  ) => Promise<RunOutcome>;
+  /** Resolves with whether the target answers. */
+  readonly checkHealth: () => Promise<boolean>;
+}
+
+/** The largest answer accepted from a target, in bytes. */
+export const maxResultBytes = 8 * 1024 * 1024;
