--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,7 +1,6 @@
-import {Command} from 'commander';
+import {standardConsole} from './console.js';
+import {runProgram} from './program.js';
 
-const program = new Command('wasabiring')
-  .description('A dispatcher for sub-second tasks')
-  .version('0.1.0');
-
-void program.parseAsync();
+void runProgram(process.argv.slice(2), standardConsole).then(code =>
+  process.exit(code),
+);
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,58 @@
+import {Command, CommanderError} from 'commander';
+import type {SettingsFiles} from '#settings';
+import {type ExitCode, exitCode} from '#telemetry';
+import {type Console} from './console.js';
+import {runRole} from './role.js';
+import {version} from './version.js';
+
+/** Runs a command line, without the program's name; returns the exit code. */
+export async function runProgram(
+  args: readonly string[],
+  console: Console,
+): Promise<ExitCode> {
+  let code: ExitCode = exitCode.ok;
+  const program = buildProgram(console, result => (code = result));
+  try {
+    await program.parseAsync(args, {from: 'user'});
+  } catch (error) {
+    if (!(error instanceof CommanderError)) throw error;
+    return error.exitCode === 0 ? exitCode.ok : exitCode.usage;
+  }
+  return code;
+}
+
+function buildProgram(
+  console: Console,
+  end: (code: ExitCode) => void,
+): Command {
+  const program = new Command('wasabiring')
+    .description('A dispatcher for sub-second tasks')
+    .version(version)
+    .exitOverride()
+    .configureOutput({writeOut: console.out, writeErr: console.err});
+  addRoleCommands(program, console, end);
+  return program;
+}
+
+const roles = [
+  ['control', 'Run a replica of the control group'],
+  ['entry', 'Run an entry, which takes jobs from callers'],
+  ['agent', 'Run the agent of one target'],
+] as const;
+
+function addRoleCommands(
+  program: Command,
+  console: Console,
+  end: (code: ExitCode) => void,
+): void {
+  for (const [role, summary] of roles) {
+    program
+      .command(role)
+      .description(summary)
+      .requiredOption('--settings <file>', 'settings of the process, in TOML')
+      .option('--overlay <file>', 'differences, merged on top of the settings')
+      .action(async (files: SettingsFiles) =>
+        end(await runRole(files, role, console)),
+      );
+  }
+}
