--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -299,7 +299,7 @@
   }
 
   private followAll(view: View): void {
-    for (const target of view.targets.values()) this.putTarget(target);
+    for (const target of view.targets.list()) this.putTarget(target);
     for (const id of [...this.links.keys()]) {
       if (view.targets.get(id) === undefined) this.removeTarget(id);
     }
