Add the thin version of the policies

Shapes of the fair queue, quotas, admission, estimates, health, placement, slot grants, retries and guards.

--- /dev/null
+++ b/packages/policy/src/credit-placement.ts
@@ -0,0 +1,150 @@
+import {failUnreachable, type Instant} from '#model';
+import {PickList} from './pick-list.js';
+import type {
+  Placement,
+  PlacementAction,
+  PlacementEvent,
+  PlacementSources,
+  PlacementVerdict,
+  WaitingTasks,
+} from './placement.js';
+import {type BookedTarget, SlotBook} from './slot-book.js';
+
+/** Agents told of waiting tasks at once. */
+const maxDemandsPerSettle = 4;
+/** The same agent is told again after this long, in ms. */
+const demandIntervalMs = 100;
+/** Between two rounds of demands, in ms. */
+const demandRoundMs = 2;
+/** A faster slot must be expected to save at least this share of the slow run. */
+const minSavedShare = 0.1;
+
+/**
+ * Starts tasks at once on slots that agents granted ahead, the fastest target
+ * first. No message is needed while granted slots last; when they do not, a few
+ * agents a round are told how many tasks wait, and move idle grants here.
+ *
+ * A slow slot is left idle only while the last waiting task is expected to end
+ * earlier by waiting its turn for a faster one: waiting / (faster slots that
+ * fall free a ms) + fast run < slow run. So slow targets join in exactly when
+ * the backlog is long enough, and at once while nothing faster is busy.
+ */
+export class CreditPlacement implements Placement {
+  private readonly book: SlotBook;
+  private readonly open = new PickList<BookedTarget>();
+  private heldSince: Instant | undefined;
+  private demandRoundAt: Instant = -Infinity;
+
+  constructor(private readonly sources: PlacementSources) {
+    this.book = new SlotBook(sources);
+  }
+
+  apply(event: PlacementEvent, now: Instant): readonly PlacementAction[] {
+    if (event.kind === 'target-connected') {
+      this.refresh(this.book.connect(event.target, event.slots, now));
+      return [];
+    }
+    const booked = this.book.find(event.target);
+    if (booked === undefined) return [];
+    const actions = this.applyTo(booked, event, now);
+    this.refresh(booked);
+    return actions;
+  }
+
+  place(tasks: WaitingTasks, now: Instant): PlacementVerdict {
+    const booked = this.book.peekReady();
+    if (booked === undefined) return {kind: 'wait', until: Infinity};
+    const heldUntil = this.holdUntil(booked, tasks, now);
+    if (heldUntil > now) return {kind: 'wait', until: heldUntil};
+    this.heldSince = undefined;
+    this.book.start(booked, true);
+    this.refresh(booked);
+    return {kind: 'start', target: booked.target, granted: true};
+  }
+
+  settle(waiting: number, now: Instant): readonly PlacementAction[] {
+    if (waiting === 0) {
+      this.heldSince = undefined;
+      return [];
+    }
+    if (now < this.demandRoundAt) return [];
+    this.demandRoundAt = now + demandRoundMs;
+    const actions: PlacementAction[] = [];
+    const tries = 2 * maxDemandsPerSettle;
+    for (let i = 0; i < tries && actions.length < maxDemandsPerSettle; i++) {
+      const booked = this.open.pick(this.sources.random);
+      if (booked === undefined) break;
+      if (now < booked.demandDueAt) continue;
+      booked.demandDueAt = now + demandIntervalMs;
+      actions.push({kind: 'demand', target: booked.target, waiting});
+    }
+    return actions;
+  }
+
+  private applyTo(
+    booked: BookedTarget,
+    event: Exclude<PlacementEvent, {kind: 'target-connected'}>,
+    now: Instant,
+  ): readonly PlacementAction[] {
+    switch (event.kind) {
+      case 'target-disconnected':
+        this.book.close(booked);
+        return [];
+      case 'target-gone':
+        this.book.retire(booked);
+        return [];
+      case 'target-allowed':
+        this.book.allow(booked, event.maxInFlight);
+        return [];
+      case 'slots-granted':
+        if (booked.connected) this.book.grant(booked, event.slots);
+        return [];
+      case 'slots-recalled':
+        return this.giveBack(booked, event.slots);
+      case 'start-unused':
+        this.book.end(booked, event.granted);
+        return [];
+      case 'task-ended':
+        this.book.end(booked, false);
+        this.book.updateSpeed(booked, now);
+        return [];
+      default:
+        return failUnreachable(event);
+    }
+  }
+
+  private giveBack(
+    booked: BookedTarget,
+    recalled: number,
+  ): readonly PlacementAction[] {
+    const slots = Math.min(recalled, booked.free);
+    if (slots === 0) return [];
+    this.book.grant(booked, -slots);
+    return [{kind: 'release', target: booked.target, slots}];
+  }
+
+  /** Until when the next task should rather wait for a faster slot; `now` when it should not. */
+  private holdUntil(
+    booked: BookedTarget,
+    {waiting, deadline}: WaitingTasks,
+    now: Instant,
+  ): Instant {
+    const faster = this.book.sumFaster(booked);
+    if (faster.endsPerMs === 0) return now;
+    const expectedMs = waiting / faster.endsPerMs + faster.runMs;
+    const savedMs = booked.runMs * (1 - minSavedShare) - expectedMs;
+    if (savedMs <= 0 || now + expectedMs > deadline) return now;
+    this.heldSince ??= now;
+    return this.heldSince + (booked.runMs - faster.runMs);
+  }
+
+  private refresh(booked: BookedTarget): void {
+    const held = booked.free + booked.inFlight;
+    this.open.set(
+      booked,
+      booked.connected &&
+        held < booked.slots &&
+        booked.inFlight < booked.maxInFlight,
+    );
+  }
+}
--- /dev/null
+++ b/packages/policy/src/division.ts
@@ -0,0 +1,171 @@
+import type {Epoch, Instant} from '#model';
+import {
+  countConnected,
+  countFree,
+  defaultGrantLimits,
+  type GrantLimits,
+  type SlotGrants,
+  type SlotHolder,
+  putHolder,
+} from './grants.js';
+
+/** Messages that follow from a division. */
+export interface Division {
+  readonly grants: SlotGrants;
+  /** Slots granted anew, by epoch: `entry.grant`, or in the next `entry.report`. */
+  readonly granted: ReadonlyMap<Epoch, number>;
+  /** Idle slots to ask back, by epoch: `entry.recall`. */
+  readonly recalled: ReadonlyMap<Epoch, number>;
+}
+
+/**
+ * Divides free slots among the entries. To be called after every change.
+ * `ender` is the entry whose task has just ended, if any: its slot goes back to
+ * it with the report unless another entry has the better claim.
+ *
+ * Slots granted ahead go first to the entry that waits and holds fewest; while
+ * none waits, to those without a reserve, then back to the ender, then to the
+ * one that holds fewest. Idle slots are recalled only from entries that do not
+ * wait, for entries that do, and no more often than the interval.
+ */
+export function divideSlots(
+  grants: SlotGrants,
+  now: Instant,
+  ender?: Epoch,
+  limits: GrantLimits = defaultGrantLimits,
+): Division {
+  const granted = new Map<Epoch, number>();
+  let divided = grants;
+  for (let free = countFree(grants); free > 0; free--) {
+    const holder =
+      grants.mode === 'ahead'
+        ? chooseAhead(divided, now, ender)
+        : chooseReserved(divided);
+    if (holder === undefined) break;
+    divided = grantSlot(divided, holder);
+    granted.set(holder.epoch, (granted.get(holder.epoch) ?? 0) + 1);
+  }
+  const {grants: settled, recalled} = recallIdle(divided, now, limits);
+  return {grants: settled, granted, recalled};
+}
+
+function grantSlot(grants: SlotGrants, holder: SlotHolder): SlotGrants {
+  const granted = holder.granted + 1;
+  if (grants.mode === 'ahead') return putHolder(grants, {...holder, granted});
+  return {
+    ...putHolder(grants, {
+      ...holder,
+      granted,
+      reserved: holder.reserved - 1,
+      reservedOrder: grants.nextOrder,
+    }),
+    nextOrder: grants.nextOrder + 1,
+  };
+}
+
+/** Entries take turns, so that a large reservation does not keep others waiting. */
+function chooseReserved({holders}: SlotGrants): SlotHolder | undefined {
+  let chosen: SlotHolder | undefined;
+  for (const holder of holders.values()) {
+    if (!holder.connected || holder.reserved === 0) continue;
+    if (chosen === undefined || holder.reservedOrder < chosen.reservedOrder) {
+      chosen = holder;
+    }
+  }
+  return chosen;
+}
+
+function chooseAhead(
+  grants: SlotGrants,
+  now: Instant,
+  ender: Epoch | undefined,
+): SlotHolder | undefined {
+  const connected = [...grants.holders.values()].filter(one => one.connected);
+  const waiting = connected.filter(one => countUnmet(one, now) > 0);
+  if (waiting.length > 0) return chooseFewest(waiting, ender);
+  const owner = connected.find(one => one.epoch === ender);
+  if (owner === undefined) return chooseFewest(connected, ender);
+  if (owner.pressedUntil > now) return owner;
+  const reserve = computeReserve(grants);
+  const bare = connected.filter(one => countHeld(one) < reserve);
+  return bare.length > 0 ? chooseFewest(bare, ender) : owner;
+}
+
+/** What every entry should hold for a burst while nobody waits. */
+function computeReserve(grants: SlotGrants): number {
+  const evenShare = Math.floor(grants.slots / countConnected(grants));
+  return Math.ceil(evenShare / 2);
+}
+
+function chooseFewest(
+  holders: readonly SlotHolder[],
+  ender: Epoch | undefined,
+): SlotHolder | undefined {
+  let chosen: SlotHolder | undefined;
+  for (const holder of holders) {
+    const fewer = chosen === undefined || countHeld(holder) < countHeld(chosen);
+    const tied =
+      chosen !== undefined && countHeld(holder) === countHeld(chosen);
+    if (fewer || (tied && holder.epoch === ender)) chosen = holder;
+  }
+  return chosen;
+}
+
+function recallIdle(
+  grants: SlotGrants,
+  now: Instant,
+  limits: GrantLimits,
+): {grants: SlotGrants; recalled: ReadonlyMap<Epoch, number>} {
+  const recalled = new Map<Epoch, number>();
+  let settled = grants;
+  for (let unmet = countMissing(grants, now); unmet > 0;) {
+    const holder = chooseIdle(settled, now);
+    if (holder === undefined) break;
+    const slots = Math.min(unmet, holder.granted);
+    unmet -= slots;
+    recalled.set(holder.epoch, slots);
+    settled = putHolder(settled, {
+      ...holder,
+      recalled: slots,
+      recallDueAt: now + limits.recallIntervalMs,
+    });
+  }
+  return {grants: settled, recalled};
+}
+
+/** Slots to be asked back: those granted beyond the slots, and those that others wait for. */
+function countMissing(grants: SlotGrants, now: Instant): number {
+  const excess = Math.max(0, -countFree(grants));
+  if (grants.mode === 'on-reservation') return excess;
+  let missing = excess;
+  for (const holder of grants.holders.values()) {
+    missing += countUnmet(holder, now);
+    if (now < holder.recallDueAt) missing -= holder.recalled;
+  }
+  return missing;
+}
+
+function chooseIdle(grants: SlotGrants, now: Instant): SlotHolder | undefined {
+  let chosen: SlotHolder | undefined;
+  for (const holder of grants.holders.values()) {
+    if (holder.granted === 0 || now < holder.recallDueAt) continue;
+    if (holder.waiting > 0 && now < holder.demandDeadline) continue;
+    if (chosen === undefined || holder.granted > chosen.granted) {
+      chosen = holder;
+    }
+  }
+  return chosen;
+}
+
+function countHeld({granted, running}: SlotHolder): number {
+  return granted + running;
+}
+
+/** Tasks that wait at an entry beyond the idle slots that it holds. */
+function countUnmet(
+  {connected, waiting, granted, demandDeadline}: SlotHolder,
+  now: Instant,
+): number {
+  if (!connected || now >= demandDeadline) return 0;
+  return Math.max(0, waiting - granted);
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,84 @@
-export {};
+export type {RandomSource} from './random.js';
+export {createRandom} from './random.js';
+
+export type {FairQueueOptions} from './fair-queue.js';
+export {createFairQueueClass, FairQueue} from './fair-queue.js';
+
+export type {QuotaShare, Spending, TokenBucket} from './quota.js';
+export {
+  adjustBucket,
+  createBucket,
+  returnTokens,
+  shareQuota,
+  spendTokens,
+} from './quota.js';
+
+export type {DrainRate} from './drain-rate.js';
+export {
+  computeDrainRate,
+  createDrainRate,
+  updateDrainRate,
+} from './drain-rate.js';
+
+export type {
+  AdmissionState,
+  AdmissionVerdict,
+  RunEstimate,
+  ServiceLoad,
+} from './admission.js';
+export {estimateWait, judgeAdmission} from './admission.js';
+
+export type {EstimateLimits} from './estimate.js';
+export {defaultEstimateLimits, RunTimes} from './estimate.js';
+
+export type {
+  Allowance,
+  HealthLimits,
+  TargetStanding,
+  TaskOutcome,
+} from './health.js';
+export {defaultHealthLimits, PoolHealth} from './health.js';
+
+export type {
+  Placement,
+  PlacementAction,
+  PlacementEvent,
+  PlacementSources,
+  PlacementVerdict,
+  WaitingTasks,
+} from './placement.js';
+export {choosePolicy, createPlacement, resolvePolicy} from './placement.js';
+
+export type {GrantLimits, GrantMode, SlotGrants, SlotHolder} from './grants.js';
+export {
+  connectHolder,
+  countFree,
+  countRunning,
+  createGrants,
+  defaultGrantLimits,
+  closeHolder,
+  takeSlot,
+  releaseSlots,
+  reserveSlots,
+  setSlots,
+  updateDemand,
+  returnSlot,
+} from './grants.js';
+export type {Division} from './division.js';
+export {divideSlots} from './division.js';
+
+export type {RetryBudget, RetryLimits, RetryVerdict} from './retry.js';
+export {
+  createRetryBudget,
+  defaultRetryLimits,
+  depositStart,
+  judgeRetry,
+} from './retry.js';
+
+export type {
+  GuardedTask,
+  GuardLimits,
+  GuardVerdict,
+  UsageReport,
+} from './guard.js';
+export {defaultGuardLimits, judgeGuard, updateUsage} from './guard.js';
--- /dev/null
+++ b/packages/policy/src/speed.ts
@@ -0,0 +1,14 @@
+import type {PlacementSources} from './placement.js';
+
+/** A straggler keeps this share of an average target's draws, so that its recovery is seen. */
+const minWeight = 0.1;
+
+/** Weighs a target for a draw: 1 up to the service's mean run time, less above it. */
+export function weighSpeed(
+  runMs: number,
+  {service, runTimes}: Pick<PlacementSources, 'service' | 'runTimes'>,
+): number {
+  const meanMs = runTimes.computeMean(service);
+  if (meanMs === 0) return 1;
+  return Math.min(1, Math.max(minWeight, meanMs / runMs));
+}
