--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,3 +1,4 @@
+import {randomInt} from 'node:crypto';
 import {type Either, Left, Right} from 'purify-ts';
 import {
   type Address,
@@ -7,11 +8,9 @@
   type Epoch,
   type Instant,
   type JobAnswer,
-  type ServiceName,
   type Submission,
-  type TargetId,
-  type TargetInfo,
 } from '#model';
+import {createRandom} from '#policy';
 import {ControlClient, type View} from '#membership';
 import {type Handlers, PeerListener, type ViewChange} from '#protocol';
 import {
@@ -21,19 +20,20 @@
 } from '#settings';
 import type {Runtime} from '#telemetry';
 import {Desk, type Refusal} from './desk.js';
-import type {Execution} from './execution.js';
+import {Fleet} from './fleet.js';
+import {Gate} from './gate.js';
 import {listInherited} from './heir.js';
 import {HttpFront} from './http.js';
 import {Inheritance} from './inheritance.js';
 import {EntryLease} from './lease.js';
-import {AgentLink, type TaskEnd} from './link.js';
 import {Neighbours} from './neighbours.js';
-import {Pool} from './pool.js';
 import {Registrar} from './registrar.js';
 import type {CheckedRequest} from './request.js';
 
+const maxSeed = 2 ** 31;
 const askTimeoutMs = 5000;
 const settledPollMs = 20;
+const drainRetryMs = 100;
 
 /** The entry role: callers' jobs in, tasks out to agents, one answer a job back. */
 export class Entry implements AsyncDisposable {
@@ -43,13 +43,12 @@
   private readonly neighbours = new Neighbours();
   private readonly desk: Desk;
   private readonly inheritance: Inheritance;
-  private readonly links = new Map<TargetId, AgentLink>();
-  private readonly pools = new Map<ServiceName, Pool>();
+  private readonly fleet: Fleet;
+  private readonly gate: Gate;
   private front: HttpFront | undefined;
   private view: View | undefined;
   private draining = false;
   private version = 0;
-  private tasksStarted = 0;
 
   private constructor(
     private readonly settings: ProcessSettings<EntryRole>,
@@ -58,12 +57,22 @@
     private readonly listener: PeerListener,
   ) {
     const {clock, log} = runtime;
+    this.gate = new Gate(settings.id, clock, configuration);
+    this.fleet = new Fleet(configuration, {
+      entry: settings.id,
+      clock,
+      log,
+      random: createRandom(randomInt(maxSeed)),
+      getEpoch: () => this.lease.epoch,
+      getStartingEpoch: () => this.lease.startingEpoch,
+      onTaskEnd: () => {},
+    });
     this.client = new ControlClient({controls: settings.controls, clock});
     this.registrar = new Registrar(this.client, clock);
     this.inheritance = new Inheritance({
       clock,
       log,
-      listLinks: () => [...this.links.values()],
+      listLinks: () => this.fleet.listLinks(),
       listGone: () => this.client.view.gone,
       getMaxPlacements: submission => this.getMaxPlacements(submission),
     });
@@ -74,9 +83,9 @@
         getStartingEpoch: () => this.lease.startingEpoch,
         getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
         getMaxPlacements: submission => this.getMaxPlacements(submission),
-        judge: submission => this.judge(submission),
-        start: execution => this.start(execution),
-        stop: execution => this.stop(execution),
+        judge: (submission, deadline) => this.judge(submission, deadline),
+        start: execution => this.fleet.start(execution),
+        stop: execution => this.fleet.stop(execution),
         inherit: (submission, deadline, standing) =>
           this.inheritance.resume(submission, deadline, standing),
       },
@@ -97,16 +106,15 @@
     const configuration = parsed.toMaybe().extract();
     if (configuration === undefined)
       return Left('the configuration is invalid');
-    let entry: Entry | undefined;
     const listened = await PeerListener.listen(settings.role.listen, {
       'entry.attach': ({submission, remainingMs}) =>
-        entry!.attach(submission, remainingMs),
-      'entry.peek': ({job}) => entry!.desk.peekLocal(job),
-      'entry.cancel': ({job}) => entry!.desk.cancelLocal(job),
+        entry.attach(submission, remainingMs),
+      'entry.peek': ({job}) => entry.desk.peekLocal(job),
+      'entry.cancel': ({job}) => entry.desk.cancelLocal(job),
     } satisfies Handlers);
     const listener = listened.extract();
     if (typeof listener === 'string') return Left(listener);
-    entry = new Entry(settings, runtime, configuration, listener);
+    const entry: Entry = new Entry(settings, runtime, configuration, listener);
     const front = (await entry.openFront()).extract();
     if (typeof front === 'string') {
       await entry[Symbol.asyncDispose]();
@@ -144,9 +152,7 @@
   async [Symbol.asyncDispose](): Promise<void> {
     await this.front?.[Symbol.asyncDispose]();
     await this.lease[Symbol.asyncDispose]();
-    await Promise.all(
-      [...this.links.values()].map(link => link[Symbol.asyncDispose]()),
-    );
+    await this.fleet[Symbol.asyncDispose]();
     await this.neighbours[Symbol.asyncDispose]();
     await this.client[Symbol.asyncDispose]();
     await this.listener[Symbol.asyncDispose]();
@@ -206,22 +212,22 @@
 
   private takeEpoch(epoch: Epoch): void {
     this.runtime.log.info({event: 'epoch-opened', epoch}, 'opened an epoch');
-    for (const pool of this.pools.values()) pool.openSlots();
-    this.claimInheritance();
+    this.fleet.resume();
+    this.followEnded();
   }
 
   private loseEpoch(epoch: Epoch): void {
     this.runtime.log.warn({event: 'epoch-ended', epoch}, 'lost the epoch');
     this.desk.relinquish();
     this.inheritance.clear();
-    for (const link of this.links.values()) link.relinquish();
+    this.fleet.relinquish();
   }
 
-  private claimInheritance(): void {
+  private followEnded(): void {
     const heir = this.lease.epoch;
     if (heir === undefined || this.view === undefined) return;
     const ended = listInherited([...this.view.ended.values()], heir);
-    if (ended.length > 0) this.inheritance.claim(ended, heir);
+    if (ended.length > 0) this.inheritance.takeOver(ended, heir);
   }
 
   private submit({
@@ -240,123 +246,27 @@
     return {answer};
   }
 
-  private judge(submission: Submission): Refusal | undefined {
-    const {teams, services} = this.configuration;
-    if (!teams.some(({name}) => name === submission.team)) {
-      return {
-        reason: 'unknown-team',
-        detail: `team "${submission.team}" does not exist`,
-        retryAfterMs: 0,
-      };
-    }
-    if (!services.some(({name}) => name === submission.service)) {
-      return {
-        reason: 'unknown-service',
-        detail: `service "${submission.service}" does not exist`,
-        retryAfterMs: 0,
-      };
-    }
+  private judge(
+    submission: Submission,
+    deadline: Instant,
+  ): Refusal | undefined {
     if (this.draining) {
       return {
         reason: 'draining',
         detail: 'this entry is leaving; another one serves',
-        retryAfterMs: 100,
+        retryAfterMs: drainRetryMs,
       };
     }
-    return undefined;
-  }
-
-  private start(execution: Execution): void {
-    const {submission, tasks} = execution.job;
-    const waiting = tasks.flatMap((state, task) =>
-      state.kind === 'waiting' ? [task] : [],
-    );
-    this.getPool(submission.service)?.add(execution, waiting);
-  }
-
-  private stop(execution: Execution): void {
-    const {tasks, submission} = execution.job;
-    const byTarget = new Map<TargetId, number[]>();
-    tasks.forEach((state, task) => {
-      if (state.kind !== 'sent') return;
-      const same = byTarget.get(state.target) ?? [];
-      same.push(task);
-      byTarget.set(state.target, same);
-    });
-    for (const [target, running] of byTarget) {
-      this.links
-        .get(target)
-        ?.cancel(running.map(task => ({job: submission.job, task})));
-    }
+    const pool = this.fleet.getPool(submission.service);
+    return this.gate.judge(submission, deadline, pool);
   }
 
   private follow(view: View, changes: readonly ViewChange[] | undefined): void {
     this.view = view;
     this.configure(view);
-    if (changes === undefined) this.followAll(view);
-    else for (const change of changes) this.followChange(change);
-    this.claimInheritance();
-  }
-
-  private followAll(view: View): void {
-    for (const target of view.targets.list()) this.putTarget(target);
-    for (const id of [...this.links.keys()]) {
-      if (view.targets.get(id) === undefined) this.removeTarget(id);
-    }
-  }
-
-  private followChange(change: ViewChange): void {
-    if (change.kind === 'target-joined') this.putTarget(change.target);
-    if (change.kind === 'target-gone') {
-      const {target, incarnation} = change.gone;
-      const link = this.links.get(target);
-      if (link?.target.incarnation === incarnation) this.removeTarget(target);
-    }
-  }
-
-  private putTarget(target: TargetInfo): void {
-    const known = this.links.get(target.target);
-    if (known !== undefined && known.target.address === target.address) {
-      known.update(target);
-      return;
-    }
-    if (known !== undefined) this.removeTarget(target.target);
-    const link = new AgentLink(target, {
-      entry: this.settings.id,
-      clock: this.runtime.clock,
-      log: this.runtime.log,
-      getEpoch: () => this.lease.epoch,
-      onSlots: changed => this.pools.get(changed.target.service)?.openSlots(),
-      onStray: () => {},
-    });
-    this.links.set(target.target, link);
-    this.getPool(target.service)?.links.set(target.target, link);
-  }
-
-  private removeTarget(target: TargetId): void {
-    const link = this.links.get(target);
-    if (link === undefined) return;
-    this.links.delete(target);
-    this.pools.get(link.target.service)?.links.delete(target);
-    link.retire();
-    this.pools.get(link.target.service)?.openSlots();
-  }
-
-  private getPool(service: ServiceName): Pool | undefined {
-    const known = this.pools.get(service);
-    if (known !== undefined) return known;
-    const config = this.configuration.services.find(
-      ({name}) => name === service,
-    );
-    if (config === undefined) return undefined;
-    const pool = new Pool(config, {
-      clock: this.runtime.clock,
-      getStartingEpoch: () => this.lease.startingEpoch,
-      getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
-      onTaskEnd: (execution, end) => this.recordTaskEnd(execution, end),
-    });
-    this.pools.set(service, pool);
-    return pool;
+    this.fleet.follow(view, changes);
+    this.gate.setEntries([...view.entries.values()].map(({entry}) => entry));
+    this.followEnded();
   }
 
   private configure(view: View): void {
@@ -370,23 +280,17 @@
         ),
       Right: configuration => {
         this.configuration = configuration;
+        this.gate.configure(configuration);
         this.version = version;
         this.runtime.log.info(
           {event: 'configuration-in-force', version},
           'configuration in force',
         );
-        for (const service of configuration.services) {
-          const pool = this.pools.get(service.name);
-          if (pool !== undefined) pool.service = service;
-        }
+        this.fleet.configure(configuration);
       },
     });
   }
 
-  private recordTaskEnd(_execution: Execution, end: TaskEnd): void {
-    if (end.fate.kind !== 'not-run') this.tasksStarted++;
-  }
-
   private describe(): unknown {
     return {
       entry: this.settings.id,
@@ -394,14 +298,10 @@
       ready: this.isReady,
       draining: this.draining,
       configVersion: this.version,
-      targets: this.links.size,
+      targets: this.fleet.listLinks().length,
       jobsInHand: this.desk.unanswered,
-      tasksStarted: this.tasksStarted,
-      pools: [...this.pools.values()].map(pool => ({
-        service: pool.service.name,
-        waiting: pool.waiting,
-        running: pool.running,
-      })),
+      refusals: this.gate.countRefusals(),
+      pools: this.fleet.describe(),
     };
   }
 
--- /dev/null
+++ b/packages/entry/src/fleet.ts
@@ -0,0 +1,211 @@
+import type {
+  Clock,
+  Configuration,
+  EntryId,
+  Epoch,
+  ServiceName,
+  TargetId,
+  TargetInfo,
+  TeamName,
+} from '#model';
+import type {View} from '#membership';
+import type {PlacementEvent, RandomSource} from '#policy';
+import type {ViewChange} from '#protocol';
+import type {Logger} from '#telemetry';
+import type {Execution} from './execution.js';
+import {AgentLink, type TaskEnd} from './link.js';
+import {Pool} from './pool.js';
+
+/** What the fleet needs of the entry. */
+export interface FleetOwner {
+  readonly entry: EntryId;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly random: RandomSource;
+  readonly getEpoch: () => Epoch | undefined;
+  readonly getStartingEpoch: () => Epoch | undefined;
+  readonly onTaskEnd: (
+    execution: Execution,
+    end: TaskEnd,
+    queuedMs: number,
+  ) => void;
+}
+
+/** Every target in the view with the link to its agent, in one pool a service. */
+export class Fleet implements AsyncDisposable {
+  private readonly links = new Map<TargetId, AgentLink>();
+  private readonly pools = new Map<ServiceName, Pool>();
+
+  constructor(
+    private configuration: Configuration,
+    private readonly owner: FleetOwner,
+  ) {}
+
+  listLinks(): readonly AgentLink[] {
+    return [...this.links.values()];
+  }
+
+  /** Describes each pool for status pages. */
+  describe(): readonly unknown[] {
+    return [...this.pools.values()].map(pool => ({
+      service: pool.config.name,
+      waiting: pool.waiting,
+      running: pool.running,
+      ejected: pool.countEjected(),
+      ...pool.getCounts(),
+    }));
+  }
+
+  /** Queues the tasks of a job that wait. */
+  start(execution: Execution): void {
+    const {submission, tasks} = execution.job;
+    const waiting = tasks.flatMap((state, task) =>
+      state.kind === 'waiting' ? [task] : [],
+    );
+    this.getPool(submission.service)?.add(execution, waiting);
+  }
+
+  /** Takes a job's waiting tasks out of the queue and cancels those at targets. */
+  stop(execution: Execution): void {
+    const {tasks, submission} = execution.job;
+    this.pools.get(submission.service)?.discard(
+      submission.job,
+      tasks.map((_, task) => task),
+    );
+    const byTarget = new Map<TargetId, number[]>();
+    tasks.forEach((state, task) => {
+      if (state.kind !== 'sent') return;
+      const same = byTarget.get(state.target) ?? [];
+      same.push(task);
+      byTarget.set(state.target, same);
+    });
+    for (const [target, running] of byTarget) {
+      this.links
+        .get(target)
+        ?.cancel(running.map(task => ({job: submission.job, task})));
+    }
+  }
+
+  /** Takes in a view; `changes` is unset after a full one. */
+  follow(view: View, changes: readonly ViewChange[] | undefined): void {
+    if (changes === undefined) this.followAll(view);
+    else for (const change of changes) this.followChange(change);
+  }
+
+  /** Puts a configuration in force. */
+  configure(configuration: Configuration): void {
+    this.configuration = configuration;
+    for (const service of configuration.services) {
+      this.pools.get(service.name)?.configure(service);
+    }
+  }
+
+  /** Tasks may start again. */
+  resume(): void {
+    for (const pool of this.pools.values()) pool.arm();
+  }
+
+  /** The entry's epoch is over: what was sent is its heir's. */
+  relinquish(): void {
+    for (const link of this.links.values()) link.relinquish();
+  }
+
+  /** Finds the pool of a service; undefined when the service is not configured. */
+  getPool(service: ServiceName): Pool | undefined {
+    const known = this.pools.get(service);
+    if (known !== undefined) return known;
+    const config = this.configuration.services.find(
+      ({name}) => name === service,
+    );
+    if (config === undefined) return undefined;
+    const pool = new Pool(config, {
+      clock: this.owner.clock,
+      random: this.owner.random,
+      getStartingEpoch: this.owner.getStartingEpoch,
+      getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
+      getWeight: team => this.getWeight(team),
+      onTaskEnd: this.owner.onTaskEnd,
+    });
+    this.pools.set(service, pool);
+    return pool;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const pool of this.pools.values()) pool[Symbol.dispose]();
+    await Promise.all(
+      this.listLinks().map(link => link[Symbol.asyncDispose]()),
+    );
+  }
+
+  private followAll(view: View): void {
+    for (const target of view.targets.list()) this.putTarget(target);
+    for (const id of [...this.links.keys()]) {
+      if (view.targets.get(id) === undefined) this.removeTarget(id);
+    }
+  }
+
+  private followChange(change: ViewChange): void {
+    if (change.kind === 'target-joined') this.putTarget(change.target);
+    if (change.kind === 'target-gone') {
+      const {target, incarnation} = change.gone;
+      const link = this.links.get(target);
+      if (link?.target.incarnation === incarnation) this.removeTarget(target);
+    }
+  }
+
+  private putTarget(target: TargetInfo): void {
+    const known = this.links.get(target.target);
+    if (known !== undefined && known.target.address === target.address) {
+      known.update(target);
+      return;
+    }
+    if (known !== undefined) this.removeTarget(target.target);
+    const link = this.openLink(target);
+    this.links.set(target.target, link);
+    this.getPool(target.service)?.addLink(link);
+  }
+
+  private removeTarget(target: TargetId): void {
+    const link = this.links.get(target);
+    if (link === undefined) return;
+    this.links.delete(target);
+    this.pools.get(link.target.service)?.removeLink(link);
+    link.retire();
+  }
+
+  private openLink(target: TargetInfo): AgentLink {
+    const tell = (link: AgentLink, event: PlacementEvent) =>
+      this.pools.get(link.target.service)?.apply(event);
+    const {entry, clock, log, getEpoch} = this.owner;
+    return new AgentLink(target, {
+      entry,
+      clock,
+      log,
+      getEpoch,
+      onOpened: (link, slots) =>
+        tell(link, {
+          kind: 'target-connected',
+          target: link.target.target,
+          slots,
+        }),
+      onClosed: link =>
+        tell(link, {kind: 'target-disconnected', target: link.target.target}),
+      onGranted: (link, slots) =>
+        tell(link, {kind: 'slots-granted', target: link.target.target, slots}),
+      onRecalled: (link, slots) =>
+        tell(link, {kind: 'slots-recalled', target: link.target.target, slots}),
+      onStray: () => {},
+    });
+  }
+
+  private getWeight(team: TeamName): number {
+    return (
+      this.configuration.teams.find(({name}) => name === team)?.weight ?? 1
+    );
+  }
+
+  private getKeepMs(unrepeatable: boolean): number {
+    const {limits} = this.configuration;
+    return unrepeatable ? limits.unrepeatableRetentionMs : limits.retentionMs;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/gate.ts
@@ -0,0 +1,139 @@
+import type {
+  Clock,
+  Configuration,
+  EntryId,
+  Instant,
+  Submission,
+  TeamConfig,
+  TeamName,
+} from '#model';
+import {
+  adjustBucket,
+  createBucket,
+  judgeAdmission,
+  type QuotaShare,
+  shareQuota,
+  type TokenBucket,
+} from '#policy';
+import type {Refusal} from './desk.js';
+import type {Pool} from './pool.js';
+
+/** Admission at one entry: quotas, queue limits and deadlines that can be met. */
+export class Gate {
+  private readonly buckets = new Map<TeamName, TokenBucket>();
+  private readonly refusals = new Map<string, number>();
+  private entries: readonly EntryId[];
+
+  constructor(
+    private readonly entry: EntryId,
+    private readonly clock: Clock,
+    private configuration: Configuration,
+  ) {
+    this.entries = [entry];
+    this.adjustBuckets();
+  }
+
+  /** Puts a configuration in force. What a team has spent stays spent. */
+  configure(configuration: Configuration): void {
+    this.configuration = configuration;
+    this.adjustBuckets();
+  }
+
+  /** Tells which entries are alive: they share each team's quota. */
+  setEntries(entries: readonly EntryId[]): void {
+    this.entries = entries.includes(this.entry)
+      ? entries
+      : [...entries, this.entry];
+    this.adjustBuckets();
+  }
+
+  /** Counts refusals since the start by reason. */
+  countRefusals(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.refusals);
+  }
+
+  /** Judges a job; `undefined` admits it and spends the team's quota. */
+  judge(
+    submission: Submission,
+    deadline: Instant,
+    pool: Pool | undefined,
+  ): Refusal | undefined {
+    const now = this.clock.now();
+    const {services, teams, limits} = this.configuration;
+    const team = teams.find(({name}) => name === submission.team);
+    const verdict = judgeAdmission(
+      {
+        service: services.find(({name}) => name === submission.service),
+        team,
+        limits,
+        capacities: pool?.listCapacities() ?? [],
+        bucket: this.getBucket(team, now),
+        load: pool?.describeLoad(submission.team) ?? {
+          waiting: 0,
+          teamWaiting: 0,
+          teamShare: 1,
+          freeSlots: 0,
+          startsPerSecond: 0,
+        },
+        runs: pool?.estimateRun(computeMeanHint(submission)) ?? {
+          lowMs: 0,
+          medianMs: 0,
+          observations: 0,
+        },
+      },
+      submission,
+      deadline,
+      now,
+    );
+    if (verdict.kind === 'admit') {
+      this.buckets.set(submission.team, verdict.bucket);
+      return undefined;
+    }
+    const {reason, detail, retryAfterMs} = verdict;
+    this.countRefusal(reason);
+    return {reason, detail, retryAfterMs};
+  }
+
+  private countRefusal(reason: string): void {
+    this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
+  }
+
+  private getBucket(team: TeamConfig | undefined, now: Instant): TokenBucket {
+    const known = team && this.buckets.get(team.name);
+    return known ?? createBucket({tasksPerSecond: 0, burstTasks: 0}, now);
+  }
+
+  private adjustBuckets(): void {
+    const now = this.clock.now();
+    const configured = new Set<TeamName>();
+    for (const team of this.configuration.teams) {
+      configured.add(team.name);
+      const quota = this.computeShare(team);
+      const known = this.buckets.get(team.name);
+      this.buckets.set(
+        team.name,
+        known === undefined
+          ? createBucket(quota, now)
+          : adjustBucket(known, quota, now),
+      );
+    }
+    for (const name of [...this.buckets.keys()]) {
+      if (!configured.has(name)) this.buckets.delete(name);
+    }
+  }
+
+  private computeShare(team: TeamConfig): QuotaShare {
+    const demands = new Map(
+      this.entries.map(entry => [entry, undefined] as const),
+    );
+    return shareQuota(team, demands).get(this.entry)!;
+  }
+}
+
+function computeMeanHint({tasks}: Submission): number | undefined {
+  const hints = tasks.flatMap(({expectedMs}) =>
+    expectedMs === undefined ? [] : [expectedMs],
+  );
+  if (hints.length === 0) return undefined;
+  return hints.reduce((sum, hint) => sum + hint, 0) / hints.length;
+}
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -148,11 +148,11 @@
   });
 };
 
-const peekJob: Route = (req, owner) => withJob(req, owner.peek);
+const peekJob: Route = (req, owner) => askAboutJob(req, owner.peek);
 
-const cancelJob: Route = (req, owner) => withJob(req, owner.cancel);
+const cancelJob: Route = (req, owner) => askAboutJob(req, owner.cancel);
 
-async function withJob(
+async function askAboutJob(
   req: IncomingMessage & {params: Params},
   ask: (job: string) => Promise<JobState>,
 ): Promise<HttpAnswer> {
--- a/packages/entry/src/inheritance.ts
+++ b/packages/entry/src/inheritance.ts
@@ -36,7 +36,7 @@
   constructor(private readonly owner: InheritanceOwner) {}
 
   /** Fences the epochs at every agent when there are new ones among them. */
-  claim(epochs: readonly Epoch[], heir: Epoch): void {
+  takeOver(epochs: readonly Epoch[], heir: Epoch): void {
     const known = new Set(this.epochs);
     if (epochs.every(epoch => known.has(epoch))) return;
     this.epochs = epochs;
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -34,8 +34,13 @@
   readonly liveness?: Liveness;
   /** The epoch that the entry holds, or undefined while it holds none. */
   readonly getEpoch: () => Epoch | undefined;
-  /** Slots fell free, the link opened or it closed. */
-  readonly onSlots: (link: AgentLink) => void;
+  /** Tasks can be sent; the agent welcomed this entry with so many slots in all. */
+  readonly onOpened: (link: AgentLink, slots: number) => void;
+  /** Granted slots are void and nothing can be sent. */
+  readonly onClosed: (link: AgentLink) => void;
+  readonly onGranted: (link: AgentLink, slots: number) => void;
+  /** The agent asks for idle slots. */
+  readonly onRecalled: (link: AgentLink, slots: number) => void;
   /** A task of an ended epoch, now this entry's as the heir, has ended. */
   readonly onStray: (ref: TaskRef, end: TaskEnd) => void;
 }
@@ -61,14 +66,13 @@
  * the agent granted, and accounts for every task sent until its fate is known.
  */
 export class AgentLink implements AsyncDisposable {
-  /** Granted slots not in use. */
-  free = 0;
   /** Messages sent by kind, for the wasted-message score. */
   readonly sentMessages = {start: 0, reserve: 0, release: 0, demand: 0};
 
   private peer: Peer | undefined;
   private ready = false;
   private connection = 0;
+  private early = 0;
   private stopped = false;
   private inView = true;
   private wakeBackoff = () => {};
@@ -108,7 +112,6 @@
         resolve({fate: {kind: 'not-run', reason: 'no-slot'}, runMs: 0});
         return;
       }
-      if (task.granted) this.free--;
       this.sent.set(formatTask(task), {ref: task, resolve});
       this.waiting = waiting;
       if (this.outgoing.length === 0) setImmediate(() => this.flush());
@@ -123,6 +126,12 @@
     });
   }
 
+  /** Closes the connection; it opens again at once, with no slots. */
+  reconnect(): void {
+    this.peer?.close('the placement policy changed');
+    this.wakeBackoff();
+  }
+
   /** Gives up the tasks of an epoch that is over; its heir is told their fates. */
   relinquish(): void {
     this.loseTasks('the epoch of the entry is over');
@@ -140,7 +149,6 @@
   /** Gives back granted slots, or withdraws reservations. */
   release(slots: number): void {
     if (!this.ready || slots === 0) return;
-    this.free = Math.max(0, this.free - slots);
     this.sentMessages.release++;
     this.peer?.notify('agent.release', {slots});
   }
@@ -193,7 +201,6 @@
   /** The target left the view. What is still connected may finish. */
   retire(): void {
     this.inView = false;
-    this.free = 0;
     if (!this.ready) this.loseTasks('the agent is gone');
     this.wakeBackoff();
     this.wakeWaiters();
@@ -227,7 +234,11 @@
       this.target.address,
       {
         'entry.grant': ({slots}, peer) => this.receiveSlots(peer, slots),
-        'entry.recall': ({slots}, peer) => this.giveBack(peer, slots),
+        'entry.recall': ({slots}, peer) => {
+          if (peer === this.peer && this.ready) {
+            this.owner.onRecalled(this, slots);
+          }
+        },
         'entry.report': (report, peer) => this.receiveReport(peer, report),
       },
       this.getDeadline(dialTimeoutMs),
@@ -236,39 +247,44 @@
     const peer = dialled.toMaybe().extractNullable();
     if (peer === null) return false;
     this.peer = peer;
-    this.free = 0;
-    const opened = await this.openSession(peer, epoch);
-    if (!opened) {
+    this.early = 0;
+    const slots = await this.openSession(peer, epoch);
+    if (slots === undefined) {
       peer.close('the agent did not welcome this entry');
       return false;
     }
     this.ready = true;
     this.wakeWaiters();
-    this.owner.onSlots(this);
+    this.owner.onOpened(this, slots);
+    if (this.early > 0) this.owner.onGranted(this, this.early);
     const cause = await peer.closed;
     this.ready = false;
-    this.free = 0;
     this.owner.log.debug(
       {event: 'link-closed', target: this.target.target, cause},
       'connection to an agent closed',
     );
-    this.owner.onSlots(this);
+    this.owner.onClosed(this);
     return true;
   }
 
-  private async openSession(peer: Peer, epoch: Epoch): Promise<boolean> {
+  /** Returns how many slots the agent has in all, or undefined when the session did not open. */
+  private async openSession(
+    peer: Peer,
+    epoch: Epoch,
+  ): Promise<number | undefined> {
     const hello = await peer.request(
       'agent.hello',
       {entry: this.owner.entry, epoch, connection: ++this.connection},
       this.getDeadline(helloTimeoutMs),
     );
     const welcome = hello.toMaybe().extractNullable();
-    if (welcome === null || welcome.kind !== 'welcome') return false;
-    if (welcome.target.target !== this.target.target) return false;
+    if (welcome === null || welcome.kind !== 'welcome') return undefined;
+    if (welcome.target.target !== this.target.target) return undefined;
     if (welcome.target.incarnation !== this.target.incarnation) {
       this.update(welcome.target);
     }
-    return await this.settleSent(peer);
+    const settled = await this.settleSent(peer);
+    return settled ? welcome.slots : undefined;
   }
 
   /** Asks about every task sent on an earlier connection. */
@@ -309,25 +325,18 @@
     }
   }
 
+  /** Slots granted before the session is open count once it is. */
   private receiveSlots(peer: Peer, slots: number): void {
-    if (peer !== this.peer || !this.inView) return;
-    this.free += slots;
-    if (this.ready && slots > 0) this.owner.onSlots(this);
-  }
-
-  private giveBack(peer: Peer, slots: number): void {
-    if (peer !== this.peer) return;
-    const idle = Math.min(this.free, slots);
-    this.release(idle);
-    if (idle > 0) this.owner.onSlots(this);
+    if (peer !== this.peer || !this.inView || slots === 0) return;
+    if (this.ready) this.owner.onGranted(this, slots);
+    else this.early += slots;
   }
 
   private receiveReport(peer: Peer, report: ReportParams): void {
-    if (peer === this.peer && this.inView) this.free += report.slots;
     for (const {job, task, fate, runMs} of report.tasks) {
       this.finish({job, task}, {fate, runMs});
     }
-    if (this.ready) this.owner.onSlots(this);
+    this.receiveSlots(peer, report.slots);
   }
 
   private finish(ref: TaskRef, end: TaskEnd): void {
