--- a/packages/settings/src/check.ts
+++ b/packages/settings/src/check.ts
@@ -2,29 +2,9 @@
 import type {SettingsError} from './error.js';
 import {name, namePattern} from './kind.js';
 import {findNearest} from './nearest.js';
+import {describeValue, joinKey} from './value.js';
 import type {Leaf, Named, Shape, Shapes, Table, ValueOf} from './shape.js';
 
-/** Joins a key to the path of its table, quoted where TOML needs it. */
-export function joinKey(path: string, key: string): string {
-  const quoted = /^[A-Za-z0-9_-]+$/.test(key) ? key : JSON.stringify(key);
-  return path === '' ? quoted : `${path}.${quoted}`;
-}
-
-/** Shows a value found in a text, shortened. */
-export function describeValue(value: unknown): string {
-  if (value instanceof Date) return `the date ${value.toISOString()}`;
-  if (Array.isArray(value)) return `the array ${cutText(value)}`;
-  if (isTable(value)) return `the table ${cutText(value)}`;
-  if (typeof value === 'number') return String(value);
-  return cutText(value);
-}
-
-function cutText(value: unknown): string {
-  const maxShown = 80;
-  const text = JSON.stringify(value) ?? String(value);
-  return text.length > maxShown ? `${text.slice(0, maxShown)}…` : text;
-}
-
 /** What a document is checked as. */
 export type Part =
   | {readonly kind: 'base'}
--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -9,6 +9,7 @@
   TeamConfig,
 } from '#model';
 import {checkDocument, completeTable} from './check.js';
+import {describeValue} from './value.js';
 import {
   type Document,
   mergeTables,
@@ -16,66 +17,14 @@
   type TomlTable,
 } from './document.js';
 import type {SettingsError} from './error.js';
-import {boundCount, boundPositive, chooseText, name} from './kind.js';
-import {processTables} from './layout.js';
+import {name as nameKind} from './kind.js';
 import {
-  allowKey,
-  fillKey,
-  keepInBase,
-  nameTables,
-  requireKey,
-  requireTable,
-  type ValueOf,
-} from './shape.js';
-
-const hourMs = 3_600_000;
-const dayMs = 24 * hourMs;
-const weekMs = 7 * dayMs;
-const gib = 1024 ** 3;
-
-const limitsTable = requireTable({
-  max_tasks_per_job: fillKey(boundCount(1, 100_000, 'tasks'), 1000),
-  max_body_bytes: fillKey(
-    boundCount(1024, 32 * 1024 * 1024, 'bytes'),
-    4 * 1024 * 1024,
-  ),
-  max_deadline_ms: fillKey(boundCount(1, dayMs, 'ms'), 600_000),
-  retention_ms: fillKey(boundCount(1000, dayMs, 'ms'), 120_000),
-  unrepeatable_retention_ms: fillKey(boundCount(1000, 4 * weekMs, 'ms'), dayMs),
-  max_queued_tasks: fillKey(boundCount(1, 10_000_000, 'tasks'), 50_000),
-});
-
-const serviceTable = requireTable({
-  objective: fillKey(
-    chooseText('response-time', 'fewest-messages'),
-    'response-time',
-  ),
-  placement: allowKey(chooseText('random', 'probe', 'credit')),
-  probes_per_task: fillKey(boundCount(1, 16, 'probes'), 2),
-  max_task_ms: fillKey(boundCount(1, hourMs, 'ms'), 10_000),
-  max_placements: fillKey(boundCount(1, 1000, 'placements'), 5),
-  demand: requireTable({
-    cores: fillKey(boundPositive(1024, 'cores'), 1),
-    memory_mb: fillKey(boundCount(1, 16 * 1024 * 1024, 'MiB'), 256),
-    accelerators: fillKey(boundCount(0, 64, 'accelerators'), 0),
-  }),
-});
-
-const teamTable = requireTable({
-  home_region: keepInBase(allowKey(name)),
-  tasks_per_second: requireKey(boundPositive(gib, 'tasks a second')),
-  burst_tasks: allowKey(boundCount(1, gib, 'tasks')),
-  weight: fillKey(boundPositive(1_000_000), 1),
-});
-
-/** The tables of the dispatch configuration, which control versions and spreads. */
-export const configurationTables = {
-  limits: limitsTable,
-  services: nameTables(serviceTable),
-  teams: nameTables(teamTable),
-};
-
-const configurationShape = requireTable(configurationTables);
+  configurationShape,
+  processTables,
+  type serviceTable,
+  type teamTable,
+} from './layout.js';
+import type {ValueOf} from './shape.js';
 
 const baseOrigin = 'base file';
 
@@ -108,6 +57,7 @@
   return parseBase(source).chain(base => {
     const sites = Object.keys(source.overlays);
     const errors = [
+      ...sites.flatMap(checkSiteName),
       ...collectErrors(completeConfiguration(base.table, base.origin)),
       ...sites.flatMap(site => collectErrors(parseConfiguration(source, site))),
     ];
@@ -115,6 +65,21 @@
   });
 }
 
+function checkSiteName(site: string): readonly SettingsError[] {
+  return nameKind.codec.decode(site).caseOf({
+    Left: () => [
+      {
+        kind: 'wrong-value',
+        origin: nameOverlay(site),
+        key: 'site',
+        expected: nameKind.expected,
+        found: describeValue(site),
+      },
+    ],
+    Right: () => [],
+  });
+}
+
 function collectErrors(
   outcome: Either<readonly SettingsError[], unknown>,
 ): readonly SettingsError[] {
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -25,3 +25,4 @@
   extractSource,
   parseConfiguration,
 } from './configuration.js';
+export {diffConfiguration, listKeys} from './difference.js';
--- a/packages/settings/src/kind.ts
+++ b/packages/settings/src/kind.ts
@@ -90,6 +90,18 @@
   input => isAddress(input, 0),
 );
 
+const unspecifiedHosts = ['0.0.0.0', '::'];
+
+/** Where a process listens that tells the address to others. */
+export const announcedAddress: Kind<Address> = declareKind(
+  'an address IP:PORT that others can dial, such as "10.0.0.7:7000", not 0.0.0.0 or ::',
+  input =>
+    isAddress(input, 0) &&
+    !parseAddress(input as Address)
+      .map(({host}) => unspecifiedHosts.includes(host))
+      .orDefault(true),
+);
+
 const dialExpected =
   'an address IP:PORT such as "127.0.0.1:7000", port 1 to 65535';
 
--- a/packages/settings/src/nearest.ts
+++ b/packages/settings/src/nearest.ts
@@ -3,7 +3,7 @@
   word: string,
   candidates: readonly string[],
 ): string | undefined {
-  const limit = Math.max(2, Math.floor(word.length / 3));
+  const limit = Math.max(2, Math.ceil(word.length / 3));
   let nearest: string | undefined;
   let least = limit + 1;
   for (const candidate of candidates) {
