--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -94,6 +94,7 @@
   'cancelled',
   'wrong-service',
   'too-large',
+  'target-down',
 );
 const fate = oneOf([
   Codec.interface({kind: exactly('succeeded'), result: unknown}),
@@ -138,8 +139,10 @@
 const viewChange = oneOf([
   Codec.interface({kind: exactly('target-joined'), target}),
   Codec.interface({kind: exactly('target-gone'), gone: goneTarget}),
+  Codec.interface({kind: exactly('gone-forgotten'), untilRevision: count}),
   Codec.interface({kind: exactly('entry-opened'), entry: entryInfo}),
   Codec.interface({kind: exactly('epoch-ended'), ended: endedEpoch}),
+  Codec.interface({kind: exactly('epoch-forgotten'), epoch: count}),
   Codec.interface({
     kind: exactly('configured'),
     configuration: versionedSource,
@@ -198,7 +201,12 @@
     Codec.interface({tasks: array(taskReport), slots: count}),
   ),
   'control.openEntry': toCheck(
-    Codec.interface({entry: string, address: string, place}),
+    Codec.interface({
+      entry: string,
+      nonce: optional(string),
+      address: string,
+      place,
+    }),
   ),
   'control.renewEntry': toCheck(
     Codec.interface({...entryEpoch, configVersion: count}),
