--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -73,7 +73,7 @@
     await this.peer?.request(
       'control.withdraw',
       {target, incarnation},
-      this.deadlineIn(requestTimeoutMs),
+      this.deriveDeadline(requestTimeoutMs),
     );
   }
 
@@ -90,7 +90,7 @@
     let leader: Address | undefined;
     while (!this.stopped) {
       const address = leader ?? this.pickControl();
-      const ending = await this.converse(address);
+      const ending = await this.followControl(address);
       if (this.announced !== undefined) backoffMs = firstBackoffMs;
       this.announced = undefined;
       this.peer = undefined;
@@ -107,11 +107,11 @@
   }
 
   /** Talks to one replica for as long as it leads and answers. */
-  private async converse(address: Address): Promise<Ending> {
+  private async followControl(address: Address): Promise<Ending> {
     const dialled = await dialPeer(
       address,
       {'watcher.update': update => this.receiveView(update)},
-      this.deadlineIn(dialTimeoutMs),
+      this.deriveDeadline(dialTimeoutMs),
       this.owner.liveness,
     );
     const peer = dialled.toMaybe().extractNullable();
@@ -147,7 +147,7 @@
     const reply = await peer.request(
       'control.announce',
       {target, configVersion: this.owner.getConfigVersion()},
-      this.deadlineIn(requestTimeoutMs),
+      this.deriveDeadline(requestTimeoutMs),
     );
     const answer = reply.toMaybe().extractNullable();
     if (answer === null) return {kind: 'lost'};
@@ -168,7 +168,7 @@
     const reply = await peer.request(
       'control.renewTarget',
       {target, incarnation, configVersion: this.owner.getConfigVersion()},
-      this.deadlineIn(requestTimeoutMs),
+      this.deriveDeadline(requestTimeoutMs),
     );
     const answer = reply.toMaybe().extractNullable();
     if (answer === null) return {kind: 'lost'};
@@ -187,7 +187,7 @@
     const reply = await peer.request(
       'control.watch',
       {since: this.revision, topics: 'configuration'},
-      this.deadlineIn(requestTimeoutMs),
+      this.deriveDeadline(requestTimeoutMs),
     );
     reply.ifRight(update => this.receiveView(update));
     return reply.isRight();
@@ -224,7 +224,7 @@
     });
   }
 
-  private deadlineIn(ms: number): number {
+  private deriveDeadline(ms: number): number {
     return computeDeadline(this.owner.clock.now(), ms);
   }
 }
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,3 +1,7 @@
 export {runAgent} from './run.js';
+
 export type {AgentOptions} from './agent.js';
 export {Agent} from './agent.js';
+
+export type {RunOutcome, RunRequest, Target} from './target.js';
+export {Executor} from './executor.js';
--- a/packages/agent/src/ledger.ts
+++ b/packages/agent/src/ledger.ts
@@ -106,7 +106,7 @@
         state: {kind: 'running'},
       });
       this.runningCount++;
-      this.fileExpiry(key, keepUntil);
+      this.scheduleExpiry(key, keepUntil);
       return {kind: 'first'};
     }
     this.entries.set(key, {
@@ -121,7 +121,7 @@
   }
 
   /** Forgets a task that provably did not run, so that it may be started again. */
-  retract(ref: TaskRef): void {
+  forget(ref: TaskRef): void {
     const key = formatTask(ref);
     assertInvariant(
       this.entries.get(key)?.state.kind === 'running',
@@ -186,7 +186,7 @@
     const records: TaskRecord[] = [];
     for (const [key, entry] of this.entries) {
       const owned = entry.owners.some(owner =>
-        this.traceHeirs(owner).some(epoch => fenced.has(epoch)),
+        this.listHeirs(owner).some(epoch => fenced.has(epoch)),
       );
       if (!owned) continue;
       records.push({...entry.ref, standing: this.describeStanding(entry.ref)});
@@ -235,7 +235,7 @@
     const entry = this.entries.get(key);
     if (entry === undefined) return;
     if (entry.state.kind === 'running' || entry.keepUntil > now) {
-      this.fileExpiry(key, Math.max(entry.keepUntil, now + expiryBucketMs));
+      this.scheduleExpiry(key, Math.max(entry.keepUntil, now + expiryBucketMs));
       return;
     }
     this.retainedBytes -= entry.state.bytes;
@@ -245,7 +245,7 @@
     for (const owner of this.undelivered.keys()) this.markDelivered(owner, key);
   }
 
-  private fileExpiry(key: TaskKey, deadline: Instant): void {
+  private scheduleExpiry(key: TaskKey, deadline: Instant): void {
     const bucket = Math.max(findBucket(deadline), this.sweptBucket + 1);
     const keys = this.expiries.get(bucket);
     if (keys === undefined) this.expiries.set(bucket, [key]);
@@ -253,11 +253,11 @@
   }
 
   private resolveHeir(epoch: Epoch): Epoch {
-    return this.traceHeirs(epoch).at(-1)!;
+    return this.listHeirs(epoch).at(-1)!;
   }
 
   /** Lists an epoch and those that inherited from it, in order. */
-  private traceHeirs(epoch: Epoch): readonly Epoch[] {
+  private listHeirs(epoch: Epoch): readonly Epoch[] {
     const line = [epoch];
     let heir = this.heirs.get(epoch);
     while (heir !== undefined && !line.includes(heir)) {
--- a/packages/agent/src/sessions.ts
+++ b/packages/agent/src/sessions.ts
@@ -18,7 +18,7 @@
   private readonly newest = new Map<EntryId, Session>();
 
   /** Judges a hello: only a newer epoch, or a newer connection of the same one, is welcome. */
-  greet(hello: HelloParams): HelloVerdict {
+  judge(hello: HelloParams): HelloVerdict {
     const known = this.newest.get(hello.entry);
     if (known !== undefined && !isNewer(hello, known)) return {kind: 'fenced'};
     this.newest.set(hello.entry, {
--- a/packages/agent/src/slots.ts
+++ b/packages/agent/src/slots.ts
@@ -46,12 +46,9 @@
   private readonly claims = new Map<string, Claim<Queued>>();
   private nextReservation = 0;
   private queuedCount = 0;
-
-  constructor(
-    private totalSlots: number,
-    private slotMode: SlotMode,
-    private maxQueued: number,
-  ) {}
+  private totalSlots = 0;
+  private slotMode: SlotMode = 'credit';
+  private maxQueued = 0;
 
   get total(): number {
     return this.totalSlots;
@@ -92,7 +89,7 @@
   }
 
   /** Takes back what an entry held idle or waited for; its running tasks keep their slots. */
-  disconnect(epoch: Epoch): void {
+  lose(epoch: Epoch): void {
     this.dropClaims(epoch);
     const holder = this.holders.get(epoch);
     if (holder === undefined) return;
@@ -103,14 +100,15 @@
     this.forgetIdle(epoch);
   }
 
-  /** Drops every queued task and reservation; returns the tasks. */
-  dropAllClaims(): readonly QueuedStart<Queued>[] {
-    const starts = [...this.claims.values()].flatMap(claim =>
-      claim.kind === 'task' ? [claim.start] : [],
-    );
-    this.claims.clear();
+  /** Drops every queued task and returns them. */
+  dropQueued(): readonly QueuedStart<Queued>[] {
+    const starts: QueuedStart<Queued>[] = [];
+    for (const [key, claim] of this.claims) {
+      if (claim.kind !== 'task') continue;
+      this.claims.delete(key);
+      starts.push(claim.start);
+    }
     this.queuedCount = 0;
-    for (const holder of this.holders.values()) holder.reserved = 0;
     return starts;
   }
 
@@ -125,7 +123,7 @@
   }
 
   /** Frees the slot of a task that has ended or was not run after all. */
-  free(epoch: Epoch): void {
+  release(epoch: Epoch): void {
     const holder = this.findHolder(epoch);
     assertInvariant(holder.running > 0, `epoch ${epoch} runs nothing`);
     holder.running--;
@@ -145,9 +143,11 @@
     return this.claims.has(key);
   }
 
-  /** Takes a task out of the queue; false when it is not there. */
-  dequeue(key: string): boolean {
-    if (!this.claims.delete(key)) return false;
+  /** Takes a task of an epoch out of the queue; false when it is not there. */
+  dequeue(key: string, epoch: Epoch): boolean {
+    const claim = this.claims.get(key);
+    if (claim?.kind !== 'task' || claim.start.epoch !== epoch) return false;
+    this.claims.delete(key);
     this.queuedCount--;
     return true;
   }
--- /dev/null
+++ b/packages/agent/test/stand.ts
@@ -0,0 +1,337 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import {pino} from 'pino';
+import {Right} from 'purify-ts';
+import {
+  type Configuration,
+  type Epoch,
+  monotonicClock,
+  type PlacementPolicy,
+  type TaskFate,
+  type TaskRef,
+  type VersionedSource,
+} from '#model';
+import {
+  type AnnounceParams,
+  dialPeer,
+  type Handlers,
+  type Peer,
+  PeerListener,
+  type StartTask,
+  type ViewUpdate,
+} from '#protocol';
+import type {AgentRole, ProcessSettings} from '#settings';
+import {openMetrics} from '#telemetry';
+import {Agent, Executor} from '#agent';
+
+export const inMs = (ms: number) => monotonicClock.now() + ms;
+
+/** Waits until a condition holds. */
+export async function waitUntil(holds: () => boolean): Promise<void> {
+  while (!holds()) await new Promise(resolve => setTimeout(resolve, 2));
+}
+
+/** A configuration that a fake control hands out; the source says nothing. */
+export function makeConfiguration(
+  placement: PlacementPolicy,
+  maxTaskMs: number,
+): Configuration {
+  return {
+    services: [
+      {
+        name: 'tally',
+        objective: {kind: 'response-time'},
+        placement,
+        demand: {cores: 1, memoryMb: 256, accelerators: 0},
+        maxTaskMs,
+        maxPlacements: 3,
+      },
+    ],
+    teams: [],
+    limits: {
+      maxTasksPerJob: 100,
+      maxBodyBytes: 1e6,
+      maxDeadlineMs: 60_000,
+      retentionMs: 1000,
+      unrepeatableRetentionMs: 1000,
+      maxQueuedTasks: 1000,
+    },
+  };
+}
+
+const versioned = (version: number): VersionedSource => ({
+  version,
+  changeId: String(version),
+  author: 'test',
+  source: {base: '', overlays: {}},
+});
+
+/** A control that answers everything; it records announcements. */
+export class FakeControl implements AsyncDisposable {
+  readonly announced: AnnounceParams[] = [];
+  readonly withdrawn: string[] = [];
+  renewals = 0;
+  ended = false;
+  version = 1;
+  listener!: PeerListener;
+
+  static async open(address = '127.0.0.1:0'): Promise<FakeControl> {
+    const control = new FakeControl();
+    control.listener = (
+      await PeerListener.listen(address, control.serve())
+    ).unsafeCoerce();
+    return control;
+  }
+
+  push(version: number): void {
+    this.version = version;
+    for (const peer of this.listener.peers) {
+      peer.notify('watcher.update', this.makeView());
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.listener[Symbol.asyncDispose]();
+  }
+
+  private makeView(): ViewUpdate {
+    const configuration = versioned(this.version);
+    return {
+      kind: 'full',
+      revision: this.version,
+      view: {targets: [], gone: [], entries: [], ended: [], configuration},
+    };
+  }
+
+  private serve(): Handlers {
+    const renewed = () => ({
+      kind: 'done' as const,
+      value: {
+        kind: 'renewed' as const,
+        leaseMs: 1000,
+        configVersion: this.version,
+      },
+    });
+    return {
+      'control.announce': params => {
+        this.ended = false;
+        this.announced.push(params);
+        return renewed();
+      },
+      'control.renewTarget': () => {
+        this.renewals++;
+        if (this.ended) return {kind: 'done', value: {kind: 'ended'}};
+        return renewed();
+      },
+      'control.withdraw': ({target}) => {
+        this.withdrawn.push(target);
+        return {kind: 'done', value: {}};
+      },
+      'control.watch': () => this.makeView(),
+    };
+  }
+}
+
+export type Serve = (
+  body: {
+    readonly job: string;
+    readonly task: number;
+    readonly payload: unknown;
+  },
+  response: ServerResponse,
+  request: IncomingMessage,
+) => void;
+
+/** A target over HTTP that records what reached it. */
+export class FakeTarget implements AsyncDisposable {
+  readonly seen: string[] = [];
+  url = '';
+  readonly server = createServer((request, response) =>
+    this.receive(request, response),
+  );
+
+  constructor(private readonly serve: Serve = answer) {}
+
+  async open(port = 0): Promise<this> {
+    await new Promise<void>(resolve =>
+      this.server.listen(port, '127.0.0.1', () => resolve()),
+    );
+    const bound = this.server.address() as {port: number};
+    this.url = `http://127.0.0.1:${bound.port}`;
+    return this;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  private receive(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on('data', chunk => chunks.push(chunk));
+    request.on('end', () => {
+      if (request.url === '/health') {
+        response.end();
+        return;
+      }
+      const text = Buffer.concat(chunks).toString();
+      const body = text === '' ? {} : JSON.parse(text);
+      this.seen.push(
+        request.url === '/run'
+          ? `${body.job}.${body.task}`
+          : `${request.method} ${request.url}`,
+      );
+      this.serve(body, response, request);
+    });
+  }
+}
+
+/** Answers with the payload at once. */
+export function answer(
+  body: {readonly payload: unknown},
+  response: ServerResponse,
+): void {
+  response.end(JSON.stringify({result: body.payload}));
+}
+
+export interface Stand {
+  readonly control: FakeControl;
+  readonly target: FakeTarget;
+  readonly agent: Agent;
+}
+
+export interface StandOptions {
+  readonly serve?: Serve;
+  readonly placement?: PlacementPolicy;
+  readonly slots?: number;
+  readonly maxTaskMs?: number;
+}
+
+export function makeSettings(
+  control: string,
+  url: string,
+  slots: number,
+): ProcessSettings<AgentRole> {
+  return {
+    id: 'target-1',
+    place: {site: 's', region: 'r', failureDomain: 'd', rack: 'k'},
+    controls: [control],
+    logLevel: 'error',
+    leases: {
+      entryLeaseMs: 1000,
+      targetLeaseMs: 1000,
+      renewalIntervalMs: 20,
+      clockMarginMs: 50,
+    },
+    role: {
+      kind: 'agent',
+      listen: '127.0.0.1:0',
+      service: 'tally',
+      capacity: {kind: 'executor', slots, maxConnections: slots},
+      url,
+      drainMs: 5000,
+    },
+  };
+}
+
+export const quiet = {
+  log: pino({level: 'silent'}),
+  metrics: openMetrics(undefined, {}),
+  clock: monotonicClock,
+};
+
+/** Starts an agent between a fake control and a fake target, ready for entries. */
+export async function openStand(options: StandOptions = {}): Promise<Stand> {
+  const {placement = {kind: 'credit'}, slots = 4, maxTaskMs = 5000} = options;
+  const control = await FakeControl.open();
+  const target = await new FakeTarget(options.serve).open();
+  const agent = (
+    await Agent.start({
+      settings: makeSettings(control.listener.address, target.url, slots),
+      target: new Executor(target.url, slots, 60_000),
+      runtime: quiet,
+      incarnation: 7,
+      readConfiguration: () => Right(makeConfiguration(placement, maxTaskMs)),
+    })
+  ).unsafeCoerce();
+  await waitUntil(() => agent.getStatus().configVersion > 0);
+  return {control, target, agent};
+}
+
+export async function closeStand(stand: Stand): Promise<void> {
+  await stand.agent[Symbol.asyncDispose]();
+  await stand.control[Symbol.asyncDispose]();
+  await stand.target[Symbol.asyncDispose]();
+}
+
+/** An entry's connection to an agent that records what it was told. */
+export class FakeEntry {
+  readonly fates = new Map<string, TaskFate>();
+  readonly reports: string[] = [];
+  free = 0;
+  recalled = 0;
+  peer!: Peer;
+
+  private constructor(readonly epoch: Epoch) {}
+
+  static async connect(
+    stand: Stand,
+    epoch: Epoch,
+    connection = 1,
+    entry = `entry-${epoch}`,
+  ): Promise<FakeEntry> {
+    const fake = new FakeEntry(epoch);
+    fake.peer = (
+      await dialPeer(
+        stand.agent.address,
+        {
+          'entry.grant': ({slots}) => void (fake.free += slots),
+          'entry.recall': ({slots}) => void (fake.recalled += slots),
+          'entry.report': ({tasks, slots}) => {
+            fake.free += slots;
+            for (const {job, task, fate} of tasks) {
+              fake.reports.push(`${job}.${task}`);
+              fake.fates.set(`${job}.${task}`, fate);
+            }
+          },
+        },
+        inMs(5000),
+      )
+    ).unsafeCoerce();
+    await fake.peer.request(
+      'agent.hello',
+      {entry, epoch, connection},
+      inMs(5000),
+    );
+    return fake;
+  }
+
+  start(task: Partial<StartTask> = {}, waiting = 0): void {
+    this.peer.notify('agent.start', {tasks: [makeTask(task)], waiting});
+  }
+
+  async awaitFate(key: string): Promise<TaskFate> {
+    await waitUntil(() => this.fates.has(key));
+    return this.fates.get(key)!;
+  }
+
+  async query(...tasks: TaskRef[]) {
+    const reply = await this.peer.request('agent.query', {tasks}, inMs(5000));
+    return reply.unsafeCoerce().standings;
+  }
+}
+
+export function makeTask(task: Partial<StartTask>): StartTask {
+  return {
+    job: 'a',
+    task: 0,
+    payload: 'p',
+    remainingMs: 5000,
+    keepMs: 5000,
+    granted: true,
+    ...task,
+  };
+}
