--- a/packages/agent/src/slots.ts
+++ b/packages/agent/src/slots.ts
@@ -233,8 +233,8 @@
       const given = Math.max(0, Math.min(lacks, free));
       free -= given;
       if (given > 0) this.grant(epoch, given, grants);
-      const wants = holder.waiting > 0 || holder.granted + holder.running === 0;
-      if (wants) missing += lacks - given;
+      const isNew = holder.granted + holder.running === 0;
+      missing += Math.min(lacks - given, isNew ? lacks : holder.waiting);
     }
     for (const [, holder] of connected) missing -= holder.recalled;
     for (const [epoch, holder] of connected) {
