--- /dev/null
+++ b/packages/bench/src/executor.ts
@@ -0,0 +1,111 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import polka from 'polka';
+import type {Capacity} from '#model';
+import {LoopbackServer, readJson, sendJson} from './http.js';
+import type {JournalLine} from './journal.js';
+import {serveFault, type Temper} from './temper.js';
+import {parseWorkOrder, Work} from './work.js';
+
+export interface ExecutorOptions {
+  readonly target: string;
+  readonly port: number;
+  readonly capacity: Extract<Capacity, {kind: 'executor'}>;
+  readonly temper: Temper;
+}
+
+interface RunBody {
+  readonly job: string;
+  readonly task: number;
+  readonly payload: unknown;
+}
+
+/** Stands in for an executor: HTTP with slots and a connection limit. */
+export class ExecutorStandIn implements AsyncDisposable {
+  private server!: LoopbackServer;
+  private temper: Temper;
+  private running = 0;
+  private started = 0;
+  private refused = 0;
+  private readonly works = new Set<Work>();
+
+  private constructor(
+    private readonly options: ExecutorOptions,
+    private readonly record: (line: JournalLine) => void,
+  ) {
+    this.temper = options.temper;
+  }
+
+  static async listen(
+    options: ExecutorOptions,
+    record: (line: JournalLine) => void,
+  ): Promise<ExecutorStandIn> {
+    const standIn = new ExecutorStandIn(options, record);
+    const app = polka()
+      .get('/health', (_request, response) => sendJson(response, 200, {}))
+      .get('/counts', (_request, response) =>
+        sendJson(response, 200, standIn.count()),
+      )
+      .post('/fault', async (request, response) => {
+        standIn.temper = await serveFault(request, response, standIn.temper);
+      })
+      .post('/run', (request, response) => standIn.run(request, response));
+    standIn.server = await LoopbackServer.listen(
+      options.port,
+      app.handler as never,
+      options.capacity.maxConnections,
+    );
+    return standIn;
+  }
+
+  get target(): string {
+    return this.options.target;
+  }
+
+  get url(): string {
+    return this.server.url;
+  }
+
+  count() {
+    return {
+      started: this.started,
+      running: this.running,
+      refused: this.refused,
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const work of this.works) work.stop();
+    await this.server[Symbol.asyncDispose]();
+  }
+
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readJson(request)) as RunBody | undefined;
+    if (typeof body?.job !== 'string' || typeof body.task !== 'number') {
+      return sendJson(response, 400, {error: 'expected "job" and "task"'});
+    }
+    if (this.running >= this.options.capacity.slots) {
+      this.refused += 1;
+      return sendJson(response, 503, {error: 'every slot is taken'});
+    }
+    this.started += 1;
+    this.running += 1;
+    this.record({job: body.job, task: body.task, target: this.target});
+    const order = parseWorkOrder(body.payload);
+    const fails = order.fails || this.temper.failsAll;
+    const work = new Work(
+      this.temper.failsAll ? 0 : order.sleepMs * this.temper.speedFactor,
+    );
+    this.works.add(work);
+    const end = await work.ended;
+    this.works.delete(work);
+    this.running -= 1;
+    if (end === 'stopped') {
+      return sendJson(response, 500, {error: 'the executor is closing'});
+    }
+    if (fails) return sendJson(response, 500, {error: 'the task failed'});
+    sendJson(response, 200, {result: {echo: order.echo}});
+  }
+}
--- /dev/null
+++ b/packages/bench/src/standin.ts
@@ -0,0 +1,34 @@
+import {type Capacity, failUnreachable} from '#model';
+import {ExecutorStandIn} from './executor.js';
+import type {JournalLine} from './journal.js';
+import type {Temper} from './temper.js';
+import {WorkerStandIn} from './worker.js';
+
+export interface StandInOptions {
+  readonly target: string;
+  /** A port of loopback; 0 takes a free one. */
+  readonly port: number;
+  readonly capacity: Capacity;
+  readonly temper: Temper;
+  /** How old a worker's usage reports are, in ms. */
+  readonly usageLagMs: number;
+}
+
+/** A back end that keeps to the target protocol and works by the clock. */
+export type StandIn = ExecutorStandIn | WorkerStandIn;
+
+/** Opens a stand-in of the kind that its capacity names. */
+export function openStandIn(
+  options: StandInOptions,
+  record: (line: JournalLine) => void,
+): Promise<StandIn> {
+  const {capacity} = options;
+  switch (capacity.kind) {
+    case 'executor':
+      return ExecutorStandIn.listen({...options, capacity}, record);
+    case 'worker':
+      return WorkerStandIn.listen({...options, capacity}, record);
+    default:
+      return failUnreachable(capacity);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/worker.ts
@@ -0,0 +1,233 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import polka from 'polka';
+import type {Capacity, ResourceDemand} from '#model';
+import {LoopbackServer, readJson, sendJson} from './http.js';
+import type {JournalLine} from './journal.js';
+import {serveFault, type Temper} from './temper.js';
+import {parseWorkOrder, Work, type WorkOrder} from './work.js';
+
+export interface WorkerOptions {
+  readonly target: string;
+  readonly port: number;
+  readonly capacity: Extract<Capacity, {kind: 'worker'}>;
+  readonly temper: Temper;
+  readonly usageLagMs: number;
+}
+
+interface TaskBody extends ResourceDemand {
+  readonly job: string;
+  readonly task: number;
+  readonly payload: unknown;
+  readonly leaseMs: number;
+}
+
+type GuardAction = 'lease' | 'throttle' | 'checkpoint' | 'stop';
+
+/** A task that a worker holds. */
+interface HeldTask {
+  readonly body: TaskBody;
+  readonly order: WorkOrder;
+  readonly work: Work;
+  lease: NodeJS.Timeout;
+  /** What the task uses, after throttling. */
+  cores: number;
+  checkpoint: unknown;
+}
+
+interface UsageReport {
+  readonly takenAt: number;
+  readonly tasks: readonly object[];
+}
+
+/** Stands in for a worker: resources, leases, guards and usage reports that lag. */
+export class WorkerStandIn implements AsyncDisposable {
+  private server!: LoopbackServer;
+  private temper: Temper;
+  private started = 0;
+  private refused = 0;
+  private stopped = 0;
+  private readonly held = new Map<string, HeldTask>();
+  private report: UsageReport = {takenAt: performance.now(), tasks: []};
+  private readonly reporter: NodeJS.Timeout;
+
+  private constructor(
+    private readonly options: WorkerOptions,
+    private readonly record: (line: JournalLine) => void,
+  ) {
+    this.temper = options.temper;
+    this.reporter = setInterval(
+      () => this.takeReport(),
+      Math.max(1, options.usageLagMs),
+    );
+  }
+
+  static async listen(
+    options: WorkerOptions,
+    record: (line: JournalLine) => void,
+  ): Promise<WorkerStandIn> {
+    const standIn = new WorkerStandIn(options, record);
+    const app = polka()
+      .get('/health', (_request, response) => sendJson(response, 200, {}))
+      .get('/counts', (_request, response) =>
+        sendJson(response, 200, standIn.count()),
+      )
+      .post('/fault', async (request, response) => {
+        standIn.temper = await serveFault(request, response, standIn.temper);
+      })
+      .get('/usage', (_request, response) =>
+        sendJson(response, 200, standIn.describeUsage()),
+      )
+      .post('/tasks', (request, response) => standIn.run(request, response))
+      .delete('/tasks/:id', (request, response) =>
+        standIn.guard(String(request.params['id']), 'stop', request, response),
+      );
+    for (const action of ['lease', 'throttle', 'checkpoint'] as const) {
+      app.post(`/tasks/:id/${action}`, (request, response) =>
+        standIn.guard(String(request.params['id']), action, request, response),
+      );
+    }
+    standIn.server = await LoopbackServer.listen(
+      options.port,
+      app.handler as never,
+    );
+    return standIn;
+  }
+
+  get target(): string {
+    return this.options.target;
+  }
+
+  get url(): string {
+    return this.server.url;
+  }
+
+  count() {
+    return {
+      started: this.started,
+      running: this.held.size,
+      refused: this.refused,
+      stopped: this.stopped,
+    };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.reporter);
+    for (const task of this.held.values()) {
+      clearTimeout(task.lease);
+      task.work.stop();
+    }
+    await this.server[Symbol.asyncDispose]();
+  }
+
+  private async run(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readJson(request)) as TaskBody | undefined;
+    if (typeof body?.job !== 'string' || typeof body.task !== 'number') {
+      return sendJson(response, 400, {error: 'expected "job" and "task"'});
+    }
+    if (!this.hasRoom(body)) {
+      this.refused += 1;
+      return sendJson(response, 503, {error: 'the worker is full'});
+    }
+    const id = `${body.job}.${body.task}`;
+    const task = this.hold(id, body);
+    const end = await task.work.ended;
+    clearTimeout(task.lease);
+    if (this.held.get(id) === task) this.held.delete(id);
+    if (end === 'stopped') {
+      this.stopped += 1;
+      const {checkpoint} = task;
+      return sendJson(response, 409, {error: 'stopped', checkpoint});
+    }
+    if (task.order.fails || this.temper.failsAll) {
+      return sendJson(response, 500, {error: 'the task failed'});
+    }
+    sendJson(response, 200, {result: {echo: task.order.echo}});
+  }
+
+  private hold(id: string, body: TaskBody): HeldTask {
+    this.started += 1;
+    this.record({job: body.job, task: body.task, target: this.target});
+    const order = parseWorkOrder(body.payload);
+    const work = new Work(
+      this.temper.failsAll ? 0 : order.sleepMs * this.temper.speedFactor,
+    );
+    const task: HeldTask = {
+      body,
+      order,
+      work,
+      lease: setTimeout(() => work.stop(), body.leaseMs),
+      cores: order.cores ?? body.cores,
+      checkpoint: undefined,
+    };
+    this.held.set(id, task);
+    return task;
+  }
+
+  private hasRoom(demand: ResourceDemand): boolean {
+    const {capacity} = this.options;
+    const bodies = [...this.held.values()].map(task => task.body);
+    const sum = (part: keyof ResourceDemand) =>
+      bodies.reduce((total, body) => total + body[part], demand[part]);
+    return (
+      sum('cores') <= capacity.cores &&
+      sum('memoryMb') <= capacity.memoryMb &&
+      sum('accelerators') <= capacity.accelerators
+    );
+  }
+
+  private async guard(
+    id: string,
+    action: GuardAction,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readJson(request)) as
+      {readonly leaseMs?: number; readonly cores?: number} | undefined;
+    const task = this.held.get(id);
+    if (task === undefined) {
+      return sendJson(response, 404, {error: `no task "${id}"`});
+    }
+    switch (action) {
+      case 'lease':
+        clearTimeout(task.lease);
+        task.lease = setTimeout(() => task.work.stop(), body?.leaseMs ?? 0);
+        break;
+      case 'throttle':
+        this.throttle(task, body?.cores ?? 0);
+        break;
+      case 'checkpoint':
+        task.checkpoint = {remainingMs: task.work.computeRemainingMs()};
+        return sendJson(response, 200, {checkpoint: task.checkpoint});
+      case 'stop':
+        task.work.stop();
+        break;
+    }
+    sendJson(response, 200, {});
+  }
+
+  /** Slows the work in proportion to the cores taken away from it. */
+  private throttle(task: HeldTask, cores: number): void {
+    const wanted = task.order.cores ?? task.body.cores;
+    task.cores = Math.min(cores, wanted);
+    task.work.adjustPace(wanted > 0 ? task.cores / wanted : 1);
+  }
+
+  private takeReport(): void {
+    const tasks = [...this.held.values()].map(({body, order, cores}) => ({
+      job: body.job,
+      task: body.task,
+      cores,
+      memoryMb: order.memoryMb ?? body.memoryMb,
+      accelerators: body.accelerators,
+    }));
+    this.report = {takenAt: performance.now(), tasks};
+  }
+
+  private describeUsage(): object {
+    const ageMs = Math.round(performance.now() - this.report.takenAt);
+    return {tasks: this.report.tasks.map(task => ({...task, ageMs}))};
+  }
+}
