--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -5,3 +5,6 @@
 export {openStandIn} from './standin.js';
 export type {Temper} from './temper.js';
 export {evenTemper} from './temper.js';
+
+export type {Fault, Identify} from './proxy.js';
+export {FaultProxy, noFault} from './proxy.js';
--- /dev/null
+++ b/packages/bench/src/proxy.ts
@@ -0,0 +1,174 @@
+import {type AddressInfo, connect, createServer, type Server} from 'node:net';
+import type {Socket} from 'node:net';
+import type {Address} from '#model';
+import {Pipe} from './pipe.js';
+
+/** What a link does to the bytes that cross it. */
+export type Fault =
+  | {readonly kind: 'none'}
+  /** New connections are reset, open ones too. */
+  | {readonly kind: 'cut'}
+  /** Nothing passes and both sockets stay open; the bytes held back flow on when it ends. */
+  | {readonly kind: 'freeze'}
+  /** Bytes are thrown away. What a connection lost it never gets back: it stays silent for good. */
+  | {readonly kind: 'swallow'; readonly way: 'to-server' | 'to-client' | 'both'}
+  /** Every chunk arrives this much later, in order. */
+  | {readonly kind: 'delay'; readonly ms: number};
+
+export const noFault: Fault = {kind: 'none'};
+
+/** Names the process that dialled from a local port; undefined when it cannot be told. */
+export type Identify = (localPort: number) => string | undefined;
+
+interface Link {
+  readonly source: string | undefined;
+  readonly client: Socket;
+  readonly server: Socket;
+  readonly toServer: Pipe;
+  readonly toClient: Pipe;
+}
+
+/** A TCP proxy in front of one address that injects faults, for all who dial it or for one of them. */
+export class FaultProxy implements AsyncDisposable {
+  private fault: Fault = noFault;
+  private readonly faultBySource = new Map<string, Fault>();
+  private readonly links = new Set<Link>();
+
+  private constructor(
+    private readonly listener: Server,
+    private readonly target: {readonly host: string; readonly port: number},
+    private readonly identify: Identify,
+  ) {
+    listener.on('connection', client => this.accept(client));
+  }
+
+  /** Listens on a port of loopback, 0 for a free one, in front of `target`. */
+  static async listen(
+    port: number,
+    target: Address,
+    identify: Identify = () => undefined,
+  ): Promise<FaultProxy> {
+    const [host, targetPort] = target.split(':');
+    const listener = createServer({allowHalfOpen: true});
+    await new Promise<void>((resolve, reject) => {
+      listener.once('error', reject);
+      listener.listen(port, '127.0.0.1', resolve);
+    });
+    return new FaultProxy(
+      listener,
+      {host: host!, port: Number(targetPort)},
+      identify,
+    );
+  }
+
+  get address(): Address {
+    return `127.0.0.1:${(this.listener.address() as AddressInfo).port}`;
+  }
+
+  /** How many connections are open through it. */
+  get connections(): number {
+    return this.links.size;
+  }
+
+  /** Puts a fault on the links from one source, or on every link without a fault of its own. */
+  inject(fault: Fault, source?: string): void {
+    if (source === undefined) this.fault = fault;
+    else this.faultBySource.set(source, fault);
+    for (const link of this.links) this.applyTo(link);
+  }
+
+  /** Ends every fault. A connection that lost bytes stays silent. */
+  restore(): void {
+    this.fault = noFault;
+    this.faultBySource.clear();
+    for (const link of this.links) this.applyTo(link);
+  }
+
+  /** Resets the open connections; new ones work. */
+  resetOpen(source?: string): void {
+    for (const link of this.links) {
+      if (source !== undefined && link.source !== source) continue;
+      resetLink(link);
+    }
+  }
+
+  /** Silences the open connections for good without closing them; new ones work. */
+  swallowOpen(source?: string): void {
+    for (const link of this.links) {
+      if (source !== undefined && link.source !== source) continue;
+      link.toServer.swallow();
+      link.toClient.swallow();
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.listener.close(() => resolve()),
+    );
+    for (const link of this.links) resetLink(link);
+    await closed;
+  }
+
+  private find(source: string | undefined): Fault {
+    if (source === undefined) return this.fault;
+    return this.faultBySource.get(source) ?? this.fault;
+  }
+
+  private accept(client: Socket): void {
+    const source = this.identify(client.remotePort!);
+    client.on('error', () => {});
+    if (this.find(source).kind === 'cut') {
+      client.resetAndDestroy();
+      return;
+    }
+    const server = connect({...this.target, allowHalfOpen: true});
+    server.on('error', () => {});
+    client.setNoDelay(true);
+    server.setNoDelay(true);
+    const link: Link = {
+      source,
+      client,
+      server,
+      toServer: new Pipe(client, server),
+      toClient: new Pipe(server, client),
+    };
+    this.links.add(link);
+    const forget = () => {
+      if (client.destroyed && server.destroyed) this.links.delete(link);
+    };
+    client.once('close', forget);
+    server.once('close', forget);
+    this.applyTo(link);
+  }
+
+  private applyTo(link: Link): void {
+    const fault = this.find(link.source);
+    switch (fault.kind) {
+      case 'cut':
+        resetLink(link);
+        break;
+      case 'swallow':
+        if (fault.way !== 'to-client') link.toServer.swallow();
+        if (fault.way !== 'to-server') link.toClient.swallow();
+        break;
+      case 'none':
+      case 'freeze':
+      case 'delay': {
+        const flow =
+          fault.kind === 'freeze'
+            ? 'held'
+            : fault.kind === 'delay'
+              ? fault.ms
+              : 0;
+        link.toServer.setFlow(flow);
+        link.toClient.setFlow(flow);
+        break;
+      }
+    }
+  }
+}
+
+function resetLink(link: Link): void {
+  link.client.resetAndDestroy();
+  link.server.resetAndDestroy();
+}
--- /dev/null
+++ b/packages/bench/test/proxy.test.ts
@@ -0,0 +1,147 @@
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {once} from 'node:events';
+import test from 'ava';
+import {FaultProxy, type Identify} from '#bench';
+
+/** An echo server behind a proxy. */
+async function openPair(identify?: Identify) {
+  const sockets: Socket[] = [];
+  const server: Server = createServer(socket => {
+    sockets.push(socket);
+    socket.on('error', () => {});
+    socket.pipe(socket);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const proxy = await FaultProxy.listen(0, `127.0.0.1:${port}`, identify);
+  const close = async () => {
+    await proxy[Symbol.asyncDispose]();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  };
+  return {proxy, sockets, close};
+}
+
+async function dialThrough(proxy: FaultProxy): Promise<Socket> {
+  const socket = connect(Number(proxy.address.split(':')[1]), '127.0.0.1');
+  await once(socket, 'connect');
+  socket.on('error', () => {});
+  return socket;
+}
+
+function awaitClose(socket: Socket): Promise<void> {
+  return new Promise(resolve => socket.once('close', () => resolve()));
+}
+
+async function exchange(socket: Socket, text: string): Promise<string> {
+  socket.write(text);
+  const [reply] = await once(socket, 'data');
+  return String(reply);
+}
+
+/** True once another connection has made a round trip while the socket heard nothing. */
+async function isStillSilent(socket: Socket, beside: Socket): Promise<boolean> {
+  let heard = false;
+  socket.once('data', () => (heard = true));
+  socket.write('lost');
+  for (let i = 0; i < 3; i++) await exchange(beside, 'ping');
+  return !heard && !socket.destroyed;
+}
+
+test('bytes and the end of them pass both ways', async t => {
+  const {proxy, close} = await openPair();
+  const socket = await dialThrough(proxy);
+  t.is(await exchange(socket, 'a'), 'a');
+  socket.end();
+  await awaitClose(socket);
+  while (proxy.connections > 0)
+    await new Promise(resolve => setImmediate(resolve));
+  t.is(proxy.connections, 0);
+  await close();
+});
+
+test('a cut resets open connections and refuses new ones until restored', async t => {
+  const {proxy, close} = await openPair();
+  const open = await dialThrough(proxy);
+  await exchange(open, 'a');
+  proxy.inject({kind: 'cut'});
+  await awaitClose(open);
+  const refused = await dialThrough(proxy);
+  refused.resume();
+  await awaitClose(refused);
+  proxy.restore();
+  t.is(await exchange(await dialThrough(proxy), 'b'), 'b');
+  await close();
+});
+
+test('a freeze holds the bytes and lets them go on', async t => {
+  const {proxy, sockets, close} = await openPair();
+  const socket = await dialThrough(proxy);
+  await exchange(socket, 'a');
+  proxy.inject({kind: 'freeze'});
+  const reply = exchange(socket, 'held');
+  const late = await dialThrough(proxy);
+  const lateReply = exchange(late, 'late');
+  while (sockets.length < 2)
+    await new Promise(resolve => setImmediate(resolve));
+  t.true(sockets.every(one => !one.destroyed) && !socket.destroyed);
+  proxy.restore();
+  t.is(await reply, 'held');
+  t.is(await lateReply, 'late');
+  await close();
+});
+
+test('a silenced connection stays open and silent while new ones work', async t => {
+  const {proxy, sockets, close} = await openPair();
+  const old = await dialThrough(proxy);
+  await exchange(old, 'a');
+  proxy.swallowOpen();
+  const fresh = await dialThrough(proxy);
+  t.true(await isStillSilent(old, fresh));
+  old.destroy();
+  await exchange(fresh, 'b');
+  t.false(sockets[0]!.destroyed);
+  await close();
+});
+
+test('swallowing one way loses only that way', async t => {
+  const {proxy, sockets, close} = await openPair();
+  const socket = await dialThrough(proxy);
+  await exchange(socket, 'a');
+  proxy.inject({kind: 'swallow', way: 'to-client'});
+  const arrived = once(sockets[0]!, 'data');
+  socket.write('one way');
+  t.is(String((await arrived)[0]), 'one way');
+  proxy.restore();
+  t.true(await isStillSilent(socket, await dialThrough(proxy)));
+  await close();
+});
+
+test('delayed chunks arrive later and in order', async t => {
+  const {proxy, close} = await openPair();
+  const socket = await dialThrough(proxy);
+  proxy.inject({kind: 'delay', ms: 20});
+  const startedAt = performance.now();
+  t.is(await exchange(socket, 'a'), 'a');
+  t.true(performance.now() - startedAt >= 39);
+  await close();
+});
+
+test('a fault may concern one source only', async t => {
+  const names = ['blocked', 'free'];
+  const {proxy, close} = await openPair(() => names.shift());
+  const blocked = await dialThrough(proxy);
+  await exchange(blocked, 'a');
+  const free = await dialThrough(proxy);
+  proxy.inject({kind: 'cut'}, 'blocked');
+  await awaitClose(blocked);
+  t.is(await exchange(free, 'b'), 'b');
+  await close();
+});
