--- /dev/null
+++ b/packages/control/src/control.ts
@@ -0,0 +1,275 @@
+import {type Either, Left, Right} from 'purify-ts';
+import type {Address, ConfigurationSource, ControlId, Instant} from '#model';
+import {checkMessage, type MemberChange} from '#consensus';
+import {
+  type ChangeMembersParams,
+  type ControlReply,
+  type ControlStatus,
+  type Handlers,
+  type Nothing,
+  type Peer,
+  PeerListener,
+  type ProcessConfigStatus,
+  type ViewUpdate,
+  type WatchParams,
+} from '#protocol';
+import type {ControlRole, ProcessSettings} from '#settings';
+import type {Runtime} from '#telemetry';
+import {Leader} from './leader.js';
+import {Links} from './links.js';
+import {Machine} from './machine.js';
+import {Office} from './office.js';
+import type {Replica} from './replica.js';
+import {createLeaderHandlers, describeState} from './service.js';
+import {Watchers} from './watchers.js';
+
+const tickIntervalMs = 100;
+const statusTimeoutMs = 500;
+/** A replica without a leader for this long lets its watchers look elsewhere, in ms. */
+const maxLeaderlessMs = 3000;
+
+/** What a replica needs of the process around it. */
+export interface ReplicaPorts {
+  readonly id: ControlId;
+  /** Where this replica listens. */
+  readonly address: Address;
+  readonly machine: Machine;
+  readonly links: Links;
+  /** Called once when the disk has failed. */
+  readonly fail: (detail: string) => void;
+}
+
+/** Starts the replica, or says why it cannot. */
+export type StartReplica = (
+  ports: ReplicaPorts,
+) => Promise<Either<string, Replica>>;
+
+export interface ControlOptions {
+  readonly settings: ProcessSettings<ControlRole>;
+  /** Version 1 of a new group. */
+  readonly configuration: ConfigurationSource;
+  readonly runtime: Pick<Runtime, 'log' | 'metrics' | 'clock'>;
+  readonly startReplica: StartReplica;
+}
+
+/** One control replica: serves the inner protocol on top of the replicated state. */
+export class Control implements AsyncDisposable {
+  /** Resolves with the cause when the replica cannot go on. */
+  readonly failed: Promise<string>;
+
+  private readonly watchers = new Watchers(() => this.machine);
+  private readonly machine = new Machine(() => this.watchers.schedule());
+  private readonly links: Links;
+  private readonly office: Office;
+  private leader!: Leader;
+  private replica!: Replica;
+  private listener!: PeerListener;
+  private ready = false;
+  private ticker: NodeJS.Timeout | undefined;
+  private leaderSeen: Instant = 0;
+  private fail!: (detail: string) => void;
+
+  private constructor(private readonly options: ControlOptions) {
+    const {settings, runtime} = options;
+    this.failed = new Promise(resolve => (this.fail = resolve));
+    this.links = new Links(settings.id);
+    this.office = new Office(this.machine, settings.leases, runtime.clock);
+  }
+
+  /** Listens and starts the replica; fails with what the address or the data folder refuses. */
+  static async open(options: ControlOptions): Promise<Either<string, Control>> {
+    const control = new Control(options);
+    const handlers: {-readonly [Name in keyof Handlers]: Handlers[Name]} = {};
+    const listening = await PeerListener.listen(
+      options.settings.role.listen,
+      handlers,
+      peer => {
+        if (!control.ready) peer.close('the replica is starting');
+      },
+    );
+    return listening.caseOf<Promise<Either<string, Control>>>({
+      Left: async detail => Left(detail),
+      Right: async listener => {
+        control.listener = listener;
+        const started = await control.start();
+        return started.caseOf<Promise<Either<string, Control>>>({
+          Left: async detail => {
+            await control.links[Symbol.asyncDispose]();
+            await listener[Symbol.asyncDispose]();
+            return Left(detail);
+          },
+          Right: async () => {
+            Object.assign(handlers, control.createHandlers());
+            control.ready = true;
+            return Right(control);
+          },
+        });
+      },
+    });
+  }
+
+  /** Where it listens. */
+  get address(): Address {
+    return this.listener.address;
+  }
+
+  /** Describes the replica and its state. */
+  describeStatus(): ControlStatus {
+    const status = this.replica.describeStatus();
+    const leader = this.leader.findLeader();
+    return {
+      member: status.id,
+      role: status.role,
+      term: status.term,
+      ...(leader === undefined ? {} : {leader}),
+      commitIndex: status.commitIndex,
+      members: status.members.map(({id, address, voter}) => ({
+        member: id,
+        address,
+        voter,
+        matchIndex:
+          status.progress.find(progress => progress.id === id)?.matchIndex ?? 0,
+      })),
+      ...describeState(this.machine.state),
+    };
+  }
+
+  /** Takes no more requests as a leader, waits for those in flight, then closes. */
+  async drain(): Promise<void> {
+    await this.leader.close();
+    await this[Symbol.asyncDispose]();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.ticker);
+    this.watchers[Symbol.dispose]();
+    await this.replica[Symbol.asyncDispose]();
+    await this.links[Symbol.asyncDispose]();
+    await this.listener[Symbol.asyncDispose]();
+  }
+
+  private async start(): Promise<Either<string, void>> {
+    const {settings, configuration, runtime, startReplica} = this.options;
+    const started = await startReplica({
+      id: settings.id,
+      address: this.listener.address,
+      machine: this.machine,
+      links: this.links,
+      fail: detail => this.fail(detail),
+    });
+    return started.map(replica => {
+      this.replica = replica;
+      this.leader = new Leader(
+        replica,
+        this.machine,
+        this.office,
+        {author: settings.id, source: configuration},
+        runtime,
+      );
+      this.leaderSeen = runtime.clock.now();
+      this.ticker = setInterval(() => this.tick(), tickIntervalMs);
+    });
+  }
+
+  private tick(): void {
+    this.leader.tick();
+    const {members, leader} = this.replica.describeStatus();
+    this.links.keepOnly(new Set(members.map(({address}) => address)));
+    const now = this.options.runtime.clock.now();
+    if (leader !== undefined) this.leaderSeen = now;
+    if (this.isOutOfTouch) this.watchers.closeAll('no leader is known here');
+  }
+
+  private get isOutOfTouch(): boolean {
+    const now = this.options.runtime.clock.now();
+    return now - this.leaderSeen > maxLeaderlessMs;
+  }
+
+  private createHandlers(): Handlers {
+    const {leases} = this.options.settings;
+    const {leader, office} = this;
+    const listControls = () => this.listControls();
+    return {
+      ...createLeaderHandlers({leader, office, leases, listControls}),
+      'control.watch': (params, peer) => this.watch(peer, params),
+      'control.changeMembers': params => this.changeMembers(params),
+      'control.status': () => this.describeStatus(),
+      'control.replicate': ({from, message}) =>
+        checkMessage(message)
+          .ifRight(checked => this.replica.receive(from, checked))
+          .ifLeft(detail =>
+            this.options.runtime.log.warn(
+              {event: 'bad-replica-message', from, detail},
+              'dropped a message',
+            ),
+          ),
+    };
+  }
+
+  /** Refuses to serve a view that is missing, may lag for long or is behind what the watcher saw. */
+  private watch(peer: Peer, params: WatchParams): ViewUpdate {
+    const {revision, configuration} = this.machine.state;
+    if (this.isOutOfTouch) throw new Error('no leader is known here');
+    if (configuration.current.version === 0) {
+      throw new Error('no configuration is in force yet');
+    }
+    if (params.since > revision) {
+      throw new Error(
+        `this replica is at revision ${revision}, the watcher at ${params.since}`,
+      );
+    }
+    return this.watchers.add(peer, params);
+  }
+
+  private async changeMembers(
+    params: ChangeMembersParams,
+  ): Promise<ControlReply<Nothing>> {
+    const change = readMemberChange(params);
+    const outcome = await this.replica.changeMembers(change);
+    switch (outcome.kind) {
+      case 'committed':
+        return {kind: 'done', value: {}};
+      case 'not-leader':
+        return this.leader.redirect();
+      case 'unknown':
+        return {...this.leader.redirect(), maybeApplied: true};
+      case 'refused':
+        throw new Error(
+          `${params.change} of "${params.member}" is refused: ${outcome.reason}`,
+        );
+    }
+  }
+
+  /** Asks every member which configuration version it has applied. */
+  private async listControls(): Promise<readonly ProcessConfigStatus[]> {
+    const {members} = this.replica.describeStatus();
+    const deadline = this.options.runtime.clock.now() + statusTimeoutMs;
+    const statuses = await Promise.all(
+      members.map(({id, address}) =>
+        id === this.options.settings.id
+          ? this.describeStatus()
+          : this.links.askStatus(address, deadline),
+      ),
+    );
+    return statuses
+      .filter(status => status !== undefined)
+      .map(({member, configVersion}) => ({
+        process: member,
+        role: 'control',
+        version: configVersion,
+      }));
+  }
+}
+
+/** Throws when an address is missing. */
+function readMemberChange({
+  change,
+  member,
+  address,
+}: ChangeMembersParams): MemberChange {
+  if (change !== 'add-learner') return {kind: change, member};
+  if (address === undefined) {
+    throw new Error(`add-learner of "${member}" needs an address`);
+  }
+  return {kind: change, member, address};
+}
--- /dev/null
+++ b/packages/control/src/links.ts
@@ -0,0 +1,87 @@
+import {type Address, type ControlId, monotonicClock} from '#model';
+import type {Message} from '#consensus';
+import {
+  type ControlStatus,
+  dialPeer,
+  type Liveness,
+  type Peer,
+} from '#protocol';
+
+const dialTimeoutMs = 1000;
+const redialPauseMs = 100;
+
+/** Replicas talk all the time, so that silence shows early; the other end pings every second when idle. */
+const linkLiveness: Liveness = {pingIntervalMs: 1000, silenceLimitMs: 2500};
+
+interface Link {
+  peer?: Peer;
+  dialling?: Promise<void>;
+  nextDial: number;
+}
+
+/** This replica's connections to the others, dialled when there is something to send. */
+export class Links implements AsyncDisposable {
+  private readonly links = new Map<Address, Link>();
+  private closed = false;
+
+  constructor(private readonly from: ControlId) {}
+
+  /** Sends a replica's message, or drops it while there is no connection. */
+  send(address: Address, message: Message): void {
+    const link = this.open(address);
+    link?.peer?.notify('control.replicate', {from: this.from, message});
+  }
+
+  /** Asks another replica how it stands; nothing when it does not answer by the deadline. */
+  async askStatus(
+    address: Address,
+    deadline: number,
+  ): Promise<ControlStatus | undefined> {
+    const link = this.open(address);
+    await link?.dialling;
+    const reply = await link?.peer?.request('control.status', {}, deadline);
+    return reply?.toMaybe().extract();
+  }
+
+  /** Closes the connections to addresses that are no member's any more. */
+  keepOnly(addresses: ReadonlySet<Address>): void {
+    for (const [address, {peer}] of this.links) {
+      if (addresses.has(address)) continue;
+      peer?.close('no longer a member');
+      this.links.delete(address);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.closed = true;
+    const links = [...this.links.values()];
+    for (const {peer} of links) peer?.close('closed by this end');
+    await Promise.all(links.map(link => link.dialling));
+  }
+
+  private open(address: Address): Link | undefined {
+    if (this.closed) return undefined;
+    const link = this.links.get(address) ?? {nextDial: 0};
+    this.links.set(address, link);
+    if (link.peer?.isOpen || link.dialling !== undefined) return link;
+    link.peer = undefined;
+    const now = monotonicClock.now();
+    if (now < link.nextDial) return link;
+    link.nextDial = now + redialPauseMs;
+    link.dialling = this.dial(address, link);
+    return link;
+  }
+
+  private async dial(address: Address, link: Link): Promise<void> {
+    const deadline = monotonicClock.now() + dialTimeoutMs;
+    const dialled = await dialPeer(address, {}, deadline, linkLiveness);
+    link.dialling = undefined;
+    dialled.ifRight(peer => {
+      if (this.closed || this.links.get(address) !== link) {
+        peer.close('not needed any more');
+        return;
+      }
+      link.peer = peer;
+    });
+  }
+}
--- /dev/null
+++ b/packages/control/src/local.ts
@@ -0,0 +1,36 @@
+import type {Address, ControlId} from '#model';
+import type {ReplicaStatus} from '#consensus';
+import type {CommandResult} from '#membership';
+import type {ProposeResult, ReadResult} from '#storage';
+import type {Machine} from './machine.js';
+import type {Replica} from './replica.js';
+
+/** Makes a group of one that keeps its log nowhere: for tests of what is built on it. */
+export function createLocalReplica(
+  id: ControlId,
+  address: Address,
+  machine: Machine,
+): Replica {
+  const term = 1;
+  let index = 0;
+  return {
+    propose: async command => {
+      const [result] = machine.apply([{index: ++index, term, command}]);
+      return {kind: 'committed', index, result} as ProposeResult<CommandResult>;
+    },
+    confirmRead: async (): Promise<ReadResult> => ({kind: 'confirmed', index}),
+    receive: () => {},
+    changeMembers: async () => ({kind: 'refused', reason: 'not-ready'}),
+    describeStatus: (): ReplicaStatus => ({
+      id,
+      role: 'leader',
+      term,
+      leader: id,
+      lastIndex: index,
+      commitIndex: index,
+      members: [{id, address, voter: true}],
+      progress: [{id, voter: true, matchIndex: index}],
+    }),
+    [Symbol.asyncDispose]: async () => {},
+  };
+}
--- /dev/null
+++ b/packages/control/src/machine.ts
@@ -0,0 +1,75 @@
+import {assertInvariant, BrokenInvariant} from '#model';
+import type {ViewUpdate, WatchParams} from '#protocol';
+import {
+  applyCommand,
+  buildView,
+  type Command,
+  type CommandResult,
+  type ControlState,
+  createState,
+  decodeSnapshot,
+  encodeSnapshot,
+} from '#membership';
+import type {AppliedCommand, StateMachine} from '#storage';
+import {ChangeRing} from './ring.js';
+
+/** The replica's copy of the state, and the recent changes for those who watch it. */
+export class Machine implements StateMachine<Command, CommandResult> {
+  private current: ControlState = createState();
+  private readonly ring = new ChangeRing();
+
+  /** `onChange` is called after each batch that watchers must learn of. */
+  constructor(private readonly onChange: () => void) {}
+
+  get state(): ControlState {
+    return this.current;
+  }
+
+  apply(entries: readonly AppliedCommand<Command>[]): readonly CommandResult[] {
+    let changed = false;
+    const results = entries.map(({index, command}) => {
+      const {result, changes} = applyCommand(this.current, command, index);
+      this.ring.add(index, changes);
+      changed ||= changes.length > 0;
+      return result;
+    });
+    if (changed) this.onChange();
+    return results;
+  }
+
+  takeSnapshot(): Uint8Array {
+    return encodeSnapshot(this.current);
+  }
+
+  restoreSnapshot(data: Uint8Array, index: number): void {
+    this.current = decodeSnapshot(data).caseOf({
+      Left: detail => {
+        throw new BrokenInvariant(detail);
+      },
+      Right: state => state,
+    });
+    assertInvariant(
+      this.current.revision <= index,
+      `snapshot of index ${index} holds revision ${this.current.revision}`,
+    );
+    this.ring.restart(this.current.revision);
+    this.onChange();
+  }
+
+  /** Builds what a watcher at a revision lacks: the changes since, or the whole view. */
+  buildUpdate(since: number, topics: WatchParams['topics']): ViewUpdate {
+    const {revision} = this.current;
+    const changes = this.ring.collectSince(since, topics);
+    if (since > 0 && changes !== undefined) {
+      return {kind: 'delta', from: since, revision, changes};
+    }
+    const {configuration} = this.current;
+    if (topics === 'configuration' && since >= configuration.revision) {
+      return {kind: 'delta', from: since, revision, changes: []};
+    }
+    const view = buildView(this.current);
+    if (topics === 'all') return {kind: 'full', revision, view};
+    const bare = {...view, targets: [], gone: [], entries: [], ended: []};
+    return {kind: 'full', revision, view: bare};
+  }
+}
--- /dev/null
+++ b/packages/control/src/office.ts
@@ -0,0 +1,106 @@
+import type {Clock, Epoch, Instant, TargetId} from '#model';
+import type {ProcessConfigStatus} from '#protocol';
+import type {LogTime} from '#membership';
+import type {LeaseSettings} from '#settings';
+import {LeaseTable} from './leases.js';
+import type {Machine} from './machine.js';
+
+/**
+ * The soft state of a leader's term of office: leases, log time and what each process reports.
+ * None of it is logged. A new term begins with a whole lease for every holder, counted from a
+ * moment at which this replica led already, so no lease of the term before outlasts its own here.
+ */
+export class Office {
+  readonly entries = new LeaseTable<Epoch>();
+  readonly targets = new LeaseTable<TargetId>();
+  private readonly reports = new Map<string, ProcessConfigStatus>();
+  private term = 0;
+  private baseTime: LogTime = 0;
+  private baseInstant: Instant = 0;
+
+  constructor(
+    private readonly machine: Machine,
+    private readonly leases: LeaseSettings,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Begins a term unless it has begun. Called before anything else while this replica leads. */
+  begin(term: number): void {
+    if (term === this.term) return;
+    this.term = term;
+    this.entries.clear();
+    this.targets.clear();
+    this.reports.clear();
+    this.baseTime = this.machine.state.time;
+    this.baseInstant = this.clock.now();
+  }
+
+  /** Reads log time: it runs by this host's monotonic clock from the last command of the term before. */
+  tellTime(): LogTime {
+    const elapsedMs = Math.floor(this.clock.now() - this.baseInstant);
+    return Math.max(this.machine.state.time, this.baseTime + elapsedMs);
+  }
+
+  /** Renews an entry's lease from now; false when it is over. */
+  renewEntry(epoch: Epoch): boolean {
+    if (!this.machine.state.epochs.live.has(epoch)) return false;
+    return this.entries.renew(epoch, this.entryDeadline);
+  }
+
+  /** Renews a target's lease from now; false when it is over. */
+  renewTarget(target: TargetId, incarnation: number): boolean {
+    const known = this.machine.state.targets.get(target);
+    if (known?.incarnation !== incarnation) return false;
+    return this.targets.renew(target, this.targetDeadline);
+  }
+
+  /** Notes which configuration a process has in force. */
+  report(status: ProcessConfigStatus): void {
+    this.reports.set(status.process, status);
+  }
+
+  /** Lists the versions reported by the processes that hold leases. */
+  listReports(): readonly ProcessConfigStatus[] {
+    return [...this.reports.values()];
+  }
+
+  /** Gives each holder without a lease a whole one, and drops the leases of those that are gone. */
+  matchLeases(): void {
+    const {epochs, targets} = this.machine.state;
+    for (const epoch of epochs.live.keys()) {
+      this.entries.ensure(epoch, this.entryDeadline);
+    }
+    for (const target of targets.keys()) {
+      this.targets.ensure(target, this.targetDeadline);
+    }
+    for (const epoch of [...this.entries.list()]) {
+      if (!epochs.live.has(epoch)) this.entries.drop(epoch);
+    }
+    for (const target of [...this.targets.list()]) {
+      if (!targets.has(target)) this.targets.drop(target);
+    }
+    this.dropReports();
+  }
+
+  private dropReports(): void {
+    const {epochs, targets} = this.machine.state;
+    const entries = new Set(
+      [...epochs.live.values()].map(live => live.info.entry),
+    );
+    for (const [process, {role}] of this.reports) {
+      const known =
+        role === 'entry' ? entries.has(process) : targets.has(process);
+      if (!known) this.reports.delete(process);
+    }
+  }
+
+  private get entryDeadline(): Instant {
+    const {entryLeaseMs, clockMarginMs} = this.leases;
+    return this.clock.now() + entryLeaseMs + clockMarginMs;
+  }
+
+  private get targetDeadline(): Instant {
+    const {targetLeaseMs, clockMarginMs} = this.leases;
+    return this.clock.now() + targetLeaseMs + clockMarginMs;
+  }
+}
--- /dev/null
+++ b/packages/control/src/replica.ts
@@ -0,0 +1,13 @@
+import type {ControlId} from '#model';
+import type {MemberChange, Message, ReplicaStatus} from '#consensus';
+import type {Command, CommandResult} from '#membership';
+import type {ChangeResult, ProposeResult, ReadResult} from '#storage';
+
+/** The replica as the control role uses it: `ReplicaHost`, or one in memory. */
+export interface Replica extends AsyncDisposable {
+  propose(command: Command): Promise<ProposeResult<CommandResult>>;
+  confirmRead(): Promise<ReadResult>;
+  receive(from: ControlId, message: Message): void;
+  changeMembers(change: MemberChange): Promise<ChangeResult>;
+  describeStatus(): ReplicaStatus;
+}
--- /dev/null
+++ b/packages/control/src/service.ts
@@ -0,0 +1,235 @@
+import {randomUUID} from 'node:crypto';
+import type {
+  Admission,
+  ApplyConfigParams,
+  ApplyConfigResult,
+  ConfigStatus,
+  ControlReply,
+  ControlStatus,
+  Handlers,
+  LeaseGrant,
+  Nothing,
+  OpenEntryParams,
+  ProcessConfigStatus,
+  Renewal,
+  RenewEntryParams,
+  RenewTargetParams,
+} from '#protocol';
+import {
+  type ControlState,
+  findAnswer,
+  isRecordId,
+  lookupJob,
+  maxRecordTasks,
+} from '#membership';
+import {
+  checkSource,
+  describeSettingsError,
+  type LeaseSettings,
+} from '#settings';
+import type {Leader} from './leader.js';
+import type {Office} from './office.js';
+
+const maxAdmissionsPerRequest = 4096;
+const maxKeepMs = 400 * 24 * 3600 * 1000;
+const maxSourceBytes = 2 * 1024 * 1024;
+
+/** What the handlers of the leader's methods work on. */
+export interface ServiceParts {
+  readonly leader: Leader;
+  readonly office: Office;
+  readonly leases: LeaseSettings;
+  /** The versions in force at the control replicas. */
+  readonly listControls: () => Promise<readonly ProcessConfigStatus[]>;
+}
+
+/** Serves the methods that only the leader answers. */
+export function createLeaderHandlers(parts: ServiceParts) {
+  const {leader} = parts;
+  return {
+    'control.openEntry': params => openEntry(parts, params),
+    'control.renewEntry': params => renewEntry(parts, params),
+    'control.closeEntry': async ({epoch}) =>
+      acknowledge(await leader.propose({kind: 'close-entry', epoch})),
+    'control.announce': async ({target, configVersion}) => {
+      const reply = await leader.propose({kind: 'announce-target', target});
+      if (reply.kind !== 'done') return reply;
+      if (reply.value.kind === 'superseded') {
+        return {kind: 'done', value: {kind: 'ended'}};
+      }
+      const {target: id, incarnation} = target;
+      return renewTarget(parts, {
+        target: id,
+        incarnation,
+        configVersion,
+      });
+    },
+    'control.renewTarget': params => renewTarget(parts, params),
+    'control.withdraw': async ({target, incarnation}) =>
+      acknowledge(
+        await leader.propose({kind: 'target-gone', target, incarnation}),
+      ),
+    'control.admit': async ({admissions}) => {
+      checkAdmissions(admissions);
+      const reply = await leader.admit(admissions);
+      if (reply === 'full') throw new Error('no room for more admissions');
+      return reply;
+    },
+    'control.lookup': ({jobs}) =>
+      leader.read(state => jobs.map(job => lookupJob(state, job))),
+    'control.epochJobs': ({epochs}) =>
+      leader.read(({admissions}) =>
+        admissions
+          .listOfEpochs(new Set(epochs))
+          .map(({expirySecond: _, ...job}) => job),
+      ),
+    'control.applyConfig': params => applyConfig(leader, params),
+    'control.configStatus': () => describeConfiguration(parts),
+  } satisfies Handlers;
+}
+
+/** Describes the state for a status answer. */
+export function describeState(
+  state: ControlState,
+): Pick<ControlStatus, 'targets' | 'entries' | 'jobs' | 'configVersion'> {
+  return {
+    targets: [...state.targets.values()],
+    entries: [...state.epochs.live.values()].map(live => live.info),
+    jobs: state.admissions.size,
+    configVersion: state.configuration.current.version,
+  };
+}
+
+async function openEntry(
+  {leader, office, leases}: ServiceParts,
+  {entry, nonce = '', address, place}: OpenEntryParams,
+): Promise<ControlReply<LeaseGrant>> {
+  const reply = await leader.propose({
+    kind: 'open-entry',
+    entry,
+    nonce: nonce === '' ? randomUUID() : nonce,
+    address,
+    place,
+  });
+  if (reply.kind !== 'done') return reply;
+  const {value} = reply;
+  if (value.kind !== 'opened') throw new Error(`unexpected ${value.kind}`);
+  const {epoch} = value;
+  office.renewEntry(epoch);
+  return leader.read(({configuration}) => ({
+    epoch,
+    leaseMs: leases.entryLeaseMs,
+    configVersion: configuration.current.version,
+  }));
+}
+
+/**
+ * The lease counts from the receipt, before leadership is confirmed: a leader elected later
+ * grants a whole lease from its election, which a confirmed read proves to come after the receipt.
+ */
+function renewEntry(
+  {leader, office, leases}: ServiceParts,
+  {entry, epoch, configVersion: version}: RenewEntryParams,
+): Promise<ControlReply<Renewal>> {
+  const renewed = leader.leads && office.renewEntry(epoch);
+  if (renewed) office.report({process: entry, role: 'entry', version});
+  return leader.read(({epochs, configuration}) => {
+    const lives = renewed && epochs.live.has(epoch);
+    if (!lives || office.entries.isEnding(epoch)) return {kind: 'ended'};
+    return describeRenewal(leases.entryLeaseMs, configuration);
+  });
+}
+
+function renewTarget(
+  {leader, office, leases}: ServiceParts,
+  {target, incarnation, configVersion: version}: RenewTargetParams,
+): Promise<ControlReply<Renewal>> {
+  const renewed = leader.leads && office.renewTarget(target, incarnation);
+  if (renewed) office.report({process: target, role: 'agent', version});
+  return leader.read(({targets, configuration}) => {
+    const lives = renewed && targets.get(target)?.incarnation === incarnation;
+    if (!lives || office.targets.isEnding(target)) return {kind: 'ended'};
+    return describeRenewal(leases.targetLeaseMs, configuration);
+  });
+}
+
+function describeRenewal(
+  leaseMs: number,
+  {current}: ControlState['configuration'],
+): Renewal {
+  return {kind: 'renewed', leaseMs, configVersion: current.version};
+}
+
+function acknowledge(reply: ControlReply<unknown>): ControlReply<Nothing> {
+  return reply.kind === 'done' ? {kind: 'done', value: {}} : reply;
+}
+
+/** Throws what is wrong with a request that no command could hold. */
+function checkAdmissions(admissions: readonly Admission[]): void {
+  if (admissions.length > maxAdmissionsPerRequest) {
+    throw new Error(
+      `${admissions.length} admissions in a request, at most ${maxAdmissionsPerRequest} are taken`,
+    );
+  }
+  for (const {job, digest, tasks, keepMs} of admissions) {
+    if (!isRecordId(job) || !isRecordId(digest)) {
+      throw new Error(
+        `job "${job}" with digest "${digest}": expected 32 hex digits each`,
+      );
+    }
+    if (tasks > maxRecordTasks || keepMs > maxKeepMs) {
+      throw new Error(
+        `job "${job}": expected at most ${maxRecordTasks} tasks kept for at most ${maxKeepMs} ms`,
+      );
+    }
+  }
+}
+
+async function applyConfig(
+  leader: Leader,
+  change: ApplyConfigParams,
+): Promise<ControlReply<ApplyConfigResult>> {
+  const known = await leader.read(state =>
+    findAnswer(state.configuration, change),
+  );
+  if (known.kind !== 'done') return known;
+  if (known.value !== undefined) return {kind: 'done', value: known.value};
+  const errors = listSourceErrors(change);
+  if (errors.length > 0) {
+    return {kind: 'done', value: {kind: 'invalid', errors}};
+  }
+  const reply = await leader.propose({kind: 'configure', change});
+  if (reply.kind !== 'done') return reply;
+  if (reply.value.kind !== 'configured') {
+    throw new Error(`unexpected ${reply.value.kind}`);
+  }
+  return {kind: 'done', value: reply.value.result};
+}
+
+function listSourceErrors({
+  changeId,
+  source,
+}: ApplyConfigParams): readonly string[] {
+  if (changeId === '') return ['the change id is empty'];
+  const bytes = Buffer.byteLength(JSON.stringify(source));
+  if (bytes > maxSourceBytes) {
+    return [`the texts have ${bytes} bytes, at most ${maxSourceBytes} fit`];
+  }
+  return checkSource(source)
+    .swap()
+    .orDefault([])
+    .map(error => describeSettingsError(error));
+}
+
+async function describeConfiguration({
+  leader,
+  office,
+  listControls,
+}: ServiceParts): Promise<ControlReply<ConfigStatus>> {
+  const controls = await listControls();
+  return leader.read(({configuration: {current, history}}) => ({
+    current,
+    history: [...history],
+    processes: [...controls, ...office.listReports()],
+  }));
+}
--- /dev/null
+++ b/packages/control/test/site.ts
@@ -0,0 +1,153 @@
+import {pino} from 'pino';
+import {type Either, Right} from 'purify-ts';
+import {monotonicClock, type Place} from '#model';
+import type {ParamsOf} from '#protocol';
+import {
+  ControlClient,
+  type ControlFailure,
+  type ControlRequest,
+  type ControlValue,
+  type View,
+} from '#membership';
+import type {ControlRole, ProcessSettings} from '#settings';
+import {openMetrics} from '#telemetry';
+import {Control, createLocalReplica} from '#control';
+
+export const place: Place = {
+  site: 'gilgit',
+  region: 'north',
+  failureDomain: 'a',
+  rack: 'r1',
+};
+
+/** Far enough that only a hang reaches it. */
+export const soon = () => monotonicClock.now() + 20_000;
+
+export const source = {
+  base: '[limits]\nmaxTasksPerJob = 170\n',
+  overlays: {},
+};
+
+export const runtime = {
+  log: pino({level: 'silent'}),
+  metrics: openMetrics(undefined, {}),
+  clock: monotonicClock,
+};
+
+export function createSettings(
+  id: string,
+  role: Partial<ControlRole> = {},
+): ProcessSettings<ControlRole> {
+  return {
+    id,
+    place,
+    controls: [],
+    logLevel: 'error',
+    leases: {
+      entryLeaseMs: 600,
+      targetLeaseMs: 600,
+      renewalIntervalMs: 100,
+      clockMarginMs: 50,
+    },
+    role: {
+      kind: 'control',
+      listen: '127.0.0.1:0',
+      data: '',
+      members: [],
+      join: false,
+      ...role,
+    },
+  };
+}
+
+export function describeFailure(
+  reply: Either<ControlFailure, unknown>,
+): string {
+  return reply.swap().unsafeCoerce().detail;
+}
+
+/** A client with shorthands for tests. */
+export class TestClient implements AsyncDisposable {
+  private readonly listeners = new Set<() => void>();
+  private timer: NodeJS.Timeout | undefined;
+  revisions: number[] = [];
+
+  constructor(readonly client: ControlClient) {}
+
+  async ask<Name extends ControlRequest>(
+    method: Name,
+    params: ParamsOf<Name>,
+  ): Promise<ControlValue<Name>> {
+    const reply = await this.client.request(method, params, soon());
+    return reply
+      .ifLeft(failure => {
+        throw new Error(`${method}: ${failure.kind}: ${failure.detail}`);
+      })
+      .unsafeCoerce();
+  }
+
+  open(entry: string) {
+    const address = '127.0.0.1:9';
+    return this.ask('control.openEntry', {entry, address, place});
+  }
+
+  keepAlive(entry: string, epoch: number): void {
+    const params = {entry, epoch, configVersion: 1};
+    this.timer = setInterval(() => {
+      void this.client.request('control.renewEntry', params, soon());
+    }, 100);
+  }
+
+  follow(topics: 'all' | 'configuration'): void {
+    this.client.watch(topics, ({revision}) => {
+      this.revisions.push(revision);
+      for (const listener of this.listeners) listener();
+    });
+  }
+
+  /** Waits for a view. */
+  async awaitView(expect: (view: View) => boolean): Promise<View> {
+    while (!expect(this.client.view)) {
+      await new Promise<void>(resolve => {
+        this.listeners.clear();
+        this.listeners.add(resolve);
+      });
+    }
+    return this.client.view;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.timer);
+    await this.client[Symbol.asyncDispose]();
+  }
+}
+
+/** One control replica in memory and its clients. */
+export class Site implements AsyncDisposable {
+  private readonly clients: TestClient[] = [];
+
+  constructor(readonly control: Control) {}
+
+  connect(): TestClient {
+    const {address} = this.control;
+    const client = new TestClient(new ControlClient({controls: [address]}));
+    this.clients.push(client);
+    return client;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const client of this.clients) await client[Symbol.asyncDispose]();
+    await this.control[Symbol.asyncDispose]();
+  }
+}
+
+export async function openSite(): Promise<Site> {
+  const opened = await Control.open({
+    settings: createSettings('c1'),
+    configuration: source,
+    runtime,
+    startReplica: async ({id, address, machine}) =>
+      Right(createLocalReplica(id, address, machine)),
+  });
+  return new Site(opened.unsafeCoerce());
+}
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -104,6 +104,11 @@
     return this.closeCause === undefined;
   }
 
+  /** What was sent and the system has not yet taken, in bytes. */
+  get unsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
   /** `host:port` of the other end, for logs. */
   get remoteAddress(): string {
     return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
