--- a/scripts/build.js
+++ b/scripts/build.js
@@ -9,6 +9,18 @@
 
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+/** Optional native parts cannot go into one binary; their users fall back without them. */
+const omitNativeAddons = {
+  name: 'omit-native-addons',
+  setup(bundler) {
+    const filter = /^(msgpackr-extract|unix-dgram|pino-pretty)$/;
+    bundler.onResolve({filter}, ({path}) => ({path, namespace: 'omitted'}));
+    bundler.onLoad({filter: /.*/, namespace: 'omitted'}, ({path}) => ({
+      contents: `throw new Error('${path} is not part of this binary')`,
+    }));
+  },
+};
+
 mkdirSync('dist', {recursive: true});
 await build({
   entryPoints: ['build/cli/src/main.js'],
@@ -17,7 +29,7 @@
   target: 'node20',
   format: 'cjs',
   outfile: 'dist/wasabiring.cjs',
-  external: ['msgpackr-extract', 'unix-dgram', 'pino-pretty'],
+  plugins: [omitNativeAddons],
   logLevel: 'warning',
 });
 writeFileSync(
