--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -40,6 +40,11 @@
   readonly start: (execution: Execution) => void;
   /** Stops what runs of a job that is over. */
   readonly stop: (execution: Execution) => void;
+  readonly onAnswered: (
+    execution: Execution,
+    answer: JobAnswer,
+    receivedAt: Instant,
+  ) => void;
   /** Rebuilds a job of an ended epoch, or tells why it cannot be finished. */
   readonly inherit: (
     submission: Submission,
@@ -138,7 +143,8 @@
   private keep(execution: Execution): void {
     const {submission, deadline} = execution.job;
     this.executions.set(submission.job, execution);
-    const remainingMs = computeRemainingMs(this.owner.clock.now(), deadline);
+    const receivedAt = this.owner.clock.now();
+    const remainingMs = computeRemainingMs(receivedAt, deadline);
     const expiry = setTimeout(() => {
       this.end(
         execution,
@@ -147,6 +153,7 @@
     }, remainingMs);
     void execution.answered.then(answer => {
       clearTimeout(expiry);
+      this.owner.onAnswered(execution, answer, receivedAt);
       this.forgetLater(execution, answer);
     });
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -27,6 +27,7 @@
 import {Inheritance} from './inheritance.js';
 import {EntryLease} from './lease.js';
 import {Neighbours} from './neighbours.js';
+import {Recorder} from './recorder.js';
 import {Registrar} from './registrar.js';
 import type {CheckedRequest} from './request.js';
 
@@ -34,6 +35,7 @@
 const askTimeoutMs = 5000;
 const settledPollMs = 20;
 const drainRetryMs = 100;
+const microsPerMs = 1000;
 
 /** The entry role: callers' jobs in, tasks out to agents, one answer a job back. */
 export class Entry implements AsyncDisposable {
@@ -44,6 +46,7 @@
   private readonly desk: Desk;
   private readonly inheritance: Inheritance;
   private readonly fleet: Fleet;
+  private readonly recorder: Recorder;
   private readonly gate: Gate;
   private front: HttpFront | undefined;
   private view: View | undefined;
@@ -57,6 +60,7 @@
     private readonly listener: PeerListener,
   ) {
     const {clock, log} = runtime;
+    this.recorder = new Recorder(clock, runtime.metrics);
     this.gate = new Gate(settings.id, clock, configuration);
     this.fleet = new Fleet(configuration, {
       entry: settings.id,
@@ -65,7 +69,8 @@
       random: createRandom(randomInt(maxSeed)),
       getEpoch: () => this.lease.epoch,
       getStartingEpoch: () => this.lease.startingEpoch,
-      onTaskEnd: () => {},
+      onTaskEnd: (execution, end, queuedMs) =>
+        this.recorder.recordTask(execution, end, queuedMs),
     });
     this.client = new ControlClient({controls: settings.controls, clock});
     this.registrar = new Registrar(this.client, clock);
@@ -86,6 +91,8 @@
         judge: (submission, deadline) => this.judge(submission, deadline),
         start: execution => this.fleet.start(execution),
         stop: execution => this.fleet.stop(execution),
+        onAnswered: (execution, answer, receivedAt) =>
+          this.recorder.recordAnswer(execution, answer, receivedAt),
         inherit: (submission, deadline, standing) =>
           this.inheritance.resume(submission, deadline, standing),
       },
@@ -300,8 +307,11 @@
       configVersion: this.version,
       targets: this.fleet.listLinks().length,
       jobsInHand: this.desk.unanswered,
+      answers: this.recorder.countAnswers(),
       refusals: this.gate.countRefusals(),
       pools: this.fleet.describe(),
+      process: describeProcess(),
+      histograms: this.recorder.summarize(),
     };
   }
 
@@ -321,3 +331,15 @@
     return computeDeadline(this.runtime.clock.now(), askTimeoutMs);
   }
 }
+
+/** The process's own use of the machine since its start. */
+function describeProcess(): unknown {
+  const {user, system} = process.cpuUsage();
+  const {rss, heapUsed} = process.memoryUsage();
+  return {
+    pid: process.pid,
+    cpuMs: Math.round((user + system) / microsPerMs),
+    residentBytes: rss,
+    heapBytes: heapUsed,
+  };
+}
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -9,6 +9,7 @@
   private resolveAnswer!: (answer: JobAnswer) => void;
   private detached = false;
   private sent = false;
+  private longestMs = 0;
 
   constructor(
     public job: Job,
@@ -27,6 +28,15 @@
     return this.sent;
   }
 
+  /** The longest run of a task so far, in ms. */
+  get longestRunMs(): number {
+    return this.longestMs;
+  }
+
+  recordRun(runMs: number): void {
+    this.longestMs = Math.max(this.longestMs, runMs);
+  }
+
   /** Applies an event and resolves the answer when the job is over. */
   apply(event: JobEvent): void {
     if (this.job.answer !== undefined) return;
--- /dev/null
+++ b/packages/entry/src/recorder.ts
@@ -0,0 +1,57 @@
+import type {Clock, Instant, JobAnswer} from '#model';
+import {Histograms, type HistogramSummary, type Metrics} from '#telemetry';
+import type {Execution} from './execution.js';
+import type {TaskEnd} from './link.js';
+
+/** Measures jobs and tasks for each team and service, for status pages and metrics. */
+export class Recorder {
+  private readonly histograms = new Histograms();
+  private readonly answers = new Map<JobAnswer['kind'], number>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+  ) {}
+
+  /** Records the end of a task that waited so long in the queue, in ms. */
+  recordTask(execution: Execution, end: TaskEnd, queuedMs: number): void {
+    const {team, service} = execution.job.submission;
+    const tags = {team, service, fate: end.fate.kind};
+    this.metrics.increment('tasks', 1, tags);
+    if (end.fate.kind === 'not-run') return;
+    execution.recordRun(end.runMs);
+    this.histograms.record(team, service, 'queue-wait', queuedMs);
+    this.histograms.record(team, service, 'run', end.runMs);
+    this.metrics.timing('task.run', end.runMs, {team, service});
+  }
+
+  /**
+   * Records a job's answer. The ideal response is the longest run of its tasks:
+   * all of them at once, nothing waiting.
+   */
+  recordAnswer(
+    execution: Execution,
+    answer: JobAnswer,
+    receivedAt: Instant,
+  ): void {
+    const {team, service} = execution.job.submission;
+    this.answers.set(answer.kind, (this.answers.get(answer.kind) ?? 0) + 1);
+    this.metrics.increment('jobs', 1, {team, service, answer: answer.kind});
+    if (answer.kind !== 'complete') return;
+    const responseMs = this.clock.now() - receivedAt;
+    this.histograms.record(team, service, 'response', responseMs);
+    this.metrics.timing('job.response', responseMs, {team, service});
+    if (execution.longestRunMs <= 0) return;
+    const ratio = responseMs / execution.longestRunMs;
+    this.histograms.record(team, service, 'response-over-ideal', ratio);
+  }
+
+  /** Counts answers since the start by kind. */
+  countAnswers(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.answers);
+  }
+
+  summarize(): readonly HistogramSummary[] {
+    return this.histograms.summarize();
+  }
+}
