--- a/packages/policy/src/division.ts
+++ b/packages/policy/src/division.ts
@@ -1,6 +1,6 @@
 import type {Epoch, Instant} from '#model';
 import {
-  countConnected,
+  computeEvenShare,
   countFree,
   defaultGrantLimits,
   type GrantLimits,
@@ -16,6 +16,8 @@
   readonly granted: ReadonlyMap<Epoch, number>;
   /** Idle slots to ask back, by epoch: `entry.recall`. */
   readonly recalled: ReadonlyMap<Epoch, number>;
+  /** Divide again then, if nothing changes before; `Infinity` when there is no need. */
+  readonly againAt: Instant;
 }
 
 /**
@@ -45,8 +47,7 @@
     divided = grantSlot(divided, holder);
     granted.set(holder.epoch, (granted.get(holder.epoch) ?? 0) + 1);
   }
-  const {grants: settled, recalled} = recallIdle(divided, now, limits);
-  return {grants: settled, granted, recalled};
+  return {granted, ...recallIdle(divided, now, limits)};
 }
 
 function grantSlot(grants: SlotGrants, holder: SlotHolder): SlotGrants {
@@ -81,7 +82,7 @@
   ender: Epoch | undefined,
 ): SlotHolder | undefined {
   const connected = [...grants.holders.values()].filter(one => one.connected);
-  const waiting = connected.filter(one => countUnmet(one, now) > 0);
+  const waiting = connected.filter(one => countUnmet(grants, one, now) > 0);
   if (waiting.length > 0) return chooseFewest(waiting, ender);
   const owner = connected.find(one => one.epoch === ender);
   if (owner === undefined) return chooseFewest(connected, ender);
@@ -93,8 +94,7 @@
 
 /** What every entry should hold for a burst while nobody waits. */
 function computeReserve(grants: SlotGrants): number {
-  const evenShare = Math.floor(grants.slots / countConnected(grants));
-  return Math.ceil(evenShare / 2);
+  return Math.ceil(computeEvenShare(grants) / 2);
 }
 
 function chooseFewest(
@@ -115,14 +115,15 @@
   grants: SlotGrants,
   now: Instant,
   limits: GrantLimits,
-): {grants: SlotGrants; recalled: ReadonlyMap<Epoch, number>} {
+): Omit<Division, 'granted'> {
   const recalled = new Map<Epoch, number>();
   let settled = grants;
-  for (let unmet = countMissing(grants, now); unmet > 0;) {
+  let missing = countMissing(grants, now);
+  while (missing > 0) {
     const holder = chooseIdle(settled, now);
     if (holder === undefined) break;
-    const slots = Math.min(unmet, holder.granted);
-    unmet -= slots;
+    const slots = Math.min(missing, holder.granted);
+    missing -= slots;
     recalled.set(holder.epoch, slots);
     settled = putHolder(settled, {
       ...holder,
@@ -130,26 +131,43 @@
       recallDueAt: now + limits.recallIntervalMs,
     });
   }
-  return {grants: settled, recalled};
+  const againAt = missing > 0 ? findRecallDue(settled, now) : Infinity;
+  return {grants: settled, recalled, againAt};
 }
 
-/** Slots to be asked back: those granted beyond the slots, and those that others wait for. */
+/** Finds when the next entry that holds idle slots may be asked again. */
+function findRecallDue({holders}: SlotGrants, now: Instant): Instant {
+  let due = Infinity;
+  for (const {granted, recallDueAt} of holders.values()) {
+    if (granted > 0 && recallDueAt > now) due = Math.min(due, recallDueAt);
+  }
+  return due;
+}
+
+/** Slots to be asked back: those beyond the agent's slots, and those that others wait for. */
 function countMissing(grants: SlotGrants, now: Instant): number {
-  const excess = Math.max(0, -countFree(grants));
-  if (grants.mode === 'on-reservation') return excess;
-  let missing = excess;
+  let missing = countExcess(grants);
   for (const holder of grants.holders.values()) {
-    missing += countUnmet(holder, now);
+    if (grants.mode === 'ahead') missing += countUnmet(grants, holder, now);
     if (now < holder.recallDueAt) missing -= holder.recalled;
   }
   return missing;
 }
 
+/** Slots granted and in use beyond those that the agent has, once it has fewer. */
+function countExcess(grants: SlotGrants): number {
+  return Math.max(0, -countFree(grants));
+}
+
+/** Chooses the entry with the most idle slots; one that waits is spared unless slots are in excess. */
 function chooseIdle(grants: SlotGrants, now: Instant): SlotHolder | undefined {
+  const spareWaiting = countExcess(grants) === 0;
   let chosen: SlotHolder | undefined;
   for (const holder of grants.holders.values()) {
     if (holder.granted === 0 || now < holder.recallDueAt) continue;
-    if (holder.waiting > 0 && now < holder.demandDeadline) continue;
+    if (spareWaiting && holder.waiting > 0 && now < holder.demandDeadline) {
+      continue;
+    }
     if (chosen === undefined || holder.granted > chosen.granted) {
       chosen = holder;
     }
@@ -161,11 +179,17 @@
   return granted + running;
 }
 
-/** Tasks that wait at an entry beyond the idle slots that it holds. */
+/** What an entry should be given: for tasks that wait beyond its idle slots, or as its even start. */
 function countUnmet(
-  {connected, waiting, granted, demandDeadline}: SlotHolder,
+  grants: SlotGrants,
+  holder: SlotHolder,
   now: Instant,
 ): number {
-  if (!connected || now >= demandDeadline) return 0;
-  return Math.max(0, waiting - granted);
+  if (!holder.connected) return 0;
+  const waiting = now < holder.demandDeadline ? holder.waiting : 0;
+  const owed =
+    now < holder.startDeadline
+      ? computeEvenShare(grants) - countHeld(holder)
+      : 0;
+  return Math.max(0, waiting - holder.granted, owed);
 }
--- a/packages/policy/src/grants.ts
+++ b/packages/policy/src/grants.ts
@@ -15,6 +15,8 @@
   readonly waiting: number;
   /** What was told of waiting tasks holds until then. */
   readonly demandDeadline: Instant;
+  /** Until then it is owed an even share of the slots. */
+  readonly startDeadline: Instant;
   /** Until then its slots come back to it before others are given a reserve. */
   readonly pressedUntil: Instant;
   /** Idle slots asked back and neither released nor used yet. */
@@ -58,7 +60,7 @@
 
 /**
  * Adds an entry, or opens its new connection: what it was granted before is
- * void. It counts as waiting for an even share, so that slots granted ahead to
+ * void. For a time it is owed an even share, so that slots granted ahead to
  * others before it came are divided anew.
  */
 export function connectHolder(
@@ -68,10 +70,8 @@
   limits: GrantLimits = defaultGrantLimits,
 ): SlotGrants {
   const running = grants.holders.get(epoch)?.running ?? 0;
-  const joined = putHolder(grants, {...createHolder(epoch), running});
-  if (grants.mode === 'on-reservation') return joined;
-  const evenShare = Math.floor(grants.slots / countConnected(joined));
-  return updateDemand(joined, epoch, evenShare, now, limits);
+  const startDeadline = now + limits.demandMs;
+  return putHolder(grants, {...createHolder(epoch), running, startDeadline});
 }
 
 /** Counts the entries that are connected. */
@@ -105,6 +105,11 @@
   return free;
 }
 
+/** Computes what each entry would hold if all held the same. */
+export function computeEvenShare(grants: SlotGrants): number {
+  return Math.floor(grants.slots / Math.max(1, countConnected(grants)));
+}
+
 /** Counts the slots in use. */
 export function countRunning({holders}: SlotGrants): number {
   let sum = 0;
@@ -208,6 +213,7 @@
     reserved: 0,
     waiting: 0,
     demandDeadline: -Infinity,
+    startDeadline: -Infinity,
     pressedUntil: -Infinity,
     recalled: 0,
     recallDueAt: -Infinity,
--- a/packages/policy/src/guard.ts
+++ b/packages/policy/src/guard.ts
@@ -1,4 +1,4 @@
-import type {Instant, ResourceDemand} from '#model';
+import {failUnreachable, type Instant, type ResourceDemand} from '#model';
 
 /** One running task as its agent's guard sees it. */
 export interface GuardedTask {
@@ -23,12 +23,14 @@
 }
 
 export interface GuardLimits {
-  /** Memory above the demand by this factor ends the task at once. */
+  /** Memory above the demand by this factor is overuse. */
   readonly memoryStopFactor: number;
-  /** Cores above the demand by this factor are throttled. */
+  /** Cores above the demand by this factor are overuse. */
   readonly coreThrottleFactor: number;
   /** Overuse must last this long before it has consequences, in ms. */
   readonly overuseGraceMs: number;
+  /** Core overuse that goes on for this long although throttled ends the task, in ms. */
+  readonly throttledGraceMs: number;
   /** A report older than this says nothing, in ms. */
   readonly maxReportAgeMs: number;
   /** A task that can is checkpointed this long before its lease ends, in ms. */
@@ -39,6 +41,7 @@
   memoryStopFactor: 1.5,
   coreThrottleFactor: 1.25,
   overuseGraceMs: 500,
+  throttledGraceMs: 2000,
   maxReportAgeMs: 5000,
   checkpointLeadMs: 250,
 };
@@ -99,15 +102,23 @@
   limits: GuardLimits,
 ): GuardVerdict {
   const lasting = lastedMs >= limits.overuseGraceMs;
-  if (resource === 'memory') {
-    if (!lasting) return {kind: 'throttle', cause};
-    return {kind: task.canCheckpoint ? 'checkpoint' : 'stop', cause};
+  const end = {
+    kind: task.canCheckpoint ? 'checkpoint' : 'stop',
+    cause,
+  } as const;
+  switch (resource) {
+    case 'memory':
+      return lasting ? end : {kind: 'throttle', cause};
+    case 'accelerators':
+      return lasting ? end : {kind: 'continue'};
+    case 'cores':
+      if (!lasting) return {kind: 'continue'};
+      return task.throttled && lastedMs >= limits.throttledGraceMs
+        ? end
+        : {kind: 'throttle', cause};
+    default:
+      return failUnreachable(resource);
   }
-  if (!lasting) return {kind: 'continue'};
-  if (!task.throttled) return {kind: 'throttle', cause};
-  return lastedMs >= 4 * limits.overuseGraceMs
-    ? {kind: task.canCheckpoint ? 'checkpoint' : 'stop', cause}
-    : {kind: 'throttle', cause};
 }
 
 function describeOveruse(
--- a/packages/policy/src/health.ts
+++ b/packages/policy/src/health.ts
@@ -232,12 +232,7 @@
     health: TargetHealth,
     now: Instant,
   ): readonly Allowance[] {
-    if (this.isOutlier(health, now)) {
-      if (this.countEjected() < this.capEjected()) {
-        return this.eject(target, health, now);
-      }
-      return this.setStanding(target, health, {kind: 'suspect'});
-    }
+    if (this.isOutlier(health, now)) return this.eject(target, health, now);
     if (health.failuresInRow < this.limits.suspectAfter) return [];
     if (this.countKind('suspect') >= this.capEjected()) return [];
     return this.setStanding(target, health, {kind: 'suspect'});
@@ -261,11 +256,15 @@
     );
   }
 
+  /** Ejects a target; beyond the cap it is held to one task at a time. */
   private eject(
     target: TargetId,
     old: TargetHealth,
     now: Instant,
   ): readonly Allowance[] {
+    if (this.countEjected() >= this.capEjected()) {
+      return this.setStanding(target, old, {kind: 'suspect'});
+    }
     const {baseEjectionMs, maxEjectionMs} = this.limits;
     const ejections = now < old.repeatUntil ? old.ejections + 1 : 1;
     const lengthMs = Math.min(
--- /dev/null
+++ b/packages/policy/test/grants.test.ts
@@ -0,0 +1,205 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  closeHolder,
+  connectHolder,
+  countFree,
+  countRunning,
+  createGrants,
+  defaultGrantLimits,
+  divideSlots,
+  type GrantMode,
+  releaseSlots,
+  reserveSlots,
+  setSlots,
+  type SlotGrants,
+  takeSlot,
+  updateDemand,
+  returnSlot,
+} from '#policy';
+
+const seed = 20;
+const settled = defaultGrantLimits.pressedMs + 1;
+
+const hold = (grants: SlotGrants, epoch: number) => {
+  const holder = grants.holders.get(epoch);
+  return holder === undefined ? 0 : holder.granted + holder.running;
+};
+const divide = (grants: SlotGrants, now = 0, ender?: number) =>
+  divideSlots(grants, now, ender).grants;
+
+/** Entries 1 to `entries` connect, one after another, and answer recalls. */
+function connectAll(slots: number, entries: number): SlotGrants {
+  let grants = createGrants(slots, 'ahead');
+  for (let epoch = 1; epoch <= entries; epoch++) {
+    const now = epoch - entries;
+    let division = divideSlots(connectHolder(grants, epoch, now), now);
+    while (division.recalled.size > 0 || division.againAt < Infinity) {
+      grants = division.grants;
+      for (const [holder, count] of division.recalled) {
+        grants = releaseSlots(grants, holder, count);
+      }
+      const later = division.againAt < Infinity ? division.againAt : now;
+      division = divideSlots(grants, later);
+    }
+    grants = division.grants;
+  }
+  return grants;
+}
+
+function run(grants: SlotGrants, epoch: number, tasks: number): SlotGrants {
+  let next = grants;
+  for (let i = 0; i < tasks; i++) next = takeSlot(next, epoch, true)!;
+  return next;
+}
+
+test('entries that connect get an even start', t => {
+  const grants = connectAll(8, 4);
+  t.deepEqual(
+    [1, 2, 3, 4].map(epoch => hold(grants, epoch)),
+    [2, 2, 2, 2],
+  );
+});
+
+test('idle slots are recalled only while another entry waits', t => {
+  const grants = connectAll(8, 2);
+  t.is(divideSlots(grants, 50).recalled.size, 0);
+  const pressed = updateDemand(run(grants, 1, 4), 1, 3, 50);
+  t.deepEqual([...divideSlots(pressed, 50).recalled], [[2, 3]]);
+});
+
+test('an entry that waits itself is not asked, nor is one asked again at once', t => {
+  const grants = run(connectAll(8, 2), 1, 4);
+  const both = updateDemand(updateDemand(grants, 1, 3, 50), 2, 6, 50);
+  t.is(divideSlots(both, 50).recalled.size, 0);
+  const asked = divide(updateDemand(grants, 1, 3, 50), 50);
+  t.is(divideSlots(asked, 51).recalled.size, 0);
+  t.is(divideSlots(asked, 60).recalled.size, 1);
+});
+
+test('a slot that falls free goes to the waiting entry that holds fewest', t => {
+  const full = connectHolder(run(connectAll(4, 1), 1, 4), 2, 0);
+  const wanted = updateDemand(updateDemand(full, 1, 9, 50), 2, 9, 50);
+  const division = divideSlots(returnSlot(wanted, 1), 50, 1);
+  t.deepEqual([...division.granted], [[2, 1]]);
+});
+
+test('without others waiting a slot goes back to the entry that used it', t => {
+  const grants = run(connectAll(8, 2), 1, 4);
+  const division = divideSlots(returnSlot(grants, 1), settled, 1);
+  t.deepEqual([...division.granted], [[1, 1]]);
+});
+
+test('demand is believed for a time only', t => {
+  const pressed = updateDemand(run(connectAll(8, 2), 1, 4), 1, 3, 50);
+  t.is(divideSlots(pressed, 50 + defaultGrantLimits.demandMs).recalled.size, 0);
+});
+
+test('reservations are served in turns between entries', t => {
+  let grants = createGrants(4, 'on-reservation');
+  grants = connectHolder(connectHolder(grants, 1, 0), 2, 0);
+  grants = reserveSlots(reserveSlots(grants, 1, 10), 2, 2);
+  const {granted} = divideSlots(grants, 0);
+  t.deepEqual(
+    [...granted],
+    [
+      [1, 2],
+      [2, 2],
+    ],
+  );
+});
+
+test('the slots of a lost entry come back as its tasks end', t => {
+  const grants = divide(closeHolder(run(connectAll(8, 2), 1, 3), 1));
+  t.is(hold(grants, 2), 5);
+  t.is(hold(grants, 1), 3);
+  t.is(hold(divide(returnSlot(grants, 1)), 2), 6);
+});
+
+test('fewer slots are recalled down to and void grants do not run', t => {
+  const grants = setSlots(connectAll(8, 2), 5);
+  const {recalled} = divideSlots(grants, 50);
+  t.is(
+    [...recalled.values()].reduce((sum, one) => sum + one, 0),
+    3,
+  );
+  const full = run(run(grants, 1, 4), 2, 1);
+  t.is(takeSlot(full, 2, true), undefined);
+});
+
+const epochs = fc.integer({min: 1, max: 4});
+const stepArbitrary = fc.oneof(
+  fc.record({kind: fc.constant('connect' as const), epoch: epochs}),
+  fc.record({kind: fc.constant('close' as const), epoch: epochs}),
+  fc.record({
+    kind: fc.constant('take' as const),
+    epoch: epochs,
+    granted: fc.boolean(),
+  }),
+  fc.record({kind: fc.constant('return' as const), epoch: epochs}),
+  fc.record({
+    kind: fc.constant('release' as const),
+    epoch: epochs,
+    slots: fc.nat(4),
+  }),
+  fc.record({
+    kind: fc.constant('demand' as const),
+    epoch: epochs,
+    waiting: fc.nat(9),
+  }),
+  fc.record({
+    kind: fc.constant('reserve' as const),
+    epoch: epochs,
+    slots: fc.nat(5),
+  }),
+);
+type Step = typeof stepArbitrary extends fc.Arbitrary<infer One> ? One : never;
+
+function applyStep(grants: SlotGrants, step: Step, now: number): SlotGrants {
+  const {epoch} = step;
+  switch (step.kind) {
+    case 'connect':
+      return connectHolder(grants, epoch, now);
+    case 'close':
+      return closeHolder(grants, epoch);
+    case 'take':
+      return takeSlot(grants, epoch, step.granted) ?? grants;
+    case 'return':
+      return (grants.holders.get(epoch)?.running ?? 0) > 0
+        ? returnSlot(grants, epoch)
+        : grants;
+    case 'release':
+      return releaseSlots(grants, epoch, step.slots);
+    case 'demand':
+      return updateDemand(grants, epoch, step.waiting, now);
+    case 'reserve':
+      return reserveSlots(grants, epoch, step.slots);
+  }
+}
+
+for (const mode of ['ahead', 'on-reservation'] satisfies GrantMode[]) {
+  test(`slots are conserved whatever entries do, granted ${mode}`, t => {
+    const steps = fc.array(stepArbitrary, {maxLength: 80});
+    fc.assert(
+      fc.property(fc.integer({min: 1, max: 12}), steps, (slots, all) => {
+        let grants = createGrants(slots, mode);
+        all.forEach((step, i) => {
+          const running = countRunning(grants);
+          grants = applyStep(grants, step, i * 7);
+          t.true(Math.abs(countRunning(grants) - running) <= 1);
+          grants = divide(grants, i * 7, step.epoch);
+          const connected = [...grants.holders.values()].filter(
+            holder => holder.connected,
+          );
+          t.true(countFree(grants) >= 0);
+          t.true(countRunning(grants) <= slots);
+          t.true([...grants.holders.values()].every(one => one.granted >= 0));
+          if (mode === 'ahead' && connected.length > 0) {
+            t.is(countFree(grants), 0);
+          }
+        });
+      }),
+      {seed, numRuns: 200},
+    );
+  });
+}
--- /dev/null
+++ b/packages/policy/test/retry.test.ts
@@ -0,0 +1,57 @@
+import test from 'ava';
+import {
+  createRandom,
+  createRetryBudget,
+  defaultRetryLimits,
+  depositStart,
+  judgeRetry,
+  type RetryBudget,
+} from '#policy';
+
+const {maxTokens, retriesPerStart, maxDelayMs} = defaultRetryLimits;
+
+function judge(budget: RetryBudget, placements = 1, seed = 3) {
+  return judgeRetry(budget, placements, 5, 100, createRandom(seed));
+}
+
+test('placements are capped', t => {
+  const verdict = judge(createRetryBudget(), 5);
+  t.deepEqual(verdict, {kind: 'exhausted', cause: 'placements'});
+});
+
+test('retries beyond the saved budget stay within their share of starts', t => {
+  let budget = createRetryBudget();
+  let retries = 0;
+  const starts = 10_000;
+  for (let i = 0; i < starts; i++) {
+    budget = depositStart(budget);
+    for (let k = 0; k < 4; k++) {
+      const verdict = judge(budget);
+      if (verdict.kind === 'exhausted') continue;
+      budget = verdict.budget;
+      retries++;
+    }
+  }
+  t.true(retries <= maxTokens + starts * retriesPerStart + 1);
+  t.true(retries >= starts * retriesPerStart - 1);
+});
+
+test('delays grow, are jittered and repeat with the seed', t => {
+  const delay = (placements: number, seed: number) => {
+    const verdict = judgeRetry(
+      createRetryBudget(),
+      placements,
+      99,
+      100,
+      createRandom(seed),
+    );
+    return verdict.kind === 'retry' ? verdict.at - 100 : NaN;
+  };
+  t.is(delay(4, 1), delay(4, 1));
+  t.not(delay(4, 1), delay(4, 2));
+  const largest = (placements: number) =>
+    Math.max(...Array.from({length: 50}, (_, seed) => delay(placements, seed)));
+  t.true(largest(1) <= 2);
+  t.true(largest(4) > largest(1));
+  t.true(largest(60) <= maxDelayMs);
+});
