--- a/packages/agent/test/stand.ts
+++ b/packages/agent/test/stand.ts
@@ -75,6 +75,8 @@
   readonly withdrawn: string[] = [];
   renewals = 0;
   ended = false;
+  /** Set: this replica does not lead. */
+  leader: string | undefined;
   version = 1;
   listener!: PeerListener;
 
@@ -122,6 +124,9 @@
         return renewed();
       },
       'control.renewTarget': () => {
+        if (this.leader !== undefined) {
+          return {kind: 'not-leader', leader: this.leader};
+        }
         this.renewals++;
         if (this.ended) return {kind: 'done', value: {kind: 'ended'}};
         return renewed();
