--- /dev/null
+++ b/packages/membership/test/state.test.ts
@@ -0,0 +1,291 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  applyCommand,
+  applyUpdate,
+  buildView,
+  type Command,
+  createState,
+  decodeCommand,
+  decodeSnapshot,
+  emptyView,
+  encodeCommand,
+  encodeSnapshot,
+  lookupJob,
+  type View,
+} from '#membership';
+import {admission, change, id, Log, open, target} from './builders.js';
+
+const seeded = {seed: 20261204, numRuns: 200};
+const small = fc.integer({min: 0, max: 5});
+
+const command: fc.Arbitrary<Command> = fc.oneof(
+  fc
+    .tuple(small, small, fc.constantFrom('gilgit', 'skardu'))
+    .map(([entry, nonce, site]) => open(`e${entry}`, `n${nonce}`, site)),
+  small.map(epoch => ({kind: 'end-epoch', time: 0, epoch}) as const),
+  small.map(epoch => ({kind: 'close-entry', time: 0, epoch}) as const),
+  fc.tuple(small, small).map(([name, life]) => ({
+    kind: 'announce-target' as const,
+    time: 0,
+    target: target(`t${name}`, life),
+  })),
+  fc.tuple(small, small).map(([name, incarnation]) => ({
+    kind: 'target-gone' as const,
+    time: 0,
+    target: `t${name}`,
+    incarnation,
+  })),
+  fc
+    .array(fc.tuple(fc.integer({min: 0, max: 40}), small, small), {
+      maxLength: 6,
+    })
+    .map(jobs => ({
+      kind: 'admit' as const,
+      time: 0,
+      admissions: jobs.map(([n, epoch, keep]) =>
+        admission(n, epoch, keep * 700),
+      ),
+    })),
+  fc.constant({kind: 'forget' as const, time: 0}),
+  fc.tuple(small, small).map(([n, expected]) => ({
+    kind: 'configure' as const,
+    time: 0,
+    change: change(`c${n}`, expected),
+  })),
+);
+
+/** Commands at growing log times. */
+const history = fc
+  .array(fc.tuple(command, fc.integer({min: 0, max: 900})), {maxLength: 80})
+  .map(steps => {
+    let time = 0;
+    return steps.map(([one, ms]): Command => ({...one, time: (time += ms)}));
+  });
+
+function describe(view: View) {
+  const sort = <Item>(items: Iterable<Item>) =>
+    [...items].map(item => JSON.stringify(item)).sort();
+  return {
+    targets: sort(view.targets.list()),
+    services: sort(
+      [...view.services].map(([name, map]) => [name, sort(map.list())]),
+    ),
+    gone: view.gone,
+    entries: sort(view.entries.values()),
+    ended: sort(view.ended.values()),
+    configuration: view.configuration,
+  };
+}
+
+function showFull(state: ReturnType<typeof createState>): View {
+  const step = applyUpdate(emptyView, {
+    kind: 'full',
+    revision: state.revision,
+    view: buildView(state),
+  });
+  if (step.kind !== 'applied') throw new Error(step.kind);
+  return step.view;
+}
+
+test('a snapshot restores the same state, which goes on the same way', t => {
+  fc.assert(
+    fc.property(history, fc.nat(80), (commands, cut) => {
+      const whole = createState();
+      let restored = createState();
+      commands.forEach((one, i) => {
+        if (i === cut) {
+          restored = decodeSnapshot(encodeSnapshot(restored)).unsafeCoerce();
+        }
+        const decoded = decodeCommand(encodeCommand(one)).unsafeCoerce();
+        const a = applyCommand(whole, one, i + 1);
+        const b = applyCommand(restored, decoded, i + 1);
+        t.deepEqual(a.result, b.result);
+      });
+      t.deepEqual(showFull(restored), showFull(whole));
+      t.is(restored.admissions.size, whole.admissions.size);
+      t.is(restored.time, whole.time);
+    }),
+    seeded,
+  );
+});
+
+test('deltas lead to the same view as a full one, also when some are repeated', t => {
+  fc.assert(
+    fc.property(history, fc.nat(80), (commands, cut) => {
+      const state = createState();
+      let view = emptyView;
+      const all = commands.flatMap((one, i) => {
+        const {changes} = applyCommand(state, one, i + 1);
+        if (i === cut) view = showFull(state);
+        return changes;
+      });
+      const step = applyUpdate(view, {
+        kind: 'delta',
+        from: 0,
+        revision: state.revision,
+        changes: all,
+      });
+      t.deepEqual(
+        step.kind === 'applied' && describe(step.view),
+        describe(showFull(state)),
+      );
+    }),
+    seeded,
+  );
+});
+
+test('a job has one owner: the epoch that admitted it, or a live heir', t => {
+  fc.assert(
+    fc.property(history, commands => {
+      const state = createState();
+      const owners = new Map<string, number>();
+      commands.forEach((one, i) => {
+        const {result} = applyCommand(state, one, i + 1);
+        if (one.kind === 'admit' && result.kind === 'admitted') {
+          one.admissions.forEach(({job, epoch}, at) => {
+            if (result.results[at].kind !== 'admitted') return;
+            t.is(owners.get(job) ?? epoch, epoch);
+            owners.set(job, epoch);
+          });
+        }
+        for (const [job, epoch] of owners) {
+          const found = lookupJob(state, job);
+          if (found.kind === 'absent') {
+            owners.delete(job);
+            continue;
+          }
+          const {owner} = found.standing;
+          t.is(found.standing.epoch, epoch);
+          t.true(
+            state.epochs.live.has(owner) ||
+              (owner === epoch && state.epochs.live.size === 0),
+          );
+        }
+      });
+    }),
+    seeded,
+  );
+});
+
+test('of changes that build on one version exactly one wins, and resends get first answers', t => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.nat(20), small), {maxLength: 60}),
+      attempts => {
+        const log = new Log();
+        const answers = new Map<string, unknown>();
+        const winners = new Map<number, string>();
+        let version = 0;
+        for (const [n, expected] of attempts) {
+          const changeId = `c${n} on ${expected}`;
+          const result = log.applyConfig(changeId, expected);
+          if (answers.has(changeId)) {
+            t.deepEqual(result, answers.get(changeId));
+          } else if (result.kind === 'accepted') {
+            t.false(winners.has(result.version));
+            t.is(result.version, expected + 1);
+            winners.set(result.version, changeId);
+          } else if (winners.has(expected + 1)) {
+            t.like(result, {
+              kind: 'conflict',
+              winnerChangeId: winners.get(expected + 1),
+            });
+          }
+          answers.set(changeId, result);
+          const current = log.state.configuration.current.version;
+          t.true(current >= version);
+          version = current;
+        }
+      },
+    ),
+    seeded,
+  );
+});
+
+test('a change id used for another change is refused', t => {
+  const log = new Log();
+  log.applyConfig('c', 0);
+  t.is(log.applyConfig('c', 1).kind, 'invalid');
+});
+
+test('a record is kept for its time and forgotten after', t => {
+  const log = new Log();
+  const epoch = log.openEntry('e1');
+  log.admit([admission(1, epoch, 5000)], 1000);
+  log.run({kind: 'forget', time: 5999});
+  t.is(lookupJob(log.state, id(1)).kind, 'exists');
+  log.run({kind: 'forget', time: 6000});
+  t.is(lookupJob(log.state, id(1)).kind, 'absent');
+});
+
+test('log time never goes back', t => {
+  const log = new Log();
+  log.run({kind: 'forget', time: 5000});
+  log.run({kind: 'forget', time: 10});
+  t.is(log.state.time, 5000);
+});
+
+test('an heir is chosen at the same site when one lives there', t => {
+  const log = new Log();
+  const dying = log.openEntry('e1', 'n', 'skardu');
+  log.openEntry('e2');
+  log.openEntry('e3');
+  const near = log.openEntry('e4', 'n', 'skardu');
+  log.run({kind: 'end-epoch', time: 0, epoch: dying});
+  t.is(log.state.epochs.ended.get(dying)?.heir, near);
+});
+
+test('epochs that ended with nobody alive go to the next entry', t => {
+  const log = new Log();
+  const first = log.openEntry('e1');
+  log.admit([admission(1, first)]);
+  log.run({kind: 'end-epoch', time: 0, epoch: first});
+  t.is(log.state.epochs.ended.get(first)?.heir, undefined);
+  const second = log.openEntry('e2');
+  t.is(log.state.epochs.ended.get(first)?.heir, second);
+});
+
+test('a life that ended is kept as long as a job that it may have started', t => {
+  const log = new Log();
+  const epoch = log.openEntry('e1');
+  const announce = (life: number) =>
+    log.run({kind: 'announce-target', time: 0, target: target('t', life)});
+  announce(1);
+  log.admit([admission(1, epoch, 5000)]);
+  announce(2);
+  log.run({kind: 'forget', time: 4000});
+  t.deepEqual(
+    log.state.gone.map(({gone}) => gone.incarnation),
+    [1],
+  );
+  t.is(announce(1).kind, 'superseded');
+  log.run({kind: 'forget', time: 5000});
+  t.is(log.state.gone.length, 0);
+});
+
+test('a leaving target does not come back by a late resend', t => {
+  const log = new Log();
+  const announce = (leaving: boolean) =>
+    log.run({
+      kind: 'announce-target',
+      time: 0,
+      target: {...target('t'), leaving},
+    });
+  announce(true);
+  announce(false);
+  t.true(log.state.targets.get('t')?.leaving);
+});
+
+test('an older update is stale and a later one leaves a gap', t => {
+  const view = {...emptyView, revision: 10};
+  const delta = (from: number, revision: number) =>
+    applyUpdate(view, {kind: 'delta', from, revision, changes: []}).kind;
+  t.is(delta(5, 9), 'stale');
+  t.is(delta(11, 12), 'gap');
+  t.is(delta(10, 12), 'applied');
+});
+
+test('a snapshot of another format is refused', t => {
+  t.true(decodeSnapshot(Buffer.from('no snapshot')).isLeft());
+});
