--- a/packages/membership/src/admissions.ts
+++ b/packages/membership/src/admissions.ts
@@ -24,6 +24,8 @@
 const unrepeatableBit = 0x80000000;
 const recordsPerChunk = 8192;
 const none = -1;
+/** The expiry second of a slot that holds no record. */
+const unused = 0;
 const firstBuckets = 1024;
 
 /** The most tasks that a record can state. */
@@ -88,11 +90,9 @@
       isRecordId(record.job) && isRecordId(record.digest),
       `job "${record.job}" or digest "${record.digest}" is not 32 hex digits`,
     );
-    if (this.count >= this.buckets.length) this.growBuckets();
     const slot = this.takeSlot();
-    const {records, nextInBucket, nextToExpire} = this.getChunk(slot);
-    const at = slot % recordsPerChunk;
-    const pos = at * recordBytes;
+    const {records} = this.getChunk(slot);
+    const pos = (slot % recordsPerChunk) * recordBytes;
     records.write(record.job, pos, 'hex');
     records.write(record.digest, pos + idBytes, 'hex');
     records.writeUInt32LE(record.epoch, pos + epochOffset);
@@ -103,14 +103,7 @@
     const second = Math.max(record.expirySecond, this.forgottenSecond + 1);
     records.writeUInt32LE(second, pos + expiryOffset);
     records.writeUIntLE(record.revision, pos + revisionOffset, revisionBytes);
-    this.latestExpiry = Math.max(this.latestExpiry, second);
-    const bucket = this.hash(records, pos);
-    nextInBucket[at] = this.buckets[bucket];
-    this.buckets[bucket] = slot;
-    nextToExpire[at] = this.expiryHeads.get(second) ?? none;
-    this.expiryHeads.set(second, slot);
-    this.epochCounts.set(record.epoch, this.countOf(record.epoch) + 1);
-    this.count++;
+    this.linkRecord(slot);
   }
 
   /**
@@ -162,12 +155,12 @@
   encode(): Buffer {
     const bytes = Buffer.allocUnsafe(this.count * recordBytes);
     let end = 0;
-    for (const head of this.expiryHeads.values()) {
-      for (let slot = head; slot !== none; slot = this.getNextToExpire(slot)) {
-        const pos = (slot % recordsPerChunk) * recordBytes;
-        this.getChunk(slot).records.copy(bytes, end, pos, pos + recordBytes);
-        end += recordBytes;
-      }
+    for (const [first, last] of this.listRuns()) {
+      const {records} = this.getChunk(first);
+      const pos = (first % recordsPerChunk) * recordBytes;
+      const runBytes = (last - first) * recordBytes;
+      records.copy(bytes, end, pos, pos + runBytes);
+      end += runBytes;
     }
     return bytes;
   }
@@ -184,11 +177,46 @@
     );
     const table = new AdmissionTable(forgottenSecond, latestExpirySecond);
     for (let pos = 0; pos < bytes.length; pos += recordBytes) {
-      table.add(readRecord(bytes, pos));
+      const slot = table.takeSlot();
+      const {records} = table.getChunk(slot);
+      const at = (slot % recordsPerChunk) * recordBytes;
+      bytes.copy(records, at, pos, pos + recordBytes);
+      table.linkRecord(slot);
     }
     return table;
   }
 
+  /** Lists the runs of neighbouring slots in use, each within one chunk. */
+  private *listRuns(): Generator<readonly [first: number, end: number]> {
+    let first = none;
+    for (let slot = 0; slot <= this.used; slot++) {
+      const inUse = slot < this.used && this.readExpiry(slot) !== unused;
+      const ends = !inUse || slot % recordsPerChunk === 0;
+      if (first !== none && ends) {
+        yield [first, slot];
+        first = none;
+      }
+      if (inUse && first === none) first = slot;
+    }
+  }
+
+  /** Makes a written record part of the table. */
+  private linkRecord(slot: number): void {
+    if (this.count >= this.buckets.length) this.growBuckets();
+    const {records, nextInBucket, nextToExpire} = this.getChunk(slot);
+    const at = slot % recordsPerChunk;
+    const bucket = this.hash(records, at * recordBytes);
+    nextInBucket[at] = this.buckets[bucket];
+    this.buckets[bucket] = slot;
+    const second = this.readExpiry(slot);
+    nextToExpire[at] = this.expiryHeads.get(second) ?? none;
+    this.expiryHeads.set(second, slot);
+    this.latestExpiry = Math.max(this.latestExpiry, second);
+    const epoch = this.readEpoch(slot);
+    this.epochCounts.set(epoch, this.countOf(epoch) + 1);
+    this.count++;
+  }
+
   private forgetSecond(second: number): number {
     let slot = this.expiryHeads.get(second) ?? none;
     this.expiryHeads.delete(second);
@@ -208,6 +236,7 @@
     const epoch = this.readEpoch(slot);
     const bucket = this.hash(chunk.records, at * recordBytes);
     this.removeFromBucket(bucket, slot);
+    chunk.records.writeUInt32LE(unused, at * recordBytes + expiryOffset);
     chunk.nextInBucket[at] = this.firstFree;
     this.firstFree = slot;
     const left = this.countOf(epoch) - 1;
@@ -286,6 +315,11 @@
     return this.getChunk(slot).nextToExpire[slot % recordsPerChunk];
   }
 
+  private readExpiry(slot: number): number {
+    const pos = (slot % recordsPerChunk) * recordBytes;
+    return this.getChunk(slot).records.readUInt32LE(pos + expiryOffset);
+  }
+
   private readEpoch(slot: number): Epoch {
     const pos = (slot % recordsPerChunk) * recordBytes;
     return this.getChunk(slot).records.readUInt32LE(pos + epochOffset);
