--- /dev/null
+++ b/packages/bench/src/check.ts
@@ -0,0 +1,150 @@
+import type {Attempt, JobRecord, Outcome} from './caller.js';
+import type {JournalLine} from './journal.js';
+import {nameEcho} from './load.js';
+
+/** What became of the jobs of a run, counted by job but for `doubled`, which counts tasks. */
+export interface Counts {
+  readonly jobs: number;
+  readonly complete: number;
+  readonly failed: number;
+  readonly unknown: number;
+  readonly refused: number;
+  /** No submission was answered. */
+  readonly unanswered: number;
+  /** Tasks that started more than once. */
+  readonly doubled: number;
+  /** Complete answers that are not exactly one right result a task, in order. */
+  readonly partial: number;
+  /** Complete answers for a job of which some task never started. */
+  readonly unstarted: number;
+  /** Jobs that were said not to have run and did. */
+  readonly wronglyNotRun: number;
+  /** Jobs with two final answers that contradict each other. */
+  readonly contradicted: number;
+  /** Names the offending jobs and tasks, a few of each kind. */
+  readonly offences: readonly string[];
+}
+
+const maxOffences = 20;
+
+/** Judges the callers' records against what the targets saw. */
+export function countOutcomes(
+  journal: readonly JournalLine[],
+  records: readonly JobRecord[],
+): Counts {
+  const starts = countStarts(journal);
+  const offences: string[] = [];
+  const count = (name: string, holds: (record: JobRecord) => boolean) => {
+    const found = records.filter(holds);
+    offences.push(...found.map(({plan}) => `${name}: job ${plan.key}`));
+    return found.length;
+  };
+  const finals = records.map(findFinal);
+  const countFinal = (kind: Outcome['kind']) =>
+    finals.filter(outcome => outcome.kind === kind).length;
+  const doubled = [...starts].filter(([, times]) => times > 1);
+  offences.push(
+    ...doubled.map(([task, times]) => `doubled: ${task} ×${times}`),
+  );
+  return {
+    jobs: records.length,
+    complete: countFinal('complete'),
+    failed: countFinal('failed'),
+    unknown: countFinal('unknown'),
+    refused: countFinal('not-run'),
+    unanswered: countFinal('unanswered'),
+    doubled: doubled.length,
+    partial: count('partial', hasPartialAnswer),
+    unstarted: count('unstarted', record => hasUnstarted(record, starts)),
+    wronglyNotRun: count('wrongly not run', record =>
+      isWronglyNotRun(record, starts),
+    ),
+    contradicted: count('contradicted', hasContradiction),
+    offences: offences.slice(0, maxOffences),
+  };
+}
+
+/** True when no promise is broken. Failed, unknown, refused and unanswered jobs break none. */
+export function isSound(counts: Counts): boolean {
+  const broken =
+    counts.doubled +
+    counts.partial +
+    counts.unstarted +
+    counts.wronglyNotRun +
+    counts.contradicted;
+  return broken === 0;
+}
+
+/** The outcome that says most of a job: an answer before an unknown fate before a refusal. */
+export function findFinal(record: JobRecord): Outcome {
+  const outcomes = record.attempts.map(attempt => attempt.outcome);
+  for (const kind of decisiveFirst) {
+    const found = outcomes.find(outcome => outcome.kind === kind);
+    if (found !== undefined) return found;
+  }
+  return {kind: 'unanswered', detail: 'never submitted'};
+}
+
+const decisiveFirst = [
+  'complete',
+  'failed',
+  'unknown',
+  'unanswered',
+  'not-run',
+] as const;
+
+type StartCounts = ReadonlyMap<string, number>;
+
+function countStarts(journal: readonly JournalLine[]): StartCounts {
+  const counts = new Map<string, number>();
+  for (const {job, task} of journal) {
+    const name = `${job}.${task}`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function hasPartialAnswer({plan, attempts}: JobRecord): boolean {
+  return attempts.some(({outcome}) => {
+    if (outcome.kind !== 'complete') return false;
+    const {results} = outcome;
+    if (results.length !== plan.tasks.length) return true;
+    return results.some(
+      (result, i) =>
+        (result as {readonly echo?: unknown} | null)?.echo !==
+        nameEcho(plan.key, i),
+    );
+  });
+}
+
+function hasUnstarted(
+  {plan, attempts}: JobRecord,
+  starts: StartCounts,
+): boolean {
+  if (!attempts.some(({outcome}) => outcome.kind === 'complete')) return false;
+  return plan.tasks.some((_, i) => !starts.has(`${plan.job}.${i}`));
+}
+
+function isWronglyNotRun(record: JobRecord, starts: StartCounts): boolean {
+  const {plan, attempts} = record;
+  const refusals = attempts.filter(({outcome}) => outcome.kind === 'not-run');
+  if (refusals.some(refusal => isAfterCompletion(refusal, attempts)))
+    return true;
+  if (refusals.length < attempts.length || attempts.length === 0) return false;
+  return plan.tasks.some((_, i) => starts.has(`${plan.job}.${i}`));
+}
+
+function isAfterCompletion(
+  refusal: Attempt,
+  attempts: readonly Attempt[],
+): boolean {
+  return attempts.some(
+    ({outcome, endedAt}) =>
+      outcome.kind === 'complete' && endedAt <= refusal.startedAt,
+  );
+}
+
+function hasContradiction({attempts}: JobRecord): boolean {
+  const kinds = new Set(attempts.map(({outcome}) => outcome.kind));
+  return kinds.has('complete') && kinds.has('failed');
+}
--- /dev/null
+++ b/packages/bench/src/load.ts
@@ -0,0 +1,124 @@
+import {deriveJobId, failUnreachable} from '#model';
+import {Random} from './random.js';
+
+/** When jobs are submitted. */
+export type Arrivals =
+  | {readonly kind: 'poisson'; readonly jobsPerSecond: number}
+  | {
+      readonly kind: 'bursts';
+      readonly jobsPerBurst: number;
+      readonly intervalMs: number;
+    }
+  /** Each of so many callers submits its next job when the last one is answered. */
+  | {readonly kind: 'closed'; readonly callers: number};
+
+export interface LoadOptions {
+  readonly seed: number;
+  readonly jobs: number;
+  readonly arrivals: Arrivals;
+  readonly services: readonly string[];
+  readonly teams: readonly string[];
+  readonly minTasks: number;
+  readonly maxTasks: number;
+  readonly minTaskMs: number;
+  readonly maxTaskMs: number;
+  readonly deadlineMs: number;
+  /** Share of the jobs that must not be repeated. */
+  readonly unrepeatableShare: number;
+  /** Share of the jobs in which one task fails. */
+  readonly failingShare: number;
+  /** Declared run times are off by up to this factor either way. */
+  readonly declaredErrorFactor: number;
+}
+
+export interface PlannedTask {
+  readonly payload: {
+    readonly sleepMs: number;
+    readonly echo: string;
+    readonly fail?: true;
+  };
+  readonly expectedMs: number;
+}
+
+export interface PlannedJob {
+  /** When an open loop submits it, in ms from the start of the load. */
+  readonly atMs: number;
+  readonly key: string;
+  readonly job: string;
+  readonly team: string;
+  readonly service: string;
+  readonly deadlineMs: number;
+  readonly unrepeatable: boolean;
+  readonly tasks: readonly PlannedTask[];
+}
+
+/** Plans every job of a load; the same options give the same plan. */
+export function planLoad(options: LoadOptions): readonly PlannedJob[] {
+  const random = new Random(options.seed);
+  const jobs: PlannedJob[] = [];
+  let atMs = 0;
+  for (let i = 0; i < options.jobs; i++) {
+    atMs += pickPauseMs(options.arrivals, i, random);
+    jobs.push(planJob(options, `load-${options.seed}-${i}`, atMs, random));
+  }
+  return jobs;
+}
+
+function pickPauseMs(arrivals: Arrivals, i: number, random: Random): number {
+  switch (arrivals.kind) {
+    case 'poisson':
+      return random.pickExponential(1000 / arrivals.jobsPerSecond);
+    case 'bursts':
+      return i > 0 && i % arrivals.jobsPerBurst === 0 ? arrivals.intervalMs : 0;
+    case 'closed':
+      return 0;
+    default:
+      return failUnreachable(arrivals);
+  }
+}
+
+function planJob(
+  options: LoadOptions,
+  key: string,
+  atMs: number,
+  random: Random,
+): PlannedJob {
+  const team = random.pickOne(options.teams);
+  const count = random.pickInt(options.minTasks, options.maxTasks);
+  const failing = random.pickBoolean(options.failingShare)
+    ? random.pickInt(0, count - 1)
+    : -1;
+  const tasks = Array.from({length: count}, (_, i) =>
+    planTask(options, nameEcho(key, i), i === failing, random),
+  );
+  return {
+    atMs,
+    key,
+    job: deriveJobId(team, key),
+    team,
+    service: random.pickOne(options.services),
+    deadlineMs: options.deadlineMs,
+    unrepeatable: random.pickBoolean(options.unrepeatableShare),
+    tasks,
+  };
+}
+
+function planTask(
+  options: LoadOptions,
+  echo: string,
+  fails: boolean,
+  random: Random,
+): PlannedTask {
+  const {minTaskMs, maxTaskMs, declaredErrorFactor: factor} = options;
+  const sleepMs = Math.round(random.pickLogUniform(minTaskMs, maxTaskMs));
+  const expectedMs = sleepMs * random.pickLogUniform(1 / factor, factor);
+  return {
+    payload: {sleepMs, echo, ...(fails && {fail: true as const})},
+    expectedMs: Math.max(1, Math.round(expectedMs)),
+  };
+}
+
+/** What the result of a job's task must echo. */
+export function nameEcho(key: string, task: number): string {
+  return `${key}/${task}`;
+}
--- /dev/null
+++ b/packages/bench/src/ports.ts
@@ -0,0 +1,37 @@
+import {createServer} from 'node:net';
+
+// Below the range from which the system takes the ports of outgoing connections.
+const firstPort = 10_000;
+const lastPort = 32_000;
+
+/** Hands out ports of loopback upwards from a base, leaving out those in use. */
+export class PortRange {
+  constructor(private next: number) {}
+
+  /** A range for this process, apart from those of others that start at the same time. */
+  static choose(): PortRange {
+    const span = lastPort - firstPort;
+    return new PortRange(firstPort + ((process.pid * 97) % span));
+  }
+
+  /** Returns the next port on which nothing listens. */
+  async take(): Promise<number> {
+    while (!(await isFree(this.next))) this.next += 1;
+    return this.next++;
+  }
+
+  /** Returns that many ports in ascending order. */
+  async takeMany(count: number): Promise<readonly number[]> {
+    const ports: number[] = [];
+    while (ports.length < count) ports.push(await this.take());
+    return ports;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
--- /dev/null
+++ b/packages/bench/src/site-files.ts
@@ -0,0 +1,139 @@
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {stringify} from 'smol-toml';
+import {type Address, type Capacity, failUnreachable} from '#model';
+import type {MemberPlan} from './member.js';
+import type {SiteOptions, TargetOptions} from './site-options.js';
+
+type TomlTable = Readonly<Record<string, unknown>>;
+
+const site = 'gilgit';
+const region = 'gilgit-baltistan';
+const failureDomains = ['north', 'east', 'south'];
+const targetsPerRack = 3;
+
+/** What settings files need beyond the plan of their own process. */
+export interface SiteAddresses {
+  readonly controls: readonly MemberPlan[];
+  /** Where each entry serves callers, by its index. */
+  readonly http: readonly Address[];
+  /** Where each target's stand-in serves, by its index. */
+  readonly standIns: readonly string[];
+}
+
+/** Writes the settings file of the process with an index among those of its role. */
+export function writeSettings(
+  options: SiteOptions,
+  addresses: SiteAddresses,
+  plan: MemberPlan,
+  index: number,
+): void {
+  const advertise =
+    plan.advertise === plan.listen ? {} : {advertise: plan.advertise};
+  const listen = {listen: plan.listen};
+  const drain = {drain_ms: options.drainMs};
+  const describeRole = (): TomlTable => {
+    switch (plan.role) {
+      case 'control':
+        return {
+          control: {
+            ...listen,
+            data: join(options.data, plan.name),
+            members: addresses.controls.map(({name, advertise: address}) => ({
+              member: name,
+              address,
+            })),
+          },
+        };
+      case 'entry':
+        return {
+          entry: {
+            http: addresses.http[index],
+            ...listen,
+            ...advertise,
+            ...drain,
+          },
+        };
+      case 'agent': {
+        const target = options.targets[index]!;
+        return {
+          agent: {
+            ...listen,
+            ...advertise,
+            ...drain,
+            service: target.service,
+            url: addresses.standIns[index],
+            ...describeCapacity(target.capacity),
+          },
+        };
+      }
+      default:
+        return failUnreachable(plan.role);
+    }
+  };
+  const tables = {
+    process: {
+      id: plan.name,
+      role: plan.role,
+      site,
+      region,
+      failure_domain: failureDomains[index % failureDomains.length],
+      rack: `rack-${Math.floor(index / targetsPerRack)}`,
+      controls: addresses.controls.map(({advertise: address}) => address),
+      log_level: options.logLevel,
+    },
+    leases: options.leases,
+    ...describeRole(),
+    ...options.configuration,
+  };
+  writeFileSync(plan.settings, stringify(tables));
+}
+
+/** Writes the configuration alone, as an operator edits it. */
+export function writeBaseFile(options: SiteOptions): string {
+  const path = join(options.data, 'base.toml');
+  writeFileSync(path, stringify(options.configuration));
+  return path;
+}
+
+/** Writes what the stand-ins' process reads. */
+export function writeStandInFile(
+  options: SiteOptions,
+  names: readonly string[],
+  ports: readonly number[],
+  journal: string,
+): string {
+  const path = join(options.data, 'standins.json');
+  const describeOne = ({capacity, temper}: TargetOptions, i: number) => ({
+    target: names[i],
+    port: ports[i],
+    capacity,
+    temper,
+    usageLagMs: options.usageLagMs,
+  });
+  const standIns = options.targets.map(describeOne);
+  writeFileSync(path, JSON.stringify({journal, standIns}));
+  return path;
+}
+
+function describeCapacity(capacity: Capacity): TomlTable {
+  switch (capacity.kind) {
+    case 'executor':
+      return {
+        executor: {
+          slots: capacity.slots,
+          max_connections: capacity.maxConnections,
+        },
+      };
+    case 'worker':
+      return {
+        worker: {
+          cores: capacity.cores,
+          memory_mb: capacity.memoryMb,
+          accelerators: capacity.accelerators,
+        },
+      };
+    default:
+      return failUnreachable(capacity);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/site-main.ts
@@ -0,0 +1,30 @@
+import {parseArgs} from 'node:util';
+import {Site} from './site.js';
+import {describeSite} from './site-options.js';
+
+const {values} = parseArgs({
+  options: {
+    'base-port': {type: 'string', default: '18000'},
+    data: {type: 'string'},
+  },
+});
+const basePort = Number(values['base-port']);
+if (values.data === undefined || !Number.isInteger(basePort)) {
+  console.error('usage: npm run site -- --base-port N --data DIR');
+  process.exit(2);
+}
+
+const stopped = new Promise<void>(resolve => {
+  process.once('SIGTERM', () => resolve());
+  process.once('SIGINT', () => resolve());
+});
+const site = await Site.start(describeSite(values.data, {basePort}));
+try {
+  const ready = site
+    .waitUntilReady()
+    .then(() => console.log(JSON.stringify(site.describe())));
+  await Promise.race([ready.then(() => stopped), stopped]);
+} finally {
+  await site[Symbol.asyncDispose]();
+}
+process.exit();
--- /dev/null
+++ b/packages/bench/src/site-options.ts
@@ -0,0 +1,111 @@
+import type {Capacity} from '#model';
+import {evenTemper, type Temper} from './temper.js';
+
+/** A target of a site and the agent beside it. */
+export interface TargetOptions {
+  readonly service: string;
+  readonly capacity: Capacity;
+  readonly temper: Temper;
+}
+
+/** Tables of the dispatch configuration as they are written in TOML. */
+export type ConfigurationTables = Readonly<
+  Record<'services' | 'teams' | 'limits', Readonly<Record<string, unknown>>>
+>;
+
+export interface SiteOptions {
+  /** The folder for settings, logs, the journal and the controls' data. */
+  readonly data: string;
+  /** The program of the system. */
+  readonly binary: string;
+  /** The first port; unset, a free range is chosen. */
+  readonly basePort?: number;
+  readonly controls: number;
+  readonly entries: number;
+  readonly targets: readonly TargetOptions[];
+  /** Puts a fault proxy in front of every inner address. */
+  readonly proxied: boolean;
+  readonly usageLagMs: number;
+  readonly drainMs: number;
+  /** The `[leases]` table. */
+  readonly leases: Readonly<Record<string, number>>;
+  readonly configuration: ConfigurationTables;
+  readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+}
+
+/** An executor of today's size for a service. */
+export function describeExecutor(
+  service: string,
+  speedFactor = 1,
+): TargetOptions {
+  return {
+    service,
+    capacity: {kind: 'executor', slots: 8, maxConnections: 60},
+    temper: {...evenTemper, speedFactor},
+  };
+}
+
+/** A worker of the herd registry's size for a service. */
+export function describeWorker(
+  service: string,
+  speedFactor = 1,
+): TargetOptions {
+  return {
+    service,
+    capacity: {kind: 'worker', cores: 16, memoryMb: 65_536, accelerators: 1},
+    temper: {...evenTemper, speedFactor},
+  };
+}
+
+export const defaultConfiguration: ConfigurationTables = {
+  services: {
+    tally: {
+      objective: 'response-time',
+      max_task_ms: 10_000,
+      max_placements: 8,
+      demand: {cores: 1, memory_mb: 256, accelerators: 0},
+    },
+    renewal: {
+      objective: 'fewest-messages',
+      max_task_ms: 10_000,
+      max_placements: 8,
+      demand: {cores: 1, memory_mb: 512, accelerators: 0},
+    },
+  },
+  teams: {
+    'herd-registry': {
+      tasks_per_second: 100_000,
+      burst_tasks: 100_000,
+      weight: 2,
+    },
+    licensing: {tasks_per_second: 100_000, burst_tasks: 100_000, weight: 1},
+  },
+  limits: {retention_ms: 120_000},
+};
+
+/** A small site: 3 controls, 2 entries, executors of unlike speeds for `tally`, workers for `renewal`. */
+export function describeSite(
+  data: string,
+  changes: Partial<SiteOptions> = {},
+): SiteOptions {
+  return {
+    data,
+    binary: 'dist/wasabiring',
+    controls: 3,
+    entries: 2,
+    targets: [
+      describeExecutor('tally'),
+      describeExecutor('tally', 2),
+      describeExecutor('tally', 4),
+      describeWorker('renewal'),
+      describeWorker('renewal', 2),
+    ],
+    proxied: false,
+    usageLagMs: 500,
+    drainMs: 10_000,
+    leases: {},
+    configuration: defaultConfiguration,
+    logLevel: 'info',
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/site.ts
@@ -0,0 +1,277 @@
+import {mkdirSync} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {request} from 'undici';
+import type {Address} from '#model';
+import {Child, type ChildExit} from './child.js';
+import {Member, type MemberPlan, type MemberRole} from './member.js';
+import {PortRange} from './ports.js';
+import {FaultProxy} from './proxy.js';
+import {writeBaseFile, writeSettings, writeStandInFile} from './site-files.js';
+import type {SiteOptions} from './site-options.js';
+import {findSocketOwner} from './socket-owner.js';
+import type {Temper} from './temper.js';
+import {waitUntil} from './wait.js';
+
+const readyLimitMs = 30_000;
+const standInProgram = fileURLToPath(
+  new URL('./standin-main.js', import.meta.url),
+);
+
+/** The line that a site prints when it is ready. */
+export interface SiteDescription {
+  readonly entries: readonly string[];
+  readonly controls: readonly Address[];
+  readonly agents: readonly {readonly target: string; readonly pid: number}[];
+  readonly pids: Readonly<Record<MemberRole, readonly number[]>>;
+  readonly journal: string;
+  readonly services: readonly string[];
+  readonly teams: readonly string[];
+  readonly base: string;
+}
+
+interface SiteParts {
+  readonly options: SiteOptions;
+  readonly members: readonly Member[];
+  readonly standIns: Child;
+  readonly standInUrls: readonly string[];
+  readonly entryUrls: readonly string[];
+  readonly journal: string;
+  readonly base: string;
+}
+
+/** Every process of a site on loopback. Disposal stops those that it started. */
+export class Site implements AsyncDisposable {
+  private constructor(private readonly parts: SiteParts) {}
+
+  /** Starts every process; they are not yet ready. */
+  static async start(options: SiteOptions): Promise<Site> {
+    mkdirSync(options.data, {recursive: true});
+    const range =
+      options.basePort === undefined
+        ? PortRange.choose()
+        : new PortRange(options.basePort);
+    const httpPorts = await range.takeMany(options.entries);
+    const plans = await planMembers(options, range);
+    const standInPorts = await range.takeMany(options.targets.length);
+    const http = httpPorts.map(port => `127.0.0.1:${port}`);
+    const standInUrls = standInPorts.map(port => `http://127.0.0.1:${port}`);
+    const addresses = {
+      controls: filterRole(plans, 'control'),
+      http,
+      standIns: standInUrls,
+    };
+    for (const role of memberRoles) {
+      filterRole(plans, role).forEach((plan, i) =>
+        writeSettings(options, addresses, plan, i),
+      );
+    }
+    const journal = join(options.data, 'journal');
+    const targetNames = filterRole(plans, 'agent').map(({name}) => name);
+    const standIns = await startStandIns(
+      writeStandInFile(options, targetNames, standInPorts, journal),
+      join(options.data, 'standins.log'),
+    );
+    const members: Member[] = [];
+    for (const plan of plans) {
+      const proxy = await openProxy(plan, members);
+      members.push(new Member(plan, options.binary, proxy));
+    }
+    return new Site({
+      options,
+      members,
+      standIns,
+      standInUrls,
+      entryUrls: http.map(address => `http://${address}`),
+      journal,
+      base: writeBaseFile(options),
+    });
+  }
+
+  get members(): readonly Member[] {
+    return this.parts.members;
+  }
+
+  /** Base URLs of the entries, for callers. */
+  get entryUrls(): readonly string[] {
+    return this.parts.entryUrls;
+  }
+
+  get journal(): string {
+    return this.parts.journal;
+  }
+
+  get options(): SiteOptions {
+    return this.parts.options;
+  }
+
+  /** The configuration's base file. */
+  get base(): string {
+    return this.parts.base;
+  }
+
+  /** Where processes and operators dial the controls. */
+  get controls(): readonly Address[] {
+    return this.list('control').map(({plan}) => plan.advertise);
+  }
+
+  list(role: MemberRole): readonly Member[] {
+    return this.members.filter(member => member.role === role);
+  }
+
+  find(name: string): Member {
+    const member = this.members.find(one => one.name === name);
+    if (member === undefined) throw new Error(`no process "${name}"`);
+    return member;
+  }
+
+  /** Sends a signal to a process and, when it is one that ends it, waits for the end. */
+  async kill(
+    name: string,
+    signal: NodeJS.Signals,
+  ): Promise<ChildExit | undefined> {
+    const {child} = this.find(name);
+    child.kill(signal);
+    if (signal === 'SIGSTOP' || signal === 'SIGCONT') return undefined;
+    return child.exited;
+  }
+
+  async restart(name: string): Promise<void> {
+    await this.find(name).restart();
+  }
+
+  /** Waits until every running entry is ready and sees every running agent's target. */
+  async waitUntilReady(limitMs = readyLimitMs): Promise<void> {
+    const targets = this.list('agent').filter(({child}) => child.isRunning);
+    await waitUntil('the site is ready', limitMs, async () => {
+      const ended = this.members.find(({child}) => !child.isRunning);
+      if (ended !== undefined) await this.failOnExit(ended);
+      const views = await Promise.all(this.entryUrls.map(countTargets));
+      return views.every(count => count >= targets.length);
+    });
+  }
+
+  /** Changes how a target's stand-in behaves from now on. */
+  async changeTemper(target: string, change: Partial<Temper>): Promise<void> {
+    const index = this.list('agent').findIndex(({name}) => name === target);
+    const response = await request(`${this.parts.standInUrls[index]}/fault`, {
+      method: 'POST',
+      body: JSON.stringify(change),
+    });
+    await response.body.dump();
+  }
+
+  describe(): SiteDescription {
+    const {services, teams} = this.options.configuration;
+    const listPids = (role: MemberRole) => this.list(role).map(({pid}) => pid);
+    return {
+      entries: this.entryUrls,
+      controls: this.controls,
+      agents: this.list('agent').map(({name, pid}) => ({target: name, pid})),
+      pids: {
+        entry: listPids('entry'),
+        control: listPids('control'),
+        agent: listPids('agent'),
+      },
+      journal: this.journal,
+      services: Object.keys(services),
+      teams: Object.keys(teams),
+      base: this.base,
+    };
+  }
+
+  /** Stops entries, then agents, then controls, then the stand-ins. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const member of this.members) member.proxy?.restore();
+    for (const role of ['entry', 'agent', 'control'] as const) {
+      await Promise.all(
+        this.list(role).map(member => member[Symbol.asyncDispose]()),
+      );
+    }
+    await this.parts.standIns.stop();
+  }
+
+  private async failOnExit(member: Member): Promise<never> {
+    const exit = await member.child.exited;
+    throw new Error(
+      `${member.name} ended early (${JSON.stringify(exit)}), see ${member.plan.log}`,
+    );
+  }
+}
+
+const memberRoles = ['control', 'entry', 'agent'] as const;
+
+function filterRole(
+  plans: readonly MemberPlan[],
+  role: MemberRole,
+): readonly MemberPlan[] {
+  return plans.filter(plan => plan.role === role);
+}
+
+async function planMembers(
+  options: SiteOptions,
+  range: PortRange,
+): Promise<readonly MemberPlan[]> {
+  const plans: MemberPlan[] = [];
+  const add = async (role: MemberRole, name: string) => {
+    const listen = `127.0.0.1:${await range.take()}`;
+    const advertise = options.proxied
+      ? `127.0.0.1:${await range.take()}`
+      : listen;
+    plans.push({
+      name,
+      role,
+      listen,
+      advertise,
+      settings: join(options.data, `${name}.toml`),
+      log: join(options.data, `${name}.log`),
+    });
+  };
+  for (let i = 0; i < options.controls; i++)
+    await add('control', `control-${i}`);
+  for (let i = 0; i < options.entries; i++) await add('entry', `entry-${i}`);
+  for (const [i, target] of options.targets.entries()) {
+    await add('agent', `${target.service}-${i}`);
+  }
+  return plans;
+}
+
+/** Opens the proxy of a planned process; it tells the dialling process by its socket. */
+async function openProxy(
+  plan: MemberPlan,
+  members: readonly Member[],
+): Promise<FaultProxy | undefined> {
+  if (plan.advertise === plan.listen) return undefined;
+  return FaultProxy.listen(
+    Number(plan.advertise.split(':')[1]),
+    plan.listen,
+    localPort => {
+      const pids = members.map(({pid}) => pid);
+      const owner = findSocketOwner(localPort, pids);
+      return members.find(({pid}) => pid === owner)?.name;
+    },
+  );
+}
+
+async function startStandIns(file: string, log: string): Promise<Child> {
+  const child = Child.start(process.execPath, [standInProgram, file], log);
+  if ((await child.firstLine) === '') {
+    await child.stop();
+    throw new Error(`the stand-in targets did not start, see ${log}`);
+  }
+  return child;
+}
+
+/** Counts the targets that a ready entry sees; -1 while it is not ready. */
+async function countTargets(url: string): Promise<number> {
+  try {
+    const ready = await request(`${url}/v1/health/ready`);
+    await ready.body.dump();
+    if (ready.statusCode !== 200) return -1;
+    const status = await request(`${url}/v1/status`);
+    const body = (await status.body.json()) as {readonly targets?: unknown};
+    return typeof body.targets === 'number' ? body.targets : 0;
+  } catch {
+    return -1;
+  }
+}
