--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -8,3 +8,36 @@
 
 export type {Fault, Identify} from './proxy.js';
 export {FaultProxy, noFault} from './proxy.js';
+
+export type {
+  ConfigurationTables,
+  SiteOptions,
+  TargetOptions,
+} from './site-options.js';
+export {
+  defaultConfiguration,
+  describeExecutor,
+  describeSite,
+  describeWorker,
+} from './site-options.js';
+export type {ChildExit} from './child.js';
+export {Child} from './child.js';
+export type {MemberRole} from './member.js';
+export {Member} from './member.js';
+export type {SiteDescription} from './site.js';
+export {Site} from './site.js';
+
+export {Random} from './random.js';
+export type {Arrivals, LoadOptions, PlannedJob, PlannedTask} from './load.js';
+export {nameEcho, planLoad} from './load.js';
+export type {Attempt, JobRecord, Outcome, Persistence} from './caller.js';
+export {Caller, readOutcome} from './caller.js';
+export type {RunOptions} from './run-load.js';
+export {runLoad} from './run-load.js';
+
+export type {Counts} from './check.js';
+export {countOutcomes, findFinal, isSound} from './check.js';
+export type {LatencySummary} from './latency.js';
+export {computeIdealMs, measureResponse, summarizeTimes} from './latency.js';
+export {formatTable} from './table.js';
+export {sleepFor, waitUntil} from './wait.js';
