--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -94,6 +94,7 @@
   'cancelled',
   'wrong-service',
   'too-large',
+  'target-down',
 );
 const fate = oneOf([
   Codec.interface({kind: exactly('succeeded'), result: unknown}),
@@ -130,15 +131,18 @@
   unrepeatable: boolean,
   keepMs: span,
 });
+const goneTarget = Codec.interface({
+  target: string,
+  incarnation: count,
+  revision: count,
+});
 const viewChange = oneOf([
   Codec.interface({kind: exactly('target-joined'), target}),
-  Codec.interface({
-    kind: exactly('target-gone'),
-    target: string,
-    incarnation: count,
-  }),
+  Codec.interface({kind: exactly('target-gone'), gone: goneTarget}),
+  Codec.interface({kind: exactly('gone-forgotten'), untilRevision: count}),
   Codec.interface({kind: exactly('entry-opened'), entry: entryInfo}),
   Codec.interface({kind: exactly('epoch-ended'), ended: endedEpoch}),
+  Codec.interface({kind: exactly('epoch-forgotten'), epoch: count}),
   Codec.interface({
     kind: exactly('configured'),
     configuration: versionedSource,
@@ -150,6 +154,7 @@
     revision: count,
     view: Codec.interface({
       targets: array(target),
+      gone: array(goneTarget),
       entries: array(entryInfo),
       ended: array(endedEpoch),
       configuration: versionedSource,
@@ -196,7 +201,12 @@
     Codec.interface({tasks: array(taskReport), slots: count}),
   ),
   'control.openEntry': toCheck(
-    Codec.interface({entry: string, address: string, place}),
+    Codec.interface({
+      entry: string,
+      nonce: optional(string),
+      address: string,
+      place,
+    }),
   ),
   'control.renewEntry': toCheck(
     Codec.interface({...entryEpoch, configVersion: count}),
