--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,6 +1,6 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {Address, ConfigurationSource, ControlId, Instant} from '#model';
-import {checkMessage, type MemberChange} from '#consensus';
+import {checkMessage, type MemberChange, type Message} from '#consensus';
 import {
   type ChangeMembersParams,
   type ControlReply,
@@ -34,7 +34,8 @@
   /** Where this replica listens. */
   readonly address: Address;
   readonly machine: Machine;
-  readonly links: Links;
+  /** Sends a message to another replica or drops it. */
+  readonly send: (to: ControlId, address: Address, message: Message) => void;
   /** Called once when the disk has failed. */
   readonly fail: (detail: string) => void;
 }
@@ -154,7 +155,7 @@
       id: settings.id,
       address: this.listener.address,
       machine: this.machine,
-      links: this.links,
+      send: (_to, address, message) => this.links.send(address, message),
       fail: detail => this.fail(detail),
     });
     return started.map(replica => {
--- a/packages/control/src/replicated.ts
+++ b/packages/control/src/replicated.ts
@@ -1,16 +1,44 @@
-import {Left, Right} from 'purify-ts';
+import {crc32} from 'node:zlib';
+import type {Address} from '#model';
+import {createMembers, type Members} from '#consensus';
+import type {Command, CommandResult} from '#membership';
 import type {ControlRole, ProcessSettings} from '#settings';
-import type {Runtime} from '#telemetry';
+import {describeStoreError, ReplicaHost} from '#storage';
+import type {Clock} from '#model';
 import type {StartReplica} from './control.js';
-import {createLocalReplica} from './local.js';
 
 /** Starts the replica on the data folder of the settings. */
 export function startReplicated(
-  {role}: ProcessSettings<ControlRole>,
-  _runtime: Pick<Runtime, 'log' | 'clock'>,
+  {id, role}: ProcessSettings<ControlRole>,
+  clock: Clock,
 ): StartReplica {
-  return async ({id, address, machine}) =>
-    role.members.length > 1
-      ? Left('only a group of one can be started so far')
-      : Right(createLocalReplica(id, address, machine));
+  return async ({address, machine, send, fail}) => {
+    const started = await ReplicaHost.start<Command, CommandResult>({
+      folder: role.data,
+      id,
+      ...(role.join ? {} : {bootstrap: listFirstMembers(id, role, address)}),
+      machine,
+      send,
+      fail: error => fail(describeStoreError(error)),
+      clock,
+      seed: crc32(id),
+    });
+    return started.mapLeft(describeStoreError);
+  };
+}
+
+/** The voters of a new group; without a list the replica is a group of its own. */
+function listFirstMembers(
+  id: string,
+  {members}: ControlRole,
+  address: Address,
+): Members {
+  const others = members.filter(({member}) => member !== id);
+  const own = members.find(({member}) => member === id);
+  const ownAddress =
+    own === undefined || own.address.endsWith(':0') ? address : own.address;
+  return createMembers([
+    {id, address: ownAddress},
+    ...others.map(one => ({id: one.member, address: one.address})),
+  ]);
 }
--- a/packages/control/src/run.ts
+++ b/packages/control/src/run.ts
@@ -27,7 +27,7 @@
     settings,
     configuration,
     runtime,
-    startReplica: startReplicated(settings, runtime),
+    startReplica: startReplicated(settings, runtime.clock),
   });
   return opened.caseOf({
     Left: async detail => {
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -1,5 +1,3 @@
-import {Packr, Unpackr} from 'msgpackr';
-import {type Either, Left, Right} from 'purify-ts';
 import type {
   Address,
   EntryId,
@@ -55,20 +53,3 @@
   /** The table of admissions has no room; nothing of the batch was admitted. */
   | {readonly kind: 'full'}
   | {readonly kind: 'configured'; readonly result: ApplyConfigResult};
-
-const packr = new Packr({useRecords: false});
-const unpackr = new Unpackr({useRecords: false});
-
-/** Encodes a command for the log. */
-export function encodeCommand(command: Command): Uint8Array {
-  return packr.pack(command);
-}
-
-/** Decodes a command from the log, or says what is wrong. */
-export function decodeCommand(bytes: Uint8Array): Either<string, Command> {
-  try {
-    return Right(unpackr.unpack(bytes) as Command);
-  } catch (error) {
-    return Left(`command is not MessagePack: ${String(error)}`);
-  }
-}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,4 @@
 export type {Command, CommandResult, LogTime} from './command.js';
-export {decodeCommand, encodeCommand} from './command.js';
 
 export type {Applied, ControlState, GoneLife} from './state.js';
 export {
--- a/packages/membership/test/state.test.ts
+++ b/packages/membership/test/state.test.ts
@@ -6,10 +6,8 @@
   buildView,
   type Command,
   createState,
-  decodeCommand,
   decodeSnapshot,
   emptyView,
-  encodeCommand,
   encodeSnapshot,
   lookupJob,
   type View,
@@ -97,9 +95,8 @@
         if (i === cut) {
           restored = decodeSnapshot(encodeSnapshot(restored)).unsafeCoerce();
         }
-        const decoded = decodeCommand(encodeCommand(one)).unsafeCoerce();
         const a = applyCommand(whole, one, i + 1);
-        const b = applyCommand(restored, decoded, i + 1);
+        const b = applyCommand(restored, one, i + 1);
         t.deepEqual(a.result, b.result);
       });
       t.deepEqual(showFull(restored), showFull(whole));
