--- /dev/null
+++ b/packages/cli/src/config-apply.ts
@@ -0,0 +1,180 @@
+import {randomUUID} from 'node:crypto';
+import {userInfo} from 'node:os';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Either, Right} from 'purify-ts';
+import {failUnreachable, type Instant, monotonicClock} from '#model';
+import type {ApplyConfigResult, ConfigStatus} from '#protocol';
+import {type ExitCode, exitCode} from '#telemetry';
+import {
+  computeCommandDeadline,
+  type Context,
+  type ControlOptions,
+  reportFailure,
+} from './command.js';
+import {printErrors, printResult} from './console.js';
+import {type RemoteFailure, requestLeader} from './control-client.js';
+import {reportSettingsErrors} from './settings-commands.js';
+import {readSource, type SourceFiles} from './source-files.js';
+
+export interface ApplyOptions extends ControlOptions, SourceFiles {
+  readonly expect?: number;
+  readonly changeId?: string;
+  readonly author?: string;
+  readonly wait?: boolean;
+}
+
+/** Asks what is in force. */
+export function fetchStatus(
+  options: ControlOptions,
+  deadline: Instant,
+): Promise<Either<RemoteFailure, ConfigStatus>> {
+  return requestLeader(
+    options.control,
+    'control.configStatus',
+    {},
+    deadline,
+    'idempotent',
+  );
+}
+
+/**
+ * Applies a configuration and prints the outcome. A change whose answer was lost is sent again
+ * under the same id until the time is up, so that it is accepted at most once.
+ */
+export async function applyConfig(
+  context: Context,
+  options: ApplyOptions,
+): Promise<ExitCode> {
+  const read = readSource(options);
+  if (read.isLeft()) {
+    return reportSettingsErrors(context, options, read.swap().orDefault([]));
+  }
+  if (options.changeId !== undefined && options.expect === undefined) {
+    printErrors(context.console, options, [
+      'a change that has an id must state --expect too',
+    ]);
+    return exitCode.usage;
+  }
+  const source = read.unsafeCoerce();
+  const deadline = computeCommandDeadline(options);
+  const expected = await chooseExpected(options, deadline);
+  if (expected.isLeft()) {
+    const failure = expected.swap().unsafeCoerce();
+    return reportFailure(context.console, options, {
+      ...failure,
+      kind: 'unreachable',
+    });
+  }
+  const change = {
+    changeId: options.changeId ?? randomUUID(),
+    expectedVersion: expected.unsafeCoerce(),
+    author: options.author ?? findUserName(),
+    source,
+  };
+  const result = await requestLeader(
+    options.control,
+    'control.applyConfig',
+    change,
+    deadline,
+    'idempotent',
+  );
+  return result.caseOf<Promise<ExitCode>>({
+    Left: async failure => {
+      if (failure.kind !== 'unanswered') {
+        return reportFailure(context.console, options, failure);
+      }
+      const again = `--change-id ${change.changeId} --expect ${change.expectedVersion}`;
+      return reportFailure(context.console, options, {
+        kind: 'unanswered',
+        detail: `${failure.detail}; to learn the outcome apply it again with ${again}`,
+      });
+    },
+    Right: answer =>
+      reportApplied(context, options, change.changeId, answer, deadline),
+  });
+}
+
+async function chooseExpected(
+  options: ApplyOptions,
+  deadline: Instant,
+): Promise<Either<RemoteFailure, number>> {
+  if (options.expect !== undefined) return Right(options.expect);
+  const status = await fetchStatus(options, deadline);
+  return status.map(({current}) => current.version);
+}
+
+function findUserName(): string {
+  try {
+    return userInfo().username;
+  } catch {
+    return 'unknown';
+  }
+}
+
+async function reportApplied(
+  {console}: Context,
+  options: ApplyOptions,
+  changeId: string,
+  result: ApplyConfigResult,
+  deadline: Instant,
+): Promise<ExitCode> {
+  switch (result.kind) {
+    case 'accepted': {
+      const inForce = options.wait
+        ? await awaitInForce(options, result.version, deadline)
+        : undefined;
+      printResult(
+        console,
+        options,
+        {...result, changeId, ...(inForce !== undefined && {inForce})},
+        () => renderAccepted(result.version, changeId, inForce),
+      );
+      return inForce === false ? exitCode.unknown : exitCode.ok;
+    }
+    case 'conflict':
+      printResult(
+        console,
+        options,
+        {...result, changeId},
+        ({version, winner, winnerChangeId}) =>
+          `conflict: version ${version} by ${winner} (change ${winnerChangeId}) got there first; look at "config diff" and apply again`,
+      );
+      return exitCode.conflict;
+    case 'invalid':
+      printErrors(console, options, result.errors);
+      return exitCode.settings;
+    default:
+      return failUnreachable(result);
+  }
+}
+
+function renderAccepted(
+  version: number,
+  changeId: string,
+  inForce: boolean | undefined,
+): string {
+  const accepted = `accepted: version ${version} (change ${changeId})`;
+  if (inForce === undefined) return accepted;
+  return inForce
+    ? `${accepted}, in force everywhere`
+    : `${accepted}, not yet reported in force everywhere; see "config status"`;
+}
+
+const pollIntervalMs = 200;
+
+/** Waits until every process reports the version; false when the deadline passes first. */
+async function awaitInForce(
+  options: ControlOptions,
+  version: number,
+  deadline: Instant,
+): Promise<boolean> {
+  while (monotonicClock.now() < deadline) {
+    const status = await fetchStatus(options, deadline);
+    const isEverywhere = status
+      .map(({processes}) => processes.every(each => each.version >= version))
+      .orDefault(false);
+    if (isEverywhere) return true;
+    await sleep(pollIntervalMs);
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/cli/src/job-commands.ts
@@ -0,0 +1,225 @@
+import {randomUUID} from 'node:crypto';
+import {type Command, InvalidArgumentError} from 'commander';
+import {computeDeadline, monotonicClock, type TaskSpec} from '#model';
+import {readText} from '#settings';
+import {type ExitCode, exitCode} from '#telemetry';
+import {
+  addEntryOptions,
+  computeCommandDeadline,
+  type Context,
+  parseCount,
+  type RemoteOptions,
+  reportFailure,
+  setAction,
+} from './command.js';
+import {type Console, printErrors, printResult} from './console.js';
+import {type EntryAnswer, requestEntry} from './entry-client.js';
+import {reportSettingsErrors} from './settings-commands.js';
+
+interface JobOptions extends RemoteOptions {
+  readonly entry: readonly string[];
+  readonly team: string;
+}
+
+interface SubmitOptions extends JobOptions {
+  readonly service: string;
+  readonly key?: string;
+  readonly deadlineMs: number;
+  readonly unrepeatable?: boolean;
+  readonly payload?: readonly unknown[];
+  readonly tasks?: string;
+}
+
+const defaultDeadlineMs = 5000;
+
+/** Adds `job submit`, `job get` and `job cancel`. */
+export function addJobCommands(program: Command, context: Context): void {
+  const group = program
+    .command('job')
+    .description('Submit jobs at an entry, look them up and cancel them');
+  const addJobOptions = (command: Command) =>
+    addEntryOptions(command).requiredOption(
+      '--team <name>',
+      'the team that the job belongs to',
+    );
+  setAction(
+    addJobOptions(
+      group
+        .command('submit')
+        .description(
+          'Submit a job and print its answer; waits until there is one',
+        ),
+    )
+      .requiredOption('--service <name>', 'the service that runs the tasks')
+      .option('--key <key>', 'the idempotency key; one is made up if absent')
+      .option(
+        '--deadline-ms <ms>',
+        'time for the whole job',
+        parseCount,
+        defaultDeadlineMs,
+      )
+      .option(
+        '--unrepeatable',
+        'keep the key for long, so that it never reruns',
+      )
+      .option('--payload <json>', 'a task; repeat it for others', collectJson)
+      .option('--tasks <file>', 'JSON array of {"payload", "expectedMs"}'),
+    context,
+    (options: SubmitOptions) => submitJob(context, options),
+  );
+  setAction(
+    addJobOptions(
+      group.command('get <key>').description('Look a job up by its key'),
+    ),
+    context,
+    (options: JobOptions, key) => askJob(context, options, 'GET', key),
+  );
+  setAction(
+    addJobOptions(
+      group.command('cancel <key>').description('Cancel a job by its key'),
+    ),
+    context,
+    (options: JobOptions, key) => askJob(context, options, 'DELETE', key),
+  );
+}
+
+function collectJson(
+  text: string,
+  before: readonly unknown[] = [],
+): readonly unknown[] {
+  try {
+    return [...before, JSON.parse(text)];
+  } catch (error) {
+    throw new InvalidArgumentError(`Not JSON: ${(error as Error).message}.`);
+  }
+}
+
+async function submitJob(
+  context: Context,
+  options: SubmitOptions,
+): Promise<ExitCode> {
+  const {console} = context;
+  const tasks = readTasks(context, options);
+  if (typeof tasks === 'number') return tasks;
+  const key = options.key ?? randomUUID();
+  const body = JSON.stringify({
+    deadlineMs: options.deadlineMs,
+    unrepeatable: options.unrepeatable ?? false,
+    tasks,
+  });
+  const answer = await requestEntry(
+    options.entry,
+    {
+      method: 'POST',
+      path: `/v1/services/${encodeURIComponent(options.service)}/jobs`,
+      headers: {'idempotency-key': key, 'wasabiring-team': options.team},
+      body,
+    },
+    computeDeadline(
+      monotonicClock.now(),
+      options.deadlineMs + options.timeoutMs,
+    ),
+  );
+  return answer.caseOf<ExitCode>({
+    Left: failure =>
+      reportFailure(console, options, {
+        ...failure,
+        detail: `${failure.detail}; the job's key is ${key}`,
+      }),
+    Right: found => reportAnswer(console, options, key, found),
+  });
+}
+
+function readTasks(
+  context: Context,
+  options: SubmitOptions,
+): readonly TaskSpec[] | ExitCode {
+  const stated = (options.payload ?? []).map(payload => ({payload}));
+  if (options.tasks === undefined) {
+    if (stated.length > 0) return stated;
+    printErrors(context.console, options, ['state --payload or --tasks']);
+    return exitCode.usage;
+  }
+  return readText(options.tasks, `tasks "${options.tasks}"`).caseOf<
+    readonly TaskSpec[] | ExitCode
+  >({
+    Left: errors => reportSettingsErrors(context, options, errors),
+    Right: text => {
+      const read = parseTasks(text);
+      if (read !== undefined) return [...stated, ...read];
+      printErrors(context.console, options, [
+        `tasks "${options.tasks}" holds no JSON array`,
+      ]);
+      return exitCode.usage;
+    },
+  });
+}
+
+function parseTasks(text: string): readonly TaskSpec[] | undefined {
+  try {
+    const tasks: unknown = JSON.parse(text);
+    return Array.isArray(tasks) ? tasks : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+async function askJob(
+  {console}: Context,
+  options: JobOptions,
+  method: 'GET' | 'DELETE',
+  key: string,
+): Promise<ExitCode> {
+  const answer = await requestEntry(
+    options.entry,
+    {
+      method,
+      path: `/v1/jobs/${encodeURIComponent(key)}`,
+      headers: {'wasabiring-team': options.team},
+    },
+    computeCommandDeadline(options),
+  );
+  return answer.caseOf<ExitCode>({
+    Left: failure => reportFailure(console, options, failure),
+    Right: found => reportAnswer(console, options, key, found),
+  });
+}
+
+function reportAnswer(
+  console: Console,
+  options: JobOptions,
+  key: string,
+  {body}: EntryAnswer,
+): ExitCode {
+  printResult(console, options, {key, ...body}, renderAnswer);
+  return chooseExitCode(body);
+}
+
+/** Gives the exit code for an answer's `status` and `reason`. */
+function chooseExitCode(body: EntryAnswer['body']): ExitCode {
+  switch (body.status) {
+    case 'complete':
+    case 'running':
+      return exitCode.ok;
+    case 'failed':
+      return body.reason === 'unknown' ? exitCode.unknown : exitCode.jobFailed;
+    case 'unknown':
+      return exitCode.unknown;
+    default:
+      return exitCode.remote;
+  }
+}
+
+function renderAnswer(answer: Readonly<Record<string, unknown>>): string {
+  const {key, status, results, ...others} = answer;
+  const lines = [`${String(status)}: job with key ${String(key)}`];
+  for (const [name, value] of Object.entries(others)) {
+    lines.push(`  ${name}: ${JSON.stringify(value)}`);
+  }
+  if (Array.isArray(results)) {
+    results.forEach((result, i) =>
+      lines.push(`  ${i}: ${JSON.stringify(result)}`),
+    );
+  }
+  return lines.join('\n');
+}
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,8 +1,14 @@
 import {Command, CommanderError} from 'commander';
 import type {SettingsFiles} from '#settings';
 import {type ExitCode, exitCode} from '#telemetry';
+import {addConfigCommands} from './config-commands.js';
 import {type Console} from './console.js';
+import {addDrainCommand} from './drain-command.js';
+import {addJobCommands} from './job-commands.js';
+import {addMemberCommands} from './member-commands.js';
 import {runRole} from './role.js';
+import {addSettingsCommands} from './settings-commands.js';
+import {addStatusCommand} from './status-command.js';
 import {version} from './version.js';
 
 /** Runs a command line, without the program's name; returns the exit code. */
@@ -30,7 +36,14 @@
     .version(version)
     .exitOverride()
     .configureOutput({writeOut: console.out, writeErr: console.err});
+  const context = {console, end};
   addRoleCommands(program, console, end);
+  addSettingsCommands(program, context);
+  addConfigCommands(program, context);
+  addJobCommands(program, context);
+  addStatusCommand(program, context);
+  addDrainCommand(program, context);
+  addMemberCommands(program, context);
   return program;
 }
 
--- /dev/null
+++ b/packages/cli/src/status-command.ts
@@ -0,0 +1,159 @@
+import type {Command} from 'commander';
+import type {Address, Instant} from '#model';
+import type {ControlStatus} from '#protocol';
+import {type ExitCode, exitCode} from '#telemetry';
+import {
+  addTimeoutOption,
+  collectAddress,
+  collectUrl,
+  computeCommandDeadline,
+  type Context,
+  type RemoteOptions,
+  setAction,
+} from './command.js';
+import {printErrors, printResult} from './console.js';
+import {requestOnce} from './control-client.js';
+import {requestEntry} from './entry-client.js';
+import {renderTable} from './table.js';
+
+interface StatusOptions extends RemoteOptions {
+  readonly control?: readonly Address[];
+  readonly entry?: readonly string[];
+}
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** One process's status, or why there is none. */
+type Report<Status> =
+  | {readonly kind: 'answered'; readonly at: string; readonly status: Status}
+  | {readonly kind: 'failed'; readonly at: string; readonly detail: string};
+
+interface SystemStatus {
+  readonly controls: ReadonlyArray<Report<ControlStatus>>;
+  readonly entries: ReadonlyArray<Report<Fields>>;
+}
+
+/** Adds `status`, which asks controls and entries how they are. */
+export function addStatusCommand(program: Command, context: Context): void {
+  const command = program
+    .command('status')
+    .description('Show controls, targets, entries and histograms')
+    .option('--control <address>', 'a control; repeat it', collectAddress)
+    .option('--entry <url>', 'an entry; repeat it', collectUrl);
+  setAction(addTimeoutOption(command), context, (options: StatusOptions) =>
+    showStatus(context, options),
+  );
+}
+
+async function showStatus(
+  {console}: Context,
+  options: StatusOptions,
+): Promise<ExitCode> {
+  const {control = [], entry = []} = options;
+  if (control.length + entry.length === 0) {
+    printErrors(console, options, ['state --control or --entry']);
+    return exitCode.usage;
+  }
+  const deadline = computeCommandDeadline(options);
+  const [controls, entries] = await Promise.all([
+    Promise.all(control.map(address => askControl(address, deadline))),
+    Promise.all(entry.map(url => askEntry(url, deadline))),
+  ]);
+  printResult(console, options, {controls, entries}, renderSystem);
+  const isWhole = [...controls, ...entries].every(
+    ({kind}) => kind === 'answered',
+  );
+  return isWhole ? exitCode.ok : exitCode.remote;
+}
+
+async function askControl(
+  address: Address,
+  deadline: Instant,
+): Promise<Report<ControlStatus>> {
+  const reply = await requestOnce(address, 'control.status', {}, deadline);
+  return reply.caseOf<Report<ControlStatus>>({
+    Left: ({detail}) => ({kind: 'failed', at: address, detail}),
+    Right: status => ({kind: 'answered', at: address, status}),
+  });
+}
+
+async function askEntry(
+  url: string,
+  deadline: Instant,
+): Promise<Report<Fields>> {
+  const query = {method: 'GET', path: '/v1/status'} as const;
+  const reply = await requestEntry([url], query, deadline);
+  return reply.caseOf<Report<Fields>>({
+    Left: ({detail}) => ({kind: 'failed', at: url, detail}),
+    Right: ({body}) => ({kind: 'answered', at: url, status: body}),
+  });
+}
+
+function renderSystem({controls, entries}: SystemStatus): string {
+  return [
+    ...controls.map(report => renderReport('control', report, renderControl)),
+    ...entries.map(report => renderReport('entry', report, renderEntry)),
+  ].join('\n\n');
+}
+
+function renderReport<Status>(
+  role: string,
+  report: Report<Status>,
+  render: (status: Status) => readonly string[],
+): string {
+  if (report.kind === 'failed') return `${role} ${report.at}: ${report.detail}`;
+  const lines = render(report.status).flatMap(text => text.split('\n'));
+  return [`${role} ${report.at}`, ...lines.map(line => `  ${line}`)].join('\n');
+}
+
+function renderControl(status: ControlStatus): readonly string[] {
+  const members = status.members.map(each => [
+    each.member,
+    each.address,
+    each.voter ? 'voter' : 'learner',
+    each.matchIndex,
+  ]);
+  const targets = status.targets.map(each => [
+    each.target,
+    each.service,
+    each.address,
+    each.place.failureDomain,
+    each.leaving ? 'leaving' : 'serving',
+  ]);
+  const entries = status.entries.map(each => [
+    each.entry,
+    each.epoch,
+    each.address,
+    each.place.failureDomain,
+  ]);
+  return [
+    `${status.member}: ${status.role} in term ${status.term}, committed ${status.commitIndex}, configuration ${status.configVersion}, jobs ${status.jobs}`,
+    renderTable(['MEMBER', 'ADDRESS', 'KIND', 'MATCH'], members),
+    renderTable(['TARGET', 'SERVICE', 'ADDRESS', 'DOMAIN', 'STATE'], targets),
+    renderTable(['ENTRY', 'EPOCH', 'ADDRESS', 'DOMAIN'], entries),
+  ];
+}
+
+const histogramColumns = [
+  'team',
+  'service',
+  'measure',
+  'count',
+  'p50',
+  'p90',
+  'p99',
+  'max',
+];
+
+function renderEntry(status: Fields): readonly string[] {
+  const {histograms, ...others} = status;
+  const lines = Object.entries(others).map(
+    ([key, value]) => `${key}: ${JSON.stringify(value)}`,
+  );
+  if (!Array.isArray(histograms)) return lines;
+  const rows = histograms.map((each: Fields) =>
+    histogramColumns.map(column => String(each?.[column] ?? '')),
+  );
+  const headers = histogramColumns.map(column => column.toUpperCase());
+  return [...lines, renderTable(headers, rows)];
+}
--- /dev/null
+++ b/packages/cli/test/config.test.ts
@@ -0,0 +1,178 @@
+import test from 'ava';
+import type {
+  ApplyConfigParams,
+  ApplyConfigResult,
+  ConfigStatus,
+} from '#protocol';
+import {run, serve} from './tool.js';
+
+const base = 'examples/base.toml';
+
+const status: ConfigStatus = {
+  current: {
+    version: 4,
+    changeId: 'change-4',
+    author: 'ama',
+    source: {base: '[services.tally]', overlays: {}},
+  },
+  history: [{version: 4, changeId: 'change-4', author: 'ama'}],
+  processes: [
+    {process: 'entry-1', role: 'entry', version: 4},
+    {process: 'agent-1', role: 'agent', version: 3},
+  ],
+};
+
+const answerStatus = () => ({kind: 'done', value: status}) as const;
+const answer = (value: ApplyConfigResult) => ({kind: 'done', value}) as const;
+
+test('apply builds on the version in force and says which one it became', async t => {
+  const changes: ApplyConfigParams[] = [];
+  const control = await serve(t, {
+    'control.configStatus': answerStatus,
+    'control.applyConfig': change => {
+      changes.push(change);
+      return answer({kind: 'accepted', version: 5});
+    },
+  });
+  const {code, out} = await run(
+    `config apply --base ${base} --overlay gilgit=examples/gilgit/overlay.toml --author bo --control ${control} --json`,
+  );
+  t.is(code, 0);
+  t.is(changes[0]?.expectedVersion, 4);
+  t.is(changes[0]?.author, 'bo');
+  t.deepEqual(Object.keys(changes[0]!.source.overlays), ['gilgit']);
+  t.deepEqual(JSON.parse(out), {
+    kind: 'accepted',
+    version: 5,
+    changeId: changes[0]?.changeId,
+  });
+});
+
+test('a change whose answer was lost is sent again under the same id', async t => {
+  const ids: string[] = [];
+  const control = await serve(t, {
+    'control.applyConfig': ({changeId}, peer) => {
+      ids.push(changeId);
+      if (ids.length === 1) peer.close('cut');
+      return answer({kind: 'accepted', version: 5});
+    },
+  });
+  const {code} = await run(
+    `config apply --base ${base} --expect 4 --control ${control}`,
+  );
+  t.is(code, 0);
+  t.is(ids.length, 2);
+  t.is(ids[0], ids[1]);
+});
+
+test('a change that is never answered ends as unknown and tells how to ask again', async t => {
+  const control = await serve(t, {
+    'control.applyConfig': (_change, peer) => {
+      peer.close('cut');
+      return answer({kind: 'accepted', version: 5});
+    },
+  });
+  const {code, err} = await run(
+    `config apply --base ${base} --expect 4 --change-id c1 --timeout-ms 300 --control ${control}`,
+  );
+  t.is(code, 7);
+  t.regex(err, /^unanswered: .*--change-id c1 --expect 4/);
+});
+
+test('a follower is left for the leader that it names', async t => {
+  const leader = await serve(t, {'control.configStatus': answerStatus});
+  const follower = await serve(t, {
+    'control.configStatus': () => ({kind: 'not-leader', leader}),
+  });
+  const {code, out} = await run(`config history --control ${follower}`);
+  t.is(code, 0);
+  t.regex(out, /^VERSION +AUTHOR +CHANGE\n4 +ama +change-4\n$/);
+});
+
+test('a replica that is down is passed over', async t => {
+  const control = await serve(t, {'control.configStatus': answerStatus});
+  const {code, out} = await run(
+    `config status --control 127.0.0.1:1 --control ${control}`,
+  );
+  t.is(code, 0);
+  t.regex(out, /agent-1 +agent +3 +behind/);
+});
+
+test('a lost race exits 8 and names the winner', async t => {
+  const control = await serve(t, {
+    'control.applyConfig': () =>
+      answer({
+        kind: 'conflict',
+        version: 5,
+        winner: 'ama',
+        winnerChangeId: 'change-5',
+      }),
+  });
+  const {code, out} = await run(
+    `config apply --base ${base} --expect 4 --control ${control}`,
+  );
+  t.is(code, 8);
+  t.regex(
+    out,
+    /^conflict: version 5 by ama \(change change-5\) got there first/,
+  );
+});
+
+test('a wrong file is refused before anything is sent', async t => {
+  const {code, err} = await run([
+    ...['config', 'apply', '--control', '127.0.0.1:1', '--expect', '1'],
+    ...['--base', 'examples/gilgit/overlay.toml', '--json'],
+  ]);
+  t.is(code, 3);
+  t.regex(
+    JSON.parse(err).errors[0],
+    /lacks key "teams.crossings.tasks_per_second"/,
+  );
+});
+
+test('a change id without the version that it builds on is a usage error', async t => {
+  const {code} = await run(
+    `config apply --base ${base} --change-id c --control 127.0.0.1:1`,
+  );
+  t.is(code, 2);
+});
+
+test('diff shows the changes of each site', async t => {
+  const control = await serve(t, {'control.configStatus': answerStatus});
+  const {code, out} = await run(
+    `config diff --base ${base} --overlay gilgit=examples/gilgit/overlay.toml --control ${control} --json`,
+  );
+  t.is(code, 0);
+  const {version, changes} = JSON.parse(out);
+  t.is(version, 4);
+  const [others, gilgit] = changes;
+  t.true(others.lines.includes('~ services.tally.max_task_ms = 10000 -> 5000'));
+  t.false(others.lines.includes('+ services.tally.placement = "credit"'));
+  t.true(gilgit.lines.includes('+ services.tally.placement = "credit"'));
+});
+
+test('a membership change is not sent twice when its answer is lost', async t => {
+  let sent = 0;
+  const control = await serve(t, {
+    'control.changeMembers': (_change, peer) => {
+      sent++;
+      peer.close('cut');
+      return {kind: 'done', value: {}};
+    },
+  });
+  const {code, err} = await run(`members promote c4 --control ${control}`);
+  t.is(code, 7);
+  t.regex(err, /see "status"/);
+  t.is(sent, 1);
+});
+
+test('what control refuses is printed and exits 5', async t => {
+  const control = await serve(t, {
+    'control.changeMembers': () => {
+      throw new Error('learner "c4" has not caught up');
+    },
+  });
+  const {code, err} = await run(`members promote c4 --control ${control}`);
+  t.is(code, 5);
+  t.regex(err, /^refused: .*has not caught up/);
+});
--- a/packages/settings/src/difference.ts
+++ b/packages/settings/src/difference.ts
@@ -1,5 +1,7 @@
 import type {Configuration, ServiceConfig, TeamConfig} from '#model';
-import {joinKey} from './value.js';
+import type {TomlTable} from './document.js';
+import {listTableKeys} from './listing.js';
+import {renderValue} from './value.js';
 
 /**
  * Lists what changes from one configuration to another, a line a key, sorted:
@@ -19,42 +21,37 @@
 
 function describeChange(
   key: string,
-  before: string | undefined,
-  after: string | undefined,
+  before: unknown,
+  after: unknown,
 ): readonly string[] {
   if (before === after) return [];
-  if (before === undefined) return [`+ ${key} = ${after}`];
-  if (after === undefined) return [`- ${key} = ${before}`];
-  return [`~ ${key} = ${before} -> ${after}`];
+  if (before === undefined) return [`+ ${key} = ${renderValue(after)}`];
+  if (after === undefined) return [`- ${key} = ${renderValue(before)}`];
+  return [`~ ${key} = ${renderValue(before)} -> ${renderValue(after)}`];
 }
 
-/** Lists every key of a configuration with its value as TOML writes it. */
+/** Lists every key of a configuration, as its TOML texts name it, with its value. */
 export function listKeys(
   configuration: Configuration,
-): ReadonlyMap<string, string> {
+): ReadonlyMap<string, unknown> {
   const {services, teams, limits} = configuration;
-  const tables: ReadonlyArray<readonly [string, TomlKeys]> = [
-    ['limits', toSnakeCase(limits)],
-    ...services.map(
-      service =>
-        [joinKey('services', service.name), listServiceKeys(service)] as const,
-    ),
-    ...teams.map(
-      team => [joinKey('teams', team.name), listTeamKeys(team)] as const,
-    ),
-  ];
   return new Map(
-    tables.flatMap(([table, keys]) =>
-      Object.entries(keys)
-        .filter(([, value]) => value !== undefined)
-        .map(([key, value]) => [`${table}.${key}`, JSON.stringify(value)]),
-    ),
+    listTableKeys({
+      limits: toSnakeCase(limits),
+      services: toNamed(services, listServiceKeys),
+      teams: toNamed(teams, listTeamKeys),
+    }),
   );
 }
 
-type TomlKeys = Readonly<Record<string, unknown>>;
+function toNamed<Each extends {readonly name: string}>(
+  all: readonly Each[],
+  list: (each: Each) => TomlTable,
+): TomlTable {
+  return Object.fromEntries(all.map(each => [each.name, list(each)]));
+}
 
-function listServiceKeys(service: ServiceConfig): TomlKeys {
+function listServiceKeys(service: ServiceConfig): TomlTable {
   const {placement, demand, maxTaskMs, maxPlacements} = service;
   return {
     objective: service.objective.kind,
@@ -62,18 +59,16 @@
     probes_per_task:
       placement?.kind === 'probe' ? placement.probesPerTask : undefined,
     ...toSnakeCase({maxTaskMs, maxPlacements}),
-    'demand.cores': demand.cores,
-    'demand.memory_mb': demand.memoryMb,
-    'demand.accelerators': demand.accelerators,
+    demand: toSnakeCase(demand),
   };
 }
 
-function listTeamKeys(team: TeamConfig): TomlKeys {
+function listTeamKeys(team: TeamConfig): TomlTable {
   const {homeRegion, tasksPerSecond, burstTasks, weight} = team;
   return toSnakeCase({homeRegion, tasksPerSecond, burstTasks, weight});
 }
 
-function toSnakeCase(fields: object): TomlKeys {
+function toSnakeCase(fields: object): TomlTable {
   return Object.fromEntries(
     Object.entries(fields).map(([key, value]) => [
       key.replace(/[A-Z]/g, letter => `_${letter.toLowerCase()}`),
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -18,7 +18,10 @@
   SettingsFiles,
   SettingsText,
 } from './load.js';
-export {loadProcessSettings, parseProcessSettings} from './load.js';
+export {loadProcessSettings, loadRole, parseProcessSettings} from './load.js';
+
+export type {KeyDescription} from './listing.js';
+export {describeKeys} from './listing.js';
 
 export {
   checkSource,
@@ -26,3 +29,5 @@
   parseConfiguration,
 } from './configuration.js';
 export {diffConfiguration, listKeys} from './difference.js';
+export {readText} from './document.js';
+export {renderValue} from './value.js';
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -1,4 +1,4 @@
-import {type Either, Left} from 'purify-ts';
+import {type Either, Left, Right} from 'purify-ts';
 import type {Capacity, ConfigurationSource} from '#model';
 import {checkDocument, completeTable} from './check.js';
 import {findConflicts, type WholeSettings} from './conflict.js';
@@ -13,12 +13,15 @@
 } from './document.js';
 import type {SettingsError} from './error.js';
 import {settingsShape} from './layout.js';
+import {listTableKeys} from './listing.js';
 import type {LeaseSettings, ProcessSettings, Role} from './process.js';
 
 /** A process's settings and the configuration that its files state. */
 export interface LoadedSettings<OneRole extends Role = Role> {
   readonly process: ProcessSettings<OneRole>;
   readonly configuration: ConfigurationSource;
+  /** Every process key that holds for the role, defaults included. */
+  readonly keys: ReadonlyMap<string, unknown>;
 }
 
 /** Where the settings of one process are written. */
@@ -38,20 +41,74 @@
   files: SettingsFiles,
   role: Kind,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
-  const origin = `settings "${files.settings}"`;
-  return readText(files.settings, origin).chain(settings => {
-    if (files.overlay === undefined) {
-      return parseProcessSettings({settings, origin}, undefined, role);
-    }
-    const overlayOrigin = `overlay "${files.overlay}"`;
-    return readText(files.overlay, overlayOrigin).chain(overlay =>
-      parseProcessSettings(
-        {settings, origin},
-        {settings: overlay, origin: overlayOrigin},
-        role,
-      ),
-    );
-  });
+  return readFiles(files).chain(({settings, overlay}) =>
+    parseProcessSettings(settings, overlay, role),
+  );
+}
+
+/** Tells which role a process's files are for: `process.role`, or the one role whose table they hold. */
+export function loadRole(
+  files: SettingsFiles,
+): Either<readonly SettingsError[], Role['kind']> {
+  return readFiles(files).chain(({settings, overlay}) =>
+    parsePart(settings)
+      .chain(base =>
+        overlay === undefined
+          ? Right(base.table)
+          : parsePart(overlay, base).map(over =>
+              mergeTables(base.table, over.table),
+            ),
+      )
+      .chain(table => findRole(table, settings.origin)),
+  );
+}
+
+const roleKinds = ['control', 'entry', 'agent'] as const;
+
+function findRole(
+  table: TomlTable,
+  origin: string,
+): Either<readonly SettingsError[], Role['kind']> {
+  const stated = isTable(table.process) ? table.process.role : undefined;
+  const candidates = roleKinds.filter(kind =>
+    stated === undefined ? isTable(table[kind]) : stated === kind,
+  );
+  if (candidates.length === 1) return Right(candidates[0]!);
+  return Left([
+    {
+      kind: 'missing-key',
+      origin,
+      key: 'process.role',
+      expected:
+        'one of "control", "entry", "agent", as the files do not hold the table of just one role',
+    },
+  ]);
+}
+
+interface FileTexts {
+  readonly settings: SettingsText;
+  readonly overlay?: SettingsText;
+}
+
+function readFiles(
+  files: SettingsFiles,
+): Either<readonly SettingsError[], FileTexts> {
+  const settings = readOne(files.settings, 'settings');
+  if (files.overlay === undefined) {
+    return settings.map(text => ({settings: text}));
+  }
+  const overlay = readOne(files.overlay, 'overlay');
+  return settings.chain(text =>
+    overlay.map(over => ({settings: text, overlay: over})),
+  );
+}
+
+function readOne(
+  file: string,
+  what: string,
+): Either<readonly SettingsError[], SettingsText> {
+  const origin = `${what} "${file}"`;
+  return readText(file, origin).map(settings => ({settings, origin}));
 }
 
 /** A settings text and the name by which errors call it. */
@@ -122,9 +179,19 @@
     .map(configuration => ({
       process: toProcess(whole, toRole(whole, role) as RoleOf<Kind>),
       configuration,
+      keys: listProcessKeys(whole, role),
     }));
 }
 
+function listProcessKeys(
+  whole: WholeSettings,
+  role: Role['kind'],
+): ReadonlyMap<string, unknown> {
+  const {process, leases, metrics} = whole;
+  const tables = {process, leases, metrics, [role]: whole[role]};
+  return new Map(listTableKeys(tables));
+}
+
 function toProcess<OneRole extends Role>(
   whole: WholeSettings,
   role: OneRole,
--- a/packages/settings/src/value.ts
+++ b/packages/settings/src/value.ts
@@ -40,3 +40,13 @@
     ? `${text.slice(0, maxShownLength)}…`
     : text;
 }
+
+/** Renders a value as TOML writes it. */
+export function renderValue(value: unknown): string {
+  if (Array.isArray(value)) return `[${value.map(renderValue).join(', ')}]`;
+  if (!isTable(value)) return JSON.stringify(value);
+  const fields = Object.entries(value).map(
+    ([key, field]) => `${joinKey('', key)} = ${renderValue(field)}`,
+  );
+  return `{${fields.join(', ')}}`;
+}
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -7,10 +7,15 @@
   level: string,
   role: string,
   id: string,
-  destination: DestinationStream = pino.destination({dest: 2, sync: true}),
+  destination: DestinationStream = openStandardError(),
 ): Logger {
   return pino(
     {level, base: {role, id}, timestamp: pino.stdTimeFunctions.isoTime},
     destination,
   );
 }
+
+/** A log that nobody reads any more must not stop the process. */
+function openStandardError(): DestinationStream {
+  return pino.destination({dest: 2, sync: true}).on('error', () => {});
+}
--- a/packages/telemetry/src/runtime.ts
+++ b/packages/telemetry/src/runtime.ts
@@ -24,6 +24,12 @@
   environment: 4,
   /** A remote process refused or could not be reached. */
   remote: 5,
+  /** The job was admitted and failed. */
+  jobFailed: 6,
+  /** Whether it was done is not known: ask again with the same key or change id. */
+  unknown: 7,
+  /** Another change of the configuration got there first. */
+  conflict: 8,
   brokenInvariant: 70,
 } as const;
 
