--- a/packages/control/src/replicated.ts
+++ b/packages/control/src/replicated.ts
@@ -18,7 +18,9 @@
       id,
       ...(role.join ? {} : {bootstrap: listFirstMembers(id, role, address)}),
       machine,
-      send,
+      send: (to, known, message) => {
+        if (known !== undefined) send(to, known, message);
+      },
       fail: error => fail(describeStoreError(error)),
       clock,
       seed: crc32(id),
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -11,16 +11,24 @@
   readonly timing: (name: string, ms: number, tags?: Tags) => void;
 }
 
+/** Takes every metric and sends none. */
+export const silentMetrics: Metrics = {
+  increment: () => {},
+  gauge: () => {},
+  timing: () => {},
+  [Symbol.asyncDispose]: () => Promise.resolve(),
+};
+
 /** Sends metrics by the StatsD protocol; without settings they go nowhere. */
 export function openMetrics(
   settings: MetricsSettings | undefined,
   tags: Tags,
 ): Metrics {
+  if (settings === undefined) return silentMetrics;
   const client = new StatsD({
-    mock: settings === undefined,
-    host: settings?.host,
-    port: settings?.port,
-    prefix: settings?.prefix,
+    host: settings.host,
+    port: settings.port,
+    prefix: settings.prefix,
     globalTags: {...tags},
     errorHandler: () => {},
     maxBufferSize: 1400,
