Start a job again only by the ticket of an admission whose answer was lost

Cause: an entry that had forgotten a job of its own epoch could not tell its record from one whose answer it had never seen, and control admitted a second request of the same epoch again, so that a resubmission after the retention at the entry started every task a second time. Ruled out: tombstones at the entry, which would have to outlive control's record by two different clocks. Each request for admission carries a ticket that the record keeps (4 bytes); only a ticket still unanswered may start.

--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -11,6 +11,7 @@
     epoch,
     tasks: 3,
     unrepeatable: false,
+    ticket: 0,
     keepMs: 60_000,
   };
 }
--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -28,6 +28,8 @@
 export interface DeskOwner {
   readonly clock: Clock;
   readonly log: Logger;
+  /** The epoch held, perhaps past its lease. */
+  readonly getEpoch: () => Epoch | undefined;
   readonly getStartingEpoch: () => Epoch | undefined;
   readonly getKeepMs: (unrepeatable: boolean) => number;
   readonly getMaxPlacements: (submission: Submission) => number;
@@ -54,12 +56,14 @@
 }
 
 const retryPauseMs = 100;
+const ticketLimit = 2 ** 32;
 
 /** Takes in jobs: at most one execution a job in this process, and one owner among all. */
 export class Desk {
   private readonly executions = new Map<JobId, Execution>();
-  /** Jobs whose admission was asked for and which have not started here. */
-  private readonly unconfirmed = new Set<JobId>();
+  /** Requests for admission whose answer was not seen, by job, by ticket; none of the job started here. */
+  private readonly unconfirmed = new Map<JobId, Set<number>>();
+  private nextTicket = 0;
   /** Jobs of ended epochs that this process has continued; never a second time. */
   private readonly resumed = new Set<JobId>();
 
@@ -133,6 +137,7 @@
 
   /** The epoch is over: its jobs are answered by whoever owns them now. */
   relinquish(): void {
+    this.unconfirmed.clear();
     for (const execution of this.listUnanswered()) {
       if (execution.isOver) continue;
       execution.detach();
@@ -197,8 +202,13 @@
     const keepMs =
       computeRemainingMs(this.owner.clock.now(), deadline) +
       this.owner.getKeepMs(submission.unrepeatable);
-    this.unconfirmed.add(submission.job);
-    const result = await this.registrar.admit(submission, epoch, keepMs);
+    const ticket = this.issueTicket(submission.job);
+    const result = await this.registrar.admit(
+      submission,
+      epoch,
+      ticket,
+      keepMs,
+    );
     if (execution.isOver) return;
     if (result === undefined) {
       await this.resolveElsewhere(execution, 'admission-unconfirmed');
@@ -219,6 +229,15 @@
     }
   }
 
+  private issueTicket(job: JobId): number {
+    const ticket = this.nextTicket;
+    this.nextTicket = (this.nextTicket + 1) % ticketLimit;
+    const tickets = this.unconfirmed.get(job) ?? new Set();
+    this.unconfirmed.set(job, tickets.add(ticket));
+    return ticket;
+  }
+
+  /** From here on no ticket of the job starts it again. */
   private startConfirmed(execution: Execution): void {
     this.unconfirmed.delete(execution.job.submission.job);
     this.owner.start(execution);
@@ -253,6 +272,9 @@
     standing: AdmittedJob,
   ): Promise<void> {
     const {submission, deadline} = execution.job;
+    if (standing.epoch !== this.owner.getEpoch()) {
+      this.unconfirmed.delete(submission.job);
+    }
     if (standing.digest !== submission.digest) {
       execution.resolve(refuseReusedKey(submission.job));
       return;
@@ -277,7 +299,8 @@
   ): Promise<void> {
     const {submission, deadline} = execution.job;
     if (standing.epoch === standing.owner) {
-      if (this.unconfirmed.has(submission.job)) this.startConfirmed(execution);
+      const tickets = this.unconfirmed.get(submission.job);
+      if (tickets?.has(standing.ticket)) this.startConfirmed(execution);
       else this.lose(execution, 'answer-expired', 'the answer is forgotten');
       return;
     }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -85,6 +85,7 @@
       {
         clock,
         log,
+        getEpoch: () => this.lease.epoch,
         getStartingEpoch: () => this.lease.startingEpoch,
         getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
         getMaxPlacements: submission => this.getMaxPlacements(submission),
--- a/packages/entry/src/registrar.ts
+++ b/packages/entry/src/registrar.ts
@@ -33,6 +33,7 @@
   admit(
     submission: Submission,
     epoch: Epoch,
+    ticket: number,
     keepMs: number,
   ): Promise<AdmitResult | undefined> {
     return this.admissions.add({
@@ -41,6 +42,7 @@
       epoch,
       tasks: submission.tasks.length,
       unrepeatable: submission.unrepeatable,
+      ticket,
       keepMs,
     });
   }
--- /dev/null
+++ b/packages/entry/test/heir.test.ts
@@ -0,0 +1,40 @@
+import test from 'ava';
+import type {AdmittedJob} from '#protocol';
+import {isUnreportedSafe, listInherited} from '../src/heir.js';
+
+const standing: AdmittedJob = {
+  digest: 'd',
+  tasks: 1,
+  unrepeatable: false,
+  epoch: 1,
+  owner: 3,
+  revision: 50,
+  ticket: 0,
+};
+const whole = {tasks: new Map(), silent: []};
+
+test('an heir inherits through every heir between', t => {
+  const ended = [
+    {entry: 'a', epoch: 1, heir: 2},
+    {entry: 'b', epoch: 2, heir: 5},
+    {entry: 'c', epoch: 3, heir: 4},
+    {entry: 'd', epoch: 6},
+  ];
+  t.deepEqual(listInherited(ended, 5), [1, 2]);
+  t.deepEqual(listInherited(ended, 4), [3]);
+});
+
+test('an unreported task may start when every agent answered', t => {
+  t.true(isUnreportedSafe(whole, [], standing));
+});
+
+test('a silent agent forbids to start what nobody reported', t => {
+  t.false(isUnreportedSafe({...whole, silent: ['t1']}, [], standing));
+});
+
+test('an agent that went after the admission forbids it, an earlier one does not', t => {
+  const gone = (revision: number) => [{target: 't1', incarnation: 1, revision}];
+  t.false(isUnreportedSafe(whole, gone(50), standing));
+  t.false(isUnreportedSafe(whole, gone(60), standing));
+  t.true(isUnreportedSafe(whole, gone(49), standing));
+});
--- a/packages/membership/src/admissions.ts
+++ b/packages/membership/src/admissions.ts
@@ -9,18 +9,21 @@
   readonly unrepeatable: boolean;
   /** The log index of the admission. */
   readonly revision: number;
+  /** The entry's number of its request, 32 bits. */
+  readonly ticket: number;
   /** Log time in whole seconds from which the record may be forgotten. */
   readonly expirySecond: number;
 }
 
 const idBytes = 16;
 const revisionBytes = 6;
-/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second, revision. */
-const recordBytes = 2 * idBytes + 3 * 4 + revisionBytes;
+/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second, revision, ticket. */
+const recordBytes = 2 * idBytes + 3 * 4 + revisionBytes + 4;
 const epochOffset = 2 * idBytes;
 const tasksOffset = epochOffset + 4;
 const expiryOffset = tasksOffset + 4;
 const revisionOffset = expiryOffset + 4;
+const ticketOffset = revisionOffset + revisionBytes;
 const unrepeatableBit = 0x80000000;
 const recordsPerChunk = 8192;
 const none = -1;
@@ -45,7 +48,7 @@
 }
 
 /**
- * Admitted jobs by id, in flat memory: 58 bytes a record and 4 to 8 of index.
+ * Admitted jobs by id, in flat memory: 62 bytes a record and 4 to 8 of index.
  * Records that expire in one second form a list, so that forgetting costs only what is forgotten.
  */
 export class AdmissionTable {
@@ -103,6 +106,7 @@
     const second = Math.max(record.expirySecond, this.forgottenSecond + 1);
     records.writeUInt32LE(second, pos + expiryOffset);
     records.writeUIntLE(record.revision, pos + revisionOffset, revisionBytes);
+    records.writeUInt32LE(record.ticket, pos + ticketOffset);
     this.linkRecord(slot);
   }
 
@@ -340,6 +344,7 @@
     tasks: tasks % unrepeatableBit,
     unrepeatable: tasks >= unrepeatableBit,
     revision: bytes.readUIntLE(pos + revisionOffset, revisionBytes),
+    ticket: bytes.readUInt32LE(pos + ticketOffset),
     expirySecond: bytes.readUInt32LE(pos + expiryOffset),
   };
 }
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -170,13 +170,16 @@
   return {result: {kind: 'admitted', results}, changes: []};
 }
 
-/** A resend by the epoch that owns the record is admitted again; nobody else ever is. */
+/** A resend of the request that made the record is admitted again; nothing else ever is. */
 function admitJob(state: ControlState, admission: Admission): AdmitResult {
-  const {job, digest, epoch, tasks, unrepeatable, keepMs} = admission;
+  const {job, digest, epoch, tasks, unrepeatable, ticket, keepMs} = admission;
   if (!state.epochs.live.has(epoch)) return {kind: 'ended'};
   const known = state.admissions.find(job);
   if (known !== undefined) {
-    const resent = known.epoch === epoch && known.digest === digest;
+    const resent =
+      known.epoch === epoch &&
+      known.ticket === ticket &&
+      known.digest === digest;
     if (resent) return {kind: 'admitted'};
     return {kind: 'exists', standing: describeStanding(state, known)};
   }
@@ -189,6 +192,7 @@
     tasks,
     unrepeatable,
     revision,
+    ticket,
     expirySecond,
   });
   return {kind: 'admitted'};
@@ -196,11 +200,19 @@
 
 function describeStanding(
   state: ControlState,
-  {digest, tasks, unrepeatable, epoch, revision}: AdmissionRecord,
+  {digest, tasks, unrepeatable, epoch, revision, ticket}: AdmissionRecord,
 ): AdmittedJob {
   const owner = resolveOwner(state.epochs, epoch);
   const address = state.epochs.live.get(owner)?.info.address;
-  const standing = {digest, tasks, unrepeatable, epoch, owner, revision};
+  const standing = {
+    digest,
+    tasks,
+    unrepeatable,
+    epoch,
+    owner,
+    revision,
+    ticket,
+  };
   return address === undefined ? standing : {...standing, address};
 }
 
--- a/packages/membership/test/builders.ts
+++ b/packages/membership/test/builders.ts
@@ -27,6 +27,7 @@
   epoch,
   tasks: 1,
   unrepeatable: false,
+  ticket: 0,
   keepMs,
 });
 
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -129,6 +129,7 @@
   epoch: count,
   tasks: count,
   unrepeatable: boolean,
+  ticket: count,
   keepMs: span,
 });
 const goneTarget = Codec.interface({
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -219,6 +219,8 @@
   readonly epoch: Epoch;
   readonly tasks: number;
   readonly unrepeatable: boolean;
+  /** Tells the requests of one epoch apart: a 32-bit count. */
+  readonly ticket: number;
   /** Until the record may be forgotten, in ms. */
   readonly keepMs: number;
 }
@@ -246,6 +248,12 @@
   readonly address?: Address;
   /** The log index of the admission. */
   readonly revision: number;
+  /**
+   * The ticket of the request that made the record. By it an entry tells a
+   * record whose answer it never saw, and may start, from one that it started
+   * and has forgotten.
+   */
+  readonly ticket: number;
 }
 
 export interface LookupParams {
