--- a/packages/storage/src/host.ts
+++ b/packages/storage/src/host.ts
@@ -1,5 +1,5 @@
 import {Packr} from 'msgpackr';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {mersenne} from 'pure-rand/generator/mersenne';
 import {Either} from 'purify-ts';
 import {
   type Address,
@@ -71,7 +71,8 @@
         id,
         timing: options.timing ?? defaultTiming,
         bounds: options.bounds ?? defaultBounds,
-        random: xoroshiro128plus(seed),
+        // Its first values differ also for neighbouring seeds: replicas must not stand at once.
+        random: mersenne(seed),
       },
       store.recovered,
       clock.now(),
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -17,3 +17,11 @@
 
 export type {Disk, DiskFile} from './disk.js';
 export {nodeDisk} from './disk.js';
+
+export type {
+  CommitFigures,
+  CommitLoad,
+  CommitMeasurement,
+  CommitMode,
+} from './measure.js';
+export {measureCommits} from './measure.js';
