--- a/packages/cli/src/config-apply.ts
+++ b/packages/cli/src/config-apply.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Either, Right} from 'purify-ts';
 import {failUnreachable, type Instant, monotonicClock} from '#model';
-import type {ApplyConfigResult, ConfigStatus} from '#protocol';
+import type {ApplyConfigResult} from '#protocol';
 import {type ExitCode, exitCode} from '#telemetry';
 import {
   computeCommandDeadline,
@@ -13,6 +13,7 @@
 } from './command.js';
 import {printErrors, printResult} from './console.js';
 import {type RemoteFailure, requestLeader} from './control-client.js';
+import {fetchConfigStatus, fetchInForce} from './config-status.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {readSource, type SourceFiles} from './source-files.js';
 
@@ -23,20 +24,6 @@
   readonly wait?: boolean;
 }
 
-/** Asks what is in force. */
-export function fetchStatus(
-  options: ControlOptions,
-  deadline: Instant,
-): Promise<Either<RemoteFailure, ConfigStatus>> {
-  return requestLeader(
-    options.control,
-    'control.configStatus',
-    {},
-    deadline,
-    'idempotent',
-  );
-}
-
 /**
  * Applies a configuration and prints the outcome. A change whose answer was lost is sent again
  * under the same id until the time is up, so that it is accepted at most once.
@@ -99,7 +86,7 @@
   deadline: Instant,
 ): Promise<Either<RemoteFailure, number>> {
   if (options.expect !== undefined) return Right(options.expect);
-  const status = await fetchStatus(options, deadline);
+  const status = await fetchConfigStatus(options, deadline);
   return status.map(({current}) => current.version);
 }
 
@@ -169,9 +156,11 @@
   deadline: Instant,
 ): Promise<boolean> {
   while (monotonicClock.now() < deadline) {
-    const status = await fetchStatus(options, deadline);
+    const status = await fetchInForce(options, deadline);
     const isEverywhere = status
-      .map(({processes}) => processes.every(each => each.version >= version))
+      .map(({processes}) =>
+        processes.every(each => (each.version ?? -1) >= version),
+      )
       .orDefault(false);
     if (isEverywhere) return true;
     await sleep(pollIntervalMs);
--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -1,6 +1,5 @@
 import type {Command} from 'commander';
-import type {ConfigurationSource} from '#model';
-import type {ConfigStatus} from '#protocol';
+import type {ConfigurationSource, VersionedSource} from '#model';
 import {
   describeSettingsError,
   diffConfiguration,
@@ -18,7 +17,12 @@
   setAction,
 } from './command.js';
 import {printResult} from './console.js';
-import {type ApplyOptions, applyConfig, fetchStatus} from './config-apply.js';
+import {type ApplyOptions, applyConfig} from './config-apply.js';
+import {
+  fetchConfigStatus,
+  fetchInForce,
+  type InForce,
+} from './config-status.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {
   addSourceOptions,
@@ -67,7 +71,7 @@
       group.command('status').description('Show what is in force where'),
     ),
     context,
-    (options: ControlOptions) => showStatus(context, options, renderStatus),
+    (options: ControlOptions) => showStatus(context, options),
   );
   setAction(
     addControlOptions(
@@ -113,7 +117,10 @@
     return reportSettingsErrors(context, options, read.swap().orDefault([]));
   }
   const source = read.unsafeCoerce();
-  const status = await fetchStatus(options, computeCommandDeadline(options));
+  const status = await fetchConfigStatus(
+    options,
+    computeCommandDeadline(options),
+  );
   return status.caseOf<ExitCode>({
     Left: failure => reportFailure(context.console, options, failure),
     Right: ({current}) => {
@@ -175,24 +182,23 @@
 async function showStatus(
   {console}: Context,
   options: ControlOptions,
-  render: (status: ConfigStatus) => string,
 ): Promise<ExitCode> {
-  const status = await fetchStatus(options, computeCommandDeadline(options));
+  const status = await fetchInForce(options, computeCommandDeadline(options));
   return status.caseOf<ExitCode>({
     Left: failure => reportFailure(console, options, failure),
     Right: found => {
-      printResult(console, options, found, render);
+      printResult(console, options, found, renderStatus);
       return exitCode.ok;
     },
   });
 }
 
-function renderStatus({current, processes}: ConfigStatus): string {
+function renderStatus({current, processes}: InForce): string {
   const rows = processes.map(({process, role, version}) => [
     process,
     role,
-    version,
-    version < current.version ? 'behind' : 'in force',
+    version ?? '-',
+    describeStanding(version, current.version),
   ]);
   return [
     `version ${current.version} by ${current.author} (change ${current.changeId})`,
@@ -200,11 +206,22 @@
   ].join('\n');
 }
 
+function describeStanding(
+  version: number | undefined,
+  current: number,
+): string {
+  if (version === undefined) return 'not reported';
+  return version < current ? 'behind' : 'in force';
+}
+
 async function showHistory(
   {console}: Context,
   options: ControlOptions,
 ): Promise<ExitCode> {
-  const status = await fetchStatus(options, computeCommandDeadline(options));
+  const status = await fetchConfigStatus(
+    options,
+    computeCommandDeadline(options),
+  );
   return status.caseOf<ExitCode>({
     Left: failure => reportFailure(console, options, failure),
     Right: ({history}) => {
@@ -223,7 +240,10 @@
   {console}: Context,
   options: ControlOptions,
 ): Promise<ExitCode> {
-  const status = await fetchStatus(options, computeCommandDeadline(options));
+  const status = await fetchConfigStatus(
+    options,
+    computeCommandDeadline(options),
+  );
   return status.caseOf<ExitCode>({
     Left: failure => reportFailure(console, options, failure),
     Right: ({current}) => {
@@ -233,7 +253,7 @@
   });
 }
 
-function renderSource({source, version}: ConfigStatus['current']): string {
+function renderSource({source, version}: VersionedSource): string {
   const overlays = Object.entries(source.overlays).map(
     ([site, text]) => `# overlay "${site}"\n${text}`,
   );
--- /dev/null
+++ b/packages/cli/src/config-status.ts
@@ -0,0 +1,69 @@
+import type {Either} from 'purify-ts';
+import type {Instant, VersionedSource} from '#model';
+import type {ConfigStatus, ControlStatus, ProcessConfigStatus} from '#protocol';
+import type {ControlOptions} from './command.js';
+import {
+  type RemoteFailure,
+  requestAnyStatus,
+  requestLeader,
+} from './control-client.js';
+
+/** A process and the version that it has in force; unset while it has not reported to the leader. */
+export interface ProcessVersion extends Omit<ProcessConfigStatus, 'version'> {
+  readonly version?: number;
+}
+
+/** What is in force where. */
+export interface InForce {
+  readonly current: VersionedSource;
+  /** Every process that control knows, also one that has not reported. */
+  readonly processes: readonly ProcessVersion[];
+}
+
+/** Asks the leader what was accepted. */
+export function fetchConfigStatus(
+  options: ControlOptions,
+  deadline: Instant,
+): Promise<Either<RemoteFailure, ConfigStatus>> {
+  return requestLeader(
+    options.control,
+    'control.configStatus',
+    {},
+    deadline,
+    'idempotent',
+  );
+}
+
+/** Asks the leader what is in force where, and a replica which processes there are. */
+export async function fetchInForce(
+  options: ControlOptions,
+  deadline: Instant,
+): Promise<Either<RemoteFailure, InForce>> {
+  const status = await fetchConfigStatus(options, deadline);
+  if (status.isLeft()) return status;
+  const known = await requestAnyStatus(options.control, deadline);
+  return status.chain(found =>
+    known.map(system => ({
+      current: found.current,
+      processes: mergeKnown(found, system),
+    })),
+  );
+}
+
+function mergeKnown(
+  {processes}: ConfigStatus,
+  {members, entries, targets}: ControlStatus,
+): readonly ProcessVersion[] {
+  const known: readonly ProcessVersion[] = [
+    ...members.map(({member}) => ({process: member, role: 'control'}) as const),
+    ...entries.map(({entry}) => ({process: entry, role: 'entry'}) as const),
+    ...targets.map(({target}) => ({process: target, role: 'agent'}) as const),
+  ];
+  const silent = known.filter(
+    each =>
+      !processes.some(
+        ({process, role}) => process === each.process && role === each.role,
+      ),
+  );
+  return [...processes, ...silent];
+}
--- a/packages/cli/src/control-client.ts
+++ b/packages/cli/src/control-client.ts
@@ -3,16 +3,19 @@
 import {
   type Address,
   computeRemainingMs,
+  failUnreachable,
   type Instant,
   monotonicClock,
 } from '#model';
 import {
   type ControlReply,
+  type ControlStatus,
   dialPeer,
   type NotLeader,
   type ParamsOf,
   type RequestName,
   type ResultOf,
+  type RpcFailure,
 } from '#protocol';
 
 /** Why a request to another process has no result. */
@@ -55,33 +58,28 @@
     Right: async peer => {
       const result = await peer.request(method, params, deadline);
       peer.close('done');
-      return result.mapLeft(failure => {
-        switch (failure.kind) {
-          case 'rejected':
-            return {
-              kind: 'refused',
-              detail: `${address}: ${failure.detail}`,
-            };
-          case 'timeout':
-            return {
-              kind: 'unanswered',
-              detail: `${address}: no answer in time`,
-            };
-          case 'disconnected':
-            return {
-              kind: 'unanswered',
-              detail: `${address}: ${failure.detail}`,
-            };
-        }
-      });
+      return result.mapLeft(failure => describeFailure(address, failure));
     },
   });
 }
 
+function describeFailure(address: Address, failure: RpcFailure): RemoteFailure {
+  switch (failure.kind) {
+    case 'rejected':
+      return {kind: 'refused', detail: `${address}: ${failure.detail}`};
+    case 'timeout':
+      return {kind: 'unanswered', detail: `${address}: no answer in time`};
+    case 'disconnected':
+      return {kind: 'unanswered', detail: `${address}: ${failure.detail}`};
+    default:
+      return failUnreachable(failure);
+  }
+}
+
 /**
  * Asks the leader of the control group: tries the replicas in turn, follows their word on who
- * leads, and goes on until the deadline. A request whose answer was lost is sent again only
- * when it is idempotent.
+ * leads, and goes on until the deadline. A request that may have been done without an answer
+ * is sent again only when it is idempotent.
  */
 export async function requestLeader<Name extends LeaderRequest>(
   addresses: readonly Address[],
@@ -91,60 +89,87 @@
   resend: Resend,
 ): Promise<Either<RemoteFailure, LeaderValue<Name>>> {
   let failure: RemoteFailure = {kind: 'unreachable', detail: 'no time left'};
-  let wasSent = false;
+  let maybeDone = false;
   let hint: Address | undefined;
   for (let turn = 0; hasTime(deadline);) {
     const address: Address = hint ?? addresses[turn++ % addresses.length]!;
-    const followed = hint !== undefined;
-    hint = undefined;
-    const reply: Either<RemoteFailure, ResultOf<Name>> = await requestOnce(
+    const outcome: Outcome<Name> = await askReplica(
       address,
       method,
       params,
-      Math.min(deadline, monotonicClock.now() + attemptMs),
+      deadline,
     );
-    const outcome = readReply<Name>(address, reply);
     if (outcome.kind === 'done') return Right(outcome.value);
-    if (outcome.kind === 'redirected') {
-      failure = {
-        kind: 'unreachable',
-        detail: `${address} does not lead and knows ${outcome.leader ?? 'no leader'}`,
-      };
-      if (!followed) hint = outcome.leader;
-    } else {
-      failure = outcome.failure;
-      wasSent ||= failure.kind === 'unanswered';
-      if (failure.kind === 'refused') break;
-      if (wasSent && resend === 'once') break;
-    }
+    failure = outcome.failure;
+    maybeDone ||= failure.kind === 'unanswered';
+    if (failure.kind === 'refused' || (maybeDone && resend === 'once')) break;
+    hint = hint === undefined ? outcome.leader : undefined;
     if (hint === undefined) await sleep(pauseMs);
   }
-  return Left(wasSent ? {...failure, kind: 'unanswered'} : failure);
+  return Left(maybeDone ? {...failure, kind: 'unanswered'} : failure);
 }
 
 type Outcome<Name extends LeaderRequest> =
   | {readonly kind: 'done'; readonly value: LeaderValue<Name>}
-  | {readonly kind: 'redirected'; readonly leader?: Address}
-  | {readonly kind: 'failed'; readonly failure: RemoteFailure};
+  | {
+      readonly kind: 'failed';
+      readonly failure: RemoteFailure;
+      /** Who leads, by the word of the replica that was asked. */
+      readonly leader?: Address;
+    };
 
-function readReply<Name extends LeaderRequest>(
+async function askReplica<Name extends LeaderRequest>(
   address: Address,
-  reply: Either<RemoteFailure, ResultOf<Name>>,
-): Outcome<Name> {
+  method: Name,
+  params: ParamsOf<Name>,
+  deadline: Instant,
+): Promise<Outcome<Name>> {
+  const attemptDeadline = Math.min(deadline, monotonicClock.now() + attemptMs);
+  const reply = await requestOnce(address, method, params, attemptDeadline);
   return reply.caseOf<Outcome<Name>>({
     Left: failure => ({kind: 'failed', failure}),
     Right: result => {
-      const known = result as ControlReply<LeaderValue<Name>> | undefined;
-      if (known?.kind === 'done') return {kind: 'done', value: known.value};
-      const {leader} = (known ?? {}) as Partial<NotLeader>;
-      return {
-        kind: 'redirected',
-        ...(leader !== undefined && leader !== address && {leader}),
-      };
+      const known = result as ControlReply<LeaderValue<Name>>;
+      return known.kind === 'done' ? known : describeRedirect(address, known);
     },
   });
 }
 
+function describeRedirect(
+  address: Address,
+  {leader, maybeApplied}: NotLeader,
+): {readonly kind: 'failed'; readonly failure: RemoteFailure} {
+  const detail = `${address} does not lead and knows ${leader ?? 'no leader'}`;
+  return {
+    kind: 'failed',
+    failure: {kind: maybeApplied ? 'unanswered' : 'unreachable', detail},
+    ...(leader !== undefined && leader !== address && {leader}),
+  };
+}
+
 function hasTime(deadline: Instant): boolean {
   return computeRemainingMs(monotonicClock.now(), deadline) > 0;
 }
+
+/** Asks the replicas in turn for a status, which each of them answers; fails with the last one's failure. */
+export async function requestAnyStatus(
+  addresses: readonly Address[],
+  deadline: Instant,
+): Promise<Either<RemoteFailure, ControlStatus>> {
+  let failure: RemoteFailure = {kind: 'unreachable', detail: 'no control'};
+  for (const address of addresses) {
+    const attemptDeadline = Math.min(
+      deadline,
+      monotonicClock.now() + attemptMs,
+    );
+    const reply = await requestOnce(
+      address,
+      'control.status',
+      {},
+      attemptDeadline,
+    );
+    if (reply.isRight()) return reply;
+    failure = reply.swap().unsafeCoerce();
+  }
+  return Left(failure);
+}
--- a/packages/cli/test/config.test.ts
+++ b/packages/cli/test/config.test.ts
@@ -3,6 +3,7 @@
   ApplyConfigParams,
   ApplyConfigResult,
   ConfigStatus,
+  ControlStatus,
 } from '#protocol';
 import {run, serve} from './tool.js';
 
@@ -22,6 +23,12 @@
   ],
 };
 
+const system = {
+  members: [{member: 'control-1'}],
+  entries: [{entry: 'entry-1'}],
+  targets: [{target: 'agent-1'}],
+} as unknown as ControlStatus;
+
 const answerStatus = () => ({kind: 'done', value: status}) as const;
 const answer = (value: ApplyConfigResult) => ({kind: 'done', value}) as const;
 
@@ -29,6 +36,7 @@
   const changes: ApplyConfigParams[] = [];
   const control = await serve(t, {
     'control.configStatus': answerStatus,
+    'control.status': () => system,
     'control.applyConfig': change => {
       changes.push(change);
       return answer({kind: 'accepted', version: 5});
@@ -80,9 +88,13 @@
 });
 
 test('a follower is left for the leader that it names', async t => {
-  const leader = await serve(t, {'control.configStatus': answerStatus});
+  const leader = await serve(t, {
+    'control.configStatus': answerStatus,
+    'control.status': () => system,
+  });
   const follower = await serve(t, {
     'control.configStatus': () => ({kind: 'not-leader', leader}),
+    'control.status': () => system,
   });
   const {code, out} = await run(`config history --control ${follower}`);
   t.is(code, 0);
@@ -90,12 +102,16 @@
 });
 
 test('a replica that is down is passed over', async t => {
-  const control = await serve(t, {'control.configStatus': answerStatus});
+  const control = await serve(t, {
+    'control.configStatus': answerStatus,
+    'control.status': () => system,
+  });
   const {code, out} = await run(
     `config status --control 127.0.0.1:1 --control ${control}`,
   );
   t.is(code, 0);
   t.regex(out, /agent-1 +agent +3 +behind/);
+  t.regex(out, /control-1 +control +- +not reported/);
 });
 
 test('a lost race exits 8 and names the winner', async t => {
@@ -138,7 +154,10 @@
 });
 
 test('diff shows the changes of each site', async t => {
-  const control = await serve(t, {'control.configStatus': answerStatus});
+  const control = await serve(t, {
+    'control.configStatus': answerStatus,
+    'control.status': () => system,
+  });
   const {code, out} = await run(
     `config diff --base ${base} --overlay gilgit=examples/gilgit/overlay.toml --control ${control} --json`,
   );
@@ -166,6 +185,42 @@
   t.is(sent, 1);
 });
 
+test('a membership change that may be in the log is not sent to the next leader', async t => {
+  let sent = 0;
+  const control = await serve(t, {
+    'control.changeMembers': () => {
+      sent++;
+      return {kind: 'not-leader', maybeApplied: true};
+    },
+  });
+  const {code} = await run(`members remove c4 --control ${control}`);
+  t.is(code, 7);
+  t.is(sent, 1);
+});
+
+test('apply --wait ends when every known process reports the version', async t => {
+  let polls = 0;
+  const control = await serve(t, {
+    'control.applyConfig': () => answer({kind: 'accepted', version: 5}),
+    'control.status': () => system,
+    'control.configStatus': () => {
+      const reported = polls++ < 2 ? ['entry-1'] : ['entry-1', 'agent-1'];
+      const processes = ['control-1', ...reported].map(process => ({
+        process,
+        role: process.split('-')[0] as 'entry',
+        version: 5,
+      }));
+      return {kind: 'done', value: {...status, processes}};
+    },
+  });
+  const {code, out} = await run(
+    `config apply --base ${base} --expect 4 --wait --control ${control}`,
+  );
+  t.is(code, 0);
+  t.is(polls, 3);
+  t.regex(out, /in force everywhere$/m);
+});
+
 test('what control refuses is printed and exits 5', async t => {
   const control = await serve(t, {
     'control.changeMembers': () => {
