--- a/packages/cli/src/role.ts
+++ b/packages/cli/src/role.ts
@@ -43,7 +43,7 @@
 async function runLoaded(loaded: LoadedSettings): Promise<ExitCode> {
   const {id, place, logLevel, metrics: sink, role} = loaded.process;
   const log = openLog(logLevel, role.kind, id);
-  stopOnBrokenInvariants(log);
+  stopOnBrokenInvariants(process, log);
   const tags = {role: role.kind, id, site: place.site};
   const metrics = openMetrics(sink, tags);
   const drainMs = role.kind === 'control' ? controlDrainMs : role.drainMs;
@@ -78,14 +78,23 @@
   }
 }
 
+/** What a fatal error needs of the process. */
+export interface FatalSource {
+  readonly on: (
+    event: 'uncaughtException' | 'unhandledRejection',
+    listener: (error: unknown) => void,
+  ) => unknown;
+  readonly exit: (code: number) => unknown;
+}
+
 /** An error that nothing handles is a broken invariant: the state cannot be trusted further. */
-function stopOnBrokenInvariants(log: Logger): void {
+export function stopOnBrokenInvariants(source: FatalSource, log: Logger): void {
   const stop = (error: unknown) => {
     log.fatal({event: 'broken-invariant', err: error}, describeCause(error));
-    process.exit(exitCode.brokenInvariant);
+    source.exit(exitCode.brokenInvariant);
   };
-  process.on('uncaughtException', stop);
-  process.on('unhandledRejection', stop);
+  source.on('uncaughtException', stop);
+  source.on('unhandledRejection', stop);
 }
 
 function describeCause(error: unknown): string {
--- a/packages/cli/test/program.test.ts
+++ b/packages/cli/test/program.test.ts
@@ -1,7 +1,10 @@
 import {EventEmitter} from 'node:events';
 import {readFileSync} from 'node:fs';
 import test from 'ava';
-import {type AgentStatus} from '#protocol';
+import {BrokenInvariant} from '#model';
+import type {AgentStatus} from '#protocol';
+import {openLog} from '#telemetry';
+import {stopOnBrokenInvariants} from '../src/role.js';
 import {watchStopSignals} from '../src/signals.js';
 import {run, serve} from './tool.js';
 
@@ -101,3 +104,20 @@
   clearInterval(keepAlive);
   t.true(signals.drain.aborted);
 });
+
+test('an error that nothing handles is logged as fatal and exits 70', t => {
+  const codes: number[] = [];
+  const source = Object.assign(new EventEmitter(), {
+    exit: (code: number) => codes.push(code),
+  });
+  let text = '';
+  const log = openLog('error', 'entry', 'entry-1', {
+    write: line => (text += line),
+  });
+  stopOnBrokenInvariants(source, log);
+  source.emit('unhandledRejection', new BrokenInvariant('two leaders'));
+  t.deepEqual(codes, [70]);
+  const {level, event, msg, err} = JSON.parse(text);
+  t.deepEqual([level, event, msg], [60, 'broken-invariant', 'two leaders']);
+  t.is(err.type, 'BrokenInvariant');
+});
