--- a/packages/cli/src/config-apply.ts
+++ b/packages/cli/src/config-apply.ts
@@ -107,16 +107,18 @@
 ): Promise<ExitCode> {
   switch (result.kind) {
     case 'accepted': {
-      const inForce = options.wait
+      const lagging = options.wait
         ? await awaitInForce(options, result.version, deadline)
         : undefined;
       printResult(
         console,
         options,
-        {...result, changeId, ...(inForce !== undefined && {inForce})},
-        () => renderAccepted(result.version, changeId, inForce),
+        {...result, changeId, ...(lagging !== undefined && {lagging})},
+        () => renderAccepted(result.version, changeId, lagging),
       );
-      return inForce === false ? exitCode.unknown : exitCode.ok;
+      return lagging === undefined || lagging.length === 0
+        ? exitCode.ok
+        : exitCode.unknown;
     }
     case 'conflict':
       printResult(
@@ -138,32 +140,35 @@
 function renderAccepted(
   version: number,
   changeId: string,
-  inForce: boolean | undefined,
+  lagging: readonly string[] | undefined,
 ): string {
   const accepted = `accepted: version ${version} (change ${changeId})`;
-  if (inForce === undefined) return accepted;
-  return inForce
+  if (lagging === undefined) return accepted;
+  return lagging.length === 0
     ? `${accepted}, in force everywhere`
-    : `${accepted}, not yet reported in force everywhere; see "config status"`;
+    : `${accepted}, not yet reported in force at ${lagging.join(', ')}`;
 }
 
 const pollIntervalMs = 200;
 
-/** Waits until every process reports the version; false when the deadline passes first. */
+/** Waits until every process reports the version; returns those that did not by the deadline. */
 async function awaitInForce(
   options: ControlOptions,
   version: number,
   deadline: Instant,
-): Promise<boolean> {
+): Promise<readonly string[]> {
+  let lagging: readonly string[] = ['any process'];
   while (monotonicClock.now() < deadline) {
     const status = await fetchInForce(options, deadline);
-    const isEverywhere = status
-      .map(({processes}) =>
-        processes.every(each => (each.version ?? -1) >= version),
+    lagging = status
+      .map<readonly string[]>(({processes}) =>
+        processes
+          .filter(each => (each.version ?? -1) < version)
+          .map(({process}) => process),
       )
-      .orDefault(false);
-    if (isEverywhere) return true;
+      .orDefault(lagging);
+    if (lagging.length === 0) return lagging;
     await sleep(pollIntervalMs);
   }
-  return false;
+  return lagging;
 }
--- a/packages/cli/src/role.ts
+++ b/packages/cli/src/role.ts
@@ -54,7 +54,7 @@
   const {drain, halt} = signals;
   const runtime = {log, metrics, clock: monotonicClock, drain, halt};
   log.info({event: 'start', pid: process.pid}, 'starting');
-  const code = await startRole(loaded, runtime);
+  const code = await endOnFatal(startRole(loaded, runtime), log);
   log.info({event: 'exit', code}, 'stopped');
   signals[Symbol.dispose]();
   await metrics[Symbol.asyncDispose]();
@@ -89,16 +89,27 @@
 
 /** An error that nothing handles is a broken invariant: the state cannot be trusted further. */
 export function stopOnBrokenInvariants(source: FatalSource, log: Logger): void {
-  const stop = (error: unknown) => {
-    log.fatal({event: 'broken-invariant', err: error}, describeCause(error));
-    source.exit(exitCode.brokenInvariant);
-  };
+  const stop = (error: unknown) => source.exit(logFatal(log, error));
   source.on('uncaughtException', stop);
   source.on('unhandledRejection', stop);
 }
 
-function describeCause(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
+/** Gives the role's exit code; when the role throws, the error is as fatal as an unhandled one. */
+async function endOnFatal(
+  running: Promise<ExitCode>,
+  log: Logger,
+): Promise<ExitCode> {
+  try {
+    return await running;
+  } catch (error) {
+    return logFatal(log, error);
+  }
+}
+
+function logFatal(log: Logger, error: unknown): ExitCode {
+  const detail = error instanceof Error ? error.message : String(error);
+  log.fatal({event: 'broken-invariant', err: error}, detail);
+  return exitCode.brokenInvariant;
 }
 
 function endAfterHalt(log: Logger): void {
--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -111,7 +111,7 @@
     each.member,
     each.address,
     each.voter ? 'voter' : 'learner',
-    each.matchIndex,
+    status.role === 'leader' ? each.matchIndex : '-',
   ]);
   const targets = status.targets.map(each => [
     each.target,
--- a/packages/cli/test/config.test.ts
+++ b/packages/cli/test/config.test.ts
@@ -221,6 +221,19 @@
   t.regex(out, /in force everywhere$/m);
 });
 
+test('apply --wait names the processes that do not follow', async t => {
+  const control = await serve(t, {
+    'control.applyConfig': () => answer({kind: 'accepted', version: 4}),
+    'control.status': () => system,
+    'control.configStatus': answerStatus,
+  });
+  const {code, out} = await run(
+    `config apply --base ${base} --expect 3 --wait --timeout-ms 300 --control ${control}`,
+  );
+  t.is(code, 7);
+  t.regex(out, /not yet reported in force at agent-1, control-1$/m);
+});
+
 test('what control refuses is printed and exits 5', async t => {
   const control = await serve(t, {
     'control.changeMembers': () => {
