--- a/packages/policy/src/credit-placement.ts
+++ b/packages/policy/src/credit-placement.ts
@@ -12,8 +12,12 @@
 
 /** Agents told of waiting tasks at once. */
 const maxDemandsPerSettle = 4;
-/** The same agent is told again after this long, in ms. */
-const demandIntervalMs = 100;
+const maxDemandDraws = 8;
+/** Tasks for whose sake one agent is told. */
+const tasksPerDemand = 2;
+/** The same agent is told again after this long at least, and at most, in ms. */
+const minDemandPauseMs = 50;
+const maxDemandPauseMs = 800;
 /** Between two rounds of demands, in ms. */
 const demandRoundMs = 2;
 /** A faster slot must be expected to save at least this share of the slow run. */
@@ -32,6 +36,7 @@
 export class CreditPlacement implements Placement {
   private readonly book: SlotBook;
   private readonly open = new PickList<BookedTarget>();
+  private readonly startedThisTurn = new Set<BookedTarget>();
   private heldSince: Instant | undefined;
   private demandRoundAt: Instant = -Infinity;
 
@@ -41,7 +46,9 @@
 
   apply(event: PlacementEvent, now: Instant): readonly PlacementAction[] {
     if (event.kind === 'target-connected') {
-      this.refresh(this.book.connect(event.target, event.slots, now));
+      const opened = this.book.connect(event.target, event.slots, now);
+      opened.demandPauseMs = minDemandPauseMs;
+      this.refresh(opened);
       return [];
     }
     const booked = this.book.find(event.target);
@@ -58,6 +65,7 @@
     if (heldUntil > now) return {kind: 'wait', until: heldUntil};
     this.heldSince = undefined;
     this.book.start(booked, true);
+    this.startedThisTurn.add(booked);
     this.refresh(booked);
     return {kind: 'start', target: booked.target, granted: true};
   }
@@ -69,16 +77,44 @@
     }
     if (now < this.demandRoundAt) return [];
     this.demandRoundAt = now + demandRoundMs;
-    const actions: PlacementAction[] = [];
-    const tries = 2 * maxDemandsPerSettle;
-    for (let i = 0; i < tries && actions.length < maxDemandsPerSettle; i++) {
+    const told = this.pickTold(waiting, now);
+    const share = Math.ceil(waiting / told.length);
+    return told.map(booked => {
+      this.deferDemand(booked, now);
+      return {kind: 'demand', target: booked.target, waiting: share};
+    });
+  }
+
+  tellWaiting(waiting: number, now: Instant): number {
+    const share = Math.floor(waiting / Math.max(1, this.open.size));
+    if (share > 0) {
+      for (const booked of this.startedThisTurn) this.deferDemand(booked, now);
+    }
+    this.startedThisTurn.clear();
+    return share;
+  }
+
+  /** Tells an agent again the later the more often nothing came of it. */
+  private deferDemand(booked: BookedTarget, now: Instant): void {
+    booked.demandDueAt = now + booked.demandPauseMs;
+    booked.demandPauseMs = Math.min(maxDemandPauseMs, 2 * booked.demandPauseMs);
+  }
+
+  /** Draws agents that may hold idle slots granted to others, and faster ones than a slot left idle here. */
+  private pickTold(waiting: number, now: Instant): readonly BookedTarget[] {
+    const wanted = Math.min(
+      maxDemandsPerSettle,
+      Math.ceil(waiting / tasksPerDemand),
+    );
+    const idleClass = this.book.peekReady()?.speedClass ?? Infinity;
+    const told = new Set<BookedTarget>();
+    for (let i = 0; i < maxDemandDraws; i++) {
       const booked = this.open.pick(this.sources.random);
-      if (booked === undefined) break;
-      if (now < booked.demandDueAt) continue;
-      booked.demandDueAt = now + demandIntervalMs;
-      actions.push({kind: 'demand', target: booked.target, waiting});
+      if (booked === undefined || told.size === wanted) break;
+      const useful = booked.speedClass < idleClass && now >= booked.demandDueAt;
+      if (useful) told.add(booked);
     }
-    return actions;
+    return [...told];
   }
 
   private applyTo(
@@ -97,7 +133,8 @@
         this.book.allow(booked, event.maxInFlight);
         return [];
       case 'slots-granted':
-        if (booked.connected) this.book.grant(booked, event.slots);
+        if (!booked.connected) return [];
+        this.acceptSlots(booked, event.slots);
         return [];
       case 'slots-recalled':
         return this.giveBack(booked, event.slots);
@@ -105,6 +142,7 @@
         this.book.end(booked, event.granted);
         return [];
       case 'task-ended':
+        booked.slotsDue++;
         this.book.end(booked, false);
         this.book.updateSpeed(booked, now);
         return [];
@@ -113,6 +151,13 @@
     }
   }
 
+  /** Slots beyond those of ended tasks show that telling the agent was of use. */
+  private acceptSlots(booked: BookedTarget, slots: number): void {
+    if (slots > booked.slotsDue) booked.demandPauseMs = minDemandPauseMs;
+    booked.slotsDue = Math.max(0, booked.slotsDue - slots);
+    this.book.grant(booked, slots);
+  }
+
   private giveBack(
     booked: BookedTarget,
     recalled: number,
--- a/packages/policy/src/division.ts
+++ b/packages/policy/src/division.ts
@@ -20,12 +20,15 @@
   readonly againAt: Instant;
 }
 
+/** Another entry must hold less than this part of the ender's share to get its slot. */
+const enderPreference = 0.8;
+
 /**
  * Divides free slots among the entries. To be called after every change.
  * `ender` is the entry whose task has just ended, if any: its slot goes back to
  * it with the report unless another entry has the better claim.
  *
- * Slots granted ahead go first to the entry that waits and holds fewest; while
+ * Slots granted ahead go first to the entries that wait, by their need; while
  * none waits, to those without a reserve, then back to the ender, then to the
  * one that holds fewest. Idle slots are recalled only from entries that do not
  * wait, for entries that do, and no more often than the interval.
@@ -83,7 +86,7 @@
 ): SlotHolder | undefined {
   const connected = [...grants.holders.values()].filter(one => one.connected);
   const waiting = connected.filter(one => countUnmet(grants, one, now) > 0);
-  if (waiting.length > 0) return chooseFewest(waiting, ender);
+  if (waiting.length > 0) return chooseNeediest(waiting, ender);
   const owner = connected.find(one => one.epoch === ender);
   if (owner === undefined) return chooseFewest(connected, ender);
   if (owner.pressedUntil > now) return owner;
@@ -111,6 +114,28 @@
   return chosen;
 }
 
+/**
+ * The entry that holds the smallest part of what it holds and wants, so that
+ * tasks wait equally long at all entries. A small lead does not move the slot
+ * away from the entry whose task has just ended.
+ */
+function chooseNeediest(
+  holders: readonly SlotHolder[],
+  ender: Epoch | undefined,
+): SlotHolder | undefined {
+  let chosen: SlotHolder | undefined;
+  let least = Infinity;
+  for (const holder of holders) {
+    const held = countHeld(holder);
+    const part = held / (held + Math.max(1, holder.waiting));
+    const weighed = holder.epoch === ender ? part * enderPreference : part;
+    if (weighed >= least) continue;
+    least = weighed;
+    chosen = holder;
+  }
+  return chosen;
+}
+
 function recallIdle(
   grants: SlotGrants,
   now: Instant,
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -103,6 +103,11 @@
     waiting: number,
     now: Instant,
   ) => readonly PlacementAction[];
+  /**
+   * Tells what the `agent.start` messages of this turn must carry as `waiting`:
+   * each agent's part of the tasks that still wait.
+   */
+  readonly tellWaiting: (waiting: number, now: Instant) => number;
 }
 
 /** What a placement draws on. */
--- a/packages/policy/src/probe-placement.ts
+++ b/packages/policy/src/probe-placement.ts
@@ -70,6 +70,10 @@
     return this.reserve(wanted - this.book.reserved);
   }
 
+  tellWaiting(waiting: number): number {
+    return waiting;
+  }
+
   private applyTo(
     booked: BookedTarget,
     event: Exclude<PlacementEvent, {kind: 'target-connected'}>,
--- a/packages/policy/src/random-placement.ts
+++ b/packages/policy/src/random-placement.ts
@@ -49,6 +49,10 @@
     return [];
   }
 
+  tellWaiting(waiting: number): number {
+    return waiting;
+  }
+
   private applyTo(
     booked: BookedTarget,
     event: Exclude<PlacementEvent, {kind: 'target-connected'}>,
--- a/packages/policy/src/slot-book.ts
+++ b/packages/policy/src/slot-book.ts
@@ -22,6 +22,9 @@
   turn: number;
   /** Demand is not told again before then. */
   demandDueAt: Instant;
+  demandPauseMs: number;
+  /** Slots of ended tasks that have not been granted again. */
+  slotsDue: number;
 }
 
 /** Slots in use in one speed class, and how fast they fall free. */
@@ -167,6 +170,8 @@
       speedClass: rankSpeed(runMs),
       turn: this.nextTurn++,
       demandDueAt: -Infinity,
+      demandPauseMs: 0,
+      slotsDue: 0,
       position: -1,
     };
     this.targets.set(target, booked);
@@ -176,6 +181,7 @@
   private clearSlots(booked: BookedTarget): void {
     this.reserve(booked, -booked.reserved);
     booked.free = 0;
+    booked.slotsDue = 0;
   }
 
   private addInFlight(booked: BookedTarget, tasks: number): void {
