--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -21,12 +21,13 @@
   type QueryResult,
   type TasksParams,
 } from '#protocol';
+import {resolvePolicy} from '#policy';
 import type {AgentRole, ProcessSettings} from '#settings';
 import type {Runtime} from '#telemetry';
 import {ControlLink} from './control-link.js';
 import {awaitDrained} from './drain.js';
 import {Intake, type Mail, type Readiness} from './intake.js';
-import {choosePlacement, countSlots, findService} from './service.js';
+import {countSlots, findService} from './service.js';
 import {Sessions} from './sessions.js';
 import type {Target} from './target.js';
 import {TargetWatch} from './target-watch.js';
@@ -64,6 +65,7 @@
   private configuration: Configuration | undefined;
   private configVersion = -1;
   private settling = false;
+  private settleTimer: NodeJS.Timeout | undefined;
   private drainResult: Promise<boolean> | undefined;
   private resolveDrained!: (complete: boolean) => void;
   private disposed = false;
@@ -126,6 +128,7 @@
     if (this.disposed) return;
     this.disposed = true;
     clearInterval(this.sweeper);
+    clearTimeout(this.settleTimer);
     this.watch[Symbol.dispose]();
     await this.intake.stopAll();
     this.settle();
@@ -279,7 +282,13 @@
   /** Once a turn of the loop: deals out free slots and sends what has gathered. */
   private settle(): void {
     this.settling = false;
-    for (const [epoch, mail] of this.intake.settle(this.peers.keys())) {
+    clearTimeout(this.settleTimer);
+    const {mail: mails, againAt} = this.intake.settle(this.peers.keys());
+    if (againAt < Infinity && !this.disposed) {
+      const waitMs = againAt - this.options.runtime.clock.now();
+      this.settleTimer = setTimeout(() => this.scheduleSettle(), waitMs);
+    }
+    for (const [epoch, mail] of mails) {
       const peer = this.peers.get(epoch);
       if (peer !== undefined) sendMail(peer, mail);
     }
@@ -318,10 +327,13 @@
     const service = findService(this.configuration, this.info.service);
     if (service === undefined) return {kind: 'shut', reason: 'wrong-service'};
     if (this.watch.isDown) return {kind: 'shut', reason: 'target-down'};
-    const slots = countSlots(this.info.capacity, service.demand);
+    const slots = countSlots(this.info.capacity, [
+      service.demand,
+      ...this.intake.listDemands(),
+    ]);
     if (slots === 0) return {kind: 'shut', reason: 'too-large'};
-    const mode = choosePlacement(service).kind;
-    return {kind: 'open', service, mode, slots};
+    const policy = resolvePolicy(service);
+    return {kind: 'open', service, policy, slots};
   }
 
   private noteTargetChange(): void {
@@ -336,6 +348,7 @@
 
   private sweep(): void {
     this.intake.sweep();
+    if (this.info.capacity.kind === 'worker') this.adjustReadiness();
     const {metrics} = this.options.runtime;
     const {running, queued, known} = this.intake.counts;
     metrics.gauge('agent.running', running);
--- a/packages/agent/src/intake.ts
+++ b/packages/agent/src/intake.ts
@@ -3,6 +3,8 @@
   computeDeadline,
   type Epoch,
   type Instant,
+  type PlacementPolicy,
+  type ResourceDemand,
   type ServiceConfig,
   type TaskRef,
   type TaskRefusal,
@@ -18,7 +20,7 @@
 import type {Metrics} from '#telemetry';
 import {formatTask, Ledger} from './ledger.js';
 import {type RunEnd, Runner, type StopCause} from './runner.js';
-import {type QueuedStart, type SlotMode, Slots} from './slots.js';
+import {type QueuedStart, Slots} from './slots.js';
 import type {RunRequest, Target} from './target.js';
 
 /** What the target and this agent can take at present. */
@@ -26,7 +28,7 @@
   | {
       readonly kind: 'open';
       readonly service: ServiceConfig;
-      readonly mode: SlotMode;
+      readonly policy: PlacementPolicy;
       readonly slots: number;
     }
   | {readonly kind: 'shut'; readonly reason: TaskRefusal};
@@ -49,7 +51,20 @@
   readonly recalled: number;
 }
 
-interface AcceptedTask extends RunRequest {
+export interface IntakeSettlement {
+  readonly mail: ReadonlyMap<Epoch, Mail>;
+  /** Settle again then at the latest; `Infinity` when there is no need. */
+  readonly againAt: Instant;
+}
+
+/** The slot of a running task. */
+interface HeldSlot {
+  /** Whose slot it is. */
+  readonly epoch: Epoch;
+  readonly demand: ResourceDemand;
+}
+
+interface AcceptedTask extends Omit<RunRequest, 'demand'> {
   readonly deadline: Instant;
   readonly keepUntil: Instant;
 }
@@ -65,8 +80,7 @@
   private readonly slots = new Slots<AcceptedTask>();
   private readonly runner: Runner;
   private readonly refusals = new Map<Epoch, TaskReport[]>();
-  /** The epochs whose slots the running tasks hold. */
-  private readonly holders = new Map<string, Epoch>();
+  private readonly running = new Map<string, HeldSlot>();
   private readiness: Readiness = {kind: 'shut', reason: 'no-slot'};
   private startCount = 0;
   private duplicateCount = 0;
@@ -107,14 +121,21 @@
     };
   }
 
+  /** What each running task was started with. */
+  listDemands(): readonly ResourceDemand[] {
+    return [...this.running.values()].map(({demand}) => demand);
+  }
+
   /** Changes what may start from now on; what runs goes on. */
   setReadiness(readiness: Readiness): void {
     this.readiness = readiness;
-    const slots = readiness.kind === 'open' ? readiness.slots : 0;
-    this.slots.setTotal(slots);
-    this.slots.setMaxQueued(slots * maxQueuedPerSlot);
-    if (readiness.kind === 'open') this.slots.setMode(readiness.mode);
-    else this.refuseQueued(readiness.reason);
+    if (readiness.kind === 'open') {
+      const {slots, policy} = readiness;
+      this.slots.open(slots, policy, slots * maxQueuedPerSlot);
+    } else {
+      this.slots.shut();
+      this.refuseQueued(readiness.reason);
+    }
     this.options.onChange();
   }
 
@@ -123,7 +144,7 @@
   }
 
   connect(epoch: Epoch): void {
-    this.slots.connect(epoch);
+    this.slots.connect(epoch, this.options.clock.now());
     this.options.onChange();
   }
 
@@ -135,9 +156,8 @@
   }
 
   receiveStart(epoch: Epoch, {tasks, waiting}: StartParams): void {
-    this.slots.setWaiting(epoch, waiting);
+    this.setWaiting(epoch, waiting);
     for (const task of tasks) this.receiveTask(epoch, task);
-    this.options.onChange();
   }
 
   reserve(epoch: Epoch, slots: number): void {
@@ -151,7 +171,7 @@
   }
 
   setWaiting(epoch: Epoch, waiting: number): void {
-    this.slots.setWaiting(epoch, waiting);
+    this.slots.setWaiting(epoch, waiting, this.options.clock.now());
     this.options.onChange();
   }
 
@@ -192,8 +212,10 @@
   }
 
   /** Deals out free slots, starts queued tasks and takes what is due to each connected epoch. */
-  settle(epochs: Iterable<Epoch>): ReadonlyMap<Epoch, Mail> {
-    const {grants, recalls, starts} = this.slots.settle();
+  settle(epochs: Iterable<Epoch>): IntakeSettlement {
+    const {grants, recalls, starts, againAt} = this.slots.settle(
+      this.options.clock.now(),
+    );
     for (const start of starts) this.startQueued(start);
     const mail = new Map<Epoch, Mail>();
     for (const epoch of epochs) {
@@ -203,7 +225,7 @@
       if (reports.length + granted + recalled === 0) continue;
       mail.set(epoch, {reports, granted, recalled});
     }
-    return mail;
+    return {mail, againAt};
   }
 
   private receiveTask(epoch: Epoch, task: StartTask): void {
@@ -219,13 +241,13 @@
     if (this.ledger.has(task)) {
       this.duplicateCount++;
       this.ledger.start(epoch, task, accepted.keepUntil);
-      this.returnGrant(epoch, task);
+      if (task.granted) this.slots.spendGrant(epoch);
       return;
     }
     const refusal = this.judgeStart(task);
     if (refusal !== undefined) {
       this.refuse(epoch, task, refusal);
-      this.returnGrant(epoch, task);
+      if (task.granted) this.slots.spendGrant(epoch);
       return;
     }
     if (task.granted && this.slots.useGrant(epoch)) {
@@ -247,11 +269,6 @@
     return undefined;
   }
 
-  /** Frees the slot of a granted start that does not run. */
-  private returnGrant(epoch: Epoch, task: StartTask): void {
-    if (task.granted && this.slots.useGrant(epoch)) this.slots.release(epoch);
-  }
-
   private refuse(epoch: Epoch, ref: TaskRef, reason: TaskRefusal): void {
     this.options.metrics.increment('agent.refusal', 1, {reason});
     const {job, task} = ref;
@@ -270,14 +287,15 @@
   private startTask(epoch: Epoch, task: AcceptedTask): void {
     const {readiness} = this;
     if (readiness.kind === 'shut') {
-      this.slots.release(epoch);
+      this.slots.release(epoch, this.options.clock.now());
       this.refuse(epoch, task, readiness.reason);
       return;
     }
     this.ledger.start(epoch, task, task.keepUntil);
     this.startCount++;
-    this.holders.set(formatTask(task), epoch);
-    this.runner.run(task, readiness.service.maxTaskMs);
+    const {demand, maxTaskMs} = readiness.service;
+    this.running.set(formatTask(task), {epoch, demand});
+    this.runner.run({...task, demand}, maxTaskMs);
   }
 
   private startQueued({epoch, task}: QueuedStart<AcceptedTask>): void {
@@ -285,21 +303,22 @@
       this.startTask(epoch, task);
       return;
     }
-    this.slots.release(epoch);
+    this.slots.release(epoch, this.options.clock.now());
     this.refuse(epoch, task, 'expired');
     this.options.onChange();
   }
 
   private finishTask(request: RunRequest, end: RunEnd): void {
     const key = formatTask(request);
-    this.slots.release(this.holders.get(key)!);
-    this.holders.delete(key);
+    const {epoch} = this.running.get(key)!;
+    this.running.delete(key);
+    this.slots.release(epoch, this.options.clock.now());
     this.options.metrics.timing('agent.task', end.runMs, {
       fate: end.fate.kind,
     });
     if (end.fate.kind === 'not-run') {
-      for (const epoch of this.ledger.resolveOwners(request)) {
-        this.refuse(epoch, request, end.fate.reason);
+      for (const owner of this.ledger.resolveOwners(request)) {
+        this.refuse(owner, request, end.fate.reason);
       }
       this.ledger.forget(request);
     } else {
--- a/packages/agent/src/service.ts
+++ b/packages/agent/src/service.ts
@@ -2,8 +2,6 @@
   type Capacity,
   type Configuration,
   failUnreachable,
-  type Objective,
-  type PlacementPolicy,
   type ResourceDemand,
   type ServiceConfig,
   type ServiceName,
@@ -20,34 +18,31 @@
   return configuration.services.find(service => service.name === name);
 }
 
-/** Returns how a service's tasks are placed: as configured, or by its objective. */
-export function choosePlacement(service: ServiceConfig): PlacementPolicy {
-  return service.placement ?? chooseByObjective(service.objective);
-}
-
-function chooseByObjective(objective: Objective): PlacementPolicy {
-  switch (objective.kind) {
-    case 'response-time':
-      return {kind: 'credit'};
-    case 'fewest-messages':
-      return {kind: 'credit'};
-    default:
-      return failUnreachable(objective);
-  }
-}
-
-/** Counts the tasks that a target can run at a time. */
-export function countSlots(capacity: Capacity, demand: ResourceDemand): number {
+/**
+ * Counts the tasks that a target can run at a time. While tasks of several
+ * demands run at a worker, each counts as the greatest of them, so that they
+ * fit in any mix.
+ */
+export function countSlots(
+  capacity: Capacity,
+  demands: readonly ResourceDemand[],
+): number {
   switch (capacity.kind) {
     case 'executor':
       return Math.min(capacity.slots, capacity.maxConnections);
-    case 'worker':
+    case 'worker': {
+      const fit = (resource: keyof ResourceDemand) =>
+        countFits(
+          capacity[resource],
+          Math.max(...demands.map(demand => demand[resource])),
+        );
       return Math.min(
         maxWorkerSlots,
-        countFits(capacity.cores, demand.cores),
-        countFits(capacity.memoryMb, demand.memoryMb),
-        countFits(capacity.accelerators, demand.accelerators),
+        fit('cores'),
+        fit('memoryMb'),
+        fit('accelerators'),
       );
+    }
     default:
       return failUnreachable(capacity);
   }
--- a/packages/agent/src/slots.ts
+++ b/packages/agent/src/slots.ts
@@ -1,8 +1,18 @@
-import {assertInvariant, type Epoch, type PlacementPolicy} from '#model';
-import {divideSlots} from './division.js';
-
-/** Whether an agent's slots are granted ahead, on request, or not at all. */
-export type SlotMode = PlacementPolicy['kind'];
+import type {Epoch, Instant, PlacementPolicy} from '#model';
+import {
+  closeHolder,
+  connectHolder,
+  countFree,
+  createGrants,
+  divideSlots,
+  releaseSlots,
+  reserveSlots,
+  returnSlot,
+  setSlots,
+  type SlotGrants,
+  takeSlot,
+  updateDemand,
+} from '#policy';
 
 /** What has changed for entries and tasks since the last settlement. */
 export interface Settlement<Queued> {
@@ -12,6 +22,8 @@
   readonly recalls: ReadonlyMap<Epoch, number>;
   /** Queued tasks that have their slot now. */
   readonly starts: readonly QueuedStart<Queued>[];
+  /** Settle again then at the latest; `Infinity` when there is no need. */
+  readonly againAt: Instant;
 }
 
 export interface QueuedStart<Queued> {
@@ -20,302 +32,164 @@
   readonly task: Queued;
 }
 
-type Claim<Queued> =
-  | {readonly kind: 'reservation'; readonly epoch: Epoch}
-  | {readonly kind: 'task'; readonly start: QueuedStart<Queued>};
-
-interface Holder {
-  granted: number;
-  running: number;
-  waiting: number;
-  /** Reservations not yet granted. */
-  reserved: number;
-  /** Idle slots asked back and not yet returned. */
-  recalled: number;
-  connected: boolean;
-}
-
 /**
- * The slots of one target and who holds them. Grants that are out and running
- * tasks never exceed the slots by any act of this class; a smaller total takes
- * effect as slots fall free. Slots that nobody holds are dealt out when
- * `settle` is called, once a turn of the loop.
+ * The slots of one target: who holds them, and the tasks that came without a
+ * grant and wait here for one. No slot is granted or taken beyond the total;
+ * when the total shrinks, a task starts only once it fits.
  */
 export class Slots<Queued> {
-  private readonly holders = new Map<Epoch, Holder>();
-  private readonly claims = new Map<string, Claim<Queued>>();
-  private nextReservation = 0;
-  private queuedCount = 0;
-  private totalSlots = 0;
-  private slotMode: SlotMode = 'credit';
+  private grants: SlotGrants = createGrants(0, 'ahead');
+  private readonly queue = new Map<string, QueuedStart<Queued>>();
+  private granted = new Map<Epoch, number>();
+  private recalled = new Map<Epoch, number>();
   private maxQueued = 0;
 
   get total(): number {
-    return this.totalSlots;
-  }
-
-  get mode(): SlotMode {
-    return this.slotMode;
+    return this.grants.slots;
   }
 
   /** Tasks that wait here for a slot. */
   get queued(): number {
-    return this.queuedCount;
+    return this.queue.size;
   }
 
   /** Slots held: granted, or taken by a running task. */
   get held(): number {
-    let sum = 0;
-    for (const {granted, running} of this.holders.values()) {
-      sum += granted + running;
-    }
-    return sum;
-  }
-
-  setTotal(slots: number): void {
-    this.totalSlots = slots;
+    return this.grants.slots - countFree(this.grants);
   }
 
-  setMode(mode: SlotMode): void {
-    this.slotMode = mode;
+  /** Sets how many slots there are, how they are granted, and how many tasks may wait here. */
+  open(slots: number, policy: PlacementPolicy, maxQueued: number): void {
+    const mode = policy.kind === 'credit' ? 'ahead' : 'on-reservation';
+    this.grants = {...setSlots(this.grants, slots), mode};
+    this.maxQueued = maxQueued;
   }
 
-  setMaxQueued(tasks: number): void {
-    this.maxQueued = tasks;
+  /** Grants nothing more and asks back what is idle. */
+  shut(): void {
+    this.grants = setSlots(this.grants, 0);
+    this.maxQueued = 0;
   }
 
-  connect(epoch: Epoch): void {
-    this.findHolder(epoch).connected = true;
+  connect(epoch: Epoch, now: Instant): void {
+    this.grants = connectHolder(this.grants, epoch, now);
   }
 
   /** Takes back what an entry held idle or waited for; its running tasks keep their slots. */
   lose(epoch: Epoch): void {
-    this.dropClaims(epoch);
-    const holder = this.holders.get(epoch);
-    if (holder === undefined) return;
-    holder.connected = false;
-    holder.granted = 0;
-    holder.waiting = 0;
-    holder.recalled = 0;
-    this.forgetIdle(epoch);
-  }
-
-  /** Drops every queued task and returns them. */
-  dropQueued(): readonly QueuedStart<Queued>[] {
-    const starts: QueuedStart<Queued>[] = [];
-    for (const [key, claim] of this.claims) {
-      if (claim.kind !== 'task') continue;
-      this.claims.delete(key);
-      starts.push(claim.start);
+    this.granted.delete(epoch);
+    this.recalled.delete(epoch);
+    this.grants = closeHolder(this.grants, epoch);
+    for (const [key, start] of this.queue) {
+      if (start.epoch === epoch) this.queue.delete(key);
     }
-    this.queuedCount = 0;
-    return starts;
   }
 
-  /** Turns one of an entry's grants into a running task; false when it has none. */
+  /**
+   * Turns one of an entry's grants into a running task. False when it has none
+   * or the total has shrunk below what runs: the grant is spent all the same.
+   */
   useGrant(epoch: Epoch): boolean {
-    const holder = this.findHolder(epoch);
-    if (holder.granted === 0) return false;
-    holder.granted--;
-    holder.running++;
-    holder.recalled = Math.min(holder.recalled, holder.granted);
-    return true;
+    const taken = takeSlot(this.grants, epoch, true);
+    this.grants = taken ?? voidGrant(this.grants, epoch);
+    return taken !== undefined;
+  }
+
+  /** Takes back a grant that came with a task that does not run. */
+  spendGrant(epoch: Epoch): void {
+    this.grants = voidGrant(this.grants, epoch);
   }
 
-  /** Frees the slot of a task that has ended or was not run after all. */
-  release(epoch: Epoch): void {
-    const holder = this.findHolder(epoch);
-    assertInvariant(holder.running > 0, `epoch ${epoch} runs nothing`);
-    holder.running--;
-    this.forgetIdle(epoch);
+  /** Frees the slot of a task that has ended; the entry that used it comes first for it. */
+  release(epoch: Epoch, now: Instant): void {
+    this.grants = returnSlot(this.grants, epoch);
+    if (this.queue.size === 0) this.divide(now, epoch);
   }
 
-  /** Queues a task for a slot; false when the queue is full. A reservation of the entry gives its place up. */
+  /** Queues a task for a slot; false when the queue is full. */
   enqueue(start: QueuedStart<Queued>): boolean {
-    this.withdrawReservation(start.epoch);
-    if (this.queuedCount - this.countFree() >= this.maxQueued) return false;
-    this.claims.set(start.key, {kind: 'task', start});
-    this.queuedCount++;
+    const free = Math.max(0, countFree(this.grants));
+    if (this.queue.size - free >= this.maxQueued) return false;
+    this.queue.set(start.key, start);
     return true;
   }
 
   hasQueued(key: string): boolean {
-    return this.claims.has(key);
+    return this.queue.has(key);
   }
 
   /** Takes a task of an epoch out of the queue; false when it is not there. */
   dequeue(key: string, epoch: Epoch): boolean {
-    const claim = this.claims.get(key);
-    if (claim?.kind !== 'task' || claim.start.epoch !== epoch) return false;
-    this.claims.delete(key);
-    this.queuedCount--;
-    return true;
+    return this.queue.get(key)?.epoch === epoch && this.queue.delete(key);
+  }
+
+  /** Drops every queued task and returns them. */
+  dropQueued(): readonly QueuedStart<Queued>[] {
+    const starts = [...this.queue.values()];
+    this.queue.clear();
+    return starts;
   }
 
   reserve(epoch: Epoch, slots: number): void {
-    const holder = this.findHolder(epoch);
-    const accepted = Math.min(slots, this.maxQueued - holder.reserved);
-    for (let i = 0; i < accepted; i++) {
-      const key = `reservation ${this.nextReservation++}`;
-      this.claims.set(key, {kind: 'reservation', epoch});
-      holder.reserved++;
-    }
+    this.grants = reserveSlots(this.grants, epoch, slots);
   }
 
-  /** Takes grants back from an entry, and then reservations. */
+  /** Withdraws reservations of an entry, and then takes idle grants back. */
   giveBack(epoch: Epoch, slots: number): void {
-    const holder = this.findHolder(epoch);
-    const returned = Math.min(slots, holder.granted);
-    holder.granted -= returned;
-    holder.recalled = 0;
-    for (let i = returned; i < slots && holder.reserved > 0; i++) {
-      this.withdrawReservation(epoch);
-    }
+    this.grants = releaseSlots(this.grants, epoch, slots);
   }
 
-  setWaiting(epoch: Epoch, waiting: number): void {
-    this.findHolder(epoch).waiting = waiting;
+  setWaiting(epoch: Epoch, waiting: number, now: Instant): void {
+    this.grants = updateDemand(this.grants, epoch, waiting, now);
   }
 
-  /** Deals out the slots that nobody holds. */
-  settle(): Settlement<Queued> {
-    const grants = new Map<Epoch, number>();
-    const recalls = new Map<Epoch, number>();
-    const starts = this.serveClaims(grants);
-    if (this.held > this.totalSlots) this.recallExcess(recalls);
-    else if (this.slotMode === 'credit') this.dealAhead(grants, recalls);
-    return {grants, recalls, starts};
+  /** Deals out the slots that nobody holds; queued tasks come first. */
+  settle(now: Instant): Settlement<Queued> {
+    const starts = this.serveQueue();
+    const againAt = this.divide(now);
+    const {granted: grants, recalled: recalls} = this;
+    this.granted = new Map();
+    this.recalled = new Map();
+    return {grants, recalls, starts, againAt};
   }
 
-  private serveClaims(grants: Map<Epoch, number>): QueuedStart<Queued>[] {
+  private serveQueue(): QueuedStart<Queued>[] {
     const starts: QueuedStart<Queued>[] = [];
-    let free = this.countFree();
-    for (const [key, claim] of this.claims) {
-      if (free <= 0) break;
-      free--;
-      this.claims.delete(key);
-      if (claim.kind === 'reservation') {
-        this.findHolder(claim.epoch).reserved--;
-        this.grant(claim.epoch, 1, grants);
-        continue;
-      }
-      this.queuedCount--;
-      this.findHolder(claim.start.epoch).running++;
-      starts.push(claim.start);
+    for (const [key, start] of this.queue) {
+      const taken = takeSlot(this.grants, start.epoch, false);
+      if (taken === undefined) break;
+      this.grants = taken;
+      this.queue.delete(key);
+      starts.push(start);
     }
     return starts;
   }
 
-  /** Asks idle slots back after the total has shrunk. */
-  private recallExcess(recalls: Map<Epoch, number>): void {
-    let excess = this.held - this.totalSlots;
-    for (const {recalled} of this.holders.values()) excess -= recalled;
-    for (const [epoch, holder] of this.holders) {
-      const asked = Math.min(excess, holder.granted - holder.recalled);
-      if (asked <= 0) continue;
-      holder.recalled += asked;
-      excess -= asked;
-      recalls.set(epoch, asked);
-    }
-  }
-
-  private dealAhead(
-    grants: Map<Epoch, number>,
-    recalls: Map<Epoch, number>,
-  ): void {
-    const connected = [...this.holders].filter(([, {connected}]) => connected);
-    const shares = this.computeShares(connected);
-    let free = this.countFree();
-    let missing = 0;
-    for (const [epoch, holder] of connected) {
-      const lacks = shares.get(epoch)! - holder.granted - holder.running;
-      if (lacks <= 0) continue;
-      const given = Math.max(0, Math.min(lacks, free));
-      free -= given;
-      if (given > 0) this.grant(epoch, given, grants);
-      const isNew = holder.granted + holder.running === 0;
-      missing += Math.min(lacks - given, isNew ? lacks : holder.waiting);
-    }
-    for (const [, holder] of connected) missing -= holder.recalled;
-    for (const [epoch, holder] of connected) {
-      const surplus = holder.granted + holder.running - shares.get(epoch)!;
-      const idle = holder.granted - holder.recalled;
-      const asked = Math.min(missing, surplus - holder.recalled, idle);
-      if (asked <= 0) continue;
-      holder.recalled += asked;
-      missing -= asked;
-      recalls.set(epoch, asked);
-    }
-  }
-
-  private computeShares(
-    connected: readonly (readonly [Epoch, Holder])[],
-  ): ReadonlyMap<Epoch, number> {
-    let others = 0;
-    for (const {connected, running} of this.holders.values()) {
-      if (!connected) others += running;
-    }
-    return divideSlots(
-      Math.max(0, this.totalSlots - others),
-      connected.map(([epoch, {running, waiting}]) => ({
-        epoch,
-        running,
-        waiting,
-      })),
-    );
-  }
-
-  private countFree(): number {
-    return this.totalSlots - this.held;
-  }
-
-  private grant(epoch: Epoch, slots: number, grants: Map<Epoch, number>): void {
-    const holder = this.findHolder(epoch);
-    holder.granted += slots;
-    holder.waiting = Math.max(0, holder.waiting - slots);
-    grants.set(epoch, (grants.get(epoch) ?? 0) + slots);
-  }
-
-  private withdrawReservation(epoch: Epoch): void {
-    const holder = this.findHolder(epoch);
-    if (holder.reserved === 0) return;
-    for (const [key, claim] of this.claims) {
-      if (claim.kind !== 'reservation' || claim.epoch !== epoch) continue;
-      this.claims.delete(key);
-      holder.reserved--;
-      return;
-    }
-  }
-
-  private dropClaims(epoch: Epoch): void {
-    for (const [key, claim] of this.claims) {
-      const owner = claim.kind === 'task' ? claim.start.epoch : claim.epoch;
-      if (owner !== epoch) continue;
-      this.claims.delete(key);
-      if (claim.kind === 'task') this.queuedCount--;
-    }
-    const holder = this.holders.get(epoch);
-    if (holder !== undefined) holder.reserved = 0;
+  private divide(now: Instant, ender?: Epoch): Instant {
+    const division = divideSlots(this.grants, now, ender);
+    this.grants = division.grants;
+    addCounts(this.granted, division.granted);
+    addCounts(this.recalled, division.recalled);
+    return division.againAt;
   }
+}
 
-  private findHolder(epoch: Epoch): Holder {
-    const known = this.holders.get(epoch);
-    if (known !== undefined) return known;
-    const holder: Holder = {
-      granted: 0,
-      running: 0,
-      waiting: 0,
-      reserved: 0,
-      recalled: 0,
-      connected: false,
-    };
-    this.holders.set(epoch, holder);
-    return holder;
+function addCounts(
+  sums: Map<Epoch, number>,
+  counts: ReadonlyMap<Epoch, number>,
+): void {
+  for (const [epoch, count] of counts) {
+    sums.set(epoch, (sums.get(epoch) ?? 0) + count);
   }
+}
 
-  private forgetIdle(epoch: Epoch): void {
-    const holder = this.holders.get(epoch);
-    if (holder === undefined || holder.connected || holder.running > 0) return;
-    this.holders.delete(epoch);
-  }
+/** Takes one idle grant away from an entry that has used it up. */
+function voidGrant(grants: SlotGrants, epoch: Epoch): SlotGrants {
+  const holder = grants.holders.get(epoch);
+  if (holder === undefined || holder.granted === 0) return grants;
+  const granted = holder.granted - 1;
+  const recalled = Math.min(holder.recalled, granted);
+  const holders = new Map(grants.holders);
+  holders.set(epoch, {...holder, granted, recalled});
+  return {...grants, holders};
 }
--- a/packages/agent/src/target.ts
+++ b/packages/agent/src/target.ts
@@ -1,4 +1,4 @@
-import type {TaskRef} from '#model';
+import type {ResourceDemand, TaskRef} from '#model';
 
 /** How a task ended at the target. */
 export type RunOutcome =
@@ -18,6 +18,8 @@
 
 export interface RunRequest extends TaskRef {
   readonly payload: unknown;
+  /** What the task may use of a worker. */
+  readonly demand: ResourceDemand;
 }
 
 /** The back end beside this agent. */
