--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -28,7 +28,6 @@
   const stand = await openStand({slots: 1});
   const entry = await FakeEntry.connect(stand, 1);
   await waitUntil(() => entry.free === 1);
-  entry.free = 0;
   entry.start({payload: {echo: 5}});
   t.deepEqual(await entry.awaitFate('a.0'), {
     kind: 'succeeded',
@@ -53,7 +52,7 @@
   t.deepEqual(await entry.awaitFate('a.0'), succeeded);
   t.deepEqual(stand.target.seen, ['a.0']);
   t.is(stand.agent.getStatus().duplicates, 2);
-  await waitUntil(() => entry.free === 7);
+  await waitUntil(() => entry.free === 4);
   await closeStand(stand);
 });
 
@@ -204,7 +203,7 @@
   entry.start();
   const fate = await entry.awaitFate('a.0');
   t.is(fate.kind, 'failed');
-  await waitUntil(() => entry.free === 2);
+  await waitUntil(() => entry.free === 1);
   t.deepEqual(stand.target.seen, ['a.0']);
   await closeStand(stand);
 });
@@ -239,12 +238,10 @@
     kind: 'not-run',
     reason: 'target-down',
   });
-  await waitUntil(() => entry.recalled === 3);
+  await waitUntil(() => entry.free === 0);
   t.deepEqual(await entry.query({job: 'a', task: 0}), [
     {kind: 'never-started'},
   ]);
-  entry.peer.notify('agent.release', {slots: 3});
-  entry.free = 0;
   const target = await new FakeTarget().open(port);
   await waitUntil(() => entry.free === 4);
   entry.fates.clear();
@@ -281,7 +278,7 @@
     kind: 'not-run',
     reason: 'expired',
   });
-  await waitUntil(() => entry.free === 2);
+  await waitUntil(() => entry.free === 1);
   await closeStand(stand);
 });
 
@@ -324,7 +321,7 @@
   t.is(two.free, 0);
   release();
   await waitUntil(() => two.free === 1);
-  t.is(one.free, 1);
+  t.is(one.free, 0);
   await closeStand(stand);
 });
 
--- a/packages/agent/test/stand.ts
+++ b/packages/agent/test/stand.ts
@@ -277,7 +277,6 @@
   readonly fates = new Map<string, TaskFate>();
   readonly reports: string[] = [];
   free = 0;
-  recalled = 0;
   peer!: Peer;
 
   private constructor(readonly epoch: Epoch) {}
@@ -294,7 +293,11 @@
         stand.agent.address,
         {
           'entry.grant': ({slots}) => void (fake.free += slots),
-          'entry.recall': ({slots}) => void (fake.recalled += slots),
+          'entry.recall': ({slots}, peer) => {
+            const idle = Math.min(slots, fake.free);
+            fake.free -= idle;
+            if (idle > 0) peer.notify('agent.release', {slots: idle});
+          },
           'entry.report': ({tasks, slots}) => {
             fake.free += slots;
             for (const {job, task, fate} of tasks) {
@@ -315,6 +318,7 @@
   }
 
   start(task: Partial<StartTask> = {}, waiting = 0): void {
+    if (task.granted !== false) this.free--;
     this.peer.notify('agent.start', {tasks: [makeTask(task)], waiting});
   }
 
