--- a/packages/agent/src/executor.ts
+++ b/packages/agent/src/executor.ts
@@ -1,7 +1,7 @@
-import {Pool} from 'undici';
+import type {Pool} from 'undici';
 import {failUnreachable} from '#model';
 import {interpretAnswer} from './answer.js';
-import {sendRequest} from './http.js';
+import {openPool, sendRequest} from './http.js';
 import {
   maxResultBytes,
   type RunOutcome,
@@ -9,26 +9,8 @@
   type Target,
 } from './target.js';
 
-const connectTimeoutMs = 2000;
-const idleTimeoutMs = 4000;
 const healthTimeoutMs = 2000;
 
-/** Opens the connections to a target: no pipelining, so that one failure touches one task. */
-export function openPool(
-  url: string,
-  connections: number,
-  answerTimeoutMs: number,
-): Pool {
-  return new Pool(url, {
-    connections,
-    pipelining: 1,
-    headersTimeout: answerTimeoutMs,
-    bodyTimeout: answerTimeoutMs,
-    keepAliveTimeout: idleTimeoutMs,
-    connect: {timeout: connectTimeoutMs},
-  });
-}
-
 /** A back end that runs one task for each HTTP request. */
 export class Executor implements Target {
   private readonly pool: Pool;
--- a/packages/agent/src/http.ts
+++ b/packages/agent/src/http.ts
@@ -1,4 +1,24 @@
-import type {Pool} from 'undici';
+import {Pool} from 'undici';
+
+const connectTimeoutMs = 2000;
+/** Shorter than a common server's, so that a request does not meet a closing connection. */
+const idleTimeoutMs = 4000;
+
+/** Opens the connections to a target: no pipelining, so that one failure touches one task. */
+export function openPool(
+  url: string,
+  connections: number,
+  answerTimeoutMs: number,
+): Pool {
+  return new Pool(url, {
+    connections,
+    pipelining: 1,
+    headersTimeout: answerTimeoutMs,
+    bodyTimeout: answerTimeoutMs,
+    keepAliveTimeout: idleTimeoutMs,
+    connect: {timeout: connectTimeoutMs},
+  });
+}
 
 /** What became of one HTTP exchange. */
 export type HttpOutcome =
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -5,3 +5,5 @@
 
 export type {RunOutcome, RunRequest, Target} from './target.js';
 export {Executor} from './executor.js';
+export type {WorkerOptions} from './worker.js';
+export {Worker} from './worker.js';
--- a/packages/agent/src/intake.ts
+++ b/packages/agent/src/intake.ts
@@ -64,7 +64,7 @@
   readonly demand: ResourceDemand;
 }
 
-interface AcceptedTask extends Omit<RunRequest, 'demand'> {
+interface AcceptedTask extends Omit<RunRequest, 'demand' | 'maxTaskMs'> {
   readonly deadline: Instant;
   readonly keepUntil: Instant;
 }
@@ -295,7 +295,7 @@
     this.startCount++;
     const {demand, maxTaskMs} = readiness.service;
     this.running.set(formatTask(task), {epoch, demand});
-    this.runner.run({...task, demand}, maxTaskMs);
+    this.runner.run({...task, demand, maxTaskMs});
   }
 
   private startQueued({epoch, task}: QueuedStart<AcceptedTask>): void {
--- a/packages/agent/src/run.ts
+++ b/packages/agent/src/run.ts
@@ -15,9 +15,11 @@
 import {Agent} from './agent.js';
 import {Executor} from './executor.js';
 import type {Target} from './target.js';
+import {Worker} from './worker.js';
 
 /** A connection to the target that is silent for this long is given up; tasks end sooner. */
 const answerTimeoutMs = 2 * 3_600_000;
+const guardIntervalMs = 250;
 
 /**
  * Runs the agent until it has drained. The configuration in force comes from
@@ -32,7 +34,7 @@
   const {role, place} = settings;
   const starting = await Agent.start({
     settings,
-    target: openTarget(role.url, role.capacity),
+    target: openTarget(role.url, role.capacity, runtime),
     runtime,
     incarnation: chooseIncarnation(),
     readConfiguration: ({source}: VersionedSource) =>
@@ -80,12 +82,16 @@
   return Date.now();
 }
 
-function openTarget(url: string, capacity: Capacity): Target {
+function openTarget(
+  url: string,
+  capacity: Capacity,
+  {clock, log}: Runtime,
+): Target {
   switch (capacity.kind) {
     case 'executor':
       return new Executor(url, capacity.maxConnections, answerTimeoutMs);
     case 'worker':
-      throw new Error('not yet');
+      return new Worker({url, clock, log, answerTimeoutMs, guardIntervalMs});
     default:
       return failUnreachable(capacity);
   }
--- a/packages/agent/src/runner.ts
+++ b/packages/agent/src/runner.ts
@@ -12,7 +12,6 @@
 export type StopCause =
   | {readonly kind: 'cancelled'}
   | {readonly kind: 'overrun'; readonly maxTaskMs: number}
-  | {readonly kind: 'guard'; readonly detail: string}
   | {readonly kind: 'halted'};
 
 /** The end of a run. */
@@ -49,8 +48,9 @@
     return this.tasks.size;
   }
 
-  /** Starts a task; it is stopped once it has run for `maxTaskMs`. */
-  run(request: RunRequest, maxTaskMs: number): void {
+  /** Starts a task; it is stopped once it has run for its longest time. */
+  run(request: RunRequest): void {
+    const {maxTaskMs} = request;
     const key = formatTask(request);
     assertInvariant(!this.tasks.has(key), `task ${key} runs already`);
     const task: RunningTask = {
@@ -131,8 +131,6 @@
         kind: 'failed',
         detail: `stopped after ${cause.maxTaskMs} ms, the longest that a task may run`,
       };
-    case 'guard':
-      return {kind: 'failed', detail: `stopped: ${cause.detail}`};
     case 'halted':
       return {kind: 'unknown', detail: 'the agent ended before the task'};
     default:
--- a/packages/agent/src/target-watch.ts
+++ b/packages/agent/src/target-watch.ts
@@ -1,15 +1,20 @@
 import type {Target} from './target.js';
 
-/** Knows whether the target can be reached. Suspended by a failure, resumed by a health check. */
+/**
+ * Knows whether the target can be reached: not before its first health check
+ * passes, and after a failure not before the next one does.
+ */
 export class TargetWatch implements Disposable {
-  private down = false;
+  private down = true;
   private disposed = false;
 
   constructor(
     private readonly target: Target,
     private readonly checkIntervalMs: number,
     private readonly onChange: () => void,
-  ) {}
+  ) {
+    void this.awaitHealth();
+  }
 
   get isDown(): boolean {
     return this.down;
@@ -28,13 +33,11 @@
   }
 
   private async awaitHealth(): Promise<void> {
-    while (!this.disposed && this.down) {
-      await new Promise(resolve =>
-        setTimeout(resolve, this.checkIntervalMs).unref(),
-      );
-      if (this.disposed || !(await this.target.checkHealth())) continue;
-      this.down = false;
-      this.onChange();
+    while (!this.disposed && !(await this.target.checkHealth())) {
+      await new Promise(resolve => setTimeout(resolve, this.checkIntervalMs));
     }
+    if (this.disposed) return;
+    this.down = false;
+    this.onChange();
   }
 }
--- a/packages/agent/src/target.ts
+++ b/packages/agent/src/target.ts
@@ -20,6 +20,8 @@
   readonly payload: unknown;
   /** What the task may use of a worker. */
   readonly demand: ResourceDemand;
+  /** The task is stopped once it has run this long, in ms. */
+  readonly maxTaskMs: number;
 }
 
 /** The back end beside this agent. */
@@ -29,7 +31,7 @@
     request: RunRequest,
     signal: AbortSignal,
   ) => Promise<RunOutcome>;
-  /** Resolves with whether the target answers. */
+  /** Resolves with whether the target answers and is free of tasks that are not this agent's. */
   readonly checkHealth: () => Promise<boolean>;
 }
 
--- /dev/null
+++ b/packages/agent/src/usage.ts
@@ -0,0 +1,26 @@
+import {array, Codec, type GetType, number, string} from 'purify-ts/Codec';
+
+const usageReport = Codec.interface({
+  tasks: array(
+    Codec.interface({
+      job: string,
+      task: number,
+      cores: number,
+      memoryMb: number,
+      accelerators: number,
+      ageMs: number,
+    }),
+  ),
+});
+
+/** What a worker reports of one task, and how long ago that was so. */
+export type TaskUsage = Readonly<GetType<typeof usageReport>['tasks'][number]>;
+
+/** Reads a worker's usage report; undefined when it is malformed. */
+export function parseUsage(body: unknown): readonly TaskUsage[] | undefined {
+  return usageReport
+    .decode(body)
+    .map(({tasks}) => tasks)
+    .toMaybe()
+    .extract();
+}
