Let either end ask whether all that it sent has arrived

An agent that drains must not end while its last reports may be lost on a connection that swallows them: TCP accepts them and nobody has read them.

--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -251,6 +251,7 @@
   ),
   'watcher.update': toCheck(viewUpdate),
   'peer.ping': toCheck(nothing),
+  'peer.sync': toCheck(nothing),
 };
 
 /** Checks a method's parameters; fails with the part that is wrong and what was expected. */
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -97,6 +97,8 @@
     result: ControlReply<Nothing>;
   };
   'control.status': {params: Nothing; result: ControlStatus};
+  /** Served by both ends: its result proves that all that was sent before has arrived. */
+  'peer.sync': {params: Nothing; result: Nothing};
 }
 
 /** Methods that are not answered. Each is safe to lose with its connection. */
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -162,6 +162,7 @@
 
   private addHandlers(handlers: Handlers): void {
     this.rpc.addMethod('peer.ping', () => undefined);
+    this.rpc.addMethod('peer.sync', () => ({}));
     for (const [name, handler] of Object.entries(handlers)) {
       const method = name as MethodName;
       const handle = handler as (params: unknown, peer: Peer) => unknown;
