--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -172,7 +172,7 @@
         target: settings.id,
         incarnation,
         service: role.service,
-        address: listener.address,
+        address: role.advertise ?? listener.address,
         place: settings.place,
         capacity: role.capacity,
         leaving: false,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -172,7 +172,7 @@
 
   private openLease(): EntryLease {
     const {id: entry, place} = this.settings;
-    const address = this.listener.address;
+    const address = this.settings.role.advertise ?? this.listener.address;
     return new EntryLease(
       {
         open: async deadline =>
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -5,6 +5,7 @@
   boundPositive,
   chooseText,
   controlMembers,
+  dialAddress,
   dialAddresses,
   host,
   httpUrl,
@@ -54,11 +55,13 @@
 const entryTable = allowTable({
   http: requireKey(listenAddress),
   listen: requireKey(announcedAddress),
+  advertise: allowKey(dialAddress),
   drain_ms: drainMs,
 });
 
 const agentTable = allowTable({
   listen: requireKey(announcedAddress),
+  advertise: allowKey(dialAddress),
   service: requireKey(name),
   url: requireKey(httpUrl),
   drain_ms: drainMs,
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -160,13 +160,26 @@
 function toRole(whole: WholeSettings, role: Role['kind']): Role {
   switch (role) {
     case 'entry': {
-      const {http, listen, drain_ms} = whole.entry!;
-      return {kind: 'entry', http, listen, drainMs: drain_ms};
+      const {http, listen, advertise, drain_ms} = whole.entry!;
+      return {
+        kind: 'entry',
+        http,
+        listen,
+        ...(advertise !== undefined && {advertise}),
+        drainMs: drain_ms,
+      };
     }
     case 'agent': {
-      const {listen, service, url, drain_ms} = whole.agent!;
-      const capacity = toCapacity(whole);
-      return {kind: 'agent', listen, service, capacity, url, drainMs: drain_ms};
+      const {listen, advertise, service, url, drain_ms} = whole.agent!;
+      return {
+        kind: 'agent',
+        listen,
+        ...(advertise !== undefined && {advertise}),
+        service,
+        capacity: toCapacity(whole),
+        url,
+        drainMs: drain_ms,
+      };
     }
     case 'control': {
       const {listen, data, members, join} = whole.control!;
--- a/packages/settings/src/process.ts
+++ b/packages/settings/src/process.ts
@@ -13,6 +13,8 @@
   readonly http: Address;
   /** Where other entries and the command line connect. */
   readonly listen: Address;
+  /** Where others are told to connect, when not at `listen` itself. */
+  readonly advertise?: Address;
   /** How long a drain may take before it ends with the outcomes recorded, in ms. */
   readonly drainMs: number;
 }
@@ -21,6 +23,8 @@
   readonly kind: 'agent';
   /** Where entries and the command line connect. */
   readonly listen: Address;
+  /** Where others are told to connect, when not at `listen` itself. */
+  readonly advertise?: Address;
   readonly service: ServiceName;
   readonly capacity: Capacity;
   /** Base URL of the back end. */
