--- /dev/null
+++ b/packages/bench/src/chaos.ts
@@ -0,0 +1,142 @@
+import {type Counts, countOutcomes, isSound} from './check.js';
+import {type ChaosOptions, planChaos, type TroubleStep} from './chaos-plan.js';
+import {readJournal} from './journal.js';
+import {type LoadOptions, planLoad} from './load.js';
+import {judgeRaces, readHistory} from './operator.js';
+import {runLoad} from './run-load.js';
+import {Saboteur} from './saboteur.js';
+import {Site} from './site.js';
+import {describeSite} from './site-options.js';
+import {VersionWatch} from './version-watch.js';
+
+export interface ChaosRun {
+  readonly seed: number;
+  readonly steps: readonly TroubleStep[];
+  readonly counts: Counts;
+  /** Changes of configuration that were accepted during the run. */
+  readonly accepted: number;
+  /** What broke a promise: empty for a sound run. */
+  readonly faults: readonly string[];
+}
+
+const spanMs = 8000;
+const maxTroubleMs = 5000;
+const readyLimitMs = 30_000;
+const recoveryLimitMs = 30_000;
+
+/** Leases short enough for several to run out in one run. */
+const leases = {
+  entry_lease_ms: 1500,
+  target_lease_ms: 2500,
+  renewal_interval_ms: 400,
+  clock_margin_ms: 200,
+};
+
+const persistence = {maxAttempts: 8, maxPauseMs: 1000};
+
+/** Runs a site under load and troubles that follow from the seed, and judges what came of it. */
+export async function runChaos(
+  data: string,
+  seed: number,
+  troubles: number,
+): Promise<ChaosRun> {
+  await using site = await Site.start(
+    describeSite(data, {proxied: true, leases, drainMs: 5000}),
+  );
+  await site.waitUntilReady(readyLimitMs);
+  const steps = planChaos(describeOptions(site, seed, troubles));
+  const load = describeLoad(seed);
+  const saboteur = new Saboteur(site, `chaos-${seed}`);
+  const watch = new VersionWatch(site);
+  const [records] = await Promise.all([
+    runLoad(planLoad(load), {
+      entries: site.entryUrls,
+      seed,
+      arrivals: load.arrivals,
+      persistence,
+      doubledShare: 0.3,
+    }),
+    saboteur.execute(steps),
+  ]);
+  await saboteur.repair();
+  const recovery = await describeRecovery(site, seed);
+  await watch[Symbol.asyncDispose]();
+  const history = await readHistory(site);
+  const counts = countOutcomes(readJournal(site.journal), records);
+  const faults = [
+    ...(isSound(counts) ? [] : counts.offences),
+    ...watch.regressions.map(
+      ({process, from, to}) => `${process}: version ${from} went back to ${to}`,
+    ),
+    ...judgeRaces(saboteur.races, history ?? []),
+    ...saboteur.badDrains,
+    ...recovery,
+  ];
+  const accepted = saboteur.races.flatMap(race => race.accepted).length;
+  return {seed, steps, counts, accepted, faults};
+}
+
+function describeOptions(
+  site: Site,
+  seed: number,
+  troubles: number,
+): ChaosOptions {
+  const listNames = (role: 'control' | 'entry' | 'agent') =>
+    site.list(role).map(({name}) => name);
+  return {
+    seed,
+    troubles,
+    spanMs,
+    maxTroubleMs,
+    names: {
+      control: listNames('control'),
+      entry: listNames('entry'),
+      agent: listNames('agent'),
+    },
+  };
+}
+
+function describeLoad(seed: number): LoadOptions {
+  return {
+    seed,
+    jobs: 120,
+    arrivals: {kind: 'poisson', jobsPerSecond: 15},
+    services: ['tally', 'renewal'],
+    teams: ['herd-registry', 'licensing'],
+    minTasks: 1,
+    maxTasks: 12,
+    minTaskMs: 5,
+    maxTaskMs: 300,
+    deadlineMs: 8000,
+    unrepeatableShare: 0.3,
+    failingShare: 0.02,
+    declaredErrorFactor: 5,
+  };
+}
+
+/** Says what a site without troubles still does wrong. */
+async function describeRecovery(
+  site: Site,
+  seed: number,
+): Promise<readonly string[]> {
+  try {
+    await site.waitUntilReady(recoveryLimitMs);
+  } catch (error) {
+    return [`no recovery: ${(error as Error).message}`];
+  }
+  const probe = planLoad({
+    ...describeLoad(-seed - 1),
+    jobs: 10,
+    failingShare: 0,
+  });
+  const records = await runLoad(probe, {
+    entries: site.entryUrls,
+    seed,
+    arrivals: {kind: 'closed', callers: 2},
+    persistence,
+    doubledShare: 0,
+  });
+  const {complete, jobs} = countOutcomes(readJournal(site.journal), records);
+  if (complete === jobs) return [];
+  return [`no recovery: ${complete} of ${jobs} jobs complete after the repair`];
+}
--- /dev/null
+++ b/packages/bench/src/operator.ts
@@ -0,0 +1,159 @@
+import {spawn} from 'node:child_process';
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {stringify} from 'smol-toml';
+import {exitCode} from '#telemetry';
+import type {Site} from './site.js';
+
+/** What the command line of an operator came to. */
+export interface CommandResult {
+  readonly code: number;
+  readonly out: string;
+}
+
+/** Runs a command of the system's binary to its end. */
+export function runCommand(
+  site: Site,
+  args: readonly string[],
+): Promise<CommandResult> {
+  return new Promise((resolve, reject) => {
+    const child = spawn(site.options.binary, args, {
+      stdio: ['ignore', 'pipe', 'ignore'],
+    });
+    let out = '';
+    child.stdout.on('data', chunk => (out += String(chunk)));
+    child.once('error', reject);
+    child.once('close', code => resolve({code: code ?? -1, out}));
+  });
+}
+
+/** A change that control accepted. */
+export interface AcceptedChange {
+  readonly changeId: string;
+  readonly version: number;
+}
+
+export interface RaceResult {
+  readonly expectedVersion: number;
+  readonly accepted: readonly AcceptedChange[];
+  /** Operators that were told that another change got there first. */
+  readonly conflicts: number;
+  /** Operators that did not learn the outcome. */
+  readonly unanswered: number;
+}
+
+const raceLimitMs = 4000;
+
+/** Reads the version in force from the leader; undefined when it cannot be told now. */
+export async function readVersion(site: Site): Promise<number | undefined> {
+  const args = ['config', 'show', '--json', '--timeout-ms', '3000'];
+  const {code, out} = await runCommand(site, [...args, ...nameControls(site)]);
+  if (code !== exitCode.ok) return undefined;
+  return (JSON.parse(out) as {readonly version: number}).version;
+}
+
+/** Lets operators apply different changes that build on the same version. */
+export async function raceChanges(
+  site: Site,
+  operators: number,
+  label: string,
+): Promise<RaceResult | undefined> {
+  const expectedVersion = await readVersion(site);
+  if (expectedVersion === undefined) return undefined;
+  const results = await Promise.all(
+    Array.from({length: operators}, async (_, i) => {
+      const changeId = `${label}-${i}`;
+      const result = await applyChange(site, changeId, expectedVersion, i);
+      return {changeId, ...result};
+    }),
+  );
+  const count = (code: number) =>
+    results.filter(result => result.code === code).length;
+  return {
+    expectedVersion,
+    accepted: results
+      .filter(({code}) => code === exitCode.ok)
+      .map(({changeId, out}) => ({
+        changeId,
+        version: (JSON.parse(out) as AcceptedChange).version,
+      })),
+    conflicts: count(exitCode.conflict),
+    unanswered: operators - count(exitCode.ok) - count(exitCode.conflict),
+  };
+}
+
+async function applyChange(
+  site: Site,
+  changeId: string,
+  expectedVersion: number,
+  seed: number,
+): Promise<CommandResult> {
+  const {configuration, data} = site.options;
+  const base = join(data, `${changeId}.toml`);
+  const limits = {
+    ...configuration.limits,
+    max_tasks_per_job: 500 + seed,
+  };
+  writeFileSync(base, stringify({...configuration, limits}));
+  return runCommand(site, [
+    'config',
+    'apply',
+    '--json',
+    '--base',
+    base,
+    '--expect',
+    String(expectedVersion),
+    '--change-id',
+    changeId,
+    '--author',
+    changeId,
+    '--timeout-ms',
+    String(raceLimitMs),
+    ...nameControls(site),
+  ]);
+}
+
+/** Reads the accepted changes from the leader; undefined when it cannot be asked now. */
+export async function readHistory(
+  site: Site,
+): Promise<readonly AcceptedChange[] | undefined> {
+  const {code, out} = await runCommand(site, [
+    'config',
+    'history',
+    '--json',
+    ...nameControls(site),
+  ]);
+  return code === exitCode.ok ? JSON.parse(out) : undefined;
+}
+
+/**
+ * Lists what is wrong with the races: two winners on one version, or a change that was
+ * said to be accepted and is not in the history under its version.
+ */
+export function judgeRaces(
+  races: readonly RaceResult[],
+  history: readonly AcceptedChange[],
+): readonly string[] {
+  const faults: string[] = [];
+  const versions = new Map(
+    history.map(({changeId, version}) => [changeId, version]),
+  );
+  for (const {expectedVersion, accepted} of races) {
+    if (accepted.length > 1) {
+      faults.push(
+        `${accepted.length} changes won on version ${expectedVersion}`,
+      );
+    }
+    for (const {changeId, version} of accepted) {
+      if (versions.get(changeId) === version) continue;
+      faults.push(
+        `change ${changeId} was accepted as version ${version} and the history has ${versions.get(changeId)}`,
+      );
+    }
+  }
+  return faults;
+}
+
+function nameControls(site: Site): readonly string[] {
+  return site.controls.flatMap(address => ['--control', address]);
+}
--- /dev/null
+++ b/packages/bench/src/saboteur.ts
@@ -0,0 +1,153 @@
+import {monotonicClock, failUnreachable} from '#model';
+import {dialPeer} from '#protocol';
+import type {Trouble, TroubleStep} from './chaos-plan.js';
+import type {Member} from './member.js';
+import {raceChanges, type RaceResult} from './operator.js';
+import {noFault} from './proxy.js';
+import type {Site} from './site.js';
+import {sleepFor, waitUntil} from './wait.js';
+
+const askLimitMs = 1000;
+const restartLimitMs = 20_000;
+
+/** Brings troubles about at a site. */
+export class Saboteur {
+  readonly races: RaceResult[] = [];
+  /** Processes that were asked to stop and did not end with code 0. */
+  readonly badDrains: string[] = [];
+
+  constructor(
+    private readonly site: Site,
+    private readonly label: string,
+  ) {}
+
+  /** Brings every step about at its time and waits until the last one is over. */
+  async execute(steps: readonly TroubleStep[]): Promise<void> {
+    const startedAt = performance.now();
+    await Promise.all(
+      steps.map(async ({atMs, trouble}, i) => {
+        await sleepFor(startedAt + atMs - performance.now());
+        await this.make(trouble, i);
+      }),
+    );
+  }
+
+  /** Ends every fault and starts again whatever does not run. */
+  async repair(): Promise<void> {
+    for (const member of this.site.members) {
+      member.proxy?.restore();
+      member.child.kill('SIGCONT');
+    }
+    await Promise.all(
+      this.site.members
+        .filter(({child}) => !child.isRunning)
+        .map(member => member.restart()),
+    );
+    for (const {name} of this.site.list('agent')) {
+      await this.site.changeTemper(name, {failsAll: false});
+    }
+  }
+
+  private async make(trouble: Trouble, step: number): Promise<void> {
+    switch (trouble.kind) {
+      case 'kill':
+        return this.killFor(trouble.name, trouble.forMs);
+      case 'kill-leader': {
+        const leader = await this.findLeader();
+        return leader && this.killFor(leader.name, trouble.forMs);
+      }
+      case 'pause':
+        await this.site.kill(trouble.name, 'SIGSTOP');
+        await sleepFor(trouble.forMs);
+        await this.site.kill(trouble.name, 'SIGCONT');
+        return;
+      case 'drain':
+        return this.drainFor(trouble.name, trouble.forMs);
+      case 'link': {
+        const {proxy} = this.site.find(trouble.to);
+        proxy?.inject(trouble.fault, trouble.from);
+        await sleepFor(trouble.forMs);
+        proxy?.inject(noFault, trouble.from);
+        return;
+      }
+      case 'isolate':
+        return this.cutOffFor(trouble.name, trouble.forMs);
+      case 'lose-track':
+        this.site.find(trouble.to).proxy?.swallowOpen();
+        return;
+      case 'fail-all':
+        await this.site.changeTemper(trouble.target, {failsAll: true});
+        await sleepFor(trouble.forMs);
+        await this.site.changeTemper(trouble.target, {failsAll: false});
+        return;
+      case 'race-config':
+        return this.raceConfig(trouble.operators, step);
+      default:
+        return failUnreachable(trouble);
+    }
+  }
+
+  private async killFor(name: string, forMs: number): Promise<void> {
+    const member = this.site.find(name);
+    if (!member.child.isRunning) return;
+    await this.site.kill(name, 'SIGKILL');
+    await sleepFor(forMs);
+    await this.startAgain(member);
+  }
+
+  private async drainFor(name: string, forMs: number): Promise<void> {
+    const member = this.site.find(name);
+    const {child} = member;
+    if (!child.isRunning) return;
+    child.kill('SIGTERM');
+    await waitUntil(
+      `${name} ends after SIGTERM`,
+      restartLimitMs,
+      () => !child.isRunning,
+    );
+    const exit = await child.exited;
+    // Another trouble may have killed it while it drained.
+    if (exit.kind === 'code' && exit.code !== 0) {
+      this.badDrains.push(`${name} ended with code ${exit.code}`);
+    }
+    await sleepFor(forMs);
+    await this.startAgain(member);
+  }
+
+  private async startAgain(member: Member): Promise<void> {
+    if (!member.child.isRunning) await member.restart();
+  }
+
+  private async cutOffFor(name: string, forMs: number): Promise<void> {
+    const others = this.site.members.filter(member => member.name !== name);
+    const own = this.site.find(name).proxy;
+    const fault = {kind: 'swallow', way: 'both'} as const;
+    own?.inject(fault);
+    for (const {proxy} of others) proxy?.inject(fault, name);
+    await sleepFor(forMs);
+    own?.inject(noFault);
+    for (const {proxy} of others) proxy?.inject(noFault, name);
+  }
+
+  private async raceConfig(operators: number, step: number): Promise<void> {
+    const race = await raceChanges(
+      this.site,
+      operators,
+      `${this.label}-${step}`,
+    );
+    if (race !== undefined) this.races.push(race);
+  }
+
+  private async findLeader(): Promise<Member | undefined> {
+    for (const member of this.site.list('control')) {
+      const deadline = monotonicClock.now() + askLimitMs;
+      const dialled = await dialPeer(member.plan.listen, {}, deadline);
+      if (dialled.isLeft()) continue;
+      const peer = dialled.unsafeCoerce();
+      const status = await peer.request('control.status', {}, deadline);
+      peer.close('asked');
+      if (status.map(({role}) => role).extract() === 'leader') return member;
+    }
+    return undefined;
+  }
+}
