--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -276,7 +276,7 @@
     const destination = this.destination!;
     const link = this.links.get(destination.target);
     if (execution.isOver || link === undefined) {
-      this.apply({kind: 'start-unused', ...destination});
+      this.apply({...destination, kind: 'start-unused'});
       if (!execution.isOver) this.add(execution, [task]);
       return;
     }
