--- a/packages/bench/src/chaos-main.ts
+++ b/packages/bench/src/chaos-main.ts
@@ -12,13 +12,16 @@
     seed: {type: 'string', default: '1'},
     runs: {type: 'string', default: '20'},
     troubles: {type: 'string', default: '5'},
+    verbose: {type: 'boolean', default: false},
   },
 });
 const firstSeed = Number(values.seed);
 const count = Number(values.runs);
 const troubles = Number(values.troubles);
 if (![firstSeed, count, troubles].every(Number.isInteger)) {
-  console.error('usage: npm run chaos -- [--seed N] [--runs N] [--troubles N]');
+  console.error(
+    'usage: npm run chaos -- [--seed N] [--runs N] [--troubles N] [--verbose]',
+  );
   process.exit(2);
 }
 
@@ -44,7 +47,8 @@
     const run = await runChaos(data, seed, troubles);
     runs.push(run);
     printRun(run, data);
-    if (run.faults.length === 0) rmSync(data, {recursive: true});
+    if (run.faults.length === 0 && !values.verbose)
+      rmSync(data, {recursive: true});
   } catch (error) {
     console.log(`seed ${seed} did not run: ${String(error)}, see ${data}`);
   }
@@ -53,8 +57,10 @@
 function printRun(run: ChaosRun, data: string): void {
   const numbers = columns.map(column => `${column} ${run.counts[column]}`);
   console.log(`seed ${run.seed}: ${numbers.join(', ')}`);
-  if (run.faults.length === 0) return;
+  if (run.faults.length === 0 && !values.verbose) return;
   for (const step of run.steps) console.log(`  ${describeTrouble(step)}`);
+  for (const [reason, times] of run.reasons)
+    console.log(`  ${times} × ${reason}`);
   for (const fault of run.faults) console.log(`  FAULT ${fault}`);
   console.log(`  logs, journal and settings are in ${data}`);
 }
--- a/packages/bench/src/chaos.ts
+++ b/packages/bench/src/chaos.ts
@@ -1,4 +1,7 @@
-import {type Counts, countOutcomes, isSound} from './check.js';
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import type {JobRecord} from './caller.js';
+import {type Counts, countOutcomes, countReasons, isSound} from './check.js';
 import {type ChaosOptions, planChaos, type TroubleStep} from './chaos-plan.js';
 import {readJournal} from './journal.js';
 import {type LoadOptions, planLoad} from './load.js';
@@ -13,6 +16,8 @@
   readonly seed: number;
   readonly steps: readonly TroubleStep[];
   readonly counts: Counts;
+  /** Submissions by outcome and reason. */
+  readonly reasons: ReadonlyMap<string, number>;
   /** Changes of configuration that were accepted during the run. */
   readonly accepted: number;
   /** What broke a promise: empty for a sound run. */
@@ -58,6 +63,7 @@
     }),
     saboteur.execute(steps),
   ]);
+  writeRecords(join(data, 'records'), records);
   await saboteur.repair();
   const recovery = await describeRecovery(site, seed);
   await watch[Symbol.asyncDispose]();
@@ -69,11 +75,31 @@
       ({process, from, to}) => `${process}: version ${from} went back to ${to}`,
     ),
     ...judgeRaces(saboteur.races, history ?? []),
-    ...saboteur.badDrains,
+    ...saboteur.badEnds,
     ...recovery,
   ];
   const accepted = saboteur.races.flatMap(race => race.accepted).length;
-  return {seed, steps, counts, accepted, faults};
+  const reasons = countReasons(records);
+  return {seed, steps, counts, reasons, accepted, faults};
+}
+
+/** Writes one JSON line a submission, for the reader of a fault. */
+function writeRecords(path: string, records: readonly JobRecord[]): void {
+  const lines = records.flatMap(({plan, attempts}) =>
+    attempts.map(({outcome, ...attempt}) => {
+      const {key, job, service, tasks} = plan;
+      const shown = outcome.kind === 'complete' ? {kind: 'complete'} : outcome;
+      return JSON.stringify({
+        key,
+        job,
+        service,
+        tasks: tasks.length,
+        ...attempt,
+        ...shown,
+      });
+    }),
+  );
+  writeFileSync(path, lines.join('\n'));
 }
 
 function describeOptions(
--- a/packages/bench/src/check.ts
+++ b/packages/bench/src/check.ts
@@ -1,3 +1,4 @@
+import {failUnreachable} from '#model';
 import type {Attempt, JobRecord, Outcome} from './caller.js';
 import type {JournalLine} from './journal.js';
 import {nameEcho} from './load.js';
@@ -148,3 +149,30 @@
   const kinds = new Set(attempts.map(({outcome}) => outcome.kind));
   return kinds.has('complete') && kinds.has('failed');
 }
+
+/** Counts the submissions by outcome and reason, as `kind: reason`. */
+export function countReasons(
+  records: readonly JobRecord[],
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const {outcome} of records.flatMap(({attempts}) => attempts)) {
+    const name = describeOutcome(outcome);
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function describeOutcome(outcome: Outcome): string {
+  switch (outcome.kind) {
+    case 'complete':
+      return 'complete';
+    case 'failed':
+    case 'unknown':
+    case 'not-run':
+      return `${outcome.kind}: ${outcome.reason}`;
+    case 'unanswered':
+      return `unanswered: ${outcome.detail}`;
+    default:
+      return failUnreachable(outcome);
+  }
+}
--- a/packages/bench/src/saboteur.ts
+++ b/packages/bench/src/saboteur.ts
@@ -1,6 +1,7 @@
 import {monotonicClock, failUnreachable} from '#model';
 import {dialPeer} from '#protocol';
 import type {Trouble, TroubleStep} from './chaos-plan.js';
+import type {Child} from './child.js';
 import type {Member} from './member.js';
 import {raceChanges, type RaceResult} from './operator.js';
 import {noFault} from './proxy.js';
@@ -13,8 +14,9 @@
 /** Brings troubles about at a site. */
 export class Saboteur {
   readonly races: RaceResult[] = [];
-  /** Processes that were asked to stop and did not end with code 0. */
-  readonly badDrains: string[] = [];
+  /** Processes that ended of themselves, or not with code 0 when asked to stop. */
+  readonly badEnds: string[] = [];
+  private readonly asked = new Set<Child>();
 
   constructor(
     private readonly site: Site,
@@ -38,6 +40,7 @@
       member.proxy?.restore();
       member.child.kill('SIGCONT');
     }
+    await this.noteUnasked();
     await Promise.all(
       this.site.members
         .filter(({child}) => !child.isRunning)
@@ -48,6 +51,14 @@
     }
   }
 
+  private async noteUnasked(): Promise<void> {
+    for (const {name, child, plan} of this.site.members) {
+      if (child.isRunning || this.asked.has(child)) continue;
+      const exit = JSON.stringify(await child.exited);
+      this.badEnds.push(`${name} ended of itself (${exit}), see ${plan.log}`);
+    }
+  }
+
   private async make(trouble: Trouble, step: number): Promise<void> {
     switch (trouble.kind) {
       case 'kill':
@@ -90,6 +101,7 @@
   private async killFor(name: string, forMs: number): Promise<void> {
     const member = this.site.find(name);
     if (!member.child.isRunning) return;
+    this.asked.add(member.child);
     await this.site.kill(name, 'SIGKILL');
     await sleepFor(forMs);
     await this.startAgain(member);
@@ -99,6 +111,7 @@
     const member = this.site.find(name);
     const {child} = member;
     if (!child.isRunning) return;
+    this.asked.add(child);
     child.kill('SIGTERM');
     await waitUntil(
       `${name} ends after SIGTERM`,
@@ -108,7 +121,7 @@
     const exit = await child.exited;
     // Another trouble may have killed it while it drained.
     if (exit.kind === 'code' && exit.code !== 0) {
-      this.badDrains.push(`${name} ended with code ${exit.code}`);
+      this.badEnds.push(`${name} drained and ended with code ${exit.code}`);
     }
     await sleepFor(forMs);
     await this.startAgain(member);
