Count an agent's fence answer only in a life that the view knows

Cause, found by reading: an heir could reach an agent that had restarted and not yet announced itself; its empty table looked like proof that nothing had started. Also: connections to agents are numbered for the whole process, for a target that came back got numbers that its agent had already seen; a job never sent goes on under the entry's next epoch; what an epoch has resumed is forgotten with it, since the next heir fences it too.

--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -64,7 +64,7 @@
   /** Requests for admission whose answer was not seen, by job, by ticket; none of the job started here. */
   private readonly unconfirmed = new Map<JobId, Set<number>>();
   private nextTicket = 0;
-  /** Jobs of ended epochs that this process has continued; never a second time. */
+  /** Jobs of ended epochs that this epoch has continued; never a second time. */
   private readonly resumed = new Set<JobId>();
 
   constructor(
@@ -138,6 +138,7 @@
   /** The epoch is over: its jobs are answered by whoever owns them now. */
   relinquish(): void {
     this.unconfirmed.clear();
+    this.resumed.clear();
     for (const execution of this.listUnanswered()) {
       if (execution.isOver) continue;
       execution.detach();
@@ -240,6 +241,7 @@
   /** From here on no ticket of the job starts it again. */
   private startConfirmed(execution: Execution): void {
     this.unconfirmed.delete(execution.job.submission.job);
+    execution.attach();
     this.owner.start(execution);
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -78,7 +78,11 @@
       clock,
       log,
       listLinks: () => this.fleet.listLinks(),
-      listGone: () => this.client.view.gone,
+      getLives: () => ({
+        getIncarnation: target =>
+          this.client.view.targets.get(target)?.incarnation,
+        gone: this.client.view.gone,
+      }),
       getMaxPlacements: submission => this.getMaxPlacements(submission),
     });
     this.desk = new Desk(
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -56,6 +56,11 @@
     this.detached = true;
   }
 
+  /** Places tasks here again: nothing of the job was sent under the epoch that is over. */
+  attach(): void {
+    if (!this.sent) this.detached = false;
+  }
+
   /** Lists the tasks that were sent and have not ended. */
   listSent(): readonly TaskRef[] {
     const {job, tasks} = {job: this.job.submission.job, tasks: this.job.tasks};
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -35,6 +35,7 @@
 export class Fleet implements AsyncDisposable {
   private readonly links = new Map<TargetId, AgentLink>();
   private readonly pools = new Map<ServiceName, Pool>();
+  private connections = 0;
 
   constructor(
     private configuration: Configuration,
@@ -182,6 +183,7 @@
       clock,
       log,
       getEpoch,
+      nextConnection: () => ++this.connections,
       onOpened: (link, slots) =>
         tell(link, {
           kind: 'target-connected',
--- a/packages/entry/src/heir.ts
+++ b/packages/entry/src/heir.ts
@@ -15,6 +15,8 @@
 /** What fencing a set of ended epochs at every agent has brought. */
 export interface Estate {
   readonly tasks: ReadonlyMap<string, Inherited>;
+  /** The lives of agents that answered. */
+  readonly answered: ReadonlyMap<TargetId, number>;
   /** Agents that did not answer before they left the view. */
   readonly silent: readonly TargetId[];
 }
@@ -40,15 +42,20 @@
   heir: Epoch,
 ): Promise<Estate> {
   const tasks = new Map<string, Inherited>();
+  const answered = new Map<TargetId, number>();
   const silent: TargetId[] = [];
   await Promise.all(
     links.map(async link => {
       const result = await link.fence(epochs, heir);
-      if (result === undefined) silent.push(link.target.target);
-      else takeOver(link, result, tasks);
+      if (result === undefined) {
+        silent.push(link.target.target);
+        return;
+      }
+      answered.set(result.target, result.incarnation);
+      takeOver(link, result, tasks);
     }),
   );
-  return {tasks, silent};
+  return {tasks, answered, silent};
 }
 
 function takeOver(
@@ -75,15 +82,33 @@
   }
 }
 
+/** What the heir's view tells of agents' lives. */
+export interface Lives {
+  /** The incarnation of a target in the view, if it is there. */
+  readonly getIncarnation: (target: TargetId) => number | undefined;
+  readonly gone: readonly GoneTarget[];
+}
+
 /**
  * True when a task of the job that no agent reported cannot have started: every
  * agent answered, and none that the job's epoch may have used is gone.
+ *
+ * An agent may answer in a new life before the view shows that its old one is
+ * over. Its answer counts only once the view knows the life that gave it, for
+ * then the view also knows the one before.
  */
 export function isUnreportedSafe(
   estate: Estate,
-  gone: readonly GoneTarget[],
+  {getIncarnation, gone}: Lives,
   standing: AdmittedJob,
 ): boolean {
   if (estate.silent.length > 0) return false;
+  for (const [target, incarnation] of estate.answered) {
+    const known = getIncarnation(target);
+    const wasSeen = gone.some(
+      life => life.target === target && life.incarnation === incarnation,
+    );
+    if (known !== incarnation && !wasSeen) return false;
+  }
   return gone.every(({revision}) => revision < standing.revision);
 }
--- a/packages/entry/src/inheritance.ts
+++ b/packages/entry/src/inheritance.ts
@@ -5,7 +5,7 @@
   type Instant,
   type Submission,
 } from '#model';
-import type {AdmittedJob, GoneTarget} from '#protocol';
+import type {AdmittedJob} from '#protocol';
 import type {Logger} from '#telemetry';
 import {Execution} from './execution.js';
 import {
@@ -13,6 +13,7 @@
   type Estate,
   type Inherited,
   isUnreportedSafe,
+  type Lives,
 } from './heir.js';
 import {createJob, loseJob} from './job.js';
 import {type AgentLink, formatTask} from './link.js';
@@ -22,7 +23,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly listLinks: () => readonly AgentLink[];
-  readonly listGone: () => readonly GoneTarget[];
+  readonly getLives: () => Lives;
   readonly getMaxPlacements: (submission: Submission) => number;
 }
 
@@ -83,7 +84,7 @@
       );
       return execution;
     }
-    const isSafe = isUnreportedSafe(estate, this.owner.listGone(), standing);
+    const isSafe = isUnreportedSafe(estate, this.owner.getLives(), standing);
     submission.tasks.forEach((_, task) => {
       const key = formatTask({job: submission.job, task});
       this.resumeTask(execution, task, estate.tasks.get(key), isSafe);
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -34,6 +34,8 @@
   readonly liveness?: Liveness;
   /** The epoch that the entry holds, or undefined while it holds none. */
   readonly getEpoch: () => Epoch | undefined;
+  /** Numbers the connections of this process, upwards. */
+  readonly nextConnection: () => number;
   /** Tasks can be sent; the agent welcomed this entry with so many slots in all. */
   readonly onOpened: (link: AgentLink, slots: number) => void;
   /** Granted slots are void and nothing can be sent. */
@@ -71,7 +73,6 @@
 
   private peer: Peer | undefined;
   private ready = false;
-  private connection = 0;
   private early = 0;
   private stopped = false;
   private inView = true;
@@ -274,7 +275,7 @@
   ): Promise<number | undefined> {
     const hello = await peer.request(
       'agent.hello',
-      {entry: this.owner.entry, epoch, connection: ++this.connection},
+      {entry: this.owner.entry, epoch, connection: this.owner.nextConnection()},
       this.getDeadline(helloTimeoutMs),
     );
     const welcome = hello.toMaybe().extractNullable();
--- a/packages/entry/test/heir.test.ts
+++ b/packages/entry/test/heir.test.ts
@@ -11,7 +11,15 @@
   revision: 50,
   ticket: 0,
 };
-const whole = {tasks: new Map(), silent: []};
+const whole = {tasks: new Map(), answered: new Map([['t1', 2]]), silent: []};
+
+function buildLives(incarnation: number | undefined, goneAt?: number) {
+  const gone =
+    goneAt === undefined
+      ? []
+      : [{target: 't1', incarnation: 1, revision: goneAt}];
+  return {getIncarnation: () => incarnation, gone};
+}
 
 test('an heir inherits through every heir between', t => {
   const ended = [
@@ -25,16 +33,22 @@
 });
 
 test('an unreported task may start when every agent answered', t => {
-  t.true(isUnreportedSafe(whole, [], standing));
+  t.true(isUnreportedSafe(whole, buildLives(2), standing));
 });
 
 test('a silent agent forbids to start what nobody reported', t => {
-  t.false(isUnreportedSafe({...whole, silent: ['t1']}, [], standing));
+  t.false(
+    isUnreportedSafe({...whole, silent: ['t1']}, buildLives(2), standing),
+  );
 });
 
 test('an agent that went after the admission forbids it, an earlier one does not', t => {
-  const gone = (revision: number) => [{target: 't1', incarnation: 1, revision}];
-  t.false(isUnreportedSafe(whole, gone(50), standing));
-  t.false(isUnreportedSafe(whole, gone(60), standing));
-  t.true(isUnreportedSafe(whole, gone(49), standing));
+  t.false(isUnreportedSafe(whole, buildLives(2, 50), standing));
+  t.false(isUnreportedSafe(whole, buildLives(2, 60), standing));
+  t.true(isUnreportedSafe(whole, buildLives(2, 49), standing));
+});
+
+test('an agent that answers in a life unknown to the view proves nothing', t => {
+  t.false(isUnreportedSafe(whole, buildLives(1), standing));
+  t.false(isUnreportedSafe(whole, buildLives(undefined), standing));
 });
