--- a/packages/consensus/test/profiles.ts
+++ b/packages/consensus/test/profiles.ts
@@ -3,7 +3,11 @@
   readonly replicas: number;
   readonly loss: number;
   readonly duplication: number;
-  /** At each disturbance, which comes every 40 to 160 ms. */
+  /** Faults come after a quarter of this to all of it. */
+  readonly maxCalmMs: number;
+  /** Within this a replica restarts or a cut connection heals. */
+  readonly maxOutageMs: number;
+  readonly maxBatchBytes: number;
   readonly crash: number;
   readonly partition: number;
   /** Replaces a disk, or a live replica, by a new one. */
@@ -14,6 +18,9 @@
 
 const mixed: Faults = {
   replicas: 3,
+  maxCalmMs: 160,
+  maxOutageMs: 500,
+  maxBatchBytes: 150,
   loss: 5,
   duplication: 5,
   crash: 40,
@@ -27,6 +34,13 @@
   'three-replicas': mixed,
   'five-replicas': {...mixed, replicas: 5, crash: 60, partition: 60},
   'lossy-network': {...mixed, loss: 25, duplication: 25, crash: 10},
+  'short-terms': {
+    ...mixed,
+    replicas: 5,
+    maxCalmMs: 30,
+    maxOutageMs: 150,
+    maxBatchBytes: 1,
+  },
   'replaced-disks': {...mixed, crash: 25, partition: 25, replace: 30},
 } satisfies Record<string, Faults>;
 
--- /dev/null
+++ b/packages/consensus/test/short-terms.test.ts
@@ -0,0 +1,3 @@
+import {runProfile} from './run.js';
+
+runProfile('short-terms', 300);
--- a/packages/consensus/test/simulation.ts
+++ b/packages/consensus/test/simulation.ts
@@ -28,8 +28,7 @@
 };
 /** Two clocks differ by less than the margin over one election timeout. */
 const maxDriftPercent = 4;
-const bounds: ReplicaBounds = {
-  maxBatchBytes: 150,
+const bounds: Omit<ReplicaBounds, 'maxBatchBytes'> = {
   maxInFlightBytes: 400,
   maxInFlightBatches: 3,
   snapshotChunkBytes: 24,
@@ -43,7 +42,7 @@
 export class Simulation {
   private readonly random;
   private readonly agenda = new Agenda();
-  private readonly oracle = new Oracle();
+  private readonly oracle: Oracle;
   private readonly nodes = new Map<string, Node>();
   private readonly cuts = new Set<string>();
   private readonly reads = new Map<number, number>();
@@ -53,14 +52,13 @@
   private lastNode = 0;
   private replacement: Replacement | undefined;
   private faulty = true;
-  /** Commit indexes seen over the last heartbeats, for the rule of promotion. */
-  private floors: number[] = [];
 
   constructor(
     seed: number,
     private readonly faults: Faults,
   ) {
     this.random = xoroshiro128plus(seed);
+    this.oracle = new Oracle(faults.checkSteps);
     const ids = Array.from({length: faults.replicas}, () => this.nameNode());
     const members = createMembers(ids.map(id => ({id, address: id})));
     for (const id of ids) this.addNode(id, [createFirstEntry(members)]);
@@ -70,7 +68,7 @@
   run(): void {
     this.agenda.add(50, () => this.injectFaults());
     this.agenda.add(0, () => this.submit());
-    this.agenda.add(0, () => this.sampleFloor());
+    this.agenda.add(0, () => this.trackFloor());
     this.agenda.runUntil(faultyMs);
     this.faulty = false;
     this.cuts.clear();
@@ -134,7 +132,12 @@
     node.digest = 0;
     if (recovered.snapshot) this.restore(node, recovered.snapshot);
     node.replica = new Replica(
-      {id: node.id, timing, bounds, random: this.random},
+      {
+        id: node.id,
+        timing,
+        bounds: {...bounds, maxBatchBytes: this.faults.maxBatchBytes},
+        random: this.random,
+      },
       recovered,
       readClock(node, this.agenda.now),
     );
@@ -193,6 +196,10 @@
         this.send(node, effect.to, effect.message);
         return;
       case 'apply':
+        this.oracle.checkCommit(
+          node.replica!.describeStatus(),
+          effect.entries.at(-1)!,
+        );
         for (const entry of effect.entries) this.apply(node, entry);
         this.snapshotIfDue(node);
         return;
@@ -219,7 +226,7 @@
   }
 
   private send(from: Node, to: string, message: Message): void {
-    if (this.faults.checkSteps) this.checkSent(from, to, message);
+    this.oracle.checkSent(from.id, from.disk, to, message);
     if (this.cuts.has(`${from.id} ${to}`)) return;
     if (this.decide(this.faults.loss)) return;
     const copies = this.decide(this.faults.duplication) ? 2 : 1;
@@ -234,29 +241,12 @@
     }
   }
 
-  /** A vote, or that entries are held, is told only when it is on the disk. */
-  private checkSent({id, disk}: Node, to: string, message: Message): void {
-    if (message.kind === 'vote-reply') {
-      if (!message.granted || message.preliminary) return;
-      const {term, vote} = disk.hardState;
-      assert.ok(
-        term === message.term && vote === to,
-        `${id} told a vote in term ${message.term} before its sync`,
-      );
-    }
-    if (message.kind !== 'append-accepted') return;
-    assert.ok(
-      disk.lastIndex >= message.matchIndex,
-      `${id} told of entry ${message.matchIndex} before its sync`,
-    );
-  }
-
   private apply(node: Node, entry: LogEntry): void {
     assert.equal(entry.index, node.applied + 1, `${node.id} skipped entries`);
     const isNew = entry.index > this.oracle.committedIndex;
     node.digest = this.oracle.checkApplied(entry, node.digest);
     node.applied = entry.index;
-    if (isNew && this.faults.checkSteps) {
+    if (isNew) {
       const {members} = node.replica!.describeStatus();
       this.oracle.checkDurable(entry, members, id => this.nodes.get(id)?.disk);
     }
@@ -295,17 +285,13 @@
   private submit(): void {
     this.agenda.add(this.draw(2, 25), () => this.submit());
     const nodes = [...this.nodes.values()];
-    const leader = this.findLeader();
-    const node =
-      leader && this.draw(0, 3) > 0
-        ? leader
-        : nodes[this.draw(0, nodes.length - 1)];
-    const ticket = ++this.lastTicket;
-    if (this.draw(0, 2) === 0) {
-      this.reads.set(ticket, this.oracle.seenIndex);
-      this.step(node, {kind: 'read', ticket});
+    const any = nodes[this.draw(0, nodes.length - 1)];
+    if (this.draw(0, 1) === 0) {
+      for (const node of nodes) this.read(node);
       return;
     }
+    const node = this.draw(0, 3) > 0 ? (this.findLeader() ?? any) : any;
+    const ticket = ++this.lastTicket;
     const commands = Array.from({length: this.draw(1, 5)}, () =>
       Buffer.from(`c${++this.lastCommand}`),
     );
@@ -313,6 +299,14 @@
     this.step(node, {kind: 'propose', ticket, commands});
   }
 
+  /** Reads at a replica that believes that it leads. */
+  private read(node: Node): void {
+    if (node.replica?.describeStatus().role !== 'leader') return;
+    const ticket = ++this.lastTicket;
+    this.reads.set(ticket, this.oracle.seenIndex);
+    this.step(node, {kind: 'read', ticket});
+  }
+
   private trackProposal(
     node: Node,
     ticket: number,
@@ -348,14 +342,16 @@
   }
 
   private injectFaults(): void {
-    this.agenda.add(this.draw(40, 160), () => this.injectFaults());
+    const {maxCalmMs, maxOutageMs} = this.faults;
+    const calmMs = this.draw(Math.ceil(maxCalmMs / 4), maxCalmMs);
+    this.agenda.add(calmMs, () => this.injectFaults());
     this.stepReplacement();
     if (!this.faulty) return;
     const nodes = [...this.nodes.values()];
     const node = nodes[this.draw(0, nodes.length - 1)];
     if (this.decide(this.faults.crash)) {
       this.kill(node);
-      this.schedule(node, this.draw(5, 400), () => this.restart(node));
+      this.schedule(node, this.draw(5, maxOutageMs), () => this.restart(node));
     }
     if (this.decide(this.faults.partition)) this.cut(nodes, node);
     if (this.decide(this.faults.replace)) this.beginReplacement();
@@ -372,7 +368,7 @@
       ...(directions & 2 ? [`${one.id} ${node.id}`] : []),
     ]);
     for (const pair of pairs) this.cuts.add(pair);
-    this.agenda.add(this.draw(20, 600), () => {
+    this.agenda.add(this.draw(20, this.faults.maxOutageMs), () => {
       for (const pair of pairs) this.cuts.delete(pair);
     });
   }
@@ -408,7 +404,10 @@
     this.step(leader, {kind: 'change-members', ticket, change});
     const status = leader.replica?.describeStatus();
     const begun = status && status.lastIndex > before;
-    if (begun && change.kind === 'promote') this.checkPromotion(change.member);
+    if (begun && change.kind === 'promote') {
+      const {lastIndex} = this.nodes.get(change.member)!.disk;
+      this.oracle.checkPromotion(change.member, lastIndex);
+    }
   }
 
   private finishReplacement({leaving}: Replacement, leader: Node): void {
@@ -419,19 +418,8 @@
     if (this.nodes.get(leaving)?.diskLost) this.nodes.delete(leaving);
   }
 
-  /** A learner becomes a voter only with what was committed some heartbeats ago on its disk. */
-  private checkPromotion(id: string): void {
-    if (!this.faults.checkSteps) return;
-    const {lastIndex} = this.nodes.get(id)!.disk;
-    assert.ok(
-      lastIndex >= this.floors[0],
-      `${id} was promoted with ${lastIndex} of ${this.floors[0]} entries`,
-    );
-  }
-
-  private sampleFloor(): void {
-    this.floors.push(this.oracle.committedIndex);
-    if (this.floors.length > 10) this.floors.shift();
-    this.agenda.add(timing.heartbeatIntervalMs, () => this.sampleFloor());
+  private trackFloor(): void {
+    this.oracle.trackFloor();
+    this.agenda.add(timing.heartbeatIntervalMs, () => this.trackFloor());
   }
 }
