--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -3,7 +3,9 @@
 import {
   describeSettingsError,
   diffConfiguration,
+  findRepeatedKeys,
   parseConfiguration,
+  type RepeatedKey,
 } from '#settings';
 import {type ExitCode, exitCode} from '#telemetry';
 import {
@@ -97,17 +99,31 @@
     Left: errors => reportSettingsErrors(context, options, errors),
     Right: source => {
       const sites = Object.keys(source.overlays);
+      const repeated = findRepeatedKeys(source);
       printResult(
         context.console,
         options,
-        {valid: true, sites},
-        () => `valid: base and ${sites.length} overlays`,
+        {valid: true, sites, repeated},
+        renderCheck,
       );
       return exitCode.ok;
     },
   });
 }
 
+function renderCheck(result: {
+  readonly sites: readonly string[];
+  readonly repeated: readonly RepeatedKey[];
+}): string {
+  return [
+    `valid: base and ${result.sites.length} overlays`,
+    ...result.repeated.map(
+      ({site, key, value}) =>
+        `note: overlay "${site}" repeats ${key} = ${value} of the base`,
+    ),
+  ].join('\n');
+}
+
 async function showDifference(
   context: Context,
   options: ControlOptions & SourceFiles,
--- a/packages/cli/src/entry-client.ts
+++ b/packages/cli/src/entry-client.ts
@@ -19,8 +19,10 @@
 }
 
 const pauseMs = 200;
-/** Errors that prove that nothing was sent. */
+/** Errors that prove that nothing was sent, and that a later attempt may succeed. */
 const dialErrors = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'];
+/** What no attempt can send, such as a header that HTTP does not allow. */
+const unsendable = 'UND_ERR_INVALID_ARG';
 
 /** Asks entries in turn until one answers or the deadline passes. */
 export async function requestEntry(
@@ -39,6 +41,7 @@
     const answer = await sendQuery(url, query, remainingMs);
     if (answer.isRight()) return answer;
     failure = answer.swap().unsafeCoerce();
+    if (failure.kind === 'refused') return Left(failure);
     wasSent ||= failure.kind === 'unanswered';
     await sleep(pauseMs);
   }
@@ -61,15 +64,16 @@
     const text = await body.text();
     return Right({status: statusCode, body: parseObject(text)});
   } catch (error) {
-    const {code, message} = error as NodeJS.ErrnoException;
-    const kind =
-      code !== undefined && dialErrors.includes(code)
-        ? 'unreachable'
-        : 'unanswered';
-    return Left({kind, detail: `${url}: ${message}`});
+    const {code = '', message} = error as NodeJS.ErrnoException;
+    return Left({kind: judgeError(code), detail: `${url}: ${message}`});
   }
 }
 
+function judgeError(code: string): RemoteFailure['kind'] {
+  if (code === unsendable) return 'refused';
+  return dialErrors.includes(code) ? 'unreachable' : 'unanswered';
+}
+
 /** Reads a body that should be a JSON object; another is kept as its text. */
 function parseObject(text: string): Readonly<Record<string, unknown>> {
   try {
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -27,6 +27,19 @@
   return code;
 }
 
+const exitCodeHelp = `
+Exit codes:
+  0  done; of "job submit": the answer is complete
+  1  the drain deadline passed with work left
+  2  wrong usage
+  3  wrong settings or configuration
+  4  an address is taken or a folder cannot be used
+  5  a remote process refused or could not be reached; nothing was done
+  6  the job was admitted and failed
+  7  whether it was done is not known: ask again with the same key or change id
+  8  another change of the configuration got there first
+  70 a broken invariant`;
+
 function buildProgram(
   console: Console,
   end: (code: ExitCode) => void,
@@ -34,6 +47,7 @@
   const program = new Command('wasabiring')
     .description('A dispatcher for sub-second tasks')
     .version(version)
+    .addHelpText('after', exitCodeHelp)
     .exitOverride()
     .configureOutput({writeOut: console.out, writeErr: console.err});
   const context = {console, end};
--- a/packages/cli/test/config.test.ts
+++ b/packages/cli/test/config.test.ts
@@ -134,6 +134,15 @@
   );
 });
 
+test('check passes the examples, in which no overlay repeats the base', async t => {
+  const overlays = ['gilgit', 'mazowsze']
+    .map(site => `--overlay ${site}=examples/${site}/overlay.toml`)
+    .join(' ');
+  const {code, out} = await run(`config check --base ${base} ${overlays}`);
+  t.is(code, 0);
+  t.is(out, 'valid: base and 2 overlays\n');
+});
+
 test('a wrong file is refused before anything is sent', async t => {
   const {code, err} = await run([
     ...['config', 'apply', '--control', '127.0.0.1:1', '--expect', '1'],
--- a/packages/cli/test/job.test.ts
+++ b/packages/cli/test/job.test.ts
@@ -70,6 +70,17 @@
   t.regex(err, /^unanswered: .*the job's key is k\/1/);
 });
 
+test('a key that HTTP cannot carry is refused at once', async t => {
+  for (const key of ['two\nlines', 'ключ']) {
+    const {code, err} = await run([
+      ...['job', 'submit', '--entry', 'http://127.0.0.1:1', '--key', key],
+      ...['--service', 's', '--team', 't', '--payload', '1'],
+    ]);
+    t.is(code, 5);
+    t.regex(err, /^refused: .*invalid/);
+  }
+});
+
 const answers: ReadonlyArray<readonly [number, object, number]> = [
   [500, {status: 'failed', reason: 'task-failed'}, 6],
   [504, {status: 'failed', reason: 'unknown'}, 7],
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -31,3 +31,5 @@
 export {diffConfiguration, listKeys} from './difference.js';
 export {readText} from './document.js';
 export {renderValue} from './value.js';
+export type {RepeatedKey} from './repeat.js';
+export {findRepeatedKeys} from './repeat.js';
--- /dev/null
+++ b/packages/settings/src/repeat.ts
@@ -0,0 +1,30 @@
+import type {ConfigurationSource} from '#model';
+import {isTable, parseDocument, type TomlTable} from './document.js';
+import {listTableKeys} from './listing.js';
+import {renderValue} from './value.js';
+
+/** A key that an overlay states as the base does: no fault, but no difference either. */
+export interface RepeatedKey {
+  readonly site: string;
+  readonly key: string;
+  readonly value: string;
+}
+
+/** Finds the keys of overlays that repeat the base. Texts that are not TOML have none. */
+export function findRepeatedKeys(
+  source: ConfigurationSource,
+): readonly RepeatedKey[] {
+  const base = new Map(listTableKeys(parseTable(source.base)));
+  return Object.entries(source.overlays).flatMap(([site, text]) =>
+    listTableKeys(parseTable(text))
+      .map(([key, value]) => ({site, key, value: renderValue(value)}))
+      .filter(
+        ({key, value}) => base.has(key) && renderValue(base.get(key)) === value,
+      ),
+  );
+}
+
+function parseTable(text: string): TomlTable {
+  const {table} = parseDocument(text, '').orDefault({origin: '', table: {}});
+  return isTable(table) ? table : {};
+}
--- a/packages/settings/test/configuration.test.ts
+++ b/packages/settings/test/configuration.test.ts
@@ -3,6 +3,7 @@
   checkSource,
   diffConfiguration,
   extractSource,
+  findRepeatedKeys,
   parseConfiguration,
 } from '#settings';
 import {listErrors} from './text.js';
@@ -170,3 +171,12 @@
     '+ teams.pilots.weight = 1',
   ]);
 });
+
+test('keys of an overlay that repeat the base are found', t => {
+  const source = withOverlay(
+    '[services.tally]\nmax_task_ms = 5000\nmax_placements = 2',
+  );
+  t.deepEqual(findRepeatedKeys(source), [
+    {site: 'gilgit', key: 'services.tally.max_task_ms', value: '5000'},
+  ]);
+});
