--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -37,17 +37,23 @@
   source: ConfigurationSource,
   site: SiteName,
 ): Either<readonly SettingsError[], Configuration> {
-  return parseBase(source).chain(base => {
-    if (!Object.hasOwn(source.overlays, site)) {
-      return completeConfiguration(base.table, base.origin);
-    }
-    return parseOverlay(source, site, base).chain(overlay =>
-      completeConfiguration(
-        mergeTables(base.table, overlay.table),
-        `${base.origin} with ${overlay.origin}`,
-      ),
-    );
-  });
+  return parseBase(source).chain(base => parseAt(source, site, base));
+}
+
+function parseAt(
+  source: ConfigurationSource,
+  site: SiteName,
+  base: Document,
+): Either<readonly SettingsError[], Configuration> {
+  if (!Object.hasOwn(source.overlays, site)) {
+    return completeConfiguration(base.table, base.origin);
+  }
+  return parseOverlay(source, site, base).chain(overlay =>
+    completeConfiguration(
+      mergeTables(base.table, overlay.table),
+      `${base.origin} with ${overlay.origin}`,
+    ),
+  );
 }
 
 /** Checks the base alone and merged with each overlay; fails with every error found. */
@@ -59,7 +65,7 @@
     const errors = [
       ...sites.flatMap(checkSiteName),
       ...collectErrors(completeConfiguration(base.table, base.origin)),
-      ...sites.flatMap(site => collectErrors(parseConfiguration(source, site))),
+      ...sites.flatMap(site => collectErrors(parseAt(source, site, base))),
     ];
     return errors.length > 0 ? Left(errors) : Right(source);
   });
--- a/packages/settings/src/conflict.ts
+++ b/packages/settings/src/conflict.ts
@@ -1,5 +1,6 @@
+import type {Address} from '#model';
 import type {SettingsError} from './error.js';
-import {dialAddresses} from './kind.js';
+import {dialAddresses, isReachable} from './kind.js';
 import type {settingsShape} from './layout.js';
 import type {Role} from './process.js';
 import type {ValueOf} from './shape.js';
@@ -74,10 +75,11 @@
   };
   switch (role) {
     case 'entry':
-      return [knowsControls];
+      return [knowsControls, requireReachable('entry', whole.entry)];
     case 'agent':
       return [
         knowsControls,
+        requireReachable('agent', agent),
         {
           key: 'agent',
           expected: 'exactly one of the tables executor and worker',
@@ -91,6 +93,21 @@
   }
 }
 
+/** Others are told the address, so it must be one that they can dial. */
+function requireReachable(
+  table: string,
+  stated: {readonly listen: Address; readonly advertise?: Address} | undefined,
+): Rule {
+  return {
+    key: `${table}.listen`,
+    expected: `an address that others can dial, or ${table}.advertise beside it`,
+    found: stated?.listen,
+    holds:
+      stated !== undefined &&
+      (stated.advertise !== undefined || isReachable(stated.listen)),
+  };
+}
+
 function requireOwnMember({process, control}: WholeSettings): Rule {
   const members = control?.members ?? [];
   return {
--- a/packages/settings/src/kind.ts
+++ b/packages/settings/src/kind.ts
@@ -92,30 +92,28 @@
 
 const unspecifiedHosts = ['0.0.0.0', '::'];
 
-/** Where a process listens that tells the address to others. */
-export const announcedAddress: Kind<Address> = declareKind(
-  'an address IP:PORT that others can dial, such as "10.0.0.7:7000", not 0.0.0.0 or ::',
-  input =>
-    isAddress(input, 0) &&
-    !parseAddress(input as Address)
-      .map(({host}) => unspecifiedHosts.includes(host))
-      .orDefault(true),
-);
+/** True for an address at which others can reach this process, and not only any of its own. */
+export function isReachable(address: Address): boolean {
+  return parseAddress(address)
+    .map(({host}) => !unspecifiedHosts.includes(host))
+    .orDefault(false);
+}
 
 const dialExpected =
-  'an address IP:PORT such as "127.0.0.1:7000", port 1 to 65535';
+  'an address IP:PORT that can be dialled, such as "10.0.0.7:7000"';
+
+function isDialable(input: unknown): boolean {
+  return isAddress(input, 1) && isReachable(input as Address);
+}
 
 /** Where another process is met. */
 export const dialAddress: Kind<Address> = declareKind(dialExpected, input =>
-  isAddress(input, 1),
+  isDialable(input),
 );
 
 export const dialAddresses: Kind<readonly Address[]> = declareKind(
   `an array of at least one ${dialExpected.replace('an ', '')}`,
-  input =>
-    Array.isArray(input) &&
-    input.length > 0 &&
-    input.every(each => isAddress(each, 1)),
+  input => Array.isArray(input) && input.length > 0 && input.every(isDialable),
 );
 
 /** A host that is reached over UDP: an IP number or a name. */
@@ -145,7 +143,7 @@
   return (
     typeof member === 'string' &&
     namePattern.test(member) &&
-    isAddress(address, 1) &&
+    isDialable(address) &&
     Object.keys(others).length === 0
   );
 }
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -1,5 +1,4 @@
 import {
-  announcedAddress,
   boolean,
   boundCount,
   boundPositive,
@@ -54,13 +53,13 @@
 
 const entryTable = allowTable({
   http: requireKey(listenAddress),
-  listen: requireKey(announcedAddress),
+  listen: requireKey(listenAddress),
   advertise: allowKey(dialAddress),
   drain_ms: drainMs,
 });
 
 const agentTable = allowTable({
-  listen: requireKey(announcedAddress),
+  listen: requireKey(listenAddress),
   advertise: allowKey(dialAddress),
   service: requireKey(name),
   url: requireKey(httpUrl),
--- a/packages/settings/test/load.test.ts
+++ b/packages/settings/test/load.test.ts
@@ -158,6 +158,12 @@
   });
 }
 
+test('an entry may listen at every address when it advertises one', t => {
+  const overlay = '[entry]\nlisten = "0.0.0.0:1"\nadvertise = "10.0.0.1:1"';
+  const {role} = parse(entryText, 'entry', overlay).unsafeCoerce().process;
+  t.is(role.kind === 'entry' && role.advertise, '10.0.0.1:1');
+});
+
 test('a byte-order mark and an empty overlay are no fault', t => {
   t.deepEqual(loadErrors(`\uFEFF${entryText}`), []);
   t.true(parse(entryText, 'entry', '').isRight());
