--- a/packages/telemetry/src/histogram.ts
+++ b/packages/telemetry/src/histogram.ts
@@ -2,8 +2,8 @@
 import type {ServiceName, TeamName} from '#model';
 
 /**
- * What a histogram holds: times in ms, or the ratio of a job's response time to
- * the time that its tasks would take on idle targets.
+ * What a histogram holds: times in ms, or the ratio of a job's response time to its ideal,
+ * the longest run of its tasks.
  */
 export type Measure = 'response' | 'queue-wait' | 'run' | 'response-over-ideal';
 
