Summarize histograms without walking them for the mean

A summary of 1200 series (150 teams, 2 services, 4 measures) held the event loop for 1356 ms in a trial on a busy machine, nearly all of it in the library's iterator for the mean.

--- a/packages/telemetry/src/histogram.ts
+++ b/packages/telemetry/src/histogram.ts
@@ -24,13 +24,15 @@
   readonly service: ServiceName;
   readonly measure: Measure;
   readonly histogram: Histogram;
+  /** Of all values, so that the mean needs no walk over the histogram. */
+  sum: number;
 }
 
 /** Takes the values of teams beyond the bound, so that memory stays bounded. */
 export const overflowTeam: TeamName = '(others)';
 
 const stepsPerUnit = 100;
-const maxValue = 1_000_000_000;
+const maxSteps = 1_000_000_000;
 const significantDigits = 2;
 const defaultMaxSeries = 4096;
 
@@ -39,7 +41,8 @@
  * A value is kept to 0.01 and to two significant digits.
  */
 export class Histograms {
-  private readonly series = new Map<string, Series>();
+  private readonly teams = new Map<TeamName, Map<string, Series>>();
+  private size = 0;
 
   constructor(private readonly maxSeries = defaultMaxSeries) {}
 
@@ -51,15 +54,17 @@
     value: number,
   ): void {
     if (!Number.isFinite(value) || value < 0) return;
-    const steps = Math.min(maxValue, Math.round(value * stepsPerUnit));
-    this.findSeries(team, service, measure).histogram.recordValue(steps);
+    const series = this.findSeries(team, service, measure);
+    const steps = Math.min(maxSteps, Math.round(value * stepsPerUnit));
+    series.histogram.recordValue(steps);
+    series.sum += value;
   }
 
   /** Summarizes every series, by team, service and measure. */
   summarize(): readonly HistogramSummary[] {
-    return [...this.series.keys()]
-      .sort()
-      .map(key => summarizeSeries(this.series.get(key)!));
+    return sortByKey(this.teams).flatMap(all =>
+      sortByKey(all).map(summarizeSeries),
+    );
   }
 
   private findSeries(
@@ -67,18 +72,25 @@
     service: ServiceName,
     measure: Measure,
   ): Series {
-    const key = JSON.stringify([team, service, measure]);
-    const known = this.series.get(key);
+    const key = `${service} ${measure}`;
+    const known = this.teams.get(team)?.get(key);
     if (known !== undefined) return known;
-    if (this.series.size >= this.maxSeries && team !== overflowTeam) {
+    if (this.size >= this.maxSeries && team !== overflowTeam) {
       return this.findSeries(overflowTeam, service, measure);
     }
-    const created = {team, service, measure, histogram: buildHistogram()};
-    this.series.set(key, created);
+    const histogram = buildHistogram();
+    const created = {team, service, measure, histogram, sum: 0};
+    const all = this.teams.get(team) ?? new Map<string, Series>();
+    this.teams.set(team, all.set(key, created));
+    this.size++;
     return created;
   }
 }
 
+function sortByKey<Value>(map: ReadonlyMap<string, Value>): readonly Value[] {
+  return [...map.keys()].sort().map(key => map.get(key)!);
+}
+
 function buildHistogram(): Histogram {
   return build({
     bitBucketSize: 32,
@@ -91,7 +103,7 @@
 }
 
 function summarizeSeries(series: Series): HistogramSummary {
-  const {team, service, measure, histogram} = series;
+  const {team, service, measure, histogram, sum} = series;
   const quote = (percentile: number) =>
     histogram.getValueAtPercentile(percentile) / stepsPerUnit;
   return {
@@ -99,10 +111,14 @@
     service,
     measure,
     count: histogram.totalCount,
-    mean: Math.round(histogram.mean) / stepsPerUnit,
+    mean: roundToStep(sum / histogram.totalCount),
     p50: quote(50),
     p90: quote(90),
     p99: quote(99),
     max: histogram.maxValue / stepsPerUnit,
   };
 }
+
+function roundToStep(value: number): number {
+  return Math.round(value * stepsPerUnit) / stepsPerUnit;
+}
