--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -10,14 +10,15 @@
 } from '#model';
 import {checkDocument, completeTable} from './check.js';
 import {describeValue} from './value.js';
-import {
-  type Document,
-  mergeTables,
-  parseDocument,
-  type TomlTable,
-} from './document.js';
+import {type Document, parseDocument, type SourceText} from './document.js';
 import type {SettingsError} from './error.js';
 import {name as nameKind} from './kind.js';
+import {
+  collectErrors,
+  failOnErrors,
+  mergeOverlay,
+  parseLayers,
+} from './layers.js';
 import {
   configurationShape,
   processTables,
@@ -37,40 +38,47 @@
   source: ConfigurationSource,
   site: SiteName,
 ): Either<readonly SettingsError[], Configuration> {
-  return parseBase(source).chain(base => parseAt(source, site, base));
-}
-
-function parseAt(
-  source: ConfigurationSource,
-  site: SiteName,
-  base: Document,
-): Either<readonly SettingsError[], Configuration> {
-  if (!Object.hasOwn(source.overlays, site)) {
-    return completeConfiguration(base.table, base.origin);
-  }
-  return parseOverlay(source, site, base).chain(overlay =>
-    completeConfiguration(
-      mergeTables(base.table, overlay.table),
-      `${base.origin} with ${overlay.origin}`,
-    ),
-  );
+  return parseLayers(
+    getBase(source),
+    findOverlay(source, site),
+    configurationShape,
+  ).chain(completeConfiguration);
 }
 
 /** Checks the base alone and merged with each overlay; fails with every error found. */
 export function checkSource(
   source: ConfigurationSource,
 ): Either<readonly SettingsError[], ConfigurationSource> {
-  return parseBase(source).chain(base => {
+  return parseDocument(getBase(source)).chain(base => {
     const sites = Object.keys(source.overlays);
-    const errors = [
+    const baseErrors = [
       ...sites.flatMap(checkSiteName),
-      ...collectErrors(completeConfiguration(base.table, base.origin)),
-      ...sites.flatMap(site => collectErrors(parseAt(source, site, base))),
+      ...checkDocument(base, configurationShape, {kind: 'base'}),
     ];
-    return errors.length > 0 ? Left(errors) : Right(source);
+    const layers = sites.map(site =>
+      mergeOverlay(base, findOverlay(source, site), configurationShape),
+    );
+    const errors = [Right(base), ...layers].flatMap(layer =>
+      collectErrors(
+        baseErrors.length > 0 ? layer : layer.chain(completeConfiguration),
+      ),
+    );
+    return failOnErrors([...baseErrors, ...errors], source);
   });
 }
 
+function getBase({base}: ConfigurationSource): SourceText {
+  return {text: base, origin: baseOrigin};
+}
+
+function findOverlay(
+  {overlays}: ConfigurationSource,
+  site: SiteName,
+): SourceText | undefined {
+  if (!Object.hasOwn(overlays, site)) return undefined;
+  return {text: overlays[site]!, origin: nameOverlay(site)};
+}
+
 function checkSiteName(site: string): readonly SettingsError[] {
   return nameKind.codec.decode(site).caseOf({
     Left: () => [
@@ -86,49 +94,10 @@
   });
 }
 
-function collectErrors(
-  outcome: Either<readonly SettingsError[], unknown>,
-): readonly SettingsError[] {
-  return outcome.swap().orDefault([]);
-}
-
-function parseBase(
-  source: ConfigurationSource,
-): Either<readonly SettingsError[], Document> {
-  return parseDocument(source.base, baseOrigin).chain(base =>
-    failOnErrors(checkDocument(base, configurationShape, {kind: 'base'}), base),
-  );
-}
-
-function parseOverlay(
-  source: ConfigurationSource,
-  site: SiteName,
-  base: Document,
-): Either<readonly SettingsError[], Document> {
-  return parseDocument(source.overlays[site]!, nameOverlay(site)).chain(
-    overlay =>
-      failOnErrors(
-        checkDocument(overlay, configurationShape, {
-          kind: 'overlay',
-          base: base.table,
-        }),
-        overlay,
-      ),
-  );
-}
-
-/** Fails when there are errors. */
-export function failOnErrors<Value>(
-  errors: readonly SettingsError[],
-  value: Value,
-): Either<readonly SettingsError[], Value> {
-  return errors.length > 0 ? Left(errors) : Right(value);
-}
-
-function completeConfiguration(
-  table: TomlTable,
-  origin: string,
-): Either<readonly SettingsError[], Configuration> {
+function completeConfiguration({
+  origin,
+  table,
+}: Document): Either<readonly SettingsError[], Configuration> {
   const errors: SettingsError[] = [];
   const whole = completeTable(table, configurationShape, '', origin, errors);
   if (errors.length > 0) return Left(errors);
@@ -199,26 +168,28 @@
   overlays: Readonly<Record<SiteName, string>>,
 ): Either<readonly SettingsError[], ConfigurationSource> {
   const errors: SettingsError[] = [];
-  const extractOne = (text: string, origin: string) =>
-    extractConfiguration(text, origin)
+  const extractOne = (source: SourceText) =>
+    extractConfiguration(source)
       .ifLeft(found => errors.push(...found))
       .orDefault('');
-  const base = extractOne(baseText, baseOrigin);
+  const base = extractOne({text: baseText, origin: baseOrigin});
   const kept = Object.entries(overlays)
-    .map(([site, text]) => [site, extractOne(text, nameOverlay(site))] as const)
+    .map(
+      ([site, text]) =>
+        [site, extractOne({text, origin: nameOverlay(site)})] as const,
+    )
     .filter(([, text]) => text.trim() !== '');
   return failOnErrors(errors, {base, overlays: Object.fromEntries(kept)});
 }
 
 function extractConfiguration(
-  text: string,
-  origin: string,
+  source: SourceText,
 ): Either<readonly SettingsError[], string> {
-  return parseDocument(text, origin).map(({table}) => {
+  return parseDocument(source).map(({table}) => {
     const kept = Object.entries(table).filter(
       ([key]) => !processTables.includes(key),
     );
-    if (kept.length === Object.keys(table).length) return text;
+    if (kept.length === Object.keys(table).length) return source.text;
     return kept.length === 0 ? '' : stringify(Object.fromEntries(kept));
   });
 }
--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -5,6 +5,12 @@
 
 export type TomlTable = Readonly<Record<string, unknown>>;
 
+/** A text and the name by which errors call it. */
+export interface SourceText {
+  readonly text: string;
+  readonly origin: string;
+}
+
 /** A parsed text and the name by which errors call it. */
 export interface Document {
   readonly origin: string;
@@ -52,10 +58,10 @@
 }
 
 /** Parses TOML. A byte-order mark is ignored. */
-export function parseDocument(
-  text: string,
-  origin: string,
-): Either<readonly SettingsError[], Document> {
+export function parseDocument({
+  text,
+  origin,
+}: SourceText): Either<readonly SettingsError[], Document> {
   try {
     const table = parse(text.replace(/^\uFEFF/, ''), {
       unsafeKeyBehaviour: 'throw',
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -16,7 +16,7 @@
   LoadedSettings,
   RoleOf,
   SettingsFiles,
-  SettingsText,
+  SettingsTexts,
 } from './load.js';
 export {loadProcessSettings, loadRole, parseProcessSettings} from './load.js';
 
@@ -29,6 +29,7 @@
   parseConfiguration,
 } from './configuration.js';
 export {diffConfiguration, listKeys} from './difference.js';
+export type {SourceText} from './document.js';
 export {readText} from './document.js';
 export {renderValue} from './value.js';
 export type {RepeatedKey} from './repeat.js';
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -1,17 +1,11 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {Capacity, ConfigurationSource} from '#model';
-import {checkDocument, completeTable} from './check.js';
+import {completeTable} from './check.js';
 import {findConflicts, type WholeSettings} from './conflict.js';
-import {checkSource, extractSource, failOnErrors} from './configuration.js';
-import {
-  type Document,
-  isTable,
-  mergeTables,
-  parseDocument,
-  readText,
-  type TomlTable,
-} from './document.js';
+import {checkSource, extractSource} from './configuration.js';
+import {type Document, isTable, readText, type SourceText} from './document.js';
 import type {SettingsError} from './error.js';
+import {parseLayers} from './layers.js';
 import {settingsShape} from './layout.js';
 import {listTableKeys} from './listing.js';
 import type {LeaseSettings, ProcessSettings, Role} from './process.js';
@@ -41,34 +35,26 @@
   files: SettingsFiles,
   role: Kind,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
-  return readFiles(files).chain(({settings, overlay}) =>
-    parseProcessSettings(settings, overlay, role),
-  );
+  return readFiles(files).chain(texts => parseProcessSettings(texts, role));
 }
 
 /** Tells which role a process's files are for: `process.role`, or the one role whose table they hold. */
 export function loadRole(
   files: SettingsFiles,
 ): Either<readonly SettingsError[], Role['kind']> {
-  return readFiles(files).chain(({settings, overlay}) =>
-    parsePart(settings)
-      .chain(base =>
-        overlay === undefined
-          ? Right(base.table)
-          : parsePart(overlay, base).map(over =>
-              mergeTables(base.table, over.table),
-            ),
-      )
-      .chain(table => findRole(table, settings.origin)),
-  );
+  return readFiles(files)
+    .chain(({settings, overlay}) =>
+      parseLayers(settings, overlay, settingsShape),
+    )
+    .chain(findRole);
 }
 
 const roleKinds = ['control', 'entry', 'agent'] as const;
 
-function findRole(
-  table: TomlTable,
-  origin: string,
-): Either<readonly SettingsError[], Role['kind']> {
+function findRole({
+  table,
+  origin,
+}: Document): Either<readonly SettingsError[], Role['kind']> {
   const stated = isTable(table.process) ? table.process.role : undefined;
   const candidates = roleKinds.filter(kind =>
     stated === undefined ? isTable(table[kind]) : stated === kind,
@@ -85,84 +71,47 @@
   ]);
 }
 
-interface FileTexts {
-  readonly settings: SettingsText;
-  readonly overlay?: SettingsText;
+/** The texts of a process's files. */
+export interface SettingsTexts {
+  readonly settings: SourceText;
+  readonly overlay?: SourceText;
 }
 
 function readFiles(
   files: SettingsFiles,
-): Either<readonly SettingsError[], FileTexts> {
-  const settings = readOne(files.settings, 'settings');
+): Either<readonly SettingsError[], SettingsTexts> {
+  const settings = readSource(files.settings, 'settings');
   if (files.overlay === undefined) {
     return settings.map(text => ({settings: text}));
   }
-  const overlay = readOne(files.overlay, 'overlay');
+  const overlay = readSource(files.overlay, 'overlay');
   return settings.chain(text =>
     overlay.map(over => ({settings: text, overlay: over})),
   );
 }
 
-function readOne(
+function readSource(
   file: string,
   what: string,
-): Either<readonly SettingsError[], SettingsText> {
+): Either<readonly SettingsError[], SourceText> {
   const origin = `${what} "${file}"`;
-  return readText(file, origin).map(settings => ({settings, origin}));
+  return readText(file, origin).map(text => ({text, origin}));
 }
 
-/** A settings text and the name by which errors call it. */
-export interface SettingsText {
-  readonly settings: string;
-  readonly origin: string;
-}
-
-/** Parses settings from texts; fails with every error found. */
+/** Parses the settings of a process from texts; fails with every error found. */
 export function parseProcessSettings<Kind extends Role['kind']>(
-  base: SettingsText,
-  overlay: SettingsText | undefined,
+  texts: SettingsTexts,
   role: Kind,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
-  return parsePart(base).chain(settings => {
-    if (overlay === undefined) {
-      return completeSettings(settings.table, settings.origin, role, base);
-    }
-    return parsePart(overlay, settings).chain(over =>
-      completeSettings(
-        mergeTables(settings.table, over.table),
-        `${settings.origin} with ${over.origin}`,
-        role,
-        base,
-        overlay,
-      ),
-    );
-  });
-}
-
-function parsePart(
-  text: SettingsText,
-  base?: Document,
-): Either<readonly SettingsError[], Document> {
-  return parseDocument(text.settings, text.origin).chain(document =>
-    failOnErrors(
-      checkDocument(
-        document,
-        settingsShape,
-        base === undefined
-          ? {kind: 'base'}
-          : {kind: 'overlay', base: base.table},
-      ),
-      document,
-    ),
+  return parseLayers(texts.settings, texts.overlay, settingsShape).chain(
+    document => completeSettings(document, role, texts),
   );
 }
 
 function completeSettings<Kind extends Role['kind']>(
-  table: TomlTable,
-  origin: string,
+  {table, origin}: Document,
   role: Kind,
-  base: SettingsText,
-  overlay?: SettingsText,
+  {settings, overlay}: SettingsTexts,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
   const errors: SettingsError[] = [];
   const withRole = {...table, [role]: isTable(table[role]) ? table[role] : {}};
@@ -172,8 +121,8 @@
   if (conflicts.length > 0) return Left(conflicts);
   const {site} = whole.process;
   return extractSource(
-    base.settings,
-    overlay === undefined ? {} : {[site]: overlay.settings},
+    settings.text,
+    overlay === undefined ? {} : {[site]: overlay.text},
   )
     .chain(checkSource)
     .map(configuration => ({
--- a/packages/settings/src/repeat.ts
+++ b/packages/settings/src/repeat.ts
@@ -1,5 +1,5 @@
 import type {ConfigurationSource} from '#model';
-import {isTable, parseDocument, type TomlTable} from './document.js';
+import {parseDocument, type TomlTable} from './document.js';
 import {listTableKeys} from './listing.js';
 import {renderValue} from './value.js';
 
@@ -25,6 +25,9 @@
 }
 
 function parseTable(text: string): TomlTable {
-  const {table} = parseDocument(text, '').orDefault({origin: '', table: {}});
-  return isTable(table) ? table : {};
+  const {table} = parseDocument({text, origin: ''}).orDefault({
+    origin: '',
+    table: {},
+  });
+  return table;
 }
--- a/packages/settings/test/fuzz.test.ts
+++ b/packages/settings/test/fuzz.test.ts
@@ -48,10 +48,12 @@
 test('arbitrary text is refused or accepted, never thrown on', t => {
   fc.assert(
     fc.property(text, text, (settings, overlay) => {
-      const base = {settings: `${entryText}${settings}`, origin: 'base'};
-      const over = {settings: overlay, origin: 'over'};
+      const texts = {
+        settings: {text: `${entryText}${settings}`, origin: 'base'},
+        overlay: {text: overlay, origin: 'over'},
+      };
       for (const role of ['control', 'entry', 'agent'] as const) {
-        const outcome = parseProcessSettings(base, over, role);
+        const outcome = parseProcessSettings(texts, role);
         outcome.swap().orDefault([]).forEach(describeSettingsError);
       }
       extractSource(settings, {a: overlay}).chain(checkSource);
--- a/packages/settings/test/load.test.ts
+++ b/packages/settings/test/load.test.ts
@@ -18,10 +18,12 @@
   overlay?: string,
 ) =>
   parseProcessSettings(
-    {settings, origin: 'settings'},
-    overlay === undefined
-      ? undefined
-      : {settings: overlay, origin: 'the overlay'},
+    {
+      settings: {text: settings, origin: 'settings'},
+      ...(overlay !== undefined && {
+        overlay: {text: overlay, origin: 'the overlay'},
+      }),
+    },
     role,
   );
 
@@ -83,6 +85,14 @@
   t.is(limits.retentionMs, 5000);
 });
 
+test('errors of the settings and of the overlay are told together', t => {
+  const errors = listErrors(parse('a = 1', 'entry', 'b = 2'));
+  t.deepEqual(
+    errors.map(error => error.replace(/ \(.*/, '')),
+    ['settings sets unknown key "a"', 'the overlay sets unknown key "b"'],
+  );
+});
+
 test('every missing key of the role is named', t => {
   const errors = listErrors(parse('', 'control'));
   const keys = errors.map(error => /lacks key "(.*?)"/.exec(error)?.[1]);
