Keep goodput under overload by the team's measured share and the slowest task

Cause: admission took the whole queue for the wait of a team above its share, whose work later arrivals of other teams overtake, and the median run for a job whose slowest task decides. The drain rate now needs a lasting backlog, a team counts on what it was given lately, and tasks that a slow target cannot end in time wait for a faster one.

--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -37,12 +37,18 @@
   readonly freeSlots: number;
   /** Tasks that start a second while some wait; 0 while not known. */
   readonly startsPerSecond: number;
+  /** Tasks of this entry at targets. */
+  readonly running?: number;
 }
 
 /** Run times of the service, hints blended in, in ms. */
 export interface RunEstimate {
   readonly lowMs: number;
   readonly medianMs: number;
+  /** Unset: the median stands in for it. */
+  readonly meanMs?: number;
+  /** A high quantile, about 0.95: how long a job's slowest task runs. Unset: twice the median. */
+  readonly highMs?: number;
   /** Observations behind them; hints alone refuse nothing. */
   readonly observations: number;
 }
@@ -62,6 +68,8 @@
     };
 
 const minObservations = 20;
+/** Queues of other teams may grow after a job was admitted. */
+const waitMargin = 1.25;
 const minRetryAfterMs = 50;
 const maxRetryAfterMs = 30_000;
 const unknownDrainRetryMs = 1000;
@@ -84,14 +92,35 @@
   );
 }
 
-/** Estimates when the last task of a job would start, in ms from now. */
-export function estimateWait(load: ServiceLoad, tasks: number): number {
+/**
+ * Estimates when the last task of a job would start, in ms from now; 0 while
+ * nothing is known. Under a lasting backlog later work of other teams overtakes
+ * the team's, so that only its own share of the rate counts; otherwise the job
+ * waits no longer than for the whole queue.
+ */
+export function estimateWait(
+  load: ServiceLoad,
+  runs: RunEstimate,
+  tasks: number,
+): number {
   const queued = Math.max(0, load.waiting + tasks - load.freeSlots);
-  if (queued === 0 || load.startsPerSecond === 0) return 0;
+  const startsPerSecond = estimateStarts(load, runs);
+  if (queued === 0 || startsPerSecond === 0) return 0;
   const ofTeam = Math.min(queued, load.teamWaiting + tasks);
   const share = Math.max(load.teamShare, Number.EPSILON);
-  const aheadOrFair = Math.min(queued, ofTeam / share);
-  return (aheadOrFair / load.startsPerSecond) * msPerSecond;
+  const isLasting = load.startsPerSecond > 0;
+  const ahead = isLasting ? ofTeam / share : Math.min(queued, ofTeam / share);
+  return (ahead / startsPerSecond) * msPerSecond;
+}
+
+/** The rate seen while tasks waited; before that, the rate at which those that run now must end. */
+function estimateStarts(
+  {startsPerSecond, running = 0}: ServiceLoad,
+  {meanMs, medianMs}: RunEstimate,
+): number {
+  if (startsPerSecond > 0) return startsPerSecond;
+  const runMs = meanMs ?? medianMs;
+  return runMs <= 0 ? 0 : (running / runMs) * msPerSecond;
 }
 
 function refuseForm(
@@ -141,7 +170,7 @@
  * when others fill the whole, so that the total stays below twice the limit.
  */
 function refuseLoad(
-  {limits, load}: AdmissionState,
+  {limits, load, runs}: AdmissionState,
   tasks: number,
 ): AdmissionVerdict | undefined {
   const excess = load.waiting + tasks - limits.maxQueuedTasks;
@@ -149,7 +178,7 @@
   const teamPart = limits.maxQueuedTasks * load.teamShare;
   if (load.teamWaiting + tasks <= teamPart) return undefined;
   const detail = `${load.waiting} tasks wait; the limit is ${limits.maxQueuedTasks}`;
-  return refuse('overloaded', computeDrainMs(load, excess), detail);
+  return refuse('overloaded', computeDrainMs(load, runs, excess), detail);
 }
 
 /**
@@ -171,13 +200,23 @@
     const detail = `tasks run at least ${Math.round(runs.lowMs)} ms; ${Math.round(remainingMs)} ms remain`;
     return refuse('deadline-unreachable', 0, detail);
   }
-  const waitMs = load.waiting === 0 ? 0 : estimateWait(load, tasks);
-  const lateMs = waitMs + runs.medianMs - remainingMs;
+  const waitMs = load.waiting === 0 ? 0 : estimateWait(load, runs, tasks);
+  const runMs = estimateLastRun(runs, tasks);
+  const lateMs = waitMs * waitMargin + runMs - remainingMs;
   if (waitMs === 0 || lateMs <= 0) return undefined;
-  const detail = `expected to wait ${Math.round(waitMs)} ms and run ${Math.round(runs.medianMs)} ms; ${Math.round(remainingMs)} ms remain`;
+  const detail = `expected to wait ${Math.round(waitMs)} ms and run ${Math.round(runMs)} ms; ${Math.round(remainingMs)} ms remain`;
   return refuse('deadline-unreachable', clampRetry(lateMs), detail);
 }
 
+/** How long the slowest of a job's tasks is expected to run: between the median and the high quantile. */
+function estimateLastRun(
+  {medianMs, highMs = 2 * medianMs}: RunEstimate,
+  tasks: number,
+): number {
+  const weight = 1 - 1 / tasks;
+  return medianMs + weight * Math.max(0, highMs - medianMs);
+}
+
 function spendQuota(
   {bucket, team}: AdmissionState,
   {tasks}: Submission,
@@ -191,9 +230,14 @@
   return refuse('team-over-quota', spending.retryAfterMs, detail);
 }
 
-function computeDrainMs(load: ServiceLoad, tasks: number): number {
-  if (load.startsPerSecond === 0) return unknownDrainRetryMs;
-  return clampRetry((tasks / load.startsPerSecond) * msPerSecond);
+function computeDrainMs(
+  load: ServiceLoad,
+  runs: RunEstimate,
+  tasks: number,
+): number {
+  const startsPerSecond = estimateStarts(load, runs);
+  if (startsPerSecond === 0) return unknownDrainRetryMs;
+  return clampRetry((tasks / startsPerSecond) * msPerSecond);
 }
 
 function clampRetry(ms: number): number {
--- a/packages/policy/src/credit-placement.ts
+++ b/packages/policy/src/credit-placement.ts
@@ -22,6 +22,8 @@
 const demandRoundMs = 2;
 /** A faster slot must be expected to save at least this share of the slow run. */
 const minSavedShare = 0.1;
+/** A run counts as in time when this many times its mean ends before the deadline. */
+const runMargin = 4;
 
 /**
  * Starts tasks at once on slots that agents granted ahead, the fastest target
@@ -31,7 +33,8 @@
  * A slow slot is left idle only while the last waiting task is expected to end
  * earlier by waiting its turn for a faster one: waiting / (faster slots that
  * fall free a ms) + fast run < slow run. So slow targets join in exactly when
- * the backlog is long enough, and at once while nothing faster is busy.
+ * the backlog is long enough, and at once while nothing faster is busy. A task
+ * that only a faster target can end in time waits for it as well.
  */
 export class CreditPlacement implements Placement {
   private readonly book: SlotBook;
@@ -176,11 +179,14 @@
   ): Instant {
     const faster = this.book.sumFaster(booked);
     if (faster.endsPerMs === 0) return now;
-    const expectedMs = waiting / faster.endsPerMs + faster.runMs;
-    const savedMs = booked.runMs * (1 - minSavedShare) - expectedMs;
-    if (savedMs <= 0 || now + expectedMs > deadline) return now;
+    const nextMs = 1 / faster.endsPerMs + faster.runMs;
+    const lastMs = waiting / faster.endsPerMs + faster.runMs;
+    const saves = lastMs < booked.runMs * (1 - minSavedShare);
+    const isTooSlow = now + booked.runMs * runMargin > deadline;
+    const isInTime = now + nextMs * runMargin <= deadline;
+    if (isTooSlow ? !isInTime : !saves || now + lastMs > deadline) return now;
     this.heldSince ??= now;
-    return this.heldSince + (booked.runMs - faster.runMs);
+    return this.heldSince + Math.max(nextMs, booked.runMs - faster.runMs);
   }
 
   private refresh(booked: BookedTarget): void {
--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -45,8 +45,18 @@
   weight: number;
   startTag: number;
   size: number;
+  /** Of all tasks dequeued, the number of the team's last one. */
+  lastTurn: number;
+  /** Tasks of the team, and of all teams while it waited; each halves in `recentTurns`. */
+  served: number;
+  passed: number;
+  /** Since which turn the team has waited to be served. */
+  waitingTurn: number;
 }
 
+/** A team served within so many tasks counts as active. */
+const recentTurns = 512;
+const minPassedTurns = 32;
 const defaultWeight = 1;
 const defaultCost = 1;
 
@@ -67,6 +77,7 @@
   private readonly items = new Map<string, Item>();
   private virtualTime = 0;
   private nextOrder = 0;
+  private turns = 0;
 
   /** Tasks that wait. */
   get size(): number {
@@ -94,6 +105,7 @@
     if (item === undefined) return undefined;
     const {lane} = item.group;
     this.virtualTime = lane.startTag;
+    this.countTurn(lane);
     lane.startTag += (item.options.cost ?? defaultCost) / lane.weight;
     this.discard(item);
     this.moveGroup(item.group, {inHand: true});
@@ -150,9 +162,21 @@
     return this.lanes.get(team)?.size ?? 0;
   }
 
-  /** Sums the weights of the teams that have tasks waiting. */
-  sumActiveWeights(): number {
-    return this.active.list().reduce((sum, lane) => sum + lane.weight, 0);
+  /**
+   * Computes the part of the service that a team can count on: what it was given
+   * lately while it waited, and no less than its weight among those of the teams
+   * that wait or were served lately. Between 0 and 1.
+   */
+  computeShare(team: TeamName, weight: number): number {
+    const oldest = this.turns - recentTurns;
+    let sum = weight;
+    for (const lane of this.lanes.values()) {
+      const isActive = lane.size > 0 || lane.lastTurn >= oldest;
+      if (isActive && lane.team !== team) sum += lane.weight;
+    }
+    const {served = 0, passed = 0} = this.lanes.get(team) ?? {};
+    const given = passed < minPassedTurns ? 0 : served / passed;
+    return Math.max(given, weight / sum);
   }
 
   /** Forgets teams that are no longer configured and have no tasks waiting. */
@@ -162,6 +186,16 @@
     }
   }
 
+  private countTurn(lane: Lane): void {
+    this.turns++;
+    const turns = this.turns - lane.waitingTurn;
+    const kept = 2 ** (-turns / recentTurns);
+    lane.served = lane.served * kept + 1;
+    lane.passed = lane.passed * kept + turns;
+    lane.waitingTurn = this.turns;
+    lane.lastTurn = this.turns;
+  }
+
   private findNext(): Item | undefined {
     const group = this.active.peek()?.groups.peek();
     if (group === undefined) return undefined;
@@ -181,6 +215,10 @@
       weight: defaultWeight,
       startTag: this.virtualTime,
       size: 0,
+      lastTurn: -Infinity,
+      served: 0,
+      passed: 0,
+      waitingTurn: 0,
       position: -1,
     };
     this.lanes.set(team, lane);
@@ -224,6 +262,7 @@
 
   private insertLane(lane: Lane): void {
     lane.startTag = Math.max(lane.startTag, this.virtualTime);
+    lane.waitingTurn = this.turns;
     this.active.push(lane);
   }
 
--- a/packages/policy/src/grants.ts
+++ b/packages/policy/src/grants.ts
@@ -127,7 +127,7 @@
   granted: boolean,
 ): SlotGrants | undefined {
   const holder = grants.holders.get(epoch);
-  if (holder === undefined) return undefined;
+  if (holder === undefined || !holder.connected) return undefined;
   if (countRunning(grants) >= grants.slots) return undefined;
   const running = holder.running + 1;
   if (granted && holder.granted > 0) {
--- a/packages/policy/src/health.ts
+++ b/packages/policy/src/health.ts
@@ -121,6 +121,14 @@
     return (this.targets.get(target) ?? newTarget).standing;
   }
 
+  /** Lists what every target is held to, for a placement that starts anew. */
+  listAllowances(): readonly Allowance[] {
+    return [...this.targets].flatMap(([target, {standing}]) => {
+      const maxInFlight = allowInFlight(standing);
+      return maxInFlight === Infinity ? [] : [{target, maxInFlight}];
+    });
+  }
+
   /** Counts the targets that are ejected now. */
   countEjected(): number {
     return this.countKind('ejected');
--- /dev/null
+++ b/packages/policy/test/model-entry.ts
@@ -0,0 +1,162 @@
+import type {
+  Epoch,
+  Instant,
+  Limits,
+  PlacementPolicy,
+  ServiceConfig,
+} from '#model';
+import {
+  computeDrainRate,
+  createBucket,
+  createDrainRate,
+  createPlacement,
+  createRandom,
+  type DrainRate,
+  FairQueue,
+  judgeAdmission,
+  type Placement,
+  RunTimes,
+} from '#policy';
+
+/** One set-up of the model; times in ms. */
+export interface ModelSetup {
+  readonly policy: PlacementPolicy;
+  readonly entries: number;
+  /** Run time factor of each agent. */
+  readonly speeds: readonly number[];
+  readonly slotsPerAgent: number;
+  /** Of the slots' capacity, the share that arriving tasks need. */
+  readonly load: number;
+  readonly jobs: number;
+  readonly maxTasksPerJob: number;
+  readonly oneWayMs: number;
+  readonly seed: number;
+  /** Set: jobs have this long and are refused when they cannot make it. */
+  readonly deadlineMs?: number;
+  /** Arrivals of each team relative to the others; their weights are equal. */
+  readonly teamRates?: readonly number[];
+}
+
+export interface ModelScore {
+  /** Response time over that on idle targets of the fastest kind. */
+  readonly meanRatio: number;
+  readonly p50Ratio: number;
+  readonly p99Ratio: number;
+  readonly messagesPerJob: number;
+  readonly completed: number;
+  readonly refusals: number;
+  readonly messageKinds: ReadonlyMap<string, number>;
+  /** Work in ms of jobs that ended in time, for each ms of the run. */
+  readonly goodput: number;
+  /** By team: jobs that ended in time, and jobs refused. */
+  readonly inTime: ReadonlyMap<string, number>;
+  readonly jobRefusals: ReadonlyMap<string, number>;
+  /** Jobs that were admitted and late. */
+  readonly late: number;
+}
+
+export interface ModelJob {
+  readonly id: string;
+  readonly team: string;
+  readonly arrivedAt: number;
+  readonly deadline: number;
+  readonly works: readonly number[];
+  left: number;
+}
+
+export interface ModelTask {
+  readonly job: ModelJob;
+  readonly workMs: number;
+}
+
+export interface ModelEntry {
+  readonly epoch: Epoch;
+  readonly queue: FairQueue;
+  readonly tasks: Map<string, ModelTask>;
+  readonly placement: Placement;
+  readonly runTimes: RunTimes;
+  wakeAt: number;
+  running: number;
+  drainRate: DrainRate;
+}
+
+export const service = 's';
+const modelService: ServiceConfig = {
+  name: service,
+  objective: {kind: 'response-time'},
+  demand: {cores: 1, memoryMb: 1, accelerators: 0},
+  maxTaskMs: 10_000,
+  maxPlacements: 5,
+};
+const modelLimits: Limits = {
+  maxTasksPerJob: 170,
+  maxBodyBytes: 1,
+  maxDeadlineMs: 60_000,
+  retentionMs: 0,
+  unrepeatableRetentionMs: 0,
+  maxQueuedTasks: 20_000,
+};
+
+/** Creates an entry to which no agent is connected. */
+export function createEntry(
+  {policy, seed}: ModelSetup,
+  epoch: Epoch,
+): ModelEntry {
+  const runTimes = new RunTimes();
+  const random = createRandom(seed + epoch);
+  return {
+    epoch,
+    queue: new FairQueue(),
+    tasks: new Map(),
+    placement: createPlacement(policy, {service, runTimes, random}),
+    runTimes,
+    wakeAt: Infinity,
+    running: 0,
+    drainRate: createDrainRate(0),
+  };
+}
+
+/** Judges a job as the entry's admission would. */
+export function isRefused(
+  entry: ModelEntry,
+  {team, works, deadline}: ModelJob,
+  now: Instant,
+): boolean {
+  if (deadline === Infinity) return false;
+  const {queue, runTimes, drainRate, running} = entry;
+  const verdict = judgeAdmission(
+    {
+      service: modelService,
+      team: {name: team, tasksPerSecond: 1e9, burstTasks: 1e9, weight: 1},
+      limits: modelLimits,
+      capacities: [{kind: 'executor', slots: 8, maxConnections: 60}],
+      bucket: createBucket({tasksPerSecond: 1e9, burstTasks: 1e9}, now),
+      load: {
+        waiting: queue.size,
+        teamWaiting: queue.countWaiting(team),
+        teamShare: queue.computeShare(team, 1),
+        freeSlots: 0,
+        startsPerSecond: computeDrainRate(drainRate),
+        running,
+      },
+      runs: {
+        lowMs: runTimes.estimateRun(service, 0.05, undefined, now),
+        medianMs: runTimes.estimateRun(service, 0.5, undefined, now),
+        highMs: runTimes.estimateRun(service, 0.95, undefined, now),
+        meanMs: runTimes.computeMean(service),
+        observations: runTimes.countObservations(service, now),
+      },
+    },
+    {
+      job: '',
+      team,
+      service,
+      digest: '',
+      unrepeatable: false,
+      tasks: works.map(() => ({payload: null})),
+    },
+    deadline,
+    now,
+  );
+  return verdict.kind === 'refuse';
+}
--- a/packages/policy/test/slot-model.ts
+++ b/packages/policy/test/slot-model.ts
@@ -1,68 +1,37 @@
-import type {Epoch, PlacementPolicy} from '#model';
+import type {Epoch} from '#model';
 import {
   connectHolder,
   countRunning,
   createGrants,
-  createPlacement,
   createRandom,
   divideSlots,
-  FairQueue,
   type Placement,
   type PlacementAction,
   type RandomSource,
   releaseSlots,
   reserveSlots,
   returnSlot,
-  RunTimes,
   type SlotGrants,
   takeSlot,
   updateDemand,
+  updateDrainRate,
 } from '#policy';
-
-/** One set-up of the model; times in ms. */
-export interface ModelSetup {
-  readonly policy: PlacementPolicy;
-  readonly entries: number;
-  /** Run time factor of each agent. */
-  readonly speeds: readonly number[];
-  readonly slotsPerAgent: number;
-  /** Of the slots' capacity, the share that arriving tasks need. */
-  readonly load: number;
-  readonly jobs: number;
-  readonly maxTasksPerJob: number;
-  readonly oneWayMs: number;
-  readonly seed: number;
-}
-
-export interface ModelScore {
-  /** Response time over that on idle targets of the fastest kind. */
-  readonly meanRatio: number;
-  readonly p50Ratio: number;
-  readonly p99Ratio: number;
-  readonly messagesPerJob: number;
-  readonly completed: number;
-  readonly refusals: number;
-  readonly messageKinds: ReadonlyMap<string, number>;
-}
-
-interface ModelJob {
-  readonly arrivedAt: number;
-  readonly works: readonly number[];
-  left: number;
-}
-
-interface ModelTask {
-  readonly job: ModelJob;
-  readonly workMs: number;
-}
-
-interface ModelEntry {
-  readonly epoch: Epoch;
-  readonly queue: FairQueue;
-  readonly tasks: Map<string, ModelTask>;
-  readonly placement: Placement;
-  readonly runTimes: RunTimes;
-  wakeAt: number;
+import {Heap, type HeapElement} from '../src/heap.js';
+import {
+  createEntry,
+  isRefused,
+  type ModelEntry,
+  type ModelJob,
+  type ModelScore,
+  type ModelSetup,
+  type ModelTask,
+  service,
+} from './model-entry.js';
+
+interface ModelEvent extends HeapElement {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
 }
 
 interface ModelAgent {
@@ -74,26 +43,32 @@
 }
 
 const noop = async () => {};
-const service = 's';
 
 /** Entries, agents and the messages between them, on a clock of its own. */
 export class SlotModel {
   private now = 0;
   private order = 0;
-  private readonly events: {at: number; order: number; run: () => void}[] = [];
+  private readonly events = new Heap<ModelEvent>(
+    (one, other) => one.at - other.at || one.order - other.order,
+  );
   private readonly random: RandomSource;
   private readonly entries: readonly ModelEntry[];
   private readonly agents: readonly ModelAgent[];
   private readonly ratios: number[] = [];
   private nextTask = 0;
+  private lastEndAt = 0;
   private messages = 0;
   private readonly messageKinds = new Map<string, number>();
   private refusals = 0;
+  private goodWorkMs = 0;
+  private late = 0;
+  private readonly inTime = new Map<string, number>();
+  private readonly jobRefusals = new Map<string, number>();
 
   constructor(private readonly setup: ModelSetup) {
     this.random = createRandom(setup.seed);
     this.entries = Array.from({length: setup.entries}, (_, i) =>
-      this.createEntry(i + 1),
+      createEntry(setup, i + 1),
     );
     const mode = setup.policy.kind === 'credit' ? 'ahead' : 'on-reservation';
     this.agents = setup.speeds.map((speed, i) => ({
@@ -110,8 +85,10 @@
       for (const entry of this.entries) this.connect(agent, entry);
     }
     this.planArrivals();
-    while (this.events.length > 0) {
-      const event = this.popEvent();
+    for (;;) {
+      const event = this.events.peek();
+      if (event === undefined) break;
+      this.events.remove(event);
       this.now = event.at;
       event.run();
     }
@@ -126,20 +103,10 @@
       completed: sorted.length,
       refusals: this.refusals,
       messageKinds: this.messageKinds,
-    };
-  }
-
-  private createEntry(epoch: Epoch): ModelEntry {
-    const {policy, seed} = this.setup;
-    const runTimes = new RunTimes();
-    const random = createRandom(seed + epoch);
-    return {
-      epoch,
-      queue: new FairQueue(),
-      tasks: new Map(),
-      placement: createPlacement(policy, {service, runTimes, random}),
-      runTimes,
-      wakeAt: Infinity,
+      goodput: this.goodWorkMs / this.lastEndAt,
+      inTime: this.inTime,
+      jobRefusals: this.jobRefusals,
+      late: this.late,
     };
   }
 
@@ -163,7 +130,16 @@
       at -= gapMs * Math.log(1 - this.random.drawFloat());
       const count = 1 + this.random.drawInt(maxTasksPerJob);
       const works = Array.from({length: count}, () => this.drawWork());
-      const job = {arrivedAt: at, works, left: count};
+      const deadline = at + (this.setup.deadlineMs ?? Infinity);
+      const team = this.drawTeam();
+      const job = {
+        id: `${i}`,
+        team,
+        arrivedAt: at,
+        deadline,
+        works,
+        left: count,
+      };
       const entry = this.entries[this.random.drawInt(this.entries.length)]!;
       this.schedule(at, () => this.submit(entry, job));
     }
@@ -174,22 +150,49 @@
     return 50 * 20 ** (this.random.drawFloat() ** 2);
   }
 
+  private drawTeam(): string {
+    const rates = this.setup.teamRates ?? [1];
+    let rest =
+      this.random.drawFloat() * rates.reduce((sum, rate) => sum + rate, 0);
+    return `${rates.findIndex(rate => (rest -= rate) < 0)}`;
+  }
+
   private submit(entry: ModelEntry, job: ModelJob): void {
+    if (isRefused(entry, job, this.now)) {
+      addOne(this.jobRefusals, job.team);
+      return;
+    }
+    if (job.deadline < Infinity) {
+      this.schedule(job.deadline, () => this.expire(entry, job));
+    }
     for (const workMs of job.works) this.enqueue(entry, {job, workMs});
     this.placeAll(entry);
   }
 
+  private expire(entry: ModelEntry, job: ModelJob): void {
+    if (job.left === 0) return;
+    this.late++;
+    for (const [id, task] of entry.tasks) {
+      if (task.job !== job) continue;
+      entry.queue.remove(id);
+      entry.tasks.delete(id);
+    }
+  }
+
   private enqueue(entry: ModelEntry, task: ModelTask): void {
     const id = `${this.nextTask++}`;
     entry.tasks.set(id, task);
-    const {arrivedAt: deadline} = task.job;
-    entry.queue.enqueue(noop, {id, job: `${deadline}`, deadline});
+    const {id: job, team, deadline, arrivedAt} = task.job;
+    const due = Math.min(deadline, arrivedAt + 1e6);
+    entry.queue.enqueue(noop, {id, job, team, deadline: due});
   }
 
   private placeAll(entry: ModelEntry): void {
     const starts = new Map<string, [ModelTask, boolean][]>();
+    const before = entry.queue.size;
     while (entry.queue.size > 0) {
-      const tasks = {waiting: entry.queue.size, deadline: Infinity};
+      const {deadline} = entry.queue.peek()!;
+      const tasks = {waiting: entry.queue.size, deadline: deadline!};
       const verdict = entry.placement.place(tasks, this.now);
       if (verdict.kind === 'wait') {
         this.wake(entry, verdict.until);
@@ -203,6 +206,13 @@
       entry.tasks.delete(id);
     }
     const waiting = entry.placement.tellWaiting(entry.queue.size, this.now);
+    entry.running += before - entry.queue.size;
+    entry.drainRate = updateDrainRate(
+      entry.drainRate,
+      before - entry.queue.size,
+      entry.queue.size,
+      this.now,
+    );
     for (const [target, batch] of starts) {
       this.sendStarts(entry, this.findAgent(target), batch, waiting);
     }
@@ -227,7 +237,7 @@
 
   private count(kind: string): void {
     this.messages++;
-    this.messageKinds.set(kind, (this.messageKinds.get(kind) ?? 0) + 1);
+    addOne(this.messageKinds, kind);
   }
 
   private wake(entry: ModelEntry, until: number): void {
@@ -311,6 +321,7 @@
 
   private endTask(entry: ModelEntry, agent: ModelAgent, slots: number): void {
     const {target} = agent;
+    entry.running--;
     entry.placement.apply({kind: 'task-ended', target}, this.now);
     if (slots === 0) return;
     entry.placement.apply({kind: 'slots-granted', target, slots}, this.now);
@@ -318,7 +329,10 @@
 
   private completeTask(job: ModelJob): void {
     job.left--;
-    if (job.left > 0) return;
+    if (job.left > 0 || this.now > job.deadline) return;
+    this.lastEndAt = this.now;
+    this.goodWorkMs += job.works.reduce((sum, one) => sum + one, 0);
+    addOne(this.inTime, job.team);
     const {oneWayMs, speeds} = this.setup;
     const ideal = Math.max(...job.works) * Math.min(...speeds) + 2 * oneWayMs;
     this.ratios.push((this.now - job.arrivedAt) / ideal);
@@ -360,35 +374,7 @@
   }
 
   private schedule(at: number, run: () => void): void {
-    const event = {at, order: this.order++, run};
-    let position = this.events.push(event) - 1;
-    while (position > 0) {
-      const parent = (position - 1) >> 1;
-      if (!isBefore(event, this.events[parent]!)) break;
-      this.events[position] = this.events[parent]!;
-      position = parent;
-    }
-    this.events[position] = event;
-  }
-
-  private popEvent() {
-    const first = this.events[0]!;
-    const last = this.events.pop()!;
-    if (this.events.length === 0) return first;
-    let position = 0;
-    for (;;) {
-      let child = 2 * position + 1;
-      if (child >= this.events.length) break;
-      const right = this.events[child + 1];
-      if (right !== undefined && isBefore(right, this.events[child]!)) {
-        child++;
-      }
-      if (!isBefore(this.events[child]!, last)) break;
-      this.events[position] = this.events[child]!;
-      position = child;
-    }
-    this.events[position] = last;
-    return first;
+    this.events.push({at, order: this.order++, run, position: -1});
   }
 }
 
@@ -398,9 +384,6 @@
   (_, i) => 50 * 20 ** (((i + 0.5) / 1000) ** 2),
 ).reduce((sum, one) => sum + one / 1000, 0);
 
-function isBefore(
-  one: {at: number; order: number},
-  other: {at: number; order: number},
-): boolean {
-  return one.at < other.at || (one.at === other.at && one.order < other.order);
+function addOne(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
 }
