--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -48,7 +48,7 @@
       readonly target: TargetId;
       readonly granted: boolean;
     }
-  /** Every started task ends once. Apply it after the run time was observed. */
+  /** Every started task ends once. To be applied after its run time was observed. */
   | {readonly kind: 'task-ended'; readonly target: TargetId};
 
 /** A message that the entry must send. */
