--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -42,6 +42,7 @@
 interface Lane extends HeapElement {
   readonly team: TeamName;
   readonly groups: Heap<Group>;
+  readonly byKey: Map<string, Group>;
   weight: number;
   startTag: number;
   size: number;
@@ -73,7 +74,6 @@
 export class FairQueue implements Queue<RunFunction, FairQueueOptions> {
   private readonly lanes = new Map<TeamName, Lane>();
   private readonly active = new Heap<Lane>(compareLanes);
-  private readonly groups = new Map<string, Group>();
   private readonly items = new Map<string, Item>();
   private virtualTime = 0;
   private nextOrder = 0;
@@ -212,6 +212,7 @@
     const lane: Lane = {
       team,
       groups: new Heap(compareGroups),
+      byKey: new Map(),
       weight: defaultWeight,
       startTag: this.virtualTime,
       size: 0,
@@ -231,8 +232,9 @@
     id: string,
     {job, priority = 0, deadline = Infinity}: Partial<FairQueueOptions>,
   ): Group {
-    const key = JSON.stringify([lane.team, job ?? null, job ?? id, priority]);
-    const known = this.groups.get(key);
+    const key =
+      job === undefined ? `task ${priority} ${id}` : `job ${priority} ${job}`;
+    const known = lane.byKey.get(key);
     if (known !== undefined) return known;
     const group: Group = {
       key,
@@ -246,7 +248,7 @@
       size: 0,
       position: -1,
     };
-    this.groups.set(key, group);
+    lane.byKey.set(key, group);
     lane.groups.push(group);
     return group;
   }
@@ -274,7 +276,7 @@
     group.size--;
     lane.size--;
     if (group.size === 0) {
-      this.groups.delete(group.key);
+      lane.byKey.delete(group.key);
       lane.groups.remove(group);
     }
     if (lane.size === 0) this.active.remove(lane);
