--- /dev/null
+++ b/packages/consensus/test/profiles.ts
@@ -0,0 +1,33 @@
+/** What goes wrong; probabilities in percent. */
+export interface Faults {
+  readonly replicas: number;
+  readonly loss: number;
+  readonly duplication: number;
+  /** At each disturbance, which comes every 40 to 160 ms. */
+  readonly crash: number;
+  readonly partition: number;
+  /** Replaces a disk, or a live replica, by a new one. */
+  readonly replace: number;
+  /** Also checks writes and messages as they happen, not only what they lead to. */
+  readonly checkSteps: boolean;
+}
+
+const mixed: Faults = {
+  replicas: 3,
+  loss: 5,
+  duplication: 5,
+  crash: 40,
+  partition: 40,
+  replace: 0,
+  checkSteps: true,
+};
+
+/** Mixtures of faults, each run over its own seeds. */
+export const profiles = {
+  'three-replicas': mixed,
+  'five-replicas': {...mixed, replicas: 5, crash: 60, partition: 60},
+  'lossy-network': {...mixed, loss: 25, duplication: 25, crash: 10},
+  'replaced-disks': {...mixed, crash: 25, partition: 25, replace: 30},
+} satisfies Record<string, Faults>;
+
+export type ProfileName = keyof typeof profiles;
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -104,6 +104,11 @@
     return this.closeCause === undefined;
   }
 
+  /** What was sent and the system has not yet taken, in bytes. */
+  get unsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
   /** `host:port` of the other end, for logs. */
   get remoteAddress(): string {
     return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
@@ -157,6 +162,7 @@
 
   private addHandlers(handlers: Handlers): void {
     this.rpc.addMethod('peer.ping', () => undefined);
+    this.rpc.addMethod('peer.sync', () => ({}));
     for (const [name, handler] of Object.entries(handlers)) {
       const method = name as MethodName;
       const handle = handler as (params: unknown, peer: Peer) => unknown;
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -8,3 +8,26 @@
   ProcessSettings,
   Role,
 } from './process.js';
+
+export type {SettingsError} from './error.js';
+export {describeSettingsError} from './error.js';
+
+export type {
+  LoadedSettings,
+  RoleOf,
+  SettingsFiles,
+  SettingsText,
+} from './load.js';
+export {loadProcessSettings, loadRole, parseProcessSettings} from './load.js';
+
+export type {KeyDescription} from './listing.js';
+export {describeKeys} from './listing.js';
+
+export {
+  checkSource,
+  extractSource,
+  parseConfiguration,
+} from './configuration.js';
+export {diffConfiguration, listKeys} from './difference.js';
+export {readText} from './document.js';
+export {renderValue} from './value.js';
