Let the entry's pools use the policies as they are now

The share of a team, the tasks running, and the mean and high run times go into admission; start messages tell each agent its part of the waiting tasks; every first start of a task, not of a job, earns retries; and a target that connects to a new placement is held to what its health allows.

--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -106,14 +106,13 @@
   }
 
   /** Sends a task and waits for its fate. A fate of `not-run` proves that it did not start. */
-  start(task: StartTask, waiting: number): Promise<TaskEnd> {
+  start(task: StartTask): Promise<TaskEnd> {
     return new Promise(resolve => {
       if (!this.ready) {
         resolve({fate: {kind: 'not-run', reason: 'no-slot'}, runMs: 0});
         return;
       }
       this.sent.set(formatTask(task), {ref: task, resolve});
-      this.waiting = waiting;
       if (this.outgoing.length === 0) setImmediate(() => this.flush());
       this.outgoing.push(task);
     });
@@ -139,6 +138,11 @@
     this.wakeBackoff();
   }
 
+  /** Sets what the next start message tells of the tasks that still wait. */
+  setWaiting(waiting: number): void {
+    this.waiting = waiting;
+  }
+
   /** Asks for slots as they fall free. */
   reserve(slots: number): void {
     if (!this.ready || slots === 0) return;
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -72,6 +72,7 @@
 const starvedIntervalMs = 10;
 const lowQuantile = 0.05;
 const medianQuantile = 0.5;
+const highQuantile = 0.95;
 
 /** One service's waiting tasks, its targets and the slots that they grant. */
 export class Pool implements Disposable {
@@ -87,6 +88,8 @@
   private retries: RetryBudget = createRetryBudget();
   private drainRate: DrainRate;
   private destination: Destination | undefined;
+  /** Links on which tasks were started in this turn. */
+  private readonly startedOn = new Set<AgentLink>();
   private armed = false;
   private wakeTimer: NodeJS.Timeout | undefined;
   private counts = {started: 0, refused: 0, overheadMessages: 0};
@@ -138,15 +141,13 @@
 
   /** Describes the work in hand, as admission needs it for one team. */
   describeLoad(team: TeamName): ServiceLoad {
-    const weight = this.owner.getWeight(team);
-    const isActive = this.fair.countWaiting(team) > 0;
-    const total = this.fair.sumActiveWeights() + (isActive ? 0 : weight);
     return {
       waiting: this.fair.size,
       teamWaiting: this.fair.countWaiting(team),
-      teamShare: weight / total,
+      teamShare: this.fair.computeShare(team, this.owner.getWeight(team)),
       freeSlots: this.fair.size > 0 ? 0 : this.countIdleSlots(),
       startsPerSecond: computeDrainRate(this.drainRate),
+      running: this.queue.pending,
     };
   }
 
@@ -157,6 +158,8 @@
     return {
       lowMs: this.runTimes.estimateRun(name, lowQuantile, hintMs, now),
       medianMs: this.runTimes.estimateRun(name, medianQuantile, hintMs, now),
+      highMs: this.runTimes.estimateRun(name, highQuantile, hintMs, now),
+      meanMs: this.runTimes.computeMean(name),
       observations: this.runTimes.countObservations(name, now),
     };
   }
@@ -191,6 +194,10 @@
       this.slots.set(event.target, event.slots);
     }
     this.execute(this.placement.apply(event, this.getTime()));
+    if (event.kind === 'target-connected') {
+      const allowances = this.health.listAllowances();
+      this.allow(allowances.filter(({target}) => target === event.target));
+    }
     this.arm();
   }
 
@@ -256,6 +263,9 @@
     const {size} = this.fair;
     const started = before - size;
     this.drainRate = updateDrainRate(this.drainRate, started, size, now);
+    const told = this.placement.tellWaiting(size, now);
+    for (const link of this.startedOn) link.setWaiting(told);
+    this.startedOn.clear();
     this.execute(this.placement.settle(size, now));
     this.wakeAt(until, now);
   }
@@ -283,20 +293,21 @@
     const now = this.getTime();
     const {submission, deadline} = execution.job;
     const {target, incarnation} = link.target;
-    if (!execution.hasSent) this.retries = depositStart(this.retries);
+    const state = execution.job.tasks[task]!;
+    if (state.kind === 'waiting' && state.placements === 0) {
+      this.retries = depositStart(this.retries);
+    }
     execution.apply({kind: 'sent', task, target, incarnation});
     this.counts.started++;
-    const end = await link.start(
-      {
-        job: submission.job,
-        task,
-        payload: submission.tasks[task]!.payload,
-        remainingMs: computeRemainingMs(now, deadline),
-        keepMs: this.owner.getKeepMs(submission.unrepeatable),
-        granted: destination.granted,
-      },
-      this.fair.size,
-    );
+    this.startedOn.add(link);
+    const end = await link.start({
+      job: submission.job,
+      task,
+      payload: submission.tasks[task]!.payload,
+      remainingMs: computeRemainingMs(now, deadline),
+      keepMs: this.owner.getKeepMs(submission.unrepeatable),
+      granted: destination.granted,
+    });
     this.finish(execution, task, target, end);
     this.owner.onTaskEnd(execution, end, now - queuedAt);
   }
