End a drain only once entries have read their last reports

Entries learn the number of slots that the target has when it is well, and nothing starts before the version that was committed at the announcement.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -5,6 +5,7 @@
   type Configuration,
   type Epoch,
   type Instant,
+  type ServiceConfig,
   type TargetInfo,
   type VersionedSource,
 } from '#model';
@@ -27,7 +28,7 @@
 import {ControlLink} from './control-link.js';
 import {awaitDrained} from './drain.js';
 import {Intake, type Mail, type Readiness} from './intake.js';
-import {countSlots, findService} from './service.js';
+import {countSlots} from './capacity.js';
 import {Sessions} from './sessions.js';
 import type {Target} from './target.js';
 import {TargetWatch} from './target-watch.js';
@@ -48,14 +49,14 @@
 
 const sweepIntervalMs = 1000;
 const healthIntervalMs = 250;
+const maxDrainMs = 24 * 3_600_000;
 
 /** The process beside one target: the last word on what starts there. */
 export class Agent implements AsyncDisposable {
   /** Resolves once a drain is over; true when nothing was left. */
   readonly drained: Promise<boolean>;
 
-  private readonly sessions = new Sessions();
-  private readonly peers = new Map<Epoch, Peer>();
+  private readonly sessions: Sessions;
   private readonly intake: Intake;
   private readonly watch: TargetWatch;
   private readonly sweeper: NodeJS.Timeout;
@@ -64,6 +65,10 @@
   private info!: TargetInfo;
   private configuration: Configuration | undefined;
   private configVersion = -1;
+  /** The version that was committed when this agent was first announced. */
+  private committedVersion: number | undefined;
+  /** Slots while the target is well and the agent stays, as entries are told. */
+  private slots = 0;
   private settling = false;
   private settleTimer: NodeJS.Timeout | undefined;
   private drainResult: Promise<boolean> | undefined;
@@ -76,6 +81,9 @@
     this.watch = new TargetWatch(target, healthIntervalMs, () =>
       this.noteTargetChange(),
     );
+    this.sessions = new Sessions(runtime.clock, epoch =>
+      this.intake.lose(epoch),
+    );
     this.intake = new Intake({
       target,
       clock: runtime.clock,
@@ -142,14 +150,17 @@
     log.info({event: 'drain'}, 'refusing new tasks');
     this.info = {...this.info, leaving: true};
     this.adjustReadiness();
+    const remainingMs = computeRemainingMs(clock.now(), deadline);
     const timeout = AbortSignal.timeout(
-      Math.ceil(computeRemainingMs(clock.now(), deadline)),
+      Math.ceil(Math.min(maxDrainMs, remainingMs)),
     );
     const complete = await awaitDrained(
       {
         clock,
         isIdle: () => this.intake.isIdle,
-        hasSessions: () => this.peers.size > 0,
+        hasSessions: () => this.sessions.size > 0,
+        hasMissing: () => this.sessions.hasMissing(),
+        confirmAll: () => this.sessions.confirmAll(),
         getLastStart: () => this.intake.lastStartAt,
         announce: signal => this.control.announce(signal),
       },
@@ -188,6 +199,10 @@
         liveness,
         describeTarget: () => this.info,
         getConfigVersion: () => this.getConfigVersion(),
+        onAnnounced: version => {
+          this.committedVersion ??= version;
+          this.adjustReadiness();
+        },
         onConfiguration: source => this.applyConfiguration(source),
       });
     });
@@ -221,43 +236,22 @@
   private openSession(hello: HelloParams, peer: Peer): HelloResult {
     const {epoch} = hello;
     if (this.intake.isBarred(epoch)) return {kind: 'fenced'};
-    const verdict = this.sessions.judge(hello);
-    if (verdict.kind === 'fenced') return verdict;
-    if (verdict.replaced !== undefined) this.endSession(verdict.replaced.epoch);
-    this.peers.set(epoch, peer);
+    if (!this.sessions.open(hello, peer)) return {kind: 'fenced'};
     this.intake.connect(epoch);
-    void peer.closed.then(() => {
-      if (this.peers.get(epoch) === peer) this.endSession(epoch);
-    });
     return {
       kind: 'welcome',
       target: this.info,
-      slots: this.intake.counts.slots,
+      slots: this.slots,
     };
   }
 
-  /** Ends an epoch's connection: what still arrives on it is ignored. */
-  private endSession(epoch: Epoch): void {
-    const peer = this.peers.get(epoch);
-    this.peers.delete(epoch);
-    this.intake.lose(epoch);
-    peer?.close('the session is over');
-  }
-
-  private findSession(peer: Peer): Epoch | undefined {
-    for (const [epoch, current] of this.peers) {
-      if (current === peer) return epoch;
-    }
-    return undefined;
-  }
-
   private applyInSession(peer: Peer, apply: (epoch: Epoch) => void): void {
-    const epoch = this.findSession(peer);
+    const epoch = this.sessions.findEpoch(peer);
     if (epoch !== undefined) apply(epoch);
   }
 
   private answerQuery({tasks}: TasksParams, peer: Peer): QueryResult {
-    const epoch = this.findSession(peer);
+    const epoch = this.sessions.findEpoch(peer);
     if (epoch === undefined) {
       throw new Error('the connection has no session: call agent.hello first');
     }
@@ -267,7 +261,7 @@
   private fence(params: FenceParams): FenceResult {
     const tasks = this.intake.fence(params);
     for (const epoch of params.epochs) {
-      if (this.intake.isBarred(epoch)) this.endSession(epoch);
+      if (this.intake.isBarred(epoch)) this.sessions.end(epoch);
     }
     const {target, incarnation} = this.info;
     return {target, incarnation, tasks};
@@ -283,13 +277,15 @@
   private settle(): void {
     this.settling = false;
     clearTimeout(this.settleTimer);
-    const {mail: mails, againAt} = this.intake.settle(this.peers.keys());
+    const {mail: mails, againAt} = this.intake.settle(
+      this.sessions.listEpochs(),
+    );
     if (againAt < Infinity && !this.disposed) {
       const waitMs = againAt - this.options.runtime.clock.now();
       this.settleTimer = setTimeout(() => this.scheduleSettle(), waitMs);
     }
     for (const [epoch, mail] of mails) {
-      const peer = this.peers.get(epoch);
+      const peer = this.sessions.getPeer(epoch);
       if (peer !== undefined) sendMail(peer, mail);
     }
   }
@@ -310,21 +306,42 @@
       Right: configuration => {
         this.configVersion = version;
         this.configuration = configuration;
+        this.adjustSlots();
         this.adjustReadiness();
       },
     });
   }
 
+  /** Entries learn the number of slots with their session, so a new number needs new sessions. */
+  private adjustSlots(): void {
+    const service = this.findService();
+    if (service === undefined) return;
+    const slots = countSlots(this.info.capacity, [service.demand]);
+    if (slots === this.slots) return;
+    this.slots = slots;
+    this.sessions.reopenAll('the number of slots has changed');
+  }
+
+  private findService(): ServiceConfig | undefined {
+    return this.configuration?.services.find(
+      ({name}) => name === this.info.service,
+    );
+  }
+
   private adjustReadiness(): void {
     this.intake.setReadiness(this.judgeReadiness());
   }
 
   private judgeReadiness(): Readiness {
     if (this.info.leaving) return {kind: 'shut', reason: 'draining'};
-    if (this.configuration === undefined) {
+    const {committedVersion} = this;
+    if (
+      committedVersion === undefined ||
+      this.configVersion < committedVersion
+    ) {
       return {kind: 'shut', reason: 'no-slot'};
     }
-    const service = findService(this.configuration, this.info.service);
+    const service = this.findService();
     if (service === undefined) return {kind: 'shut', reason: 'wrong-service'};
     if (this.watch.isDown) return {kind: 'shut', reason: 'target-down'};
     const slots = countSlots(this.info.capacity, [
--- a/packages/agent/src/service.ts
+++ b/packages/agent/src/capacity.ts
@@ -1,23 +1,8 @@
-import {
-  type Capacity,
-  type Configuration,
-  failUnreachable,
-  type ResourceDemand,
-  type ServiceConfig,
-  type ServiceName,
-} from '#model';
+import {type Capacity, failUnreachable, type ResourceDemand} from '#model';
 
 /** The most slots that a worker has, whatever its tasks demand. */
 const maxWorkerSlots = 1024;
 
-/** Returns the service's configuration, if it has one. */
-export function findService(
-  configuration: Configuration,
-  name: ServiceName,
-): ServiceConfig | undefined {
-  return configuration.services.find(service => service.name === name);
-}
-
 /**
  * Counts the tasks that a target can run at a time. While tasks of several
  * demands run at a worker, each counts as the greatest of them, so that they
--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -15,6 +15,8 @@
   readonly describeTarget: () => TargetInfo;
   /** The configuration's version in force here. */
   readonly getConfigVersion: () => number;
+  /** The leader has the announcement; the version is the committed one. */
+  readonly onAnnounced: (configVersion: number) => void;
   /** A configuration of any version, possibly one seen before. */
   readonly onConfiguration: (configuration: VersionedSource) => void;
 }
@@ -125,16 +127,12 @@
   }
 
   private async holdLease(peer: Peer): Promise<Ending> {
-    let watching = false;
+    if (!(await this.watch(peer))) return {kind: 'lost'};
     while (!this.stopped && peer.isOpen) {
       const ending = this.isAnnounced
         ? await this.renew(peer)
         : await this.sendAnnouncement(peer);
       if (ending !== undefined) return ending;
-      if (!watching) {
-        watching = await this.watch(peer);
-        if (!watching) return {kind: 'lost'};
-      }
       if (!this.isAnnounced) continue;
       this.wakeWaiters();
       await this.pause(this.owner.leases.renewalIntervalMs);
@@ -160,6 +158,7 @@
       return {kind: 'lost'};
     }
     this.announced = target;
+    this.owner.onAnnounced(answer.value.configVersion);
     return undefined;
   }
 
--- a/packages/agent/src/executor.ts
+++ b/packages/agent/src/executor.ts
@@ -32,6 +32,8 @@
     switch (outcome.kind) {
       case 'answered':
         return interpretAnswer(outcome.status, outcome.body);
+      case 'unusable':
+        return {kind: 'failed', detail: outcome.detail};
       case 'not-sent':
         return {kind: 'not-run', detail: outcome.detail};
       case 'broken':
--- a/packages/agent/src/http.ts
+++ b/packages/agent/src/http.ts
@@ -1,3 +1,4 @@
+import {Either} from 'purify-ts';
 import {Pool} from 'undici';
 
 const connectTimeoutMs = 2000;
@@ -27,6 +28,8 @@
       readonly status: number;
       readonly body: Buffer;
     }
+  /** The request cannot be written as JSON, or the answer is too large. */
+  | {readonly kind: 'unusable'; readonly detail: string}
   /** Nothing was written to the target: it provably did not see the request. */
   | {readonly kind: 'not-sent'; readonly detail: string}
   /** Written, and the exchange broke: the target may have acted on it. */
@@ -47,10 +50,26 @@
 export function sendRequest(
   pool: Pool,
   request: HttpRequest,
+): Promise<HttpOutcome> {
+  const body = encodeBody(request.body);
+  if (body.isLeft()) {
+    return Promise.resolve({kind: 'unusable', detail: body.extract()});
+  }
+  return dispatchOnce(pool, request, body.extract());
+}
+
+function encodeBody(body: unknown): Either<string, string | undefined> {
+  return Either.encase(() => JSON.stringify(body)).mapLeft(
+    error => `the request cannot be written as JSON: ${error.message}`,
+  );
+}
+
+function dispatchOnce(
+  pool: Pool,
+  request: HttpRequest,
+  body: string | undefined,
 ): Promise<HttpOutcome> {
   return new Promise(resolve => {
-    const body =
-      request.body === undefined ? undefined : JSON.stringify(request.body);
     const chunks: Buffer[] = [];
     let status = 0;
     let bytes = 0;
@@ -97,9 +116,9 @@
           bytes += chunk.length;
           chunks.push(chunk);
           if (bytes <= request.maxBytes) return;
-          controller.abort(
-            new Error(`the answer exceeds ${request.maxBytes} bytes`),
-          );
+          const detail = `the answer exceeds ${request.maxBytes} bytes`;
+          finish({kind: 'unusable', detail});
+          controller.abort(new Error(detail));
         },
         onResponseEnd: () =>
           finish({kind: 'answered', status, body: Buffer.concat(chunks)}),
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -233,6 +233,8 @@
   stopCause: string | undefined,
 ): RunOutcome {
   switch (outcome.kind) {
+    case 'unusable':
+      return {kind: 'failed', detail: outcome.detail};
     case 'not-sent':
       return {kind: 'not-run', detail: outcome.detail};
     case 'broken':
--- a/packages/agent/test/stand.ts
+++ b/packages/agent/test/stand.ts
@@ -262,7 +262,7 @@
       readConfiguration: () => Right(makeConfiguration(placement, maxTaskMs)),
     })
   ).unsafeCoerce();
-  await waitUntil(() => agent.getStatus().configVersion > 0);
+  await waitUntil(() => agent.getStatus().slots > 0);
   return {control, target, agent};
 }
 
--- a/packages/agent/test/worker.test.ts
+++ b/packages/agent/test/worker.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava';
 import {monotonicClock} from '#model';
 import {Worker} from '#agent';
-import {countSlots} from '../src/service.js';
+import {countSlots} from '../src/capacity.js';
 import {FakeTarget, quiet, waitUntil} from './stand.js';
 
 interface Usage {
