--- a/packages/cli/src/config-apply.ts
+++ b/packages/cli/src/config-apply.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Either, Right} from 'purify-ts';
 import {failUnreachable, type Instant, monotonicClock} from '#model';
-import type {ApplyConfigResult, ConfigStatus} from '#protocol';
+import type {ApplyConfigResult} from '#protocol';
 import {type ExitCode, exitCode} from '#telemetry';
 import {
   computeCommandDeadline,
@@ -13,6 +13,7 @@
 } from './command.js';
 import {printErrors, printResult} from './console.js';
 import {type RemoteFailure, requestLeader} from './control-client.js';
+import {fetchConfigStatus, fetchInForce} from './config-status.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {readSource, type SourceFiles} from './source-files.js';
 
@@ -23,20 +24,6 @@
   readonly wait?: boolean;
 }
 
-/** Asks what is in force. */
-export function fetchStatus(
-  options: ControlOptions,
-  deadline: Instant,
-): Promise<Either<RemoteFailure, ConfigStatus>> {
-  return requestLeader(
-    options.control,
-    'control.configStatus',
-    {},
-    deadline,
-    'idempotent',
-  );
-}
-
 /**
  * Applies a configuration and prints the outcome. A change whose answer was lost is sent again
  * under the same id until the time is up, so that it is accepted at most once.
@@ -99,7 +86,7 @@
   deadline: Instant,
 ): Promise<Either<RemoteFailure, number>> {
   if (options.expect !== undefined) return Right(options.expect);
-  const status = await fetchStatus(options, deadline);
+  const status = await fetchConfigStatus(options, deadline);
   return status.map(({current}) => current.version);
 }
 
@@ -120,16 +107,18 @@
 ): Promise<ExitCode> {
   switch (result.kind) {
     case 'accepted': {
-      const inForce = options.wait
+      const lagging = options.wait
         ? await awaitInForce(options, result.version, deadline)
         : undefined;
       printResult(
         console,
         options,
-        {...result, changeId, ...(inForce !== undefined && {inForce})},
-        () => renderAccepted(result.version, changeId, inForce),
+        {...result, changeId, ...(lagging !== undefined && {lagging})},
+        () => renderAccepted(result.version, changeId, lagging),
       );
-      return inForce === false ? exitCode.unknown : exitCode.ok;
+      return lagging === undefined || lagging.length === 0
+        ? exitCode.ok
+        : exitCode.unknown;
     }
     case 'conflict':
       printResult(
@@ -151,30 +140,35 @@
 function renderAccepted(
   version: number,
   changeId: string,
-  inForce: boolean | undefined,
+  lagging: readonly string[] | undefined,
 ): string {
   const accepted = `accepted: version ${version} (change ${changeId})`;
-  if (inForce === undefined) return accepted;
-  return inForce
+  if (lagging === undefined) return accepted;
+  return lagging.length === 0
     ? `${accepted}, in force everywhere`
-    : `${accepted}, not yet reported in force everywhere; see "config status"`;
+    : `${accepted}, not yet reported in force at ${lagging.join(', ')}`;
 }
 
 const pollIntervalMs = 200;
 
-/** Waits until every process reports the version; false when the deadline passes first. */
+/** Waits until every process reports the version; returns those that did not by the deadline. */
 async function awaitInForce(
   options: ControlOptions,
   version: number,
   deadline: Instant,
-): Promise<boolean> {
+): Promise<readonly string[]> {
+  let lagging: readonly string[] = ['any process'];
   while (monotonicClock.now() < deadline) {
-    const status = await fetchStatus(options, deadline);
-    const isEverywhere = status
-      .map(({processes}) => processes.every(each => each.version >= version))
-      .orDefault(false);
-    if (isEverywhere) return true;
+    const status = await fetchInForce(options, deadline);
+    lagging = status
+      .map<readonly string[]>(({processes}) =>
+        processes
+          .filter(each => (each.version ?? -1) < version)
+          .map(({process}) => process),
+      )
+      .orDefault(lagging);
+    if (lagging.length === 0) return lagging;
     await sleep(pollIntervalMs);
   }
-  return false;
+  return lagging;
 }
