--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -109,6 +109,11 @@
     return this.listener.address;
   }
 
+  /** Entries connected. */
+  get sessionCount(): number {
+    return this.sessions.size;
+  }
+
   getStatus(): AgentStatus {
     const {running, slots, queued, started, duplicates} = this.intake.counts;
     return {
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -9,6 +9,7 @@
   inMs,
   makeTask,
   openStand,
+  openSwallower,
   type Serve,
   waitUntil,
 } from './stand.js';
@@ -183,6 +184,36 @@
   await closeStand(stand);
 });
 
+test('a drain waits for an entry whose connection swallows the last report', async t => {
+  const {held, serve, release} = holdAnswers();
+  const stand = await openStand({serve});
+  const swallower = await openSwallower(stand.agent.address);
+  const first = await FakeEntry.connect(
+    stand,
+    1,
+    1,
+    'entry-1',
+    swallower.address,
+  );
+  await waitUntil(() => first.free === 4);
+  first.start();
+  await waitUntil(() => held.length === 1);
+  swallower.swallow();
+  const drained = stand.agent.drain(inMs(60_000));
+  release();
+  await waitUntil(() => stand.agent.sessionCount === 0);
+  const second = await FakeEntry.connect(stand, 1, 2);
+  t.deepEqual(await second.query({job: 'a', task: 0}), [
+    {kind: 'ended', fate: succeeded},
+  ]);
+  t.false(first.fates.has('a.0'));
+  second.peer.close('nothing is left');
+  t.true(await drained);
+  first.peer.close('the test is over');
+  swallower.close();
+  await closeStand(stand);
+});
+
 test('a drain whose deadline passes tells what was cut as unknown', async t => {
   const {held, serve} = holdAnswers();
   const stand = await openStand({serve});
--- a/packages/agent/test/stand.ts
+++ b/packages/agent/test/stand.ts
@@ -3,6 +3,7 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
+import {connect as connectTcp, createServer as createTcpServer} from 'node:net';
 import {pino} from 'pino';
 import {Right} from 'purify-ts';
 import {
@@ -208,6 +209,26 @@
   readonly agent: Agent;
 }
 
+/** Passes bytes on until told to swallow what flows towards the dialling end. */
+export async function openSwallower(towards: string) {
+  const {port} = new URL(`tcp://${towards}`);
+  let swallows = false;
+  const server = createTcpServer(near => {
+    const far = connectTcp(Number(port), '127.0.0.1');
+    near.on('data', chunk => far.write(chunk));
+    far.on('data', chunk => void (swallows || near.write(chunk)));
+    near.on('error', () => {}).on('close', () => far.destroy());
+    far.on('error', () => {}).on('close', () => swallows || near.destroy());
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const bound = server.address() as {port: number};
+  return {
+    address: `127.0.0.1:${bound.port}`,
+    swallow: () => (swallows = true),
+    close: () => server.close(),
+  };
+}
+
 export interface StandOptions {
   readonly serve?: Serve;
   readonly placement?: PlacementPolicy;
@@ -286,11 +307,12 @@
     epoch: Epoch,
     connection = 1,
     entry = `entry-${epoch}`,
+    address = stand.agent.address,
   ): Promise<FakeEntry> {
     const fake = new FakeEntry(epoch);
     fake.peer = (
       await dialPeer(
-        stand.agent.address,
+        address,
         {
           'entry.grant': ({slots}) => void (fake.free += slots),
           'entry.recall': ({slots}, peer) => {
