--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -146,10 +146,7 @@
     const receivedAt = this.owner.clock.now();
     const remainingMs = computeRemainingMs(receivedAt, deadline);
     const expiry = setTimeout(() => {
-      this.end(
-        execution,
-        failJob(execution.job, 'deadline-passed', 'the deadline passed'),
-      );
+      this.end(execution, expireJob(execution));
     }, remainingMs);
     void execution.answered.then(answer => {
       clearTimeout(expiry);
@@ -221,6 +218,7 @@
 
   private startConfirmed(execution: Execution): void {
     this.unconfirmed.delete(execution.job.submission.job);
+    execution.own();
     this.owner.start(execution);
   }
 
@@ -291,6 +289,7 @@
     execution.detach();
     this.executions.set(submission.job, inherited);
     void inherited.answered.then(answer => execution.resolve(answer));
+    inherited.own();
     this.keep(inherited);
     if (inherited.job.answer === undefined) this.owner.start(inherited);
   }
@@ -360,3 +359,16 @@
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
+
+/** Answers a job at its deadline. Only its owner knows that it has failed. */
+function expireJob(execution: Execution): JobAnswer {
+  if (execution.isOwned) {
+    return failJob(execution.job, 'deadline-passed', 'the deadline passed');
+  }
+  return {
+    kind: 'unknown',
+    job: execution.job.submission.job,
+    reason: 'owner-unreachable',
+    detail: 'the deadline passed before the owner of the job answered',
+  };
+}
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -7,6 +7,7 @@
   readonly answered: Promise<JobAnswer>;
 
   private resolveAnswer!: (answer: JobAnswer) => void;
+  private owned = false;
   private detached = false;
   private sent = false;
   private longestMs = 0;
@@ -23,6 +24,11 @@
     return this.detached || this.job.answer !== undefined;
   }
 
+  /** True when this entry decides the job's answer. */
+  get isOwned(): boolean {
+    return this.owned && !this.detached;
+  }
+
   /** True when a task may have started from here. */
   get hasSent(): boolean {
     return this.sent;
@@ -51,6 +57,11 @@
     this.apply({kind: 'abandoned', answer});
   }
 
+  /** The admission is confirmed: tasks are placed here. */
+  own(): void {
+    this.owned = true;
+  }
+
   /** Stops placing tasks here: another entry owns the job now. */
   detach(): void {
     this.detached = true;
