--- a/packages/cli/src/role.ts
+++ b/packages/cli/src/role.ts
@@ -43,7 +43,7 @@
 async function runLoaded(loaded: LoadedSettings): Promise<ExitCode> {
   const {id, place, logLevel, metrics: sink, role} = loaded.process;
   const log = openLog(logLevel, role.kind, id);
-  stopOnBrokenInvariants(log);
+  stopOnBrokenInvariants(process, log);
   const tags = {role: role.kind, id, site: place.site};
   const metrics = openMetrics(sink, tags);
   const drainMs = role.kind === 'control' ? controlDrainMs : role.drainMs;
@@ -54,7 +54,7 @@
   const {drain, halt} = signals;
   const runtime = {log, metrics, clock: monotonicClock, drain, halt};
   log.info({event: 'start', pid: process.pid}, 'starting');
-  const code = await startRole(loaded, runtime);
+  const code = await endOnFatal(startRole(loaded, runtime), log);
   log.info({event: 'exit', code}, 'stopped');
   signals[Symbol.dispose]();
   await metrics[Symbol.asyncDispose]();
@@ -78,18 +78,38 @@
   }
 }
 
+/** What a fatal error needs of the process. */
+export interface FatalSource {
+  readonly on: (
+    event: 'uncaughtException' | 'unhandledRejection',
+    listener: (error: unknown) => void,
+  ) => unknown;
+  readonly exit: (code: number) => unknown;
+}
+
 /** An error that nothing handles is a broken invariant: the state cannot be trusted further. */
-function stopOnBrokenInvariants(log: Logger): void {
-  const stop = (error: unknown) => {
-    log.fatal({event: 'broken-invariant', err: error}, describeCause(error));
-    process.exit(exitCode.brokenInvariant);
-  };
-  process.on('uncaughtException', stop);
-  process.on('unhandledRejection', stop);
+export function stopOnBrokenInvariants(source: FatalSource, log: Logger): void {
+  const stop = (error: unknown) => source.exit(logFatal(log, error));
+  source.on('uncaughtException', stop);
+  source.on('unhandledRejection', stop);
+}
+
+/** Gives the role's exit code; when the role throws, the error is as fatal as an unhandled one. */
+async function endOnFatal(
+  running: Promise<ExitCode>,
+  log: Logger,
+): Promise<ExitCode> {
+  try {
+    return await running;
+  } catch (error) {
+    return logFatal(log, error);
+  }
 }
 
-function describeCause(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
+function logFatal(log: Logger, error: unknown): ExitCode {
+  const detail = error instanceof Error ? error.message : String(error);
+  log.fatal({event: 'broken-invariant', err: error}, detail);
+  return exitCode.brokenInvariant;
 }
 
 function endAfterHalt(log: Logger): void {
