--- /dev/null
+++ b/packages/bench/src/bench-load.ts
@@ -0,0 +1,24 @@
+import type {LoadOptions} from './load.js';
+
+/** The loads of the experiments differ from this one in what each of them states. */
+export function describeBenchLoad(
+  service: string,
+  changes: Partial<LoadOptions>,
+): LoadOptions {
+  return {
+    seed: 1,
+    jobs: 200,
+    arrivals: {kind: 'poisson', jobsPerSecond: 14},
+    services: [service],
+    teams: ['herd-registry'],
+    minTasks: 1,
+    maxTasks: 20,
+    minTaskMs: 50,
+    maxTaskMs: 1000,
+    deadlineMs: 60_000,
+    unrepeatableShare: 0,
+    failingShare: 0,
+    declaredErrorFactor: 1,
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/bench-main.ts
@@ -0,0 +1,25 @@
+import {parseArgs} from 'node:util';
+import {measureDeployments} from './bench-deployments.js';
+import {measurePlacement} from './bench-placement.js';
+import {measureSlopes} from './bench-slopes.js';
+
+const experiments: Readonly<Record<string, (seed: number) => Promise<void>>> = {
+  deployments: measureDeployments,
+  placement: measurePlacement,
+  slopes: measureSlopes,
+};
+
+const {values, positionals} = parseArgs({
+  options: {seed: {type: 'string', default: '1'}},
+  allowPositionals: true,
+});
+const run = experiments[positionals[0] ?? 'deployments'];
+const seed = Number(values.seed);
+if (run === undefined || !Number.isInteger(seed)) {
+  console.error(
+    'usage: npm run bench -- [deployments|placement|slopes] [--seed N]',
+  );
+  process.exit(2);
+}
+await run(seed);
+process.exit();
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -41,3 +41,12 @@
 export {computeIdealMs, measureResponse, summarizeTimes} from './latency.js';
 export {formatTable} from './table.js';
 export {sleepFor, waitUntil} from './wait.js';
+
+export type {Trouble, TroubleStep} from './chaos-plan.js';
+export {describeTrouble, planChaos} from './chaos-plan.js';
+export type {ChaosRun} from './chaos.js';
+export {runChaos} from './chaos.js';
+export {judgeRaces} from './operator.js';
+export {countWasted, MessageTap} from './tap.js';
+export type {Fit, Point} from './fit.js';
+export {computeLine} from './fit.js';
--- /dev/null
+++ b/packages/bench/src/measure.ts
@@ -0,0 +1,150 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {type Counts, countOutcomes} from './check.js';
+import {readJournal} from './journal.js';
+import {
+  computeIdealMs,
+  type LatencySummary,
+  measureResponse,
+  summarizeTimes,
+} from './latency.js';
+import {type LoadOptions, planLoad} from './load.js';
+import type {MemberRole} from './member.js';
+import {runLoad} from './run-load.js';
+import {Site} from './site.js';
+import {describeSite, type SiteOptions} from './site-options.js';
+import {countWasted} from './tap.js';
+import {sumUsage, type Usage} from './usage.js';
+import {sleepFor} from './wait.js';
+
+/** What one load on one site came to. */
+export interface Measurement {
+  readonly counts: Counts;
+  readonly tasks: number;
+  readonly elapsedMs: number;
+  readonly response: LatencySummary;
+  /** Response time less the time of the job's longest task at pace 1, in ms. */
+  readonly overIdeal: LatencySummary;
+  /** Unset without proxies, which count the messages. */
+  readonly wastedPerJob: number | undefined;
+  /** What all the processes of a role used during the load; memory at its end. */
+  readonly usage: RoleUsage;
+}
+
+const settleMs = 1000;
+const persistence = {maxAttempts: 6, maxPauseMs: 1000};
+
+/** Starts a site, submits a load, and measures; warms up with a part of the same kind of load. */
+export async function measureLoad(
+  changes: Partial<SiteOptions>,
+  load: LoadOptions,
+  warmUpJobs: number,
+): Promise<Measurement> {
+  const data = mkdtempSync(join(tmpdir(), 'wasabiring-bench-'));
+  const measurement = await measureSite(
+    describeSite(data, changes),
+    load,
+    warmUpJobs,
+  );
+  rmSync(data, {recursive: true});
+  return measurement;
+}
+
+async function measureSite(
+  options: SiteOptions,
+  load: LoadOptions,
+  warmUpJobs: number,
+): Promise<Measurement> {
+  await using site = await Site.start(options);
+  await site.waitUntilReady();
+  await submitLoad(site, {
+    ...load,
+    seed: load.seed + 1_000_000,
+    jobs: warmUpJobs,
+  });
+  await sleepFor(settleMs);
+  const wastedBefore = sumWasted(site);
+  const before = readRoles(site);
+  const startedAt = performance.now();
+  const records = await submitLoad(site, load);
+  const elapsedMs = performance.now() - startedAt;
+  const after = readRoles(site);
+  const wasted = sumWasted(site) - wastedBefore;
+  const responses = records.map(record => ({
+    record,
+    ms: measureResponse(record),
+  }));
+  const complete = responses.flatMap(({record, ms}) =>
+    ms === undefined ? [] : [{ms, overMs: ms - computeIdealMs(record)}],
+  );
+  return {
+    counts: countOutcomes(readJournal(site.journal), records),
+    tasks: records.reduce((sum, {plan}) => sum + plan.tasks.length, 0),
+    elapsedMs,
+    response: summarizeTimes(complete.map(({ms}) => ms)),
+    overIdeal: summarizeTimes(complete.map(({overMs}) => overMs)),
+    wastedPerJob: options.proxied ? wasted / records.length : undefined,
+    usage: subtractRoles(after, before),
+  };
+}
+
+/** Measures what the processes of a site use while no job comes. */
+export async function measureIdle(
+  changes: Partial<SiteOptions>,
+  idleMs: number,
+): Promise<RoleUsage> {
+  const data = mkdtempSync(join(tmpdir(), 'wasabiring-bench-'));
+  const usage = await measureIdleSite(describeSite(data, changes), idleMs);
+  rmSync(data, {recursive: true});
+  return usage;
+}
+
+async function measureIdleSite(
+  options: SiteOptions,
+  idleMs: number,
+): Promise<RoleUsage> {
+  await using site = await Site.start(options);
+  await site.waitUntilReady();
+  await sleepFor(settleMs);
+  const before = readRoles(site);
+  await sleepFor(idleMs);
+  return subtractRoles(readRoles(site), before);
+}
+
+function submitLoad(site: Site, load: LoadOptions) {
+  return runLoad(planLoad(load), {
+    entries: site.entryUrls,
+    seed: load.seed,
+    arrivals: load.arrivals,
+    persistence,
+    doubledShare: 0,
+  });
+}
+
+function sumWasted(site: Site): number {
+  return site
+    .list('agent')
+    .reduce((sum, {proxy}) => sum + (proxy ? countWasted(proxy.tap) : 0), 0);
+}
+
+/** What all the processes of each role used. */
+export type RoleUsage = Readonly<Record<MemberRole, Usage>>;
+
+function readRoles(site: Site): RoleUsage {
+  const read = (role: MemberRole) =>
+    sumUsage(site.list(role).map(({pid}) => pid));
+  return {entry: read('entry'), agent: read('agent'), control: read('control')};
+}
+
+function subtractRoles(after: RoleUsage, before: RoleUsage): RoleUsage {
+  const subtract = (role: MemberRole): Usage => ({
+    cpuMs: after[role].cpuMs - before[role].cpuMs,
+    residentMb: after[role].residentMb,
+  });
+  return {
+    entry: subtract('entry'),
+    agent: subtract('agent'),
+    control: subtract('control'),
+  };
+}
--- a/packages/bench/src/pipe.ts
+++ b/packages/bench/src/pipe.ts
@@ -26,8 +26,12 @@
   constructor(
     private readonly from: Socket,
     private readonly to: Socket,
+    observe: (chunk: Buffer) => void = () => {},
   ) {
-    from.on('data', bytes => this.take({kind: 'bytes', bytes}));
+    from.on('data', bytes => {
+      observe(bytes);
+      this.take({kind: 'bytes', bytes});
+    });
     from.on('end', () => this.take({kind: 'end'}));
     from.on('close', () => this.take({kind: 'gone'}));
     to.on('close', () => this.stop());
--- a/packages/bench/src/proxy.ts
+++ b/packages/bench/src/proxy.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Address} from '#model';
 import {Pipe} from './pipe.js';
+import {MessageTap} from './tap.js';
 
 /** What a link does to the bytes that cross it. */
 export type Fault =
@@ -30,6 +31,8 @@
 
 /** A TCP proxy in front of one address that injects faults, for all who dial it or for one of them. */
 export class FaultProxy implements AsyncDisposable {
+  /** Counts the messages of connections that speak the inner protocol. */
+  readonly tap = new MessageTap();
   private fault: Fault = noFault;
   private readonly faultBySource = new Map<string, Fault>();
   private readonly links = new Set<Link>();
@@ -129,8 +132,8 @@
       source,
       client,
       server,
-      toServer: new Pipe(client, server),
-      toClient: new Pipe(server, client),
+      toServer: new Pipe(client, server, this.tap.open()),
+      toClient: new Pipe(server, client, this.tap.open()),
     };
     this.links.add(link);
     const forget = () => {
