--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -35,7 +35,11 @@
   readonly address: Address;
   readonly machine: Machine;
   /** Sends a message to another replica or drops it. */
-  readonly send: (to: ControlId, address: Address, message: Message) => void;
+  readonly send: (
+    to: ControlId,
+    address: Address | undefined,
+    message: Message,
+  ) => void;
   /** Called once when the disk has failed. */
   readonly fail: (detail: string) => void;
 }
@@ -73,7 +77,9 @@
   private constructor(private readonly options: ControlOptions) {
     const {settings, runtime} = options;
     this.failed = new Promise(resolve => (this.fail = resolve));
-    this.links = new Links(settings.id);
+    this.links = new Links(settings.id, (from, message) =>
+      this.receive(from, message),
+    );
     this.office = new Office(this.machine, settings.leases, runtime.clock);
   }
 
@@ -155,7 +161,7 @@
       id: settings.id,
       address: this.listener.address,
       machine: this.machine,
-      send: (_to, address, message) => this.links.send(address, message),
+      send: (to, address, message) => this.links.send(to, address, message),
       fail: detail => this.fail(detail),
     });
     return started.map(replica => {
@@ -195,18 +201,21 @@
       'control.watch': (params, peer) => this.watch(peer, params),
       'control.changeMembers': params => this.changeMembers(params),
       'control.status': () => this.describeStatus(),
-      'control.replicate': ({from, message}) =>
-        checkMessage(message)
-          .ifRight(checked => this.replica.receive(from, checked))
-          .ifLeft(detail =>
-            this.options.runtime.log.warn(
-              {event: 'bad-replica-message', from, detail},
-              'dropped a message',
-            ),
-          ),
+      'control.replicate': (params, peer) => this.links.accept(params, peer),
     };
   }
 
+  private receive(from: ControlId, message: unknown): void {
+    checkMessage(message)
+      .ifRight(checked => this.replica.receive(from, checked))
+      .ifLeft(detail =>
+        this.options.runtime.log.warn(
+          {event: 'bad-replica-message', from, detail},
+          'dropped a message',
+        ),
+      );
+  }
+
   /** Refuses to serve a view that is missing, may lag for long or is behind what the watcher saw. */
   private watch(peer: Peer, params: WatchParams): ViewUpdate {
     const {revision, configuration} = this.machine.state;
--- a/packages/control/src/links.ts
+++ b/packages/control/src/links.ts
@@ -5,6 +5,7 @@
   dialPeer,
   type Liveness,
   type Peer,
+  type ReplicateParams,
 } from '#protocol';
 
 const dialTimeoutMs = 1000;
@@ -22,14 +23,34 @@
 /** This replica's connections to the others, dialled when there is something to send. */
 export class Links implements AsyncDisposable {
   private readonly links = new Map<Address, Link>();
+  private readonly callers = new Map<ControlId, Peer>();
   private closed = false;
 
-  constructor(private readonly from: ControlId) {}
+  /** `receive` takes the messages of other replicas. */
+  constructor(
+    private readonly from: ControlId,
+    private readonly receive: (from: ControlId, message: unknown) => void,
+  ) {}
 
-  /** Sends a replica's message, or drops it while there is no connection. */
-  send(address: Address, message: Message): void {
-    const link = this.open(address);
-    link?.peer?.notify('control.replicate', {from: this.from, message});
+  /** Takes replicas' messages on a connection that another one dialled. */
+  accept({from, message}: ReplicateParams, peer: Peer): void {
+    if (this.callers.get(from) !== peer) {
+      this.callers.set(from, peer);
+      void peer.closed.then(() => {
+        if (this.callers.get(from) === peer) this.callers.delete(from);
+      });
+    }
+    this.receive(from, message);
+  }
+
+  /**
+   * Sends a replica's message, or drops it while there is no connection. A replica whose address
+   * is not known yet is answered on the connection that it dialled.
+   */
+  send(to: ControlId, address: Address | undefined, message: Message): void {
+    const peer =
+      address === undefined ? this.callers.get(to) : this.open(address)?.peer;
+    peer?.notify('control.replicate', {from: this.from, message});
   }
 
   /** Asks another replica how it stands; nothing when it does not answer by the deadline. */
@@ -74,7 +95,12 @@
 
   private async dial(address: Address, link: Link): Promise<void> {
     const deadline = monotonicClock.now() + dialTimeoutMs;
-    const dialled = await dialPeer(address, {}, deadline, linkLiveness);
+    const dialled = await dialPeer(
+      address,
+      {'control.replicate': ({from, message}) => this.receive(from, message)},
+      deadline,
+      linkLiveness,
+    );
     link.dialling = undefined;
     dialled.ifRight(peer => {
       if (this.closed || this.links.get(address) !== link) {
--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -1,19 +1,13 @@
 import test from 'ava';
 import type {TargetInfo} from '#model';
-import {describeFailure, openSite, place, soon} from './site.js';
-
-const job = (digit: string) => digit.repeat(32);
-
-function admit(name: string, epoch: number, digest = 'd') {
-  return {
-    job: job(name),
-    digest: job(digest),
-    epoch,
-    tasks: 3,
-    unrepeatable: false,
-    keepMs: 60_000,
-  };
-}
+import {
+  createAdmission,
+  describeFailure,
+  job,
+  openSite,
+  place,
+  soon,
+} from './site.js';
 
 const target: TargetInfo = {
   target: 'pen-1',
@@ -30,7 +24,7 @@
   const client = site.connect();
   const {epoch} = await client.open('gilgit-1');
   const admitted = await client.ask('control.admit', {
-    admissions: [admit('a', epoch), admit('a', epoch, 'e')],
+    admissions: [createAdmission('a', epoch), createAdmission('a', epoch, 'e')],
   });
   t.deepEqual(
     admitted.map(({kind}) => kind),
@@ -57,7 +51,7 @@
     .connect()
     .client.request(
       'control.admit',
-      {admissions: [{...admit('a', 1), job: 'tally'}]},
+      {admissions: [{...createAdmission('a', 1), job: 'tally'}]},
       soon(),
     );
   t.regex(describeFailure(reply), /job "tally"/);
@@ -80,7 +74,7 @@
 test('an entry that stops renewing is ended and another inherits its jobs', async t => {
   await using site = await openSite();
   const dying = await site.connect().open('gilgit-1');
-  const admitted = {admissions: [admit('a', dying.epoch)]};
+  const admitted = {admissions: [createAdmission('a', dying.epoch)]};
   const client = site.connect();
   await client.ask('control.admit', admitted);
   client.follow('all');
--- /dev/null
+++ b/packages/control/test/group.ts
@@ -0,0 +1,144 @@
+import {once} from 'node:events';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import type {Address} from '#model';
+import {ControlClient} from '#membership';
+import {Control, type StartReplica, startReplicated} from '#control';
+import {createSettings, runtime, source, TestClient} from './site.js';
+
+/** Finds ports that are free now. */
+async function reservePorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  for (const server of servers) server.listen(0, '127.0.0.1');
+  await Promise.all(servers.map(server => once(server, 'listening')));
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  for (const server of servers) server.close();
+  await Promise.all(servers.map(server => once(server, 'close')));
+  return ports;
+}
+
+/** A group of replicas in this process, each with its own folder, on loopback. */
+export class Group implements AsyncDisposable {
+  readonly running = new Map<string, Control>();
+  /** Replicas whose messages to and from the others are dropped. */
+  readonly cut = new Set<string>();
+  private readonly clients: TestClient[] = [];
+
+  private constructor(
+    private readonly folder: string,
+    private readonly addresses: ReadonlyMap<string, Address>,
+    private readonly voters: readonly string[],
+  ) {}
+
+  /** Starts a group of three; `spares` names more that may join later. */
+  static async start(spares: readonly string[] = []): Promise<Group> {
+    const voters = ['c1', 'c2', 'c3'];
+    const ids = [...voters, ...spares];
+    const ports = await reservePorts(ids.length);
+    const addresses = new Map(
+      ids.map((id, i) => [id, `127.0.0.1:${ports[i]}`] as const),
+    );
+    const folder = await mkdtemp(join(tmpdir(), 'control-test-'));
+    const group = new Group(folder, addresses, voters);
+    await Promise.all(voters.map(id => group.start(id)));
+    return group;
+  }
+
+  getAddress(id: string): Address {
+    return this.addresses.get(id)!;
+  }
+
+  async start(id: string): Promise<void> {
+    const members = this.voters.map(member => ({
+      member,
+      address: this.getAddress(member),
+    }));
+    const settings = createSettings(id, {
+      listen: this.getAddress(id),
+      data: join(this.folder, id),
+      members,
+      join: !this.voters.includes(id),
+    });
+    const opened = await Control.open({
+      settings,
+      configuration: source,
+      runtime,
+      startReplica: this.filter(startReplicated(settings, runtime.clock)),
+    });
+    this.running.set(
+      id,
+      opened
+        .ifLeft(detail => {
+          throw new Error(detail);
+        })
+        .unsafeCoerce(),
+    );
+  }
+
+  async stop(id: string): Promise<void> {
+    const control = this.running.get(id);
+    this.running.delete(id);
+    await control?.[Symbol.asyncDispose]();
+  }
+
+  /** Waits until one of the replicas that are not cut off leads the others. */
+  async awaitLeader(): Promise<string> {
+    const leader = await this.awaitStatus(
+      (id, {role}) => role === 'leader' && !this.cut.has(id),
+    );
+    return leader;
+  }
+
+  /** Waits until a replica's status is as expected; returns its id. */
+  async awaitStatus(
+    expect: (
+      id: string,
+      status: ReturnType<Control['describeStatus']>,
+    ) => boolean,
+  ): Promise<string> {
+    for (;;) {
+      for (const [id, control] of this.running) {
+        if (expect(id, control.describeStatus())) return id;
+      }
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  }
+
+  /** Connects a client to some replicas; to all by default. */
+  connect(...ids: readonly string[]): TestClient {
+    const chosen = ids.length > 0 ? ids : this.voters;
+    const controls = chosen.map(id => this.getAddress(id));
+    const client = new TestClient(new ControlClient({controls}));
+    this.clients.push(client);
+    return client;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const client of this.clients) await client[Symbol.asyncDispose]();
+    for (const id of [...this.running.keys()]) await this.stop(id);
+    await rm(this.folder, {recursive: true});
+  }
+
+  private filter(start: StartReplica): StartReplica {
+    return async ports => {
+      const {id, send} = ports;
+      const passes = (other: string) =>
+        !this.cut.has(id) && !this.cut.has(other);
+      const started = await start({
+        ...ports,
+        send: (to, address, message) => {
+          if (passes(to)) send(to, address, message);
+        },
+      });
+      return started.map(replica => {
+        const receive = replica.receive.bind(replica);
+        replica.receive = (from, message) => {
+          if (passes(from)) receive(from, message);
+        };
+        return replica;
+      });
+    };
+  }
+}
--- a/packages/control/test/site.ts
+++ b/packages/control/test/site.ts
@@ -1,7 +1,7 @@
 import {pino} from 'pino';
 import {type Either, Right} from 'purify-ts';
 import {monotonicClock, type Place} from '#model';
-import type {ParamsOf} from '#protocol';
+import type {Admission, ParamsOf} from '#protocol';
 import {
   ControlClient,
   type ControlFailure,
@@ -23,8 +23,23 @@
 /** Far enough that only a hang reaches it. */
 export const soon = () => monotonicClock.now() + 20_000;
 
+export const job = (digit: string) => digit.repeat(32);
+
+export const createAdmission = (
+  name: string,
+  epoch: number,
+  digest = 'd',
+): Admission => ({
+  job: job(name),
+  digest: job(digest),
+  epoch,
+  tasks: 3,
+  unrepeatable: false,
+  keepMs: 60_000,
+});
+
 export const source = {
-  base: '[limits]\nmaxTasksPerJob = 170\n',
+  base: '[limits]\nmax_tasks_per_job = 170\n',
   overlays: {},
 };
 
@@ -91,6 +106,29 @@
     return this.ask('control.openEntry', {entry, address, place});
   }
 
+  /** Waits until the group's configuration has a version. */
+  async awaitVersion(version: number): Promise<void> {
+    for (;;) {
+      const {current} = await this.ask('control.configStatus', {});
+      if (current.version >= version) return;
+    }
+  }
+
+  /** Promotes a learner once it has caught up. */
+  async promote(member: string): Promise<void> {
+    const params = {change: 'promote', member} as const;
+    for (;;) {
+      const reply = await this.client.request(
+        'control.changeMembers',
+        params,
+        soon(),
+      );
+      if (reply.isRight()) return;
+      const detail = describeFailure(reply);
+      if (!detail.includes('not-caught-up')) throw new Error(detail);
+    }
+  }
+
   keepAlive(entry: string, epoch: number): void {
     const params = {entry, epoch, configVersion: 1};
     this.timer = setInterval(() => {
