--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -238,11 +238,7 @@
   /** From here on no ticket of the job starts it again. */
   private startConfirmed(execution: Execution): void {
     this.unconfirmed.delete(execution.job.submission.job);
-<<<<<<< HEAD
-    execution.attach();
-=======
     execution.own();
->>>>>>> bench
     this.owner.start(execution);
   }
 
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -57,9 +57,10 @@
     this.apply({kind: 'abandoned', answer});
   }
 
-  /** The admission is confirmed: tasks are placed here. */
+  /** The admission is confirmed: tasks are placed here, also after a detachment before any was sent. */
   own(): void {
     this.owned = true;
+    if (!this.sent) this.detached = false;
   }
 
   /** Stops placing tasks here: another entry owns the job now. */
@@ -67,11 +68,6 @@
     this.detached = true;
   }
 
-  /** Places tasks here again: nothing of the job was sent under the epoch that is over. */
-  attach(): void {
-    if (!this.sent) this.detached = false;
-  }
-
   /** Lists the tasks that were sent and have not ended. */
   listSent(): readonly TaskRef[] {
     const {job, tasks} = {job: this.job.submission.job, tasks: this.job.tasks};
