--- a/packages/control/test/site.ts
+++ b/packages/control/test/site.ts
@@ -35,6 +35,7 @@
   epoch,
   tasks: 3,
   unrepeatable: false,
+  ticket: 0,
   keepMs: 60_000,
 });
 
