--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -1,22 +1,5 @@
 import test from 'ava';
 import type {TargetInfo} from '#model';
-<<<<<<< HEAD
-import {describeFailure, openSite, place, soon} from './site.js';
-
-const job = (digit: string) => digit.repeat(32);
-
-function admit(name: string, epoch: number, digest = 'd') {
-  return {
-    job: job(name),
-    digest: job(digest),
-    epoch,
-    tasks: 3,
-    unrepeatable: false,
-    ticket: 0,
-    keepMs: 60_000,
-  };
-}
-=======
 import {
   createAdmission,
   describeFailure,
@@ -25,7 +8,6 @@
   place,
   soon,
 } from './site.js';
->>>>>>> control
 
 const target: TargetInfo = {
   target: 'pen-1',
