--- a/packages/cli/src/config-apply.ts
+++ b/packages/cli/src/config-apply.ts
@@ -12,7 +12,7 @@
   reportFailure,
 } from './command.js';
 import {printErrors, printResult} from './console.js';
-import {type RemoteFailure, requestLeader} from './control-client.js';
+import {ControlClient, type RemoteFailure} from './control-client.js';
 import {fetchConfigStatus, fetchInForce} from './config-status.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {readSource, type SourceFiles} from './source-files.js';
@@ -44,7 +44,8 @@
   }
   const source = read.unsafeCoerce();
   const deadline = computeCommandDeadline(options);
-  const expected = await chooseExpected(options, deadline);
+  const client = new ControlClient(options.control);
+  const expected = await chooseExpected(client, options, deadline);
   if (expected.isLeft()) {
     const failure = expected.swap().unsafeCoerce();
     return reportFailure(context.console, options, {
@@ -58,8 +59,7 @@
     author: options.author ?? findUserName(),
     source,
   };
-  const result = await requestLeader(
-    options.control,
+  const result = await client.change(
     'control.applyConfig',
     change,
     deadline,
@@ -77,16 +77,19 @@
       });
     },
     Right: answer =>
-      reportApplied(context, options, change.changeId, answer, deadline),
+      reportApplied(context, options, change.changeId, answer, version =>
+        awaitInForce(client, version, deadline),
+      ),
   });
 }
 
 async function chooseExpected(
+  client: ControlClient,
   options: ApplyOptions,
   deadline: Instant,
 ): Promise<Either<RemoteFailure, number>> {
   if (options.expect !== undefined) return Right(options.expect);
-  const status = await fetchConfigStatus(options, deadline);
+  const status = await fetchConfigStatus(client, deadline);
   return status.map(({current}) => current.version);
 }
 
@@ -103,13 +106,11 @@
   options: ApplyOptions,
   changeId: string,
   result: ApplyConfigResult,
-  deadline: Instant,
+  wait: (version: number) => Promise<readonly string[]>,
 ): Promise<ExitCode> {
   switch (result.kind) {
     case 'accepted': {
-      const lagging = options.wait
-        ? await awaitInForce(options, result.version, deadline)
-        : undefined;
+      const lagging = options.wait ? await wait(result.version) : undefined;
       printResult(
         console,
         options,
@@ -153,13 +154,13 @@
 
 /** Waits until every process reports the version; returns those that did not by the deadline. */
 async function awaitInForce(
-  options: ControlOptions,
+  client: ControlClient,
   version: number,
   deadline: Instant,
 ): Promise<readonly string[]> {
   let lagging: readonly string[] = ['any process'];
   while (monotonicClock.now() < deadline) {
-    const status = await fetchInForce(options, deadline);
+    const status = await fetchInForce(client, deadline);
     lagging = status
       .map<readonly string[]>(({processes}) =>
         processes
--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -25,6 +25,7 @@
   fetchInForce,
   type InForce,
 } from './config-status.js';
+import {ControlClient} from './control-client.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {
   addSourceOptions,
@@ -134,7 +135,7 @@
   }
   const source = read.unsafeCoerce();
   const status = await fetchConfigStatus(
-    options,
+    new ControlClient(options.control),
     computeCommandDeadline(options),
   );
   return status.caseOf<ExitCode>({
@@ -199,7 +200,10 @@
   {console}: Context,
   options: ControlOptions,
 ): Promise<ExitCode> {
-  const status = await fetchInForce(options, computeCommandDeadline(options));
+  const status = await fetchInForce(
+    new ControlClient(options.control),
+    computeCommandDeadline(options),
+  );
   return status.caseOf<ExitCode>({
     Left: failure => reportFailure(console, options, failure),
     Right: found => {
@@ -235,7 +239,7 @@
   options: ControlOptions,
 ): Promise<ExitCode> {
   const status = await fetchConfigStatus(
-    options,
+    new ControlClient(options.control),
     computeCommandDeadline(options),
   );
   return status.caseOf<ExitCode>({
@@ -257,7 +261,7 @@
   options: ControlOptions,
 ): Promise<ExitCode> {
   const status = await fetchConfigStatus(
-    options,
+    new ControlClient(options.control),
     computeCommandDeadline(options),
   );
   return status.caseOf<ExitCode>({
--- a/packages/cli/src/config-status.ts
+++ b/packages/cli/src/config-status.ts
@@ -1,12 +1,7 @@
 import type {Either} from 'purify-ts';
 import type {Instant, VersionedSource} from '#model';
 import type {ConfigStatus, ControlStatus, ProcessConfigStatus} from '#protocol';
-import type {ControlOptions} from './command.js';
-import {
-  type RemoteFailure,
-  requestAnyStatus,
-  requestLeader,
-} from './control-client.js';
+import type {ControlClient, RemoteFailure} from './control-client.js';
 
 /** A process and the version that it has in force; unset while it has not reported to the leader. */
 export interface ProcessVersion extends Omit<ProcessConfigStatus, 'version'> {
@@ -22,26 +17,20 @@
 
 /** Asks the leader what was accepted. */
 export function fetchConfigStatus(
-  options: ControlOptions,
+  client: ControlClient,
   deadline: Instant,
 ): Promise<Either<RemoteFailure, ConfigStatus>> {
-  return requestLeader(
-    options.control,
-    'control.configStatus',
-    {},
-    deadline,
-    'idempotent',
-  );
+  return client.read('control.configStatus', {}, deadline);
 }
 
 /** Asks the leader what is in force where, and a replica which processes there are. */
 export async function fetchInForce(
-  options: ControlOptions,
+  client: ControlClient,
   deadline: Instant,
 ): Promise<Either<RemoteFailure, InForce>> {
-  const status = await fetchConfigStatus(options, deadline);
+  const status = await fetchConfigStatus(client, deadline);
   if (status.isLeft()) return status;
-  const known = await requestAnyStatus(options.control, deadline);
+  const known = await client.readStatus(deadline);
   return status.chain(found =>
     known.map(system => ({
       current: found.current,
--- a/packages/cli/src/control-client.ts
+++ b/packages/cli/src/control-client.ts
@@ -76,37 +76,103 @@
   }
 }
 
-/**
- * Asks the leader of the control group: tries the replicas in turn, follows their word on who
- * leads, and goes on until the deadline. A request that may have been done without an answer
- * is sent again only when it is idempotent.
- */
-export async function requestLeader<Name extends LeaderRequest>(
-  addresses: readonly Address[],
-  method: Name,
-  params: ParamsOf<Name>,
-  deadline: Instant,
-  resend: Resend,
-): Promise<Either<RemoteFailure, LeaderValue<Name>>> {
-  let failure: RemoteFailure = {kind: 'unreachable', detail: 'no time left'};
-  let maybeDone = false;
-  let hint: Address | undefined;
-  for (let turn = 0; hasTime(deadline);) {
-    const address: Address = hint ?? addresses[turn++ % addresses.length]!;
-    const outcome: Outcome<Name> = await askReplica(
-      address,
-      method,
-      params,
-      deadline,
-    );
-    if (outcome.kind === 'done') return Right(outcome.value);
-    failure = outcome.failure;
-    maybeDone ||= failure.kind === 'unanswered';
-    if (failure.kind === 'refused' || (maybeDone && resend === 'once')) break;
-    hint = hint === undefined ? outcome.leader : undefined;
-    if (hint === undefined) await sleep(pauseMs);
+/** Asks a control group, and remembers which replica answered last, so that a silent one costs time once. */
+export class ControlClient {
+  private addresses: readonly Address[];
+
+  constructor(addresses: readonly Address[]) {
+    this.addresses = addresses;
+  }
+
+  /** Asks the leader for what changes nothing. */
+  async read<Name extends LeaderRequest>(
+    method: Name,
+    params: ParamsOf<Name>,
+    deadline: Instant,
+  ): Promise<Either<RemoteFailure, LeaderValue<Name>>> {
+    const reply = await this.change(method, params, deadline, 'idempotent');
+    return reply.mapLeft(toUnreachable);
+  }
+
+  /**
+   * Asks the leader for a change: tries the replicas in turn, follows their word on who leads,
+   * and goes on until the deadline. A request that may have been done without an answer is sent
+   * again only when it is idempotent.
+   */
+  async change<Name extends LeaderRequest>(
+    method: Name,
+    params: ParamsOf<Name>,
+    deadline: Instant,
+    resend: Resend,
+  ): Promise<Either<RemoteFailure, LeaderValue<Name>>> {
+    let failure: RemoteFailure = {kind: 'unreachable', detail: 'no time left'};
+    let maybeDone = false;
+    let hint: Address | undefined;
+    while (hasTime(deadline)) {
+      const address: Address = hint ?? this.addresses[0]!;
+      const outcome: Outcome<Name> = await askReplica(
+        address,
+        method,
+        params,
+        deadline,
+      );
+      if (outcome.kind === 'done') {
+        this.prefer(address);
+        return Right(outcome.value);
+      }
+      failure = outcome.failure;
+      maybeDone ||= failure.kind === 'unanswered';
+      if (failure.kind === 'refused' || (maybeDone && resend === 'once')) break;
+      this.defer(address);
+      hint = hint === undefined ? outcome.leader : undefined;
+      if (hint === undefined) await sleep(pauseMs);
+    }
+    return Left(maybeDone ? {...failure, kind: 'unanswered'} : failure);
+  }
+
+  /** Asks the replicas in turn for a status, which each of them answers. */
+  async readStatus(
+    deadline: Instant,
+  ): Promise<Either<RemoteFailure, ControlStatus>> {
+    let failure: RemoteFailure = {kind: 'unreachable', detail: 'no control'};
+    for (const address of this.addresses) {
+      const reply = await requestOnce(
+        address,
+        'control.status',
+        {},
+        limitAttempt(deadline),
+      );
+      if (reply.isRight()) return reply;
+      failure = reply.swap().unsafeCoerce();
+      this.defer(address);
+    }
+    return Left(toUnreachable(failure));
+  }
+
+  private prefer(address: Address): void {
+    this.addresses = [address, ...this.listOthers(address)];
   }
-  return Left(maybeDone ? {...failure, kind: 'unanswered'} : failure);
+
+  private defer(address: Address): void {
+    const others = this.listOthers(address);
+    if (others.length < this.addresses.length) {
+      this.addresses = [...others, address];
+    }
+  }
+
+  private listOthers(address: Address): readonly Address[] {
+    return this.addresses.filter(each => each !== address);
+  }
+}
+
+/** Of a request that changes nothing it does not matter whether it was done. */
+export function toUnreachable({kind, detail}: RemoteFailure): RemoteFailure {
+  return {kind: kind === 'unanswered' ? 'unreachable' : kind, detail};
+}
+
+/** A silent replica may hold up a request for so long, not until the deadline. */
+function limitAttempt(deadline: Instant): Instant {
+  return Math.min(deadline, monotonicClock.now() + attemptMs);
 }
 
 type Outcome<Name extends LeaderRequest> =
@@ -124,8 +190,12 @@
   params: ParamsOf<Name>,
   deadline: Instant,
 ): Promise<Outcome<Name>> {
-  const attemptDeadline = Math.min(deadline, monotonicClock.now() + attemptMs);
-  const reply = await requestOnce(address, method, params, attemptDeadline);
+  const reply = await requestOnce(
+    address,
+    method,
+    params,
+    limitAttempt(deadline),
+  );
   return reply.caseOf<Outcome<Name>>({
     Left: failure => ({kind: 'failed', failure}),
     Right: result => {
@@ -150,26 +220,3 @@
 function hasTime(deadline: Instant): boolean {
   return computeRemainingMs(monotonicClock.now(), deadline) > 0;
 }
-
-/** Asks the replicas in turn for a status, which each of them answers; fails with the last one's failure. */
-export async function requestAnyStatus(
-  addresses: readonly Address[],
-  deadline: Instant,
-): Promise<Either<RemoteFailure, ControlStatus>> {
-  let failure: RemoteFailure = {kind: 'unreachable', detail: 'no control'};
-  for (const address of addresses) {
-    const attemptDeadline = Math.min(
-      deadline,
-      monotonicClock.now() + attemptMs,
-    );
-    const reply = await requestOnce(
-      address,
-      'control.status',
-      {},
-      attemptDeadline,
-    );
-    if (reply.isRight()) return reply;
-    failure = reply.swap().unsafeCoerce();
-  }
-  return Left(failure);
-}
--- a/packages/cli/src/drain-command.ts
+++ b/packages/cli/src/drain-command.ts
@@ -14,7 +14,11 @@
   setAction,
 } from './command.js';
 import {printErrors, printResult} from './console.js';
-import {type RemoteFailure, requestOnce} from './control-client.js';
+import {
+  ControlClient,
+  type RemoteFailure,
+  requestOnce,
+} from './control-client.js';
 
 interface DrainOptions extends RemoteOptions {
   readonly agent?: readonly Address[];
@@ -92,21 +96,17 @@
   deadline: Instant,
 ): Promise<Either<RemoteFailure, readonly Address[]>> {
   if (options.agent !== undefined) return Right(options.agent);
-  let failure: RemoteFailure = {kind: 'unreachable', detail: 'no control'};
-  for (const control of options.control ?? []) {
-    const reply = await requestOnce(control, 'control.status', {}, deadline);
-    const found = reply
-      .toMaybe()
-      .chainNullable(({targets}) =>
-        targets.find(({target}) => target === options.target),
-      );
-    if (found.isJust()) return Right([found.extract().address]);
-    failure = reply.swap().orDefault({
+  const status = await new ControlClient(options.control ?? []).readStatus(
+    deadline,
+  );
+  return status.chain(({targets}) => {
+    const found = targets.find(({target}) => target === options.target);
+    if (found !== undefined) return Right([found.address]);
+    return Left<RemoteFailure>({
       kind: 'refused',
-      detail: `${control} knows no target "${options.target}"`,
+      detail: `control knows no target "${options.target}"`,
     });
-  }
-  return Left(failure);
+  });
 }
 
 const pollIntervalMs = 200;
--- a/packages/cli/src/job-commands.ts
+++ b/packages/cli/src/job-commands.ts
@@ -13,6 +13,7 @@
   setAction,
 } from './command.js';
 import {type Console, printErrors, printResult} from './console.js';
+import {toUnreachable} from './control-client.js';
 import {type EntryAnswer, requestEntry} from './entry-client.js';
 import {reportSettingsErrors} from './settings-commands.js';
 
@@ -180,7 +181,12 @@
     computeCommandDeadline(options),
   );
   return answer.caseOf<ExitCode>({
-    Left: failure => reportFailure(console, options, failure),
+    Left: failure =>
+      reportFailure(
+        console,
+        options,
+        method === 'GET' ? toUnreachable(failure) : failure,
+      ),
     Right: found => reportAnswer(console, options, key, found),
   });
 }
--- a/packages/cli/src/member-commands.ts
+++ b/packages/cli/src/member-commands.ts
@@ -11,7 +11,7 @@
   setAction,
 } from './command.js';
 import {printResult} from './console.js';
-import {requestLeader} from './control-client.js';
+import {ControlClient} from './control-client.js';
 
 /** Adds `members add-learner`, `members promote` and `members remove`. */
 export function addMemberCommands(program: Command, context: Context): void {
@@ -57,8 +57,7 @@
   options: ControlOptions,
   params: ChangeMembersParams,
 ): Promise<ExitCode> {
-  const reply = await requestLeader(
-    options.control,
+  const reply = await new ControlClient(options.control).change(
     'control.changeMembers',
     params,
     computeCommandDeadline(options),
