--- a/packages/agent/src/http.ts
+++ b/packages/agent/src/http.ts
@@ -1,4 +1,25 @@
-import type {Pool} from 'undici';
+import {Either} from 'purify-ts';
+import {Pool} from 'undici';
+
+const connectTimeoutMs = 2000;
+/** Shorter than a common server's, so that a request does not meet a closing connection. */
+const idleTimeoutMs = 4000;
+
+/** Opens the connections to a target: no pipelining, so that one failure touches one task. */
+export function openPool(
+  url: string,
+  connections: number,
+  answerTimeoutMs: number,
+): Pool {
+  return new Pool(url, {
+    connections,
+    pipelining: 1,
+    headersTimeout: answerTimeoutMs,
+    bodyTimeout: answerTimeoutMs,
+    keepAliveTimeout: idleTimeoutMs,
+    connect: {timeout: connectTimeoutMs},
+  });
+}
 
 /** What became of one HTTP exchange. */
 export type HttpOutcome =
@@ -7,6 +28,8 @@
       readonly status: number;
       readonly body: Buffer;
     }
+  /** The request cannot be written as JSON, or the answer is too large. */
+  | {readonly kind: 'unusable'; readonly detail: string}
   /** Nothing was written to the target: it provably did not see the request. */
   | {readonly kind: 'not-sent'; readonly detail: string}
   /** Written, and the exchange broke: the target may have acted on it. */
@@ -27,10 +50,26 @@
 export function sendRequest(
   pool: Pool,
   request: HttpRequest,
+): Promise<HttpOutcome> {
+  const body = encodeBody(request.body);
+  if (body.isLeft()) {
+    return Promise.resolve({kind: 'unusable', detail: body.extract()});
+  }
+  return dispatchOnce(pool, request, body.extract());
+}
+
+function encodeBody(body: unknown): Either<string, string | undefined> {
+  return Either.encase(() => JSON.stringify(body)).mapLeft(
+    error => `the request cannot be written as JSON: ${error.message}`,
+  );
+}
+
+function dispatchOnce(
+  pool: Pool,
+  request: HttpRequest,
+  body: string | undefined,
 ): Promise<HttpOutcome> {
   return new Promise(resolve => {
-    const body =
-      request.body === undefined ? undefined : JSON.stringify(request.body);
     const chunks: Buffer[] = [];
     let status = 0;
     let bytes = 0;
@@ -77,9 +116,9 @@
           bytes += chunk.length;
           chunks.push(chunk);
           if (bytes <= request.maxBytes) return;
-          controller.abort(
-            new Error(`the answer exceeds ${request.maxBytes} bytes`),
-          );
+          const detail = `the answer exceeds ${request.maxBytes} bytes`;
+          finish({kind: 'unusable', detail});
+          controller.abort(new Error(detail));
         },
         onResponseEnd: () =>
           finish({kind: 'answered', status, body: Buffer.concat(chunks)}),
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -78,13 +78,18 @@
       clock,
       log,
       listLinks: () => this.fleet.listLinks(),
-      listGone: () => this.client.view.gone,
+      getLives: () => ({
+        getIncarnation: target =>
+          this.client.view.targets.get(target)?.incarnation,
+        gone: this.client.view.gone,
+      }),
       getMaxPlacements: submission => this.getMaxPlacements(submission),
     });
     this.desk = new Desk(
       {
         clock,
         log,
+        getEpoch: () => this.lease.epoch,
         getStartingEpoch: () => this.lease.startingEpoch,
         getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
         getMaxPlacements: submission => this.getMaxPlacements(submission),
@@ -179,7 +184,7 @@
 
   private openLease(): EntryLease {
     const {id: entry, place} = this.settings;
-    const address = this.listener.address;
+    const address = this.settings.role.advertise ?? this.listener.address;
     return new EntryLease(
       {
         open: async deadline =>
--- a/packages/policy/src/fair-queue.ts
+++ b/packages/policy/src/fair-queue.ts
@@ -42,11 +42,22 @@
 interface Lane extends HeapElement {
   readonly team: TeamName;
   readonly groups: Heap<Group>;
+  readonly byKey: Map<string, Group>;
   weight: number;
   startTag: number;
   size: number;
+  /** Of all tasks dequeued, the number of the team's last one. */
+  lastTurn: number;
+  /** Tasks of the team, and of all teams while it waited; each halves in `recentTurns`. */
+  served: number;
+  passed: number;
+  /** Since which turn the team has waited to be served. */
+  waitingTurn: number;
 }
 
+/** A team served within so many tasks counts as active. */
+const recentTurns = 512;
+const minPassedTurns = 32;
 const defaultWeight = 1;
 const defaultCost = 1;
 
@@ -63,10 +74,10 @@
 export class FairQueue implements Queue<RunFunction, FairQueueOptions> {
   private readonly lanes = new Map<TeamName, Lane>();
   private readonly active = new Heap<Lane>(compareLanes);
-  private readonly groups = new Map<string, Group>();
   private readonly items = new Map<string, Item>();
   private virtualTime = 0;
   private nextOrder = 0;
+  private turns = 0;
 
   /** Tasks that wait. */
   get size(): number {
@@ -94,6 +105,7 @@
     if (item === undefined) return undefined;
     const {lane} = item.group;
     this.virtualTime = lane.startTag;
+    this.countTurn(lane);
     lane.startTag += (item.options.cost ?? defaultCost) / lane.weight;
     this.discard(item);
     this.moveGroup(item.group, {inHand: true});
@@ -150,9 +162,21 @@
     return this.lanes.get(team)?.size ?? 0;
   }
 
-  /** Sums the weights of the teams that have tasks waiting. */
-  sumActiveWeights(): number {
-    return this.active.list().reduce((sum, lane) => sum + lane.weight, 0);
+  /**
+   * Computes the part of the service that a team can count on: what it was given
+   * lately while it waited, and no less than its weight among those of the teams
+   * that wait or were served lately. Between 0 and 1.
+   */
+  computeShare(team: TeamName, weight: number): number {
+    const oldest = this.turns - recentTurns;
+    let sum = weight;
+    for (const lane of this.lanes.values()) {
+      const isActive = lane.size > 0 || lane.lastTurn >= oldest;
+      if (isActive && lane.team !== team) sum += lane.weight;
+    }
+    const {served = 0, passed = 0} = this.lanes.get(team) ?? {};
+    const given = passed < minPassedTurns ? 0 : served / passed;
+    return Math.max(given, weight / sum);
   }
 
   /** Forgets teams that are no longer configured and have no tasks waiting. */
@@ -162,6 +186,16 @@
     }
   }
 
+  private countTurn(lane: Lane): void {
+    this.turns++;
+    const turns = this.turns - lane.waitingTurn;
+    const kept = 2 ** (-turns / recentTurns);
+    lane.served = lane.served * kept + 1;
+    lane.passed = lane.passed * kept + turns;
+    lane.waitingTurn = this.turns;
+    lane.lastTurn = this.turns;
+  }
+
   private findNext(): Item | undefined {
     const group = this.active.peek()?.groups.peek();
     if (group === undefined) return undefined;
@@ -178,9 +212,14 @@
     const lane: Lane = {
       team,
       groups: new Heap(compareGroups),
+      byKey: new Map(),
       weight: defaultWeight,
       startTag: this.virtualTime,
       size: 0,
+      lastTurn: -Infinity,
+      served: 0,
+      passed: 0,
+      waitingTurn: 0,
       position: -1,
     };
     this.lanes.set(team, lane);
@@ -193,8 +232,9 @@
     id: string,
     {job, priority = 0, deadline = Infinity}: Partial<FairQueueOptions>,
   ): Group {
-    const key = JSON.stringify([lane.team, job ?? null, job ?? id, priority]);
-    const known = this.groups.get(key);
+    const key =
+      job === undefined ? `task ${priority} ${id}` : `job ${priority} ${job}`;
+    const known = lane.byKey.get(key);
     if (known !== undefined) return known;
     const group: Group = {
       key,
@@ -208,7 +248,7 @@
       size: 0,
       position: -1,
     };
-    this.groups.set(key, group);
+    lane.byKey.set(key, group);
     lane.groups.push(group);
     return group;
   }
@@ -224,6 +264,7 @@
 
   private insertLane(lane: Lane): void {
     lane.startTag = Math.max(lane.startTag, this.virtualTime);
+    lane.waitingTurn = this.turns;
     this.active.push(lane);
   }
 
@@ -235,7 +276,7 @@
     group.size--;
     lane.size--;
     if (group.size === 0) {
-      this.groups.delete(group.key);
+      lane.byKey.delete(group.key);
       lane.groups.remove(group);
     }
     if (lane.size === 0) this.active.remove(lane);
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -48,7 +48,7 @@
       readonly target: TargetId;
       readonly granted: boolean;
     }
-  /** Every started task ends once. Apply it after the run time was observed. */
+  /** Every started task ends once. To be applied after its run time was observed. */
   | {readonly kind: 'task-ended'; readonly target: TargetId};
 
 /** A message that the entry must send. */
@@ -103,6 +103,11 @@
     waiting: number,
     now: Instant,
   ) => readonly PlacementAction[];
+  /**
+   * Tells what the `agent.start` messages of this turn must carry as `waiting`:
+   * each agent's part of the tasks that still wait.
+   */
+  readonly tellWaiting: (waiting: number, now: Instant) => number;
 }
 
 /** What a placement draws on. */
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -16,9 +16,12 @@
   LoadedSettings,
   RoleOf,
   SettingsFiles,
-  SettingsText,
+  SettingsTexts,
 } from './load.js';
-export {loadProcessSettings, parseProcessSettings} from './load.js';
+export {loadProcessSettings, loadRole, parseProcessSettings} from './load.js';
+
+export type {KeyDescription} from './listing.js';
+export {describeKeys} from './listing.js';
 
 export {
   checkSource,
@@ -26,3 +29,8 @@
   parseConfiguration,
 } from './configuration.js';
 export {diffConfiguration, listKeys} from './difference.js';
+export type {SourceText} from './document.js';
+export {readText} from './document.js';
+export {renderValue} from './value.js';
+export type {RepeatedKey} from './repeat.js';
+export {findRepeatedKeys} from './repeat.js';
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -1,10 +1,10 @@
 import {
-  announcedAddress,
   boolean,
   boundCount,
   boundPositive,
   chooseText,
   controlMembers,
+  dialAddress,
   dialAddresses,
   host,
   httpUrl,
@@ -53,12 +53,14 @@
 
 const entryTable = allowTable({
   http: requireKey(listenAddress),
-  listen: requireKey(announcedAddress),
+  listen: requireKey(listenAddress),
+  advertise: allowKey(dialAddress),
   drain_ms: drainMs,
 });
 
 const agentTable = allowTable({
-  listen: requireKey(announcedAddress),
+  listen: requireKey(listenAddress),
+  advertise: allowKey(dialAddress),
   service: requireKey(name),
   url: requireKey(httpUrl),
   drain_ms: drainMs,
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -1,24 +1,21 @@
-import {type Either, Left} from 'purify-ts';
+import {type Either, Left, Right} from 'purify-ts';
 import type {Capacity, ConfigurationSource} from '#model';
-import {checkDocument, completeTable} from './check.js';
+import {completeTable} from './check.js';
 import {findConflicts, type WholeSettings} from './conflict.js';
-import {checkSource, extractSource, failOnErrors} from './configuration.js';
-import {
-  type Document,
-  isTable,
-  mergeTables,
-  parseDocument,
-  readText,
-  type TomlTable,
-} from './document.js';
+import {checkSource, extractSource} from './configuration.js';
+import {type Document, isTable, readText, type SourceText} from './document.js';
 import type {SettingsError} from './error.js';
+import {parseLayers} from './layers.js';
 import {settingsShape} from './layout.js';
+import {listTableKeys} from './listing.js';
 import type {LeaseSettings, ProcessSettings, Role} from './process.js';
 
 /** A process's settings and the configuration that its files state. */
 export interface LoadedSettings<OneRole extends Role = Role> {
   readonly process: ProcessSettings<OneRole>;
   readonly configuration: ConfigurationSource;
+  /** Every process key that holds for the role, defaults included. */
+  readonly keys: ReadonlyMap<string, unknown>;
 }
 
 /** Where the settings of one process are written. */
@@ -38,74 +35,83 @@
   files: SettingsFiles,
   role: Kind,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
-  const origin = `settings "${files.settings}"`;
-  return readText(files.settings, origin).chain(settings => {
-    if (files.overlay === undefined) {
-      return parseProcessSettings({settings, origin}, undefined, role);
-    }
-    const overlayOrigin = `overlay "${files.overlay}"`;
-    return readText(files.overlay, overlayOrigin).chain(overlay =>
-      parseProcessSettings(
-        {settings, origin},
-        {settings: overlay, origin: overlayOrigin},
-        role,
-      ),
-    );
-  });
+  return readFiles(files).chain(texts => parseProcessSettings(texts, role));
 }
 
-/** A settings text and the name by which errors call it. */
-export interface SettingsText {
-  readonly settings: string;
-  readonly origin: string;
+/** Tells which role a process's files are for: `process.role`, or the one role whose table they hold. */
+export function loadRole(
+  files: SettingsFiles,
+): Either<readonly SettingsError[], Role['kind']> {
+  return readFiles(files)
+    .chain(({settings, overlay}) =>
+      parseLayers(settings, overlay, settingsShape),
+    )
+    .chain(findRole);
+}
+
+const roleKinds = ['control', 'entry', 'agent'] as const;
+
+function findRole({
+  table,
+  origin,
+}: Document): Either<readonly SettingsError[], Role['kind']> {
+  const stated = isTable(table.process) ? table.process.role : undefined;
+  const candidates = roleKinds.filter(kind =>
+    stated === undefined ? isTable(table[kind]) : stated === kind,
+  );
+  if (candidates.length === 1) return Right(candidates[0]!);
+  return Left([
+    {
+      kind: 'missing-key',
+      origin,
+      key: 'process.role',
+      expected:
+        'one of "control", "entry", "agent", as the files do not hold the table of just one role',
+    },
+  ]);
+}
+
+/** The texts of a process's files. */
+export interface SettingsTexts {
+  readonly settings: SourceText;
+  readonly overlay?: SourceText;
 }
 
-/** Parses settings from texts; fails with every error found. */
+function readFiles(
+  files: SettingsFiles,
+): Either<readonly SettingsError[], SettingsTexts> {
+  const settings = readSource(files.settings, 'settings');
+  if (files.overlay === undefined) {
+    return settings.map(text => ({settings: text}));
+  }
+  const overlay = readSource(files.overlay, 'overlay');
+  return settings.chain(text =>
+    overlay.map(over => ({settings: text, overlay: over})),
+  );
+}
+
+function readSource(
+  file: string,
+  what: string,
+): Either<readonly SettingsError[], SourceText> {
+  const origin = `${what} "${file}"`;
+  return readText(file, origin).map(text => ({text, origin}));
+}
+
+/** Parses the settings of a process from texts; fails with every error found. */
 export function parseProcessSettings<Kind extends Role['kind']>(
-  base: SettingsText,
-  overlay: SettingsText | undefined,
+  texts: SettingsTexts,
   role: Kind,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
-  return parsePart(base).chain(settings => {
-    if (overlay === undefined) {
-      return completeSettings(settings.table, settings.origin, role, base);
-    }
-    return parsePart(overlay, settings).chain(over =>
-      completeSettings(
-        mergeTables(settings.table, over.table),
-        `${settings.origin} with ${over.origin}`,
-        role,
-        base,
-        overlay,
-      ),
-    );
-  });
-}
-
-function parsePart(
-  text: SettingsText,
-  base?: Document,
-): Either<readonly SettingsError[], Document> {
-  return parseDocument(text.settings, text.origin).chain(document =>
-    failOnErrors(
-      checkDocument(
-        document,
-        settingsShape,
-        base === undefined
-          ? {kind: 'base'}
-          : {kind: 'overlay', base: base.table},
-      ),
-      document,
-    ),
+  return parseLayers(texts.settings, texts.overlay, settingsShape).chain(
+    document => completeSettings(document, role, texts),
   );
 }
 
 function completeSettings<Kind extends Role['kind']>(
-  table: TomlTable,
-  origin: string,
+  {table, origin}: Document,
   role: Kind,
-  base: SettingsText,
-  overlay?: SettingsText,
+  {settings, overlay}: SettingsTexts,
 ): Either<readonly SettingsError[], LoadedSettings<RoleOf<Kind>>> {
   const errors: SettingsError[] = [];
   const withRole = {...table, [role]: isTable(table[role]) ? table[role] : {}};
@@ -115,16 +121,26 @@
   if (conflicts.length > 0) return Left(conflicts);
   const {site} = whole.process;
   return extractSource(
-    base.settings,
-    overlay === undefined ? {} : {[site]: overlay.settings},
+    settings.text,
+    overlay === undefined ? {} : {[site]: overlay.text},
   )
     .chain(checkSource)
     .map(configuration => ({
       process: toProcess(whole, toRole(whole, role) as RoleOf<Kind>),
       configuration,
+      keys: listProcessKeys(whole, role),
     }));
 }
 
+function listProcessKeys(
+  whole: WholeSettings,
+  role: Role['kind'],
+): ReadonlyMap<string, unknown> {
+  const {process, leases, metrics} = whole;
+  const tables = {process, leases, metrics, [role]: whole[role]};
+  return new Map(listTableKeys(tables));
+}
+
 function toProcess<OneRole extends Role>(
   whole: WholeSettings,
   role: OneRole,
@@ -160,13 +176,26 @@
 function toRole(whole: WholeSettings, role: Role['kind']): Role {
   switch (role) {
     case 'entry': {
-      const {http, listen, drain_ms} = whole.entry!;
-      return {kind: 'entry', http, listen, drainMs: drain_ms};
+      const {http, listen, advertise, drain_ms} = whole.entry!;
+      return {
+        kind: 'entry',
+        http,
+        listen,
+        ...(advertise !== undefined && {advertise}),
+        drainMs: drain_ms,
+      };
     }
     case 'agent': {
-      const {listen, service, url, drain_ms} = whole.agent!;
-      const capacity = toCapacity(whole);
-      return {kind: 'agent', listen, service, capacity, url, drainMs: drain_ms};
+      const {listen, advertise, service, url, drain_ms} = whole.agent!;
+      return {
+        kind: 'agent',
+        listen,
+        ...(advertise !== undefined && {advertise}),
+        service,
+        capacity: toCapacity(whole),
+        url,
+        drainMs: drain_ms,
+      };
     }
     case 'control': {
       const {listen, data, members, join} = whole.control!;
