--- a/packages/agent/src/intake.ts
+++ b/packages/agent/src/intake.ts
@@ -71,7 +71,8 @@
 
 const maxRetainedBytes = 24 * 1024 * 1024;
 const maxReportBytes = 16 * 1024 * 1024;
-const maxKnownTasks = 400_000;
+/** Bounds the start table's memory and the answer to a fence; beyond it starts are refused. */
+const maxKnownTasks = 200_000;
 const maxQueuedPerSlot = 2;
 
 /** Decides on each start that arrives, runs what may run, and gathers what entries are to be told. */
--- a/packages/agent/src/ledger.ts
+++ b/packages/agent/src/ledger.ts
@@ -183,12 +183,10 @@
   fence(epochs: readonly Epoch[], heir: Epoch): readonly TaskRecord[] {
     const fenced = new Set(epochs);
     fenced.delete(heir);
+    const inherits = this.matchLine(fenced);
     const records: TaskRecord[] = [];
     for (const [key, entry] of this.entries) {
-      const owned = entry.owners.some(owner =>
-        this.listHeirs(owner).some(epoch => fenced.has(epoch)),
-      );
-      if (!owned) continue;
+      if (!entry.owners.some(inherits)) continue;
       records.push({...entry.ref, standing: this.describeStanding(entry.ref)});
       for (const epoch of fenced) this.markDelivered(epoch, key);
     }
@@ -267,6 +265,18 @@
     return line;
   }
 
+  /** Returns whether an epoch, or one that inherited from it, is among the fenced ones. */
+  private matchLine(fenced: ReadonlySet<Epoch>): (epoch: Epoch) => boolean {
+    const known = new Map<Epoch, boolean>();
+    return epoch => {
+      const answer =
+        known.get(epoch) ??
+        this.listHeirs(epoch).some(heir => fenced.has(heir));
+      known.set(epoch, answer);
+      return answer;
+    };
+  }
+
   private addUndelivered(epoch: Epoch, key: TaskKey): void {
     const keys = this.undelivered.get(epoch);
     if (keys === undefined) this.undelivered.set(epoch, new Set([key]));
