--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -34,6 +34,8 @@
   readonly liveness?: Liveness;
   /** The epoch that the entry holds, or undefined while it holds none. */
   readonly getEpoch: () => Epoch | undefined;
+  /** Numbers the connections of this process, upwards. */
+  readonly nextConnection: () => number;
   /** Tasks can be sent; the agent welcomed this entry with so many slots in all. */
   readonly onOpened: (link: AgentLink, slots: number) => void;
   /** Granted slots are void and nothing can be sent. */
@@ -71,7 +73,6 @@
 
   private peer: Peer | undefined;
   private ready = false;
-  private connection = 0;
   private early = 0;
   private stopped = false;
   private inView = true;
@@ -106,14 +107,13 @@
   }
 
   /** Sends a task and waits for its fate. A fate of `not-run` proves that it did not start. */
-  start(task: StartTask, waiting: number): Promise<TaskEnd> {
+  start(task: StartTask): Promise<TaskEnd> {
     return new Promise(resolve => {
       if (!this.ready) {
         resolve({fate: {kind: 'not-run', reason: 'no-slot'}, runMs: 0});
         return;
       }
       this.sent.set(formatTask(task), {ref: task, resolve});
-      this.waiting = waiting;
       if (this.outgoing.length === 0) setImmediate(() => this.flush());
       this.outgoing.push(task);
     });
@@ -139,6 +139,11 @@
     this.wakeBackoff();
   }
 
+  /** Sets what the next start message tells of the tasks that still wait. */
+  setWaiting(waiting: number): void {
+    this.waiting = waiting;
+  }
+
   /** Asks for slots as they fall free. */
   reserve(slots: number): void {
     if (!this.ready || slots === 0) return;
@@ -274,7 +279,7 @@
   ): Promise<number | undefined> {
     const hello = await peer.request(
       'agent.hello',
-      {entry: this.owner.entry, epoch, connection: ++this.connection},
+      {entry: this.owner.entry, epoch, connection: this.owner.nextConnection()},
       this.getDeadline(helloTimeoutMs),
     );
     const welcome = hello.toMaybe().extractNullable();
