--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -210,6 +210,7 @@
         },
         onConfiguration: source => this.applyConfiguration(source),
       });
+      this.watch.start();
     });
   }
 
--- a/packages/agent/src/target-watch.ts
+++ b/packages/agent/src/target-watch.ts
@@ -12,14 +12,17 @@
     private readonly target: Target,
     private readonly checkIntervalMs: number,
     private readonly onChange: () => void,
-  ) {
-    void this.awaitHealth();
-  }
+  ) {}
 
   get isDown(): boolean {
     return this.down;
   }
 
+  /** Begins the first health check. */
+  start(): void {
+    void this.awaitHealth();
+  }
+
   /** Takes the target for unreachable until it answers a health check. */
   suspend(): void {
     if (this.down || this.disposed) return;
