--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -21,6 +21,7 @@
   isRecordId,
   lookupJob,
   maxRecordTasks,
+  maxTicket,
 } from '#membership';
 import {
   checkSource,
@@ -171,15 +172,15 @@
       `${admissions.length} admissions in a request, at most ${maxAdmissionsPerRequest} are taken`,
     );
   }
-  for (const {job, digest, tasks, keepMs} of admissions) {
+  for (const {job, digest, tasks, ticket, keepMs} of admissions) {
     if (!isRecordId(job) || !isRecordId(digest)) {
       throw new Error(
         `job "${job}" with digest "${digest}": expected 32 hex digits each`,
       );
     }
-    if (tasks > maxRecordTasks || keepMs > maxKeepMs) {
+    if (tasks > maxRecordTasks || keepMs > maxKeepMs || ticket > maxTicket) {
       throw new Error(
-        `job "${job}": expected at most ${maxRecordTasks} tasks kept for at most ${maxKeepMs} ms`,
+        `job "${job}": expected at most ${maxRecordTasks} tasks kept for at most ${maxKeepMs} ms under a ticket of at most ${maxTicket}`,
       );
     }
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -85,6 +85,7 @@
       {
         clock,
         log,
+        getEpoch: () => this.lease.epoch,
         getStartingEpoch: () => this.lease.startingEpoch,
         getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
         getMaxPlacements: submission => this.getMaxPlacements(submission),
@@ -179,7 +180,7 @@
 
   private openLease(): EntryLease {
     const {id: entry, place} = this.settings;
-    const address = this.listener.address;
+    const address = this.settings.role.advertise ?? this.listener.address;
     return new EntryLease(
       {
         open: async deadline =>
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -129,6 +129,7 @@
   epoch: count,
   tasks: count,
   unrepeatable: boolean,
+  ticket: count,
   keepMs: span,
 });
 const goneTarget = Codec.interface({
@@ -251,6 +252,7 @@
   ),
   'watcher.update': toCheck(viewUpdate),
   'peer.ping': toCheck(nothing),
+  'peer.sync': toCheck(nothing),
 };
 
 /** Checks a method's parameters; fails with the part that is wrong and what was expected. */
