--- a/scripts/build.js
+++ b/scripts/build.js
@@ -2,7 +2,13 @@
 // of the running node: dist/wasabiring.
 import process from 'node:process';
 import {execFileSync} from 'node:child_process';
-import {chmodSync, copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
+import {
+  chmodSync,
+  copyFileSync,
+  mkdirSync,
+  renameSync,
+  writeFileSync,
+} from 'node:fs';
 import {build} from 'esbuild';
 import {inject} from 'postject';
 import {readFileSync} from 'node:fs';
@@ -43,11 +49,11 @@
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {
   stdio: 'ignore',
 });
-copyFileSync(process.execPath, 'dist/wasabiring');
-chmodSync('dist/wasabiring', 0o755);
-await inject(
-  'dist/wasabiring',
-  'NODE_SEA_BLOB',
-  readFileSync('dist/wasabiring.blob'),
-  {sentinelFuse: fuse},
-);
+// A running binary cannot be written to; it can be replaced.
+const fresh = 'dist/wasabiring.new';
+copyFileSync(process.execPath, fresh);
+chmodSync(fresh, 0o755);
+await inject(fresh, 'NODE_SEA_BLOB', readFileSync('dist/wasabiring.blob'), {
+  sentinelFuse: fuse,
+});
+renameSync(fresh, 'dist/wasabiring');
