--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -198,9 +198,12 @@
   first.start();
   await waitUntil(() => held.length === 1);
   swallower.swallow();
+  let isOver = false;
   const drained = stand.agent.drain(inMs(60_000));
+  void drained.then(() => (isOver = true));
   release();
   await waitUntil(() => stand.agent.sessionCount === 0);
+  t.false(isOver);
   const second = await FakeEntry.connect(stand, 1, 2);
   t.deepEqual(await second.query({job: 'a', task: 0}), [
     {kind: 'ended', fate: succeeded},
