--- a/packages/membership/src/admissions.ts
+++ b/packages/membership/src/admissions.ts
@@ -34,6 +34,9 @@
 /** The most tasks that a record can state. */
 export const maxRecordTasks = unrepeatableBit - 1;
 
+/** The largest ticket that a record can hold. */
+export const maxTicket = 2 ** 32 - 1;
+
 /** True for the ids and digests that a record can hold: 32 lower-case hex digits. */
 export function isRecordId(id: string): boolean {
   return /^[0-9a-f]{32}$/.test(id);
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -9,7 +9,12 @@
   maxAdmissions,
 } from './state.js';
 export type {AdmissionRecord} from './admissions.js';
-export {AdmissionTable, isRecordId, maxRecordTasks} from './admissions.js';
+export {
+  AdmissionTable,
+  isRecordId,
+  maxRecordTasks,
+  maxTicket,
+} from './admissions.js';
 export type {EpochTable, LiveEntry} from './epochs.js';
 export {resolveOwner} from './epochs.js';
 export type {ChangeSummary, ConfigurationState} from './configure.js';
