--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -172,6 +172,7 @@
       halt === undefined ? timeout : AbortSignal.any([halt, timeout]),
     );
     await this.control.withdraw();
+    log.info({event: 'drained', complete}, 'the drain is over');
     this.resolveDrained(complete);
     return complete;
   }
@@ -302,14 +303,16 @@
 
   private applyConfiguration(source: VersionedSource): void {
     const {version} = source;
+    const {log} = this.options.runtime;
     if (version <= this.configVersion) return;
     this.options.readConfiguration(source).caseOf({
       Left: detail =>
-        this.options.runtime.log.error(
+        log.error(
           {event: 'configuration-unreadable', version, detail},
           'the configuration cannot be read; the one before stays in force',
         ),
       Right: configuration => {
+        log.info({event: 'configured', version}, 'a configuration is in force');
         this.configVersion = version;
         this.configuration = configuration;
         this.adjustSlots();
--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -158,6 +158,14 @@
       return {kind: 'lost'};
     }
     this.announced = target;
+    this.owner.log.info(
+      {
+        event: 'announced',
+        leaving: target.leaving,
+        control: peer.remoteAddress,
+      },
+      'control has the announcement',
+    );
     this.owner.onAnnounced(answer.value.configVersion);
     return undefined;
   }
