--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,12 +1,14 @@
 import {parseArgs} from 'node:util';
 import {measureDeployments} from './bench-deployments.js';
 import {measurePlacement} from './bench-placement.js';
+import {measureScale} from './bench-scale.js';
 import {measureSlopes} from './bench-slopes.js';
 
 const experiments: Readonly<Record<string, (seed: number) => Promise<void>>> = {
   deployments: measureDeployments,
   placement: measurePlacement,
   slopes: measureSlopes,
+  scale: measureScale,
 };
 
 const {values, positionals} = parseArgs({
@@ -17,7 +19,7 @@
 const seed = Number(values.seed);
 if (run === undefined || !Number.isInteger(seed)) {
   console.error(
-    'usage: npm run bench -- [deployments|placement|slopes] [--seed N]',
+    'usage: npm run bench -- [deployments|placement|slopes|scale] [--seed N]',
   );
   process.exit(2);
 }
