Refuse to start a replica whose disk was lost under its old id

A voter on an empty disk votes as if it had promised nothing: two such starts, or one together with the loss of another host, could elect a leader without a committed admission, and a job would start twice. The log now notes every replica that had entries on its disk; a replica on an empty folder asks the others before it starts.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -40,6 +40,8 @@
     address: Address | undefined,
     message: Message,
   ) => void;
+  /** Asks another replica how it stands; nothing when it does not answer soon. */
+  readonly askStatus: (address: Address) => Promise<ControlStatus | undefined>;
   /** Called once when the disk has failed. */
   readonly fail: (detail: string) => void;
 }
@@ -69,7 +71,6 @@
   private leader!: Leader;
   private replica!: Replica;
   private listener!: PeerListener;
-  private ready = false;
   private ticker: NodeJS.Timeout | undefined;
   private leaderSeen: Instant = 0;
   private fail!: (detail: string) => void;
@@ -86,13 +87,12 @@
   /** Listens and starts the replica; fails with what the address or the data folder refuses. */
   static async open(options: ControlOptions): Promise<Either<string, Control>> {
     const control = new Control(options);
-    const handlers: {-readonly [Name in keyof Handlers]: Handlers[Name]} = {};
+    const handlers: {-readonly [Name in keyof Handlers]: Handlers[Name]} = {
+      'control.status': () => control.describeStart(),
+    };
     const listening = await PeerListener.listen(
       options.settings.role.listen,
       handlers,
-      peer => {
-        if (!control.ready) peer.close('the replica is starting');
-      },
     );
     return listening.caseOf<Promise<Either<string, Control>>>({
       Left: async detail => Left(detail),
@@ -107,7 +107,7 @@
           },
           Right: async () => {
             Object.assign(handlers, control.createHandlers());
-            control.ready = true;
+            for (const peer of listener.peers) peer.close('has started');
             return Right(control);
           },
         });
@@ -162,6 +162,7 @@
       address: this.listener.address,
       machine: this.machine,
       send: (to, address, message) => this.links.send(to, address, message),
+      askStatus: address => this.askStatus(address),
       fail: detail => this.fail(detail),
     });
     return started.map(replica => {
@@ -178,6 +179,23 @@
     });
   }
 
+  /** What a replica that has not started yet says of itself. */
+  private describeStart(): ControlStatus {
+    return {
+      member: this.options.settings.id,
+      role: 'learner',
+      term: 0,
+      commitIndex: 0,
+      members: [],
+      ...describeState(this.machine.state),
+    };
+  }
+
+  private askStatus(address: Address): Promise<ControlStatus | undefined> {
+    const deadline = this.options.runtime.clock.now() + statusTimeoutMs;
+    return this.links.askStatus(address, deadline);
+  }
+
   private tick(): void {
     this.leader.tick();
     const {members, leader} = this.replica.describeStatus();
@@ -253,12 +271,11 @@
   /** Asks every member which configuration version it has applied. */
   private async listControls(): Promise<readonly ProcessConfigStatus[]> {
     const {members} = this.replica.describeStatus();
-    const deadline = this.options.runtime.clock.now() + statusTimeoutMs;
     const statuses = await Promise.all(
       members.map(({id, address}) =>
         id === this.options.settings.id
           ? this.describeStatus()
-          : this.links.askStatus(address, deadline),
+          : this.askStatus(address),
       ),
     );
     return statuses
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -39,6 +39,7 @@
   private waiting: WaitingAdmissions[] = [];
   private nextForget = 0;
   private bootstrapping = false;
+  private noting = false;
   private closed = false;
 
   constructor(
@@ -108,6 +109,7 @@
   tick(): void {
     if (!this.leads) return;
     this.office.matchLeases();
+    this.noteMembers();
     if (this.machine.state.configuration.current.version === 0) {
       void this.proposeBootstrap();
     }
@@ -187,6 +189,20 @@
     }
   }
 
+  /** Notes in the log which replicas have entries on their disks, once each. */
+  private noteMembers(): void {
+    const members = this.replica
+      .describeStatus()
+      .progress.filter(({matchIndex}) => matchIndex > 0)
+      .map(({id}) => id)
+      .filter(id => !this.machine.state.acknowledged.has(id));
+    if (members.length === 0 || this.noting) return;
+    this.noting = true;
+    void this.propose({kind: 'note-members', members}).then(
+      () => (this.noting = false),
+    );
+  }
+
   private async proposeBootstrap(): Promise<void> {
     if (this.bootstrapping) return;
     this.bootstrapping = true;
--- a/packages/control/src/replicated.ts
+++ b/packages/control/src/replicated.ts
@@ -1,4 +1,5 @@
 import {crc32} from 'node:zlib';
+import {Left} from 'purify-ts';
 import type {Address} from '#model';
 import {createMembers, type Members} from '#consensus';
 import type {Command, CommandResult} from '#membership';
@@ -6,13 +7,27 @@
 import {describeStoreError, ReplicaHost} from '#storage';
 import type {Clock} from '#model';
 import type {StartReplica} from './control.js';
+import {isUnused, judgeNewDisk} from './newcomer.js';
 
 /** Starts the replica on the data folder of the settings. */
 export function startReplicated(
-  {id, role}: ProcessSettings<ControlRole>,
+  {id, role, controls}: ProcessSettings<ControlRole>,
   clock: Clock,
+  cancel?: AbortSignal,
 ): StartReplica {
-  return async ({address, machine, send, fail}) => {
+  return async ({address, machine, send, askStatus, fail}) => {
+    if (await isUnused(role.data)) {
+      const listed = role.members.map(member => member.address);
+      const addresses = [...new Set([...listed, ...controls])];
+      const refusal = await judgeNewDisk({
+        id,
+        role,
+        addresses,
+        askStatus,
+        cancel,
+      });
+      if (refusal !== undefined) return Left(refusal);
+    }
     const started = await ReplicaHost.start<Command, CommandResult>({
       folder: role.data,
       id,
--- a/packages/control/src/run.ts
+++ b/packages/control/src/run.ts
@@ -27,10 +27,11 @@
     settings,
     configuration,
     runtime,
-    startReplica: startReplicated(settings, runtime.clock),
+    startReplica: startReplicated(settings, runtime.clock, runtime.drain),
   });
   return opened.caseOf({
     Left: async detail => {
+      if (runtime.drain.aborted) return exitCode.ok;
       log.error({event: 'start-refused', detail}, detail);
       return exitCode.environment;
     },
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -92,12 +92,16 @@
 /** Describes the state for a status answer. */
 export function describeState(
   state: ControlState,
-): Pick<ControlStatus, 'targets' | 'entries' | 'jobs' | 'configVersion'> {
+): Pick<
+  ControlStatus,
+  'targets' | 'entries' | 'jobs' | 'configVersion' | 'acknowledged'
+> {
   return {
     targets: [...state.targets.values()],
     entries: [...state.epochs.live.values()].map(live => live.info),
     jobs: state.admissions.size,
     configVersion: state.configuration.current.version,
+    acknowledged: [...state.acknowledged],
   };
 }
 
--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -7,6 +7,7 @@
   openSite,
   place,
   soon,
+  source,
 } from './site.js';
 
 const target: TargetInfo = {
@@ -106,3 +107,24 @@
   const {gone} = await client.awaitView(view => !view.targets.has('pen-1'));
   t.is(gone.length, 1);
 });
+
+test('a watcher of the configuration is woken by nothing else and misses no version', async t => {
+  await using site = await openSite();
+  const client = site.connect();
+  client.follow('configuration');
+  await client.awaitView(view => view.configuration.version === 1);
+  const other = site.connect();
+  other.follow('all');
+  for (const name of ['pen-1', 'pen-2']) {
+    const announced = {...target, target: name};
+    await other.ask('control.announce', {target: announced, configVersion: 1});
+    await other.awaitView(view => view.targets.has(name));
+  }
+  const changed = {changeId: 'c', expectedVersion: 1, author: 'a', source};
+  await other.ask('control.applyConfig', changed);
+  const view = await client.awaitView(
+    ({configuration}) => configuration.version === 2,
+  );
+  t.is(view.targets.size, 0);
+  t.is(client.revisions.length, 2);
+});
--- a/packages/control/test/group.test.ts
+++ b/packages/control/test/group.test.ts
@@ -170,3 +170,14 @@
     .client.request('control.watch', params, soon());
   t.true(refused.isLeft());
 });
+
+test('a replica whose disk was lost does not start again under its id', async t => {
+  await using group = await Group.start();
+  await group.awaitStatus(
+    (_, {acknowledged}) => new Set(acknowledged).size === 3,
+  );
+  await group.stop('c3');
+  await group.loseDisk('c3');
+  const refused = await t.throwsAsync(group.start('c3'));
+  t.regex(refused!.message, /join under a new id/);
+});
--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -83,6 +83,10 @@
     await control?.[Symbol.asyncDispose]();
   }
 
+  async loseDisk(id: string): Promise<void> {
+    await rm(join(this.folder, id), {recursive: true});
+  }
+
   /** Waits until one of the replicas that are not cut off leads the others. */
   async awaitLeader(): Promise<string> {
     const leader = await this.awaitStatus(
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -1,5 +1,6 @@
 import type {
   Address,
+  ControlId,
   EntryId,
   Epoch,
   Place,
@@ -39,6 +40,8 @@
     }
   | {readonly kind: 'admit'; readonly admissions: readonly Admission[]}
   | {readonly kind: 'forget'}
+  /** Replicas that have log entries on their disks. */
+  | {readonly kind: 'note-members'; readonly members: readonly ControlId[]}
   | {readonly kind: 'configure'; readonly change: ApplyConfigParams}
 );
 
--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -1,6 +1,6 @@
 import {Packr, Unpackr} from 'msgpackr';
 import {type Either, Left, Right} from 'purify-ts';
-import type {EndedEpoch, Epoch, TargetInfo} from '#model';
+import type {ControlId, EndedEpoch, Epoch, TargetInfo} from '#model';
 import {AdmissionTable} from './admissions.js';
 import type {
   ChangeAnswer,
@@ -27,6 +27,7 @@
     readonly history: readonly ChangeSummary[];
     readonly answers: readonly (readonly [string, ChangeAnswer])[];
   };
+  readonly acknowledged: readonly ControlId[];
   readonly forgottenSecond: number;
   readonly latestExpirySecond: number;
   readonly admissions: Uint8Array;
@@ -53,6 +54,7 @@
       history: configuration.history,
       answers: [...configuration.answers],
     },
+    acknowledged: [...state.acknowledged],
     forgottenSecond: admissions.lastForgottenSecond,
     latestExpirySecond: admissions.latestExpirySecond,
     admissions: admissions.encode(),
@@ -95,6 +97,7 @@
       history: [...configuration.history],
       answers: new Map(configuration.answers),
     },
+    acknowledged: new Set(snapshot.acknowledged),
     admissions: AdmissionTable.decode(
       Buffer.from(snapshot.admissions),
       snapshot.forgottenSecond,
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -1,4 +1,4 @@
-import type {Epoch, JobId, TargetId, TargetInfo} from '#model';
+import type {ControlId, Epoch, JobId, TargetId, TargetInfo} from '#model';
 import {failUnreachable} from '#model';
 import type {
   Admission,
@@ -37,6 +37,8 @@
   readonly gone: GoneLife[];
   readonly configuration: ConfigurationState;
   readonly admissions: AdmissionTable;
+  /** Replicas that ever had log entries on their disks: none may come back with an empty one. */
+  readonly acknowledged: Set<ControlId>;
 }
 
 /** A life of an agent that is over, kept as long as any job that it may have started. */
@@ -62,6 +64,7 @@
     gone: [],
     configuration: createConfiguration(),
     admissions: new AdmissionTable(),
+    acknowledged: new Set(),
   };
 }
 
@@ -89,6 +92,9 @@
       return admitJobs(state, command.admissions);
     case 'forget':
       return forgetExpired(state);
+    case 'note-members':
+      for (const member of command.members) state.acknowledged.add(member);
+      return finish([]);
     case 'configure': {
       const applied = applyChange(state.configuration, command.change, index);
       const {result, changes} = applied;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -390,6 +390,8 @@
   readonly entries: readonly EntryInfo[];
   readonly jobs: number;
   readonly configVersion: number;
+  /** Every replica that ever had log entries on its disk. None may start again on an empty one. */
+  readonly acknowledged: readonly string[];
 }
 
 export type {Capacity};
