Let an heir start what nobody reported only within the job's deadline

Cause: an heir took silence of every agent about a task for proof that it never started, but agents forget. Now the record says until when the job may start; control answers it only for records of its own term, because log time stands still while nobody leads; agents keep starts for the deadline and the retention, whatever the kind of job. Past the deadline the job is unknown. Ruled out: wall clocks, which may step; log time alone, which a long outage of control would have made lag behind the agents' clocks. A broken invariant in an inner handler now stops the process.

--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,6 +1,8 @@
 import {randomUUID} from 'node:crypto';
+import type {JobId} from '#model';
 import type {
   Admission,
+  AdmitResult,
   ApplyConfigParams,
   ApplyConfigResult,
   ConfigStatus,
@@ -19,7 +21,6 @@
   type ControlState,
   findAnswer,
   isRecordId,
-  lookupJob,
   maxRecordTasks,
   maxTicket,
 } from '#membership';
@@ -46,7 +47,7 @@
 
 /** Serves the methods that only the leader answers. */
 export function createLeaderHandlers(parts: ServiceParts) {
-  const {leader} = parts;
+  const {leader, office} = parts;
   return {
     'control.openEntry': params => openEntry(parts, params),
     'control.renewEntry': params => renewEntry(parts, params),
@@ -74,15 +75,21 @@
       checkAdmissions(admissions);
       const reply = await leader.admit(admissions);
       if (reply === 'full') throw new Error('no room for more admissions');
-      return reply;
+      if (reply.kind !== 'done') return reply;
+      const value = reply.value.map((result, i) =>
+        result.kind === 'exists'
+          ? refreshStanding(office, admissions[i]!.job, result)
+          : result,
+      );
+      return {kind: 'done', value};
     },
     'control.lookup': ({jobs}) =>
-      leader.read(state => jobs.map(job => lookupJob(state, job))),
+      leader.read(() => jobs.map(job => office.lookUp(job))),
     'control.epochJobs': ({epochs}) =>
       leader.read(({admissions}) =>
         admissions
           .listOfEpochs(new Set(epochs))
-          .map(({expirySecond: _, ...job}) => job),
+          .map(({expirySecond: _, startSecond: __, ...job}) => job),
       ),
     'control.applyConfig': params => applyConfig(leader, params),
     'control.configStatus': () => describeConfiguration(parts),
@@ -169,6 +176,16 @@
   return reply.kind === 'done' ? {kind: 'done', value: {}} : reply;
 }
 
+/** Adds to a result of the log what only the leader can tell: whether the job may still start. */
+function refreshStanding(
+  office: Office,
+  job: JobId,
+  result: AdmitResult,
+): AdmitResult {
+  const found = office.lookUp(job);
+  return found.kind === 'exists' ? found : result;
+}
+
 /** Throws what is wrong with a request that no command could hold. */
 function checkAdmissions(admissions: readonly Admission[]): void {
   if (admissions.length > maxAdmissionsPerRequest) {
@@ -176,13 +193,18 @@
       `${admissions.length} admissions in a request, at most ${maxAdmissionsPerRequest} are taken`,
     );
   }
-  for (const {job, digest, tasks, ticket, keepMs} of admissions) {
+  for (const admission of admissions) {
+    const {job, digest, tasks, ticket, startMs, keepMs} = admission;
     if (!isRecordId(job) || !isRecordId(digest)) {
       throw new Error(
         `job "${job}" with digest "${digest}": expected 32 hex digits each`,
       );
     }
-    if (tasks > maxRecordTasks || keepMs > maxKeepMs || ticket > maxTicket) {
+    if (
+      tasks > maxRecordTasks ||
+      Math.max(startMs, keepMs) > maxKeepMs ||
+      ticket > maxTicket
+    ) {
       throw new Error(
         `job "${job}": expected at most ${maxRecordTasks} tasks kept for at most ${maxKeepMs} ms under a ticket of at most ${maxTicket}`,
       );
--- a/packages/control/test/site.ts
+++ b/packages/control/test/site.ts
@@ -36,6 +36,7 @@
   tasks: 3,
   unrepeatable: false,
   ticket: 0,
+  startMs: 30_000,
   keepMs: 60_000,
 });
 
--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -197,15 +197,13 @@
       await this.resolveElsewhere(execution);
       return;
     }
-    const keepMs =
-      computeRemainingMs(this.owner.clock.now(), deadline) +
-      this.owner.getKeepMs(submission.unrepeatable);
     const ticket = this.issueTicket(submission.job);
     const result = await this.registrar.admit(
       submission,
       epoch,
       ticket,
-      keepMs,
+      computeRemainingMs(this.owner.clock.now(), deadline),
+      this.owner.getKeepMs(submission.unrepeatable),
     );
     if (execution.isOver) return;
     if (result === undefined) {
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -123,7 +123,7 @@
       clock: this.owner.clock,
       random: this.owner.random,
       getStartingEpoch: this.owner.getStartingEpoch,
-      getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
+      getKeepMs: () => this.configuration.limits.retentionMs,
       getWeight: team => this.getWeight(team),
       onTaskEnd: this.owner.onTaskEnd,
     });
@@ -205,9 +205,4 @@
       this.configuration.teams.find(({name}) => name === team)?.weight ?? 1
     );
   }
-
-  private getKeepMs(unrepeatable: boolean): number {
-    const {limits} = this.configuration;
-    return unrepeatable ? limits.unrepeatableRetentionMs : limits.retentionMs;
-  }
 }
--- a/packages/entry/src/heir.ts
+++ b/packages/entry/src/heir.ts
@@ -91,7 +91,8 @@
 
 /**
  * True when a task of the job that no agent reported cannot have started: every
- * agent answered, and none that the job's epoch may have used is gone.
+ * agent answered, none that the job's epoch may have used is gone, and the job's
+ * deadline has not passed, so that the agents still keep all they started of it.
  *
  * An agent may answer in a new life before the view shows that its old one is
  * over. Its answer counts only once the view knows the life that gave it, for
@@ -102,7 +103,7 @@
   {getIncarnation, gone}: Lives,
   standing: AdmittedJob,
 ): boolean {
-  if (estate.silent.length > 0) return false;
+  if (!standing.mayStart || estate.silent.length > 0) return false;
   for (const [target, incarnation] of estate.answered) {
     const known = getIncarnation(target);
     const wasSeen = gone.some(
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -44,7 +44,8 @@
   readonly random: RandomSource;
   /** The epoch under which tasks may start now, if any. */
   readonly getStartingEpoch: () => Epoch | undefined;
-  readonly getKeepMs: (unrepeatable: boolean) => number;
+  /** How long agents keep fates after a job's deadline, in ms. */
+  readonly getKeepMs: () => number;
   readonly getWeight: (team: TeamName) => number;
   /** A task ended that waited so long for a slot, in ms. */
   readonly onTaskEnd: (
@@ -305,7 +306,7 @@
       task,
       payload: submission.tasks[task]!.payload,
       remainingMs: computeRemainingMs(now, deadline),
-      keepMs: this.owner.getKeepMs(submission.unrepeatable),
+      keepMs: this.owner.getKeepMs(),
       granted: destination.granted,
     });
     this.finish(execution, task, target, end);
--- a/packages/entry/src/registrar.ts
+++ b/packages/entry/src/registrar.ts
@@ -29,11 +29,12 @@
     );
   }
 
-  /** Commits that an epoch owns a job, unless another does. */
+  /** Commits that an epoch owns a job, unless another does. Times in ms: to the deadline, and after it. */
   admit(
     submission: Submission,
     epoch: Epoch,
     ticket: number,
+    startMs: number,
     keepMs: number,
   ): Promise<AdmitResult | undefined> {
     return this.admissions.add({
@@ -43,7 +44,8 @@
       tasks: submission.tasks.length,
       unrepeatable: submission.unrepeatable,
       ticket,
-      keepMs,
+      startMs,
+      keepMs: startMs + keepMs,
     });
   }
 
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -78,6 +78,7 @@
     owner,
     revision: 1,
     ticket: 0,
+    mayStart: true,
     address: '127.0.0.1:1',
     ...change,
   };
--- a/packages/entry/test/heir.test.ts
+++ b/packages/entry/test/heir.test.ts
@@ -10,6 +10,7 @@
   owner: 3,
   revision: 50,
   ticket: 0,
+  mayStart: true,
 };
 const whole = {tasks: new Map(), answered: new Map([['t1', 2]]), silent: []};
 
@@ -48,6 +49,11 @@
   t.true(isUnreportedSafe(whole, buildLives(2, 49), standing));
 });
 
+test('past the job deadline nobody starts what was not reported', t => {
+  const late = {...standing, mayStart: false};
+  t.false(isUnreportedSafe(whole, buildLives(2), late));
+});
+
 test('an agent that answers in a life unknown to the view proves nothing', t => {
   t.false(isUnreportedSafe(whole, buildLives(1), standing));
   t.false(isUnreportedSafe(whole, buildLives(undefined), standing));
--- a/packages/membership/src/admissions.ts
+++ b/packages/membership/src/admissions.ts
@@ -11,19 +11,22 @@
   readonly revision: number;
   /** The entry's number of its request, 32 bits. */
   readonly ticket: number;
+  /** Log time in whole seconds after which nothing of the job starts. */
+  readonly startSecond: number;
   /** Log time in whole seconds from which the record may be forgotten. */
   readonly expirySecond: number;
 }
 
 const idBytes = 16;
 const revisionBytes = 6;
-/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second, revision, ticket. */
-const recordBytes = 2 * idBytes + 3 * 4 + revisionBytes + 4;
+/** Job, digest, epoch, tasks with the unrepeatable bit, expiry second, revision, ticket, start second. */
+const recordBytes = 2 * idBytes + 3 * 4 + revisionBytes + 2 * 4;
 const epochOffset = 2 * idBytes;
 const tasksOffset = epochOffset + 4;
 const expiryOffset = tasksOffset + 4;
 const revisionOffset = expiryOffset + 4;
 const ticketOffset = revisionOffset + revisionBytes;
+const startOffset = ticketOffset + 4;
 const unrepeatableBit = 0x80000000;
 const recordsPerChunk = 8192;
 const none = -1;
@@ -51,7 +54,7 @@
 }
 
 /**
- * Admitted jobs by id, in flat memory: 62 bytes a record and 4 to 8 of index.
+ * Admitted jobs by id, in flat memory: 66 bytes a record and 4 to 8 of index.
  * Records that expire in one second form a list, so that forgetting costs only what is forgotten.
  */
 export class AdmissionTable {
@@ -110,6 +113,7 @@
     records.writeUInt32LE(second, pos + expiryOffset);
     records.writeUIntLE(record.revision, pos + revisionOffset, revisionBytes);
     records.writeUInt32LE(record.ticket, pos + ticketOffset);
+    records.writeUInt32LE(record.startSecond, pos + startOffset);
     this.linkRecord(slot);
   }
 
@@ -348,6 +352,7 @@
     unrepeatable: tasks >= unrepeatableBit,
     revision: bytes.readUIntLE(pos + revisionOffset, revisionBytes),
     ticket: bytes.readUInt32LE(pos + ticketOffset),
+    startSecond: bytes.readUInt32LE(pos + startOffset),
     expirySecond: bytes.readUInt32LE(pos + expiryOffset),
   };
 }
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -105,11 +105,29 @@
   }
 }
 
-/** Tells whether a job is admitted, and where to ask about it. */
-export function lookupJob(state: ControlState, job: JobId): LookupResult {
+/**
+ * What a leader knows of real time. Log time stands still while nobody leads, so
+ * only records of the leader's own term can be told from those whose deadline
+ * has passed.
+ */
+export interface StartBounds {
+  /** Log time now. */
+  readonly time: LogTime;
+  /** The first log index of the leader's term. */
+  readonly since: number;
+}
+
+const neverStarts: StartBounds = {time: 0, since: Infinity};
+
+/** Tells whether a job is admitted, and where to ask about it. Nothing may start without bounds. */
+export function lookupJob(
+  state: ControlState,
+  job: JobId,
+  starts: StartBounds = neverStarts,
+): LookupResult {
   const record = state.admissions.find(job);
   if (record === undefined) return {kind: 'absent'};
-  return {kind: 'exists', standing: describeStanding(state, record)};
+  return {kind: 'exists', standing: describeStanding(state, record, starts)};
 }
 
 /** Builds the whole view for a watcher. */
@@ -178,7 +196,7 @@
 
 /** A resend of the request that made the record is admitted again; nothing else ever is. */
 function admitJob(state: ControlState, admission: Admission): AdmitResult {
-  const {job, digest, epoch, tasks, unrepeatable, ticket, keepMs} = admission;
+  const {job, digest, epoch, tasks, unrepeatable, ticket} = admission;
   if (!state.epochs.live.has(epoch)) return {kind: 'ended'};
   const known = state.admissions.find(job);
   if (known !== undefined) {
@@ -187,9 +205,11 @@
       known.ticket === ticket &&
       known.digest === digest;
     if (resent) return {kind: 'admitted'};
-    return {kind: 'exists', standing: describeStanding(state, known)};
+    const standing = describeStanding(state, known, neverStarts);
+    return {kind: 'exists', standing};
   }
-  const expirySecond = Math.ceil((state.time + keepMs) / 1000);
+  const startSecond = Math.ceil((state.time + admission.startMs) / 1000);
+  const expirySecond = Math.ceil((state.time + admission.keepMs) / 1000);
   const {revision} = state;
   state.admissions.add({
     job,
@@ -199,6 +219,7 @@
     unrepeatable,
     revision,
     ticket,
+    startSecond,
     expirySecond,
   });
   return {kind: 'admitted'};
@@ -206,8 +227,10 @@
 
 function describeStanding(
   state: ControlState,
-  {digest, tasks, unrepeatable, epoch, revision, ticket}: AdmissionRecord,
+  record: AdmissionRecord,
+  starts: StartBounds,
 ): AdmittedJob {
+  const {digest, tasks, unrepeatable, epoch, revision, ticket} = record;
   const owner = resolveOwner(state.epochs, epoch);
   const address = state.epochs.live.get(owner)?.info.address;
   const standing = {
@@ -218,6 +241,8 @@
     owner,
     revision,
     ticket,
+    mayStart:
+      revision >= starts.since && starts.time <= record.startSecond * 1000,
   };
   return address === undefined ? standing : {...standing, address};
 }
--- a/packages/membership/test/builders.ts
+++ b/packages/membership/test/builders.ts
@@ -28,6 +28,7 @@
   tasks: 1,
   unrepeatable: false,
   ticket: 0,
+  startMs: 30_000,
   keepMs,
 });
 
--- a/packages/membership/test/state.test.ts
+++ b/packages/membership/test/state.test.ts
@@ -286,3 +286,27 @@
 test('a snapshot of another format is refused', t => {
   t.true(decodeSnapshot(Buffer.from('no snapshot')).isLeft());
 });
+
+test('a job may start by a leader that admitted it, and only until its deadline', t => {
+  const log = new Log();
+  const epoch = log.openEntry('e1');
+  log.admit([{...admission(1, epoch, 90_000), startMs: 5000}], 1000);
+  const mayStart = (time: number, since: number) => {
+    const found = lookupJob(log.state, id(1), {time, since});
+    return found.kind === 'exists' && found.standing.mayStart;
+  };
+  const {revision} = log.state;
+  t.true(mayStart(6000, revision));
+  t.false(mayStart(6001, revision));
+  t.false(mayStart(1000, revision + 1));
+});
+
+test('a resend under another ticket is not admitted again', t => {
+  const log = new Log();
+  const epoch = log.openEntry('e1');
+  const first = admission(1, epoch);
+  const kinds = [first, first, {...first, ticket: 1}].map(
+    one => log.admit([one])[0]!.kind,
+  );
+  t.deepEqual(kinds, ['admitted', 'admitted', 'exists']);
+});
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -130,6 +130,7 @@
   tasks: count,
   unrepeatable: boolean,
   ticket: count,
+  startMs: span,
   keepMs: span,
 });
 const goneTarget = Codec.interface({
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -221,6 +221,8 @@
   readonly unrepeatable: boolean;
   /** Tells the requests of one epoch apart: a 32-bit count. */
   readonly ticket: number;
+  /** Until the job's deadline, after which nothing of it starts, in ms. */
+  readonly startMs: number;
   /** Until the record may be forgotten, in ms. */
   readonly keepMs: number;
 }
@@ -254,6 +256,11 @@
    * and has forgotten.
    */
   readonly ticket: number;
+  /**
+   * True until the deadline of the job's first submission. Agents keep what
+   * they started some time longer, so that until then nobody's report is proof.
+   */
+  readonly mayStart: boolean;
 }
 
 export interface LookupParams {
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -8,7 +8,12 @@
   JSONRPCServerAndClient,
 } from 'json-rpc-2.0';
 import {type Either, Left, Right} from 'purify-ts';
-import {type Instant, monotonicClock, computeRemainingMs} from '#model';
+import {
+  BrokenInvariant,
+  computeRemainingMs,
+  type Instant,
+  monotonicClock,
+} from '#model';
 import {checkParams} from './checks.js';
 import {encodeFrame, FrameReader, preface} from './frame.js';
 import type {
@@ -173,7 +178,7 @@
               code: JSONRPCErrorCode.InvalidParams,
             });
           },
-          Right: checked => handle(checked, this),
+          Right: checked => stopOnBrokenInvariant(() => handle(checked, this)),
         }),
       );
     }
@@ -245,3 +250,17 @@
     return {kind: 'rejected', detail};
   }
 }
+
+/** A broken invariant in a handler stops the process instead of being answered. */
+async function stopOnBrokenInvariant(handle: () => unknown): Promise<unknown> {
+  try {
+    return await handle();
+  } catch (error) {
+    if (error instanceof BrokenInvariant) {
+      setImmediate(() => {
+        throw error;
+      });
+    }
+    throw error;
+  }
+}
