--- a/packages/storage/test/store.test.ts
+++ b/packages/storage/test/store.test.ts
@@ -145,33 +145,38 @@
   });
 });
 
-/** Writes until the power goes, then checks that all that was acknowledged is there. */
+/** Writes entries and snapshots, own and received, until the power goes. */
 async function runUntilCrash(disk: ForgetfulDisk, seed: number, step: number) {
   const random = xoroshiro128plus(seed * 1000 + step);
   const opened = await openOn(disk);
   if (opened.isLeft()) return {error: opened.extract()};
   const store = opened.unsafeCoerce();
-  const before = store.recovered.snapshot?.index ?? 0;
-  const last = store.recovered.entries.at(-1)?.index ?? before;
-  let acknowledged = last;
-  let saved = before;
+  const {snapshot, entries} = store.recovered;
+  const last = entries.at(-1) ?? snapshot!;
+  let saved = snapshot?.index ?? 0;
+  let acknowledged = last.index;
+  let {term} = last;
   disk.operationsLeft = uniformInt(random, 1, 40);
-  for (let index = last + 1; index <= last + 10; index++) {
-    const entry = makeEntry(index, 1, uniformInt(random, 1, 1500));
-    const appended = await store.append({entries: [entry]});
-    if (appended.isLeft()) break;
+  for (let index = last.index + 1; ; index++) {
+    const entry = makeEntry(index, term, uniformInt(random, 1, 1500));
+    if ((await store.append({entries: [entry]})).isLeft()) break;
     acknowledged = index;
-    if (uniformInt(random, 0, 2) > 0) continue;
-    const outcome = await store.saveSnapshot(makeSnapshot(index), 'continue');
+    const kind = uniformInt(random, 0, 5);
+    if (kind > 1) continue;
+    if (kind === 1) index += 3;
+    if (kind === 1) term++;
+    const log = kind === 1 ? 'replace' : 'continue';
+    const outcome = await store.saveSnapshot(makeSnapshot(index, term), log);
     if (outcome.isLeft()) break;
     saved = index;
+    acknowledged = index;
   }
   disk.losePower(random);
   return {acknowledged, saved};
 }
 
 test('what was acknowledged outlives power cuts at any operation', async t => {
-  for (let seed = 1; seed <= 60; seed++) {
+  for (let seed = 1; seed <= 100; seed++) {
     const disk = new ForgetfulDisk();
     await openSound(disk);
     for (let step = 0; step < 6; step++) {
@@ -197,3 +202,23 @@
     }
   }
 });
+
+for (const log of ['continue', 'replace'] as const) {
+  test(`a power cut at any operation of a snapshot leaves the state before it or after, log: ${log}`, async t => {
+    const index = log === 'continue' ? 3 : 9;
+    for (let operations = 1; operations <= 16; operations++) {
+      for (let seed = 1; seed <= 60; seed++) {
+        const disk = new ForgetfulDisk();
+        const store = await openWith(disk, makeEntry(2), makeEntry(3));
+        disk.operationsLeft = operations;
+        const saved = await store.saveSnapshot(makeSnapshot(index), log);
+        disk.losePower(xoroshiro128plus(seed * 77_777));
+        const {recovered} = await openSound(disk);
+        const label = `operation ${operations}, seed ${seed}`;
+        if (saved.isRight()) t.is(recovered.snapshot?.index, index, label);
+        if (!recovered.snapshot) t.is(recovered.entries.length, 3, label);
+        else t.deepEqual(recovered.entries, [], label);
+      }
+    }
+  });
+}
