Hand leadership over on request

A leader that is drained would leave the group without one for one to two election timeouts. It now brings the voter that is furthest up to date and asks it to stand at once; its lease ends for good before it asks.

--- a/packages/consensus/src/check.ts
+++ b/packages/consensus/src/check.ts
@@ -47,6 +47,7 @@
     kind: exactly('vote-request'),
     term: count,
     preliminary: boolean,
+    transferred: boolean,
     lastIndex: count,
     lastTerm: count,
   }),
@@ -84,6 +85,7 @@
     offset: count,
     data: bytes,
   }),
+  'take-over': Codec.interface({kind: exactly('take-over'), term: count}),
   'install-progress': Codec.interface({
     kind: exactly('install-progress'),
     ...round,
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -20,6 +20,7 @@
   InstallProgress,
   InstallRequest,
   Message,
+  TakeOver,
   VoteReply,
   VoteRequest,
 } from './message.js';
--- a/packages/consensus/src/lead.ts
+++ b/packages/consensus/src/lead.ts
@@ -12,6 +12,7 @@
 import {beginReads, confirmReads} from './read.js';
 import {replicateTo, sendChunk, sendHeartbeat} from './replicate.js';
 import {Rounds} from './round.js';
+import {finishTransfer} from './transfer.js';
 
 /** Begins to lead: appends the blank entry that commits all before it. */
 export function lead(core: Core, now: Instant): void {
@@ -21,6 +22,8 @@
     electedAt: now,
     rounds: new Rounds(2 * timing.electionTimeoutMs),
     progress: new Map(),
+    transfer: undefined,
+    leaseEnded: false,
     reads: [],
     heartbeatDueAt: now + timing.heartbeatIntervalMs,
     commitAtHeartbeat: Infinity,
@@ -72,6 +75,9 @@
     core.deferElection(now);
     return;
   }
+  if (leadership.transfer && now >= leadership.transfer.deadline) {
+    leadership.transfer = undefined;
+  }
   if (now < leadership.heartbeatDueAt) return;
   const {heartbeatIntervalMs} = core.options.timing;
   leadership.heartbeatDueAt = now + heartbeatIntervalMs;
@@ -122,7 +128,9 @@
   progress.acceptMatch(reply.matchIndex);
   resumeStream(core, progress);
   advanceCommit(core, leadership, now);
-  if (core.role.kind === 'leader') replicateTo(core, leadership, progress, now);
+  if (core.role.kind !== 'leader') return;
+  replicateTo(core, leadership, progress, now);
+  finishTransfer(core, leadership);
 }
 
 function resumeStream(core: Core, progress: Progress): void {
--- a/packages/consensus/src/message.ts
+++ b/packages/consensus/src/message.ts
@@ -6,6 +6,8 @@
   /** The term that the candidate stands for, also when preliminary. */
   readonly term: number;
   readonly preliminary: boolean;
+  /** The leader of the term before gave up its lease for this election. */
+  readonly transferred: boolean;
   readonly lastIndex: number;
   readonly lastTerm: number;
 }
@@ -70,6 +72,12 @@
   readonly offset: number;
 }
 
+/** Asks the receiver, whose log is complete, to stand for election at once. */
+export interface TakeOver {
+  readonly kind: 'take-over';
+  readonly term: number;
+}
+
 export type Message =
   | VoteRequest
   | VoteReply
@@ -77,4 +85,5 @@
   | AppendAccepted
   | AppendRejected
   | InstallRequest
-  | InstallProgress;
+  | InstallProgress
+  | TakeOver;
--- a/packages/consensus/src/quorum.ts
+++ b/packages/consensus/src/quorum.ts
@@ -64,6 +64,7 @@
   leadership: Leadership,
   now: Instant,
 ): boolean {
+  if (leadership.leaseEnded) return false;
   const round = computeQuorumRound(core, leadership);
   if (round === Infinity) return true;
   const {electionTimeoutMs, clockMarginMs} = core.options.timing;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -17,9 +17,11 @@
 import type {ReplicaOptions} from './options.js';
 import {computeQuorumDeadline} from './quorum.js';
 import {beginReads} from './read.js';
+import {beginTransfer} from './transfer.js';
 import type {Effect, Input, Role, Ticket} from './transition.js';
 import {
   countOwnVote,
+  handleTakeOver,
   handleVoteReply,
   handleVoteRequest,
   pollVoters,
@@ -111,8 +113,12 @@
       case 'propose':
         this.propose(input.ticket, input.commands, now);
         return;
+      case 'transfer':
+        if (this.core.role.kind !== 'leader') return;
+        beginTransfer(this.core, this.core.role.leadership, now);
+        return;
       case 'change-members':
-        this.useLeadership(input.ticket, leadership =>
+        this.writeAsLeader(input.ticket, leadership =>
           beginChange(this.core, leadership, input.ticket, input.change, now),
         );
         return;
@@ -159,6 +165,9 @@
       case 'append':
         handleAppend(core, from, message, now);
         return;
+      case 'take-over':
+        handleTakeOver(core, from, message, now);
+        return;
       case 'install':
         handleInstall(core, from, message, now);
         return;
@@ -200,7 +209,7 @@
     now: Instant,
   ): void {
     if (commands.length === 0) return;
-    this.useLeadership(ticket, leadership => {
+    this.writeAsLeader(ticket, leadership => {
       const {core} = this;
       const {term} = core;
       const index = core.log.lastIndex + 1;
@@ -219,9 +228,24 @@
     ticket: Ticket,
     use: (leadership: Leadership) => void,
   ): void {
-    const {role, outbox} = this.core;
+    const {role} = this.core;
     if (role.kind === 'leader') use(role.leadership);
-    else outbox.push({kind: 'refused', ticket, reason: 'not-leader'});
+    else this.refuse(ticket);
+  }
+
+  /** As `useLeadership`, but refused while the leader hands over. */
+  private writeAsLeader(
+    ticket: Ticket,
+    write: (leadership: Leadership) => void,
+  ): void {
+    this.useLeadership(ticket, leadership => {
+      if (!leadership.transfer) write(leadership);
+      else this.refuse(ticket);
+    });
+  }
+
+  private refuse(ticket: Ticket): void {
+    this.core.outbox.push({kind: 'refused', ticket, reason: 'not-leader'});
   }
 
   private acknowledgeSync(sequence: number, now: Instant): void {
--- a/packages/consensus/src/transition.ts
+++ b/packages/consensus/src/transition.ts
@@ -26,6 +26,8 @@
       readonly ticket: Ticket;
       readonly change: MemberChange;
     }
+  /** Asks a leader to hand over to the voter that is furthest. */
+  | {readonly kind: 'transfer'}
   /** Asks that this replica is still the leader, for a read of its state. */
   | {readonly kind: 'read'; readonly ticket: Ticket}
   /** All `persist` effects up to this sequence are on the disk. */
--- a/packages/consensus/src/vote.ts
+++ b/packages/consensus/src/vote.ts
@@ -2,7 +2,7 @@
 import type {Core} from './core.js';
 import {lead} from './lead.js';
 import {computeQuorum} from './member.js';
-import type {VoteReply, VoteRequest} from './message.js';
+import type {TakeOver, VoteReply, VoteRequest} from './message.js';
 
 /** Asks the voters whether an election could be won. Nothing is written for it. */
 export function pollVoters(core: Core, now: Instant): void {
@@ -13,12 +13,15 @@
     voteSequence: 0,
   };
   core.deferElection(now);
-  requestVotes(core, core.term + 1, true);
+  requestVotes(core, core.term + 1, {
+    preliminary: true,
+    transferred: false,
+  });
   countVotes(core, now);
 }
 
 /** Raises the term and stands for election in it. */
-function startElection(core: Core, now: Instant): void {
+function startElection(core: Core, now: Instant, transferred: boolean): void {
   core.writeHardState({term: core.term + 1, vote: core.options.id});
   core.role = {
     kind: 'candidate',
@@ -27,17 +30,21 @@
     voteSequence: core.outbox.sequence,
   };
   core.deferElection(now);
-  requestVotes(core, core.term, false);
+  requestVotes(core, core.term, {preliminary: false, transferred});
 }
 
-function requestVotes(core: Core, term: number, preliminary: boolean): void {
+function requestVotes(
+  core: Core,
+  term: number,
+  election: Pick<VoteRequest, 'preliminary' | 'transferred'>,
+): void {
   const {lastIndex, lastTerm} = core.log;
   for (const voter of core.voters) {
     if (voter === core.options.id) continue;
     core.outbox.sendSynced(voter, {
       kind: 'vote-request',
       term,
-      preliminary,
+      ...election,
       lastIndex,
       lastTerm,
     });
@@ -52,6 +59,17 @@
   grantTo(core, core.options.id, now);
 }
 
+/** Stands for election at the leader's wish. */
+export function handleTakeOver(
+  core: Core,
+  from: ControlId,
+  message: TakeOver,
+  now: Instant,
+): void {
+  if (message.term !== core.term || core.leader !== from) return;
+  if (core.isVoter) startElection(core, now, true);
+}
+
 /**
  * Answers a request for a vote. Within an election timeout of hearing from a
  * leader it gives none, not even in a newer term: the leader's lease rests on
@@ -65,7 +83,8 @@
 ): void {
   const {electionTimeoutMs} = core.options.timing;
   const leased =
-    core.role.kind === 'leader' || now < core.contactAt + electionTimeoutMs;
+    !request.transferred &&
+    (core.role.kind === 'leader' || now < core.contactAt + electionTimeoutMs);
   if (request.preliminary) {
     const granted =
       request.term > core.term && !leased && isUpToDate(core, request);
@@ -140,6 +159,6 @@
   if (role.kind !== 'candidate') return;
   const granted = voters.filter(voter => role.granted.has(voter)).length;
   if (granted < computeQuorum(voters.length)) return;
-  if (role.preliminary) startElection(core, now);
+  if (role.preliminary) startElection(core, now, false);
   else lead(core, now);
 }
--- a/packages/consensus/test/profiles.ts
+++ b/packages/consensus/test/profiles.ts
@@ -10,6 +10,8 @@
   readonly maxBatchBytes: number;
   readonly crash: number;
   readonly partition: number;
+  /** Asks the leader to hand over. */
+  readonly transfer: number;
   /** Replaces a disk, or a live replica, by a new one. */
   readonly replace: number;
   /** Also checks writes and messages as they happen, not only what they lead to. */
@@ -25,6 +27,7 @@
   duplication: 5,
   crash: 40,
   partition: 40,
+  transfer: 15,
   replace: 0,
   checkSteps: true,
 };
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -8,6 +8,7 @@
   kind: 'vote-request',
   term,
   preliminary,
+  transferred: false,
   lastIndex: 9,
   lastTerm: 9,
 });
@@ -168,6 +169,34 @@
   t.is(tryChange('promote', 'b'), 'already-member');
 });
 
+test('a leader that hands over writes nothing and reads no more under its lease', t => {
+  const stand = new Stand();
+  stand.startLeading();
+  stand.accept();
+  stand.step({kind: 'transfer'});
+  t.like(stand.find('send')[0], {to: 'b', message: {kind: 'take-over'}});
+  const commands = [Buffer.from('x')];
+  stand.step({kind: 'propose', ticket: 1, commands});
+  t.like(stand.find('refused')[0], {ticket: 1, reason: 'not-leader'});
+  stand.step({kind: 'read', ticket: 2});
+  t.deepEqual(stand.find('readable'), []);
+  stand.accept();
+  t.is(stand.find('readable').length, 1);
+});
+
+test('a replica that is asked to take over stands at once, and gets votes in spite of the lease', t => {
+  const stand = new Stand();
+  stand.receive('b', append(1));
+  stand.receive('c', {kind: 'take-over', term: 1});
+  t.is(stand.status.role, 'follower');
+  stand.receive('b', {kind: 'take-over', term: 1});
+  t.like(stand.sent[0], {kind: 'vote-request', term: 2, transferred: true});
+  const voter = new Stand();
+  voter.receive('c', append(1));
+  voter.receive('b', {...askVote(2), transferred: true} as Message);
+  t.true(granted(voter));
+});
+
 test('many proposals go in one write', t => {
   const stand = new Stand();
   stand.startLeading();
--- a/packages/consensus/test/simulation.ts
+++ b/packages/consensus/test/simulation.ts
@@ -341,11 +341,17 @@
     return found;
   }
 
+  private transfer(): void {
+    const leader = this.findLeader();
+    if (leader) this.step(leader, {kind: 'transfer'});
+  }
+
   private injectFaults(): void {
     const {maxCalmMs, maxOutageMs} = this.faults;
     const calmMs = this.draw(Math.ceil(maxCalmMs / 4), maxCalmMs);
     this.agenda.add(calmMs, () => this.injectFaults());
     this.stepReplacement();
+    if (this.decide(this.faults.transfer)) this.transfer();
     if (!this.faulty) return;
     const nodes = [...this.nodes.values()];
     const node = nodes[this.draw(0, nodes.length - 1)];
--- a/packages/storage/src/host.ts
+++ b/packages/storage/src/host.ts
@@ -51,6 +51,8 @@
   private closed = false;
   private timer: NodeJS.Timeout | undefined;
   private timerAt: Instant = Infinity;
+  /** Told once this replica does not lead. */
+  private readonly transferWaiters = new Set<(moved: boolean) => void>();
   private addresses: ReadonlyMap<ControlId, Address> = new Map();
   private appliedIndex: number;
   private snapshotIndex: number;
@@ -125,6 +127,25 @@
     });
   }
 
+  /**
+   * Hands leadership to another voter. Resolves once this replica does not
+   * lead, true, or at the deadline when no other has taken over, false.
+   */
+  transferLeadership(deadline: Instant): Promise<boolean> {
+    if (this.describeStatus().role !== 'leader') return Promise.resolve(true);
+    return new Promise(resolve => {
+      const delayMs = computeRemainingMs(this.options.clock.now(), deadline);
+      const timer = setTimeout(() => settle(false), delayMs);
+      const settle = (moved: boolean) => {
+        clearTimeout(timer);
+        this.transferWaiters.delete(settle);
+        resolve(moved);
+      };
+      this.transferWaiters.add(settle);
+      this.step({kind: 'transfer'});
+    });
+  }
+
   /** Describes the replica. */
   describeStatus(): ReplicaStatus {
     return this.replica.describeStatus();
@@ -142,6 +163,7 @@
     clearTimeout(this.timer);
     for (const {settle} of this.proposals.close()) settle({kind: 'not-leader'});
     this.requests.endAll();
+    for (const settle of this.transferWaiters) settle(true);
   }
 
   /** Steps the replica; an input that an effect brings about waits for the step's end. */
@@ -189,7 +211,7 @@
         this.requests.confirmRead(effect);
         return;
       case 'role':
-        if (effect.role !== 'leader') this.requests.loseLeadership();
+        if (effect.role !== 'leader') this.endLeadership();
         this.options.observe?.(this.describeStatus());
         return;
       case 'members':
@@ -291,6 +313,11 @@
     );
   }
 
+  private endLeadership(): void {
+    this.requests.loseLeadership();
+    for (const settle of this.transferWaiters) settle(true);
+  }
+
   private followMembers(members: Members): void {
     this.addresses = new Map(members.map(({id, address}) => [id, address]));
     this.options.observe?.(this.describeStatus());
@@ -298,7 +325,10 @@
 
   private describeLeader(): NotLeader {
     const {leader} = this.describeStatus();
-    if (leader === undefined) return {kind: 'not-leader'};
+    // A leader that hands over refuses writes, too.
+    if (leader === undefined || leader === this.options.id) {
+      return {kind: 'not-leader'};
+    }
     const address = this.addresses.get(leader);
     return {
       kind: 'not-leader',
--- a/packages/storage/test/host.test.ts
+++ b/packages/storage/test/host.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {monotonicClock} from '#model';
 import {Cluster} from './cluster.js';
 
 const names = (count: number) => Array.from({length: count}, (_, i) => `w${i}`);
@@ -49,6 +50,15 @@
   t.deepEqual(await cluster.awaitValues(id, 2), ['x', 'z']);
 });
 
+test('a leader hands over to another replica', async t => {
+  await using cluster = await Cluster.start(['a', 'b', 'c']);
+  await cluster.submit('x');
+  const old = await cluster.awaitLeader();
+  t.true(await old.transferLeadership(monotonicClock.now() + 60_000));
+  t.not(old.describeStatus().role, 'leader');
+  t.is(await cluster.submit('y'), 2);
+});
+
 test('a group that restarts has all that it acknowledged', async t => {
   await using cluster = await Cluster.start(['a', 'b', 'c']);
   for (const name of names(50)) await cluster.submit(name);
