--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -1,5 +1,5 @@
 import {mkdir, open, readdir, readFile, rename, rm} from 'node:fs/promises';
-import {dirname} from 'node:path';
+import {dirname, resolve} from 'node:path';
 import type {Either} from 'purify-ts';
 import type {StoreError} from './error.js';
 import {lockFolder} from './lock.js';
@@ -43,9 +43,9 @@
   createFolder: async folder => {
     const first = await mkdir(folder, {recursive: true});
     if (first === undefined) return;
-    for (let made = folder; ; made = dirname(made)) {
+    const top = dirname(resolve(first));
+    for (let made = resolve(folder); made !== top; made = dirname(made)) {
       await syncFolder(dirname(made));
-      if (made === first) return;
     }
   },
   lock: lockFolder,
--- a/packages/storage/test/lock.test.ts
+++ b/packages/storage/test/lock.test.ts
@@ -1,6 +1,6 @@
 import {mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {join, relative} from 'node:path';
 import process from 'node:process';
 import test from 'ava';
 import {Store} from '#storage';
@@ -42,6 +42,14 @@
   }
 });
 
+test('a folder may be named relative to the working one', async t => {
+  await using made = await makeFolder();
+  const folder = relative(process.cwd(), join(made.folder, 'x', 'y'));
+  const opened = await Store.open(folder, {id: 'a'});
+  t.true(opened.isRight());
+  await opened.unsafeCoerce()[Symbol.asyncDispose]();
+});
+
 test('a real folder gives back what was written', async t => {
   await using made = await makeFolder();
   const store = (await open(made.folder)).unsafeCoerce();
