Tell slow targets from long tasks by the spread of runs on each target

Cause: a fixed margin of four means left slow slots idle under overload where runs spread less. The margin is now the 95th percentile of run / target mean.

--- a/packages/policy/src/credit-placement.ts
+++ b/packages/policy/src/credit-placement.ts
@@ -22,8 +22,6 @@
 const demandRoundMs = 2;
 /** A faster slot must be expected to save at least this share of the slow run. */
 const minSavedShare = 0.1;
-/** A run counts as in time when this many times its mean ends before the deadline. */
-const runMargin = 4;
 
 /**
  * Starts tasks at once on slots that agents granted ahead, the fastest target
@@ -182,8 +180,9 @@
     const nextMs = 1 / faster.endsPerMs + faster.runMs;
     const lastMs = waiting / faster.endsPerMs + faster.runMs;
     const saves = lastMs < booked.runMs * (1 - minSavedShare);
-    const isTooSlow = now + booked.runMs * runMargin > deadline;
-    const isInTime = now + nextMs * runMargin <= deadline;
+    const tail = this.sources.runTimes.estimateTail(this.sources.service, now);
+    const isTooSlow = now + booked.runMs * tail > deadline;
+    const isInTime = now + nextMs * tail <= deadline;
     if (isTooSlow ? !isInTime : !saves || now + lastMs > deadline) return now;
     this.heldSince ??= now;
     return this.heldSince + Math.max(nextMs, booked.runMs - faster.runMs);
--- a/packages/policy/src/estimate.ts
+++ b/packages/policy/src/estimate.ts
@@ -68,6 +68,8 @@
   /** Of ln(run time / hint). */
   hintError: DecayingMean;
   readonly targets: Map<TargetId, DecayingMean>;
+  /** Of run time / mean on the same target. */
+  readonly spread: DecayingHistogram;
 }
 
 export interface EstimateLimits {
@@ -88,6 +90,10 @@
   maxTargetsPerService: 4096,
 };
 
+const tailQuantile = 0.95;
+const defaultTail = 3;
+/** Observations of a target before its mean is a measure for its runs. */
+const minSpreadWeight = 5;
 /** A task of which nothing is known yet. */
 const defaultRunMs = 100;
 const minRunMs = 0.5;
@@ -120,6 +126,9 @@
     const known = this.openService(service, now);
     const ofTarget = known.targets.get(target) ?? unknownMean;
     known.runs.observe(value, now);
+    if (ofTarget.weight >= minSpreadWeight) {
+      known.spread.observe(value / ofTarget.mean, now);
+    }
     touchKey(
       known.targets,
       target,
@@ -179,6 +188,15 @@
     return (weight * one.mean + priorWeight * pool) / (weight + priorWeight);
   }
 
+  /** Estimates how many times its mean on one target a long task of a service runs there. */
+  estimateTail(service: ServiceName, now: Instant): number {
+    const spread = this.services.get(service)?.spread;
+    if (spread === undefined || spread.count(now) < minSpreadWeight) {
+      return defaultTail;
+    }
+    return Math.max(1, spread.computeQuantile(tailQuantile));
+  }
+
   /** Forgets a target that is gone. */
   forgetTarget(service: ServiceName, target: TargetId): void {
     this.services.get(service)?.targets.delete(target);
@@ -189,6 +207,7 @@
       runs: new DecayingHistogram(this.limits.halfLifeMs, now),
       hintError: unknownMean,
       targets: new Map(),
+      spread: new DecayingHistogram(this.limits.halfLifeMs, now),
     };
     touchKey(this.services, service, known, this.limits.maxServices);
     return known;
--- a/packages/policy/test/estimate.test.ts
+++ b/packages/policy/test/estimate.test.ts
@@ -80,3 +80,23 @@
   observe(runs, 5000, 10, undefined, 0, 'c');
   t.true(near(runs.estimateOn('s', 'a', 0), runs.computeMean('s'), 1.01));
 });
+
+test('the tail is measured against each target, whatever their speeds', t => {
+  const random = createRandom(5);
+  const runs = new RunTimes();
+  t.true(runs.estimateTail('s', 0) > 1);
+  for (const [target, speed] of [
+    ['fast', 1],
+    ['slow', 10],
+  ] as const) {
+    observe(
+      runs,
+      500,
+      () => speed * 200 * random.drawFloat(),
+      undefined,
+      0,
+      target,
+    );
+  }
+  t.true(near(runs.estimateTail('s', 0), 1.9));
+});
