--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -42,7 +42,7 @@
 export {formatTable} from './table.js';
 export {sleepFor, waitUntil} from './wait.js';
 
-export type {Trouble, TroubleStep} from './chaos-plan.js';
+export type {ChaosOptions, Trouble, TroubleStep} from './chaos-plan.js';
 export {describeTrouble, planChaos} from './chaos-plan.js';
 export type {ChaosRun} from './chaos.js';
 export {runChaos} from './chaos.js';
--- /dev/null
+++ b/packages/bench/test/plan.test.ts
@@ -0,0 +1,91 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {
+  type ChaosOptions,
+  computeLine,
+  countWasted,
+  describeTrouble,
+  judgeRaces,
+  MessageTap,
+  planChaos,
+  Random,
+} from '#bench';
+import {encodeFrame, preface} from '#protocol';
+
+const chaos: ChaosOptions = {
+  seed: 1,
+  troubles: 50,
+  spanMs: 1000,
+  maxTroubleMs: 500,
+  names: {
+    control: ['c0', 'c1', 'c2'],
+    entry: ['e0', 'e1'],
+    agent: ['a0', 'a1'],
+  },
+};
+
+test('the same seed plans the same troubles, in the order of their times', t => {
+  const steps = planChaos(chaos);
+  t.deepEqual(planChaos(chaos), steps);
+  t.notDeepEqual(planChaos({...chaos, seed: 2}), steps);
+  const times = steps.map(({atMs}) => atMs);
+  t.deepEqual(
+    times,
+    [...times].sort((a, b) => a - b),
+  );
+  t.true(
+    steps.every(step => describeTrouble(step).includes(step.trouble.kind)),
+  );
+});
+
+test('random picks stay within their bounds', t => {
+  fc.assert(
+    fc.property(fc.integer(), fc.integer({min: 2, max: 1000}), (seed, max) => {
+      const random = new Random(seed);
+      const number = random.pickInt(1, max);
+      const octave = random.pickLogUniform(1, max);
+      return (
+        number >= 1 &&
+        number <= max &&
+        octave >= 1 &&
+        octave <= max &&
+        random.pickExponential(max) >= 0
+      );
+    }),
+    {seed: 11},
+  );
+  t.pass();
+});
+
+test('a line through points on it has no residual', t => {
+  const points = [1, 2, 4, 8].map(x => ({x, y: 3 * x + 5}));
+  const {slope, intercept, residual} = computeLine(points);
+  t.true(Math.abs(slope - 3) < 1e-9 && Math.abs(intercept - 5) < 1e-9);
+  t.true(residual < 1e-9);
+});
+
+test('two winners on one version and a lost change are faults of a race', t => {
+  const a = {changeId: 'a', version: 2};
+  const b = {changeId: 'b', version: 2};
+  const race = {expectedVersion: 1, conflicts: 0, unanswered: 0};
+  t.deepEqual(judgeRaces([{...race, accepted: [a]}], [a]), []);
+  t.is(judgeRaces([{...race, accepted: [a, b]}], [a]).length, 2);
+  t.is(judgeRaces([{...race, accepted: [a]}], []).length, 1);
+});
+
+test('a tap counts the messages that carry no task and refused starts', t => {
+  const tap = new MessageTap();
+  const read = tap.open();
+  const frames = [
+    {method: 'agent.reserve', params: {slots: 2}},
+    {method: 'agent.start', params: {tasks: []}},
+    {
+      method: 'entry.report',
+      params: {tasks: [{fate: {kind: 'not-run'}}, {fate: {kind: 'succeeded'}}]},
+    },
+  ].map(encodeFrame);
+  read(Buffer.concat([preface, ...frames]));
+  tap.open()(Buffer.from('not the protocol'));
+  t.is(tap.count('agent.start'), 1);
+  t.is(countWasted(tap), 2);
+});
--- /dev/null
+++ b/packages/bench/test/site.test.ts
@@ -0,0 +1,102 @@
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test from 'ava';
+import {
+  countOutcomes,
+  describeExecutor,
+  describeSite,
+  describeWorker,
+  isSound,
+  type LoadOptions,
+  planLoad,
+  readJournal,
+  runChaos,
+  runLoad,
+  Site,
+  type SiteOptions,
+} from '#bench';
+
+const load: LoadOptions = {
+  seed: 5,
+  jobs: 40,
+  arrivals: {kind: 'poisson', jobsPerSecond: 20},
+  services: ['tally', 'renewal'],
+  teams: ['herd-registry'],
+  minTasks: 1,
+  maxTasks: 10,
+  minTaskMs: 5,
+  maxTaskMs: 100,
+  deadlineMs: 30_000,
+  unrepeatableShare: 0.3,
+  failingShare: 0,
+  declaredErrorFactor: 2,
+};
+
+function makeFolder(): string {
+  return mkdtempSync(join(tmpdir(), 'wasabiring-test-'));
+}
+
+async function startSite(changes: Partial<SiteOptions> = {}): Promise<Site> {
+  const site = await Site.start(
+    describeSite(makeFolder(), {
+      targets: [describeExecutor('tally'), describeWorker('renewal')],
+      proxied: true,
+      ...changes,
+    }),
+  );
+  await site.waitUntilReady();
+  return site;
+}
+
+/** Submits the load, some jobs at two entries at once, and makes trouble once it has begun. */
+async function judgeLoad(site: Site, makeTrouble: () => unknown) {
+  const running = runLoad(planLoad(load), {
+    entries: site.entryUrls,
+    seed: load.seed,
+    arrivals: load.arrivals,
+    persistence: {maxAttempts: 20, maxPauseMs: 1000},
+    doubledShare: 0.5,
+  });
+  while (readJournal(site.journal).length < load.jobs) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  await makeTrouble();
+  const records = await running;
+  return countOutcomes(readJournal(site.journal), records);
+}
+
+test('connections that go silent for good cost no job its answer', async t => {
+  await using site = await startSite();
+  const counts = await judgeLoad(site, () => {
+    for (const {proxy} of site.members) proxy!.swallowOpen();
+  });
+  t.deepEqual(counts.offences, []);
+  t.is(counts.complete, load.jobs);
+});
+
+test('a killed entry doubles no task and leaves no job without an answer', async t => {
+  await using site = await startSite();
+  const counts = await judgeLoad(site, async () => {
+    await site.kill('entry-0', 'SIGKILL');
+    await site.restart('entry-0');
+  });
+  t.deepEqual(counts.offences, []);
+  t.true(isSound(counts));
+  t.is(counts.unanswered, 0);
+});
+
+test('an entry that drains ends with code 0 and cuts no request', async t => {
+  await using site = await startSite();
+  const counts = await judgeLoad(site, async () => {
+    t.deepEqual(await site.kill('entry-0', 'SIGTERM'), {kind: 'code', code: 0});
+    await site.restart('entry-0');
+  });
+  t.deepEqual(counts.offences, []);
+  t.is(counts.complete, load.jobs);
+});
+
+test('a seeded run of troubles breaks no promise', async t => {
+  const run = await runChaos(makeFolder(), 2, 4);
+  t.deepEqual(run.faults, []);
+});
