--- a/packages/control/src/replicated.ts
+++ b/packages/control/src/replicated.ts
@@ -18,9 +18,7 @@
       id,
       ...(role.join ? {} : {bootstrap: listFirstMembers(id, role, address)}),
       machine,
-      send: (to, known, message) => {
-        if (known !== undefined) send(to, known, message);
-      },
+      send,
       fail: error => fail(describeStoreError(error)),
       clock,
       seed: crc32(id),
--- a/scripts/measure-admissions.js
+++ b/scripts/measure-admissions.js
@@ -34,6 +34,7 @@
       tasks: 20,
       unrepeatable: false,
       revision: n,
+      ticket: n,
       expirySecond: 600 + Math.floor(n / jobsPerSecond),
     });
   }
