--- a/packages/bench/src/ports.ts
+++ b/packages/bench/src/ports.ts
@@ -4,20 +4,25 @@
 const firstPort = 10_000;
 const lastPort = 32_000;
 
+let ownRange: PortRange | undefined;
+
 /** Hands out ports of loopback upwards from a base, leaving out those in use. */
 export class PortRange {
   constructor(private next: number) {}
 
-  /** A range for this process, apart from those of others that start at the same time. */
+  /** The range of this process, apart from those of others that start at the same time. */
   static choose(): PortRange {
     const span = lastPort - firstPort;
-    return new PortRange(firstPort + ((process.pid * 97) % span));
+    ownRange ??= new PortRange(firstPort + ((process.pid * 97) % span));
+    return ownRange;
   }
 
   /** Returns the next port on which nothing listens. */
   async take(): Promise<number> {
-    while (!(await isFree(this.next))) this.next += 1;
-    return this.next++;
+    for (;;) {
+      const port = this.next++;
+      if (await isFree(port)) return port;
+    }
   }
 
   /** Returns that many ports in ascending order. */
--- a/packages/bench/test/site.test.ts
+++ b/packages/bench/test/site.test.ts
@@ -66,37 +66,49 @@
   return countOutcomes(readJournal(site.journal), records);
 }
 
-test('connections that go silent for good cost no job its answer', async t => {
-  await using site = await startSite();
-  const counts = await judgeLoad(site, () => {
-    for (const {proxy} of site.members) proxy!.swallowOpen();
-  });
-  t.deepEqual(counts.offences, []);
-  t.is(counts.complete, load.jobs);
-});
+test.serial(
+  'connections that go silent for good cost no job its answer',
+  async t => {
+    await using site = await startSite();
+    const counts = await judgeLoad(site, () => {
+      for (const {proxy} of site.members) proxy!.swallowOpen();
+    });
+    t.deepEqual(counts.offences, []);
+    t.is(counts.complete, load.jobs);
+  },
+);
 
-test('a killed entry doubles no task and leaves no job without an answer', async t => {
-  await using site = await startSite();
-  const counts = await judgeLoad(site, async () => {
-    await site.kill('entry-0', 'SIGKILL');
-    await site.restart('entry-0');
-  });
-  t.deepEqual(counts.offences, []);
-  t.true(isSound(counts));
-  t.is(counts.unanswered, 0);
-});
+test.serial(
+  'a killed entry doubles no task and leaves no job without an answer',
+  async t => {
+    await using site = await startSite();
+    const counts = await judgeLoad(site, async () => {
+      await site.kill('entry-0', 'SIGKILL');
+      await site.restart('entry-0');
+    });
+    t.deepEqual(counts.offences, []);
+    t.true(isSound(counts));
+    t.is(counts.unanswered, 0);
+  },
+);
 
-test('an entry that drains ends with code 0 and cuts no request', async t => {
-  await using site = await startSite();
-  const counts = await judgeLoad(site, async () => {
-    t.deepEqual(await site.kill('entry-0', 'SIGTERM'), {kind: 'code', code: 0});
-    await site.restart('entry-0');
-  });
-  t.deepEqual(counts.offences, []);
-  t.is(counts.complete, load.jobs);
-});
+test.serial(
+  'an entry that drains ends with code 0 and cuts no request',
+  async t => {
+    await using site = await startSite();
+    const counts = await judgeLoad(site, async () => {
+      t.deepEqual(await site.kill('entry-0', 'SIGTERM'), {
+        kind: 'code',
+        code: 0,
+      });
+      await site.restart('entry-0');
+    });
+    t.deepEqual(counts.offences, []);
+    t.is(counts.complete, load.jobs);
+  },
+);
 
-test('a seeded run of troubles breaks no promise', async t => {
+test.serial('a seeded run of troubles breaks no promise', async t => {
   const run = await runChaos(makeFolder(), 2, 4);
   t.deepEqual(run.faults, []);
 });
