--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,4 +1,5 @@
 import {parseArgs} from 'node:util';
+import {endOnSignals} from './child.js';
 import {measureDeployments} from './bench-deployments.js';
 import {measurePlacement} from './bench-placement.js';
 import {measureSlopes} from './bench-slopes.js';
@@ -21,5 +22,6 @@
   );
   process.exit(2);
 }
+endOnSignals();
 await run(seed);
 process.exit();
--- a/packages/bench/src/chaos-main.ts
+++ b/packages/bench/src/chaos-main.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {parseArgs} from 'node:util';
+import {endOnSignals} from './child.js';
 import {type ChaosRun, runChaos} from './chaos.js';
 import {describeTrouble} from './chaos-plan.js';
 import type {Counts} from './check.js';
@@ -39,6 +40,7 @@
   'contradicted',
 ];
 
+endOnSignals();
 const runs: ChaosRun[] = [];
 for (let i = 0; i < count; i++) {
   const seed = firstSeed + i;
--- a/packages/bench/src/child.ts
+++ b/packages/bench/src/child.ts
@@ -11,6 +11,19 @@
 
 const stopLimitMs = 15_000;
 
+const running = new Set<Child>();
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
+/** Ends this process, and with it every child, on the first SIGTERM or SIGINT. */
+export function endOnSignals(): void {
+  const exitCodeOffset = 128;
+  process.once('SIGTERM', () => process.exit(exitCodeOffset + 15));
+  process.once('SIGINT', () => process.exit(exitCodeOffset + 2));
+}
+
 /** A process that this one started, with its log in a file. Signals go to its pid only. */
 export class Child implements AsyncDisposable {
   readonly exited: Promise<ChildExit>;
@@ -31,7 +44,11 @@
         ),
       );
     });
-    void this.exited.then(exit => (this.exit = exit));
+    running.add(this);
+    void this.exited.then(exit => {
+      this.exit = exit;
+      running.delete(this);
+    });
     const lines = createInterface(process.stdout!);
     this.firstLine = new Promise(resolve => {
       lines.once('line', resolve);
--- a/packages/bench/src/demo-main.ts
+++ b/packages/bench/src/demo-main.ts
@@ -1,6 +1,7 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {endOnSignals} from './child.js';
 import {countOutcomes, type Counts, isSound} from './check.js';
 import type {JobRecord} from './caller.js';
 import {readJournal} from './journal.js';
@@ -73,6 +74,7 @@
   console.log(formatTable([heading, ...rows]));
 }
 
+endOnSignals();
 const data = mkdtempSync(join(tmpdir(), 'wasabiring-demo-'));
 const counts = await runDemo(data);
 const {offences, ...numbers} = counts;
--- a/packages/bench/src/site-main.ts
+++ b/packages/bench/src/site-main.ts
@@ -17,7 +17,19 @@
 const stopped = new Promise<void>(resolve => {
   process.once('SIGTERM', () => resolve());
   process.once('SIGINT', () => resolve());
+  if (process.env['npm_lifecycle_event'] === 'site') watchParent(resolve);
 });
+
+/** Tells when the shell between npm and this process ends: it takes SIGTERM and passes none on. */
+function watchParent(onEnd: () => void): void {
+  const {ppid} = process;
+  const pollIntervalMs = 200;
+  const timer = setInterval(() => {
+    if (process.ppid !== ppid) onEnd();
+  }, pollIntervalMs);
+  timer.unref();
+}
+
 const site = await Site.start(describeSite(values.data, {basePort}));
 try {
   const ready = site
