--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -133,8 +133,9 @@
       : {kind: 'not-leader', leader};
   }
 
-  /** Finds the leader's address, if one is known. */
+  /** Finds the leader's address, if one is known and stays. */
   findLeader(): Address | undefined {
+    if (this.closed) return undefined;
     const {leader, members} = this.replica.describeStatus();
     return members.find(({id}) => id === leader)?.address;
   }
--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -59,6 +59,8 @@
 
 const dialTimeoutMs = 1000;
 const attemptTimeoutMs = 2000;
+/** A request with less time left is not sent: it could only become uncertain. */
+const minAttemptMs = 5;
 const firstPauseMs = 20;
 const maxPauseMs = 400;
 /** Redirections that a request follows without a pause. */
@@ -118,7 +120,7 @@
     let detail = 'the deadline has passed';
     let pauseMs = firstPauseMs;
     let redirects = 0;
-    while (!this.pause.isOver && this.clock.now() < deadline) {
+    while (!this.pause.isOver && this.clock.now() + minAttemptMs < deadline) {
       const connected = await this.connect(deadline);
       const peer = connected.extract();
       if (typeof peer === 'string') {
