--- /dev/null
+++ b/packages/bench/test/proof-links.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava';
+import type {Fault} from '#bench';
+import {noFault} from '#bench';
+import {planJobs} from './jobs.js';
+import {Stand} from './stand.js';
+
+const shape = {jobs: 16, tasks: 4, taskMs: 300};
+
+test.serial(
+  'open connections to agents that go silent for good cost no answer',
+  async t => {
+    const stand = await Stand.open(t);
+    const submitted = stand.submitOnce(planJobs('silent', shape), 0);
+    await stand.waitForStarts(12);
+    for (const {proxy} of stand.site.list('agent')) proxy!.swallowOpen();
+    stand.assertAllComplete(await submitted);
+  },
+);
+
+for (const way of ['to-server', 'to-client'] as const) {
+  test.serial(
+    `a link to an agent that swallows bytes ${way} for a while costs no answer`,
+    async t => {
+      const stand = await Stand.open(t);
+      const {proxy} = stand.site.find('tally-0');
+      const submitted = stand.submitOnce(planJobs(way, shape), 0);
+      await stand.waitForStarts(12);
+      const fault: Fault = {kind: 'swallow', way};
+      proxy!.inject(fault, 'entry-0');
+      const jobs = planJobs(`other-${way}`, {...shape, taskMs: 20});
+      const others = await stand.submitOnce(jobs, 1);
+      proxy!.inject(noFault, 'entry-0');
+      stand.assertAllComplete([...(await submitted), ...others]);
+    },
+  );
+}
+
+test.serial(
+  'connections between the entries that go silent for good cost no answer',
+  async t => {
+    const stand = await Stand.open(t);
+    const jobs = planJobs('between', {...shape, jobs: 6});
+    const first = stand.submitOnce(jobs, 0);
+    await stand.waitForJobs(jobs);
+    const second = stand.submitAll(jobs, 1);
+    for (const {proxy} of stand.site.list('entry')) proxy!.swallowOpen();
+    stand.assertAllComplete(await first);
+    stand.assertAllComplete(await second);
+  },
+);
--- /dev/null
+++ b/packages/bench/test/stand.ts
@@ -0,0 +1,201 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import type {ExecutionContext} from 'ava';
+import {
+  type Attempt,
+  Caller,
+  countOutcomes,
+  describeExecutor,
+  describeSite,
+  type Fault,
+  isSound,
+  type JobRecord,
+  type JournalLine,
+  type Persistence,
+  type PlannedJob,
+  readJournal,
+  Site,
+  type SiteOptions,
+  waitUntil,
+} from '#bench';
+import {monotonicClock} from '#model';
+import {dialPeer} from '#protocol';
+
+/** Bounds every wait; no test judges by it. */
+export const guardMs = 60_000;
+const askLimitMs = 1000;
+
+/** Leases that run out within a test. */
+const shortLeases = {
+  entry_lease_ms: 1000,
+  target_lease_ms: 2000,
+  renewal_interval_ms: 300,
+  clock_margin_ms: 100,
+};
+
+const patient: Persistence = {maxAttempts: 100, maxPauseMs: 500};
+
+/** A small site behind fault proxies: 1 control, 2 entries and 2 executors of 8 slots. */
+export class Stand {
+  private readonly caller: Caller;
+
+  private constructor(
+    private readonly t: ExecutionContext,
+    readonly site: Site,
+  ) {
+    this.caller = new Caller(site.entryUrls);
+  }
+
+  /** Starts a site that is stopped after the test; its logs stay when the test fails. */
+  static async open(
+    t: ExecutionContext,
+    changes: Partial<SiteOptions> = {},
+  ): Promise<Stand> {
+    const data = mkdtempSync(join(tmpdir(), 'wasabiring-proof-'));
+    const site = await Site.start(
+      describeSite(data, {
+        controls: 1,
+        targets: [describeExecutor('tally'), describeExecutor('tally')],
+        proxied: true,
+        leases: shortLeases,
+        ...changes,
+      }),
+    );
+    const stand = new Stand(t, site);
+    t.teardown(async () => {
+      await stand.caller[Symbol.asyncDispose]();
+      await site[Symbol.asyncDispose]();
+      if (t.passed) rmSync(data, {recursive: true});
+    });
+    await site.waitUntilReady(guardMs);
+    return stand;
+  }
+
+  /** Submits each job once, at the entry with this index. */
+  submitOnce(
+    jobs: readonly PlannedJob[],
+    entry: number,
+  ): Promise<readonly JobRecord[]> {
+    return Promise.all(
+      jobs.map(async plan => ({
+        plan,
+        attempts: [await this.tryOnce(plan, entry)],
+      })),
+    );
+  }
+
+  /** Submits each job until it is answered, first at the entry with this index. */
+  submitAll(
+    jobs: readonly PlannedJob[],
+    entry: number,
+  ): Promise<readonly JobRecord[]> {
+    return Promise.all(
+      jobs.map(plan => this.caller.submit(plan, entry, patient)),
+    );
+  }
+
+  tryOnce(plan: PlannedJob, entry: number): Promise<Attempt> {
+    return this.caller.tryOnce(plan, this.site.entryUrls[entry]!);
+  }
+
+  /** Reads the task starts that targets have seen. */
+  readStarts(): readonly JournalLine[] {
+    return readJournal(this.site.journal);
+  }
+
+  waitUntil(name: string, holds: () => boolean | Promise<boolean>) {
+    return waitUntil(name, guardMs, holds);
+  }
+
+  /** Waits until the targets have seen this many more starts than `before`. */
+  waitForStarts(count: number): Promise<void> {
+    return this.waitUntil(
+      `${count} tasks started`,
+      () => this.readStarts().length >= count,
+    );
+  }
+
+  /** Waits until every job has a task that started. */
+  waitForJobs(jobs: readonly PlannedJob[]): Promise<void> {
+    return this.waitUntil('every job started', () => {
+      const started = new Set(this.readStarts().map(({job}) => job));
+      return jobs.every(({job}) => started.has(job));
+    });
+  }
+
+  /** Waits until every entry sees this many targets. */
+  waitForTargets(count: number): Promise<void> {
+    return this.waitUntil(`every entry sees ${count} targets`, async () => {
+      const status = await this.readControl();
+      return status?.targets.length === count;
+    });
+  }
+
+  /** Reads the status that the first answering control replica gives. */
+  private async readControl() {
+    for (const {name} of this.site.list('control')) {
+      const status = await this.askControl(name);
+      if (status !== undefined) return status;
+    }
+    return undefined;
+  }
+
+  /** Asks a control replica for its status, past its proxy. */
+  async askControl(name: string) {
+    const deadline = monotonicClock.now() + askLimitMs;
+    const {listen} = this.site.find(name).plan;
+    const dialled = await dialPeer(listen, {}, deadline);
+    if (dialled.isLeft()) return undefined;
+    const peer = dialled.unsafeCoerce();
+    const status = await peer.request('control.status', {}, deadline);
+    peer.close('asked');
+    return status.toMaybe().extract();
+  }
+
+  /** Waits until a control replica other than `except` leads; returns its name. */
+  async awaitLeader(except?: string): Promise<string> {
+    let leader: string | undefined;
+    await this.waitUntil('a control replica leads', async () => {
+      for (const {name} of this.site.list('control')) {
+        if (name === except) continue;
+        if ((await this.askControl(name))?.role === 'leader') leader = name;
+      }
+      return leader !== undefined;
+    });
+    return leader!;
+  }
+
+  /** Puts a fault on every link between entries and agents. */
+  injectAtAgents(fault: Fault): void {
+    for (const {proxy} of this.site.list('agent')) proxy!.inject(fault);
+  }
+
+  /** Asserts that no promise is broken, and returns the counts. */
+  assertSound(records: readonly JobRecord[]) {
+    const counts = countOutcomes(this.readStarts(), records);
+    this.t.true(isSound(counts), JSON.stringify(counts));
+    return counts;
+  }
+
+  /** Asserts that every job has its whole answer and each of its tasks started exactly once. */
+  assertAllComplete(records: readonly JobRecord[]): void {
+    const counts = this.assertSound(records);
+    const ends = records
+      .filter(({attempts}) => attempts.at(-1)!.outcome.kind !== 'complete')
+      .map(({attempts}) => attempts.map(({outcome}) => outcome));
+    this.t.is(counts.complete, records.length, JSON.stringify(ends[0]));
+    const tasks = records.flatMap(({plan}) => plan.tasks).length;
+    const jobs = new Set(records.map(({plan}) => plan.job));
+    const starts = this.readStarts().filter(({job}) => jobs.has(job));
+    this.t.is(starts.length, tasks);
+  }
+
+  /** Asserts that every submission was answered. */
+  assertAnswered(records: readonly JobRecord[]): void {
+    const silent = records
+      .flatMap(({attempts}) => attempts)
+      .filter(({outcome}) => outcome.kind === 'unanswered');
+    this.t.deepEqual(silent, []);
+  }
+}
