Keep the slot of a cancelled task until its executor lets go of it

Found by the cancellation proof: jobs after a wave failed with "target answered 503: every slot is taken". Cause: a cancellation closed the HTTP exchange and freed the agent's slot at once, while an executor, which cannot be told to stop a task, worked on. Ruled out: double grants (the agent's slot count was right). The exchange now stays open until the answer, at most for the longest run time; the fate is told at once as before.

--- a/packages/agent/src/executor.ts
+++ b/packages/agent/src/executor.ts
@@ -2,6 +2,7 @@
 import {failUnreachable} from '#model';
 import {interpretAnswer} from './answer.js';
 import {openPool, sendRequest} from './http.js';
+import type {StopCause} from './runner.js';
 import {
   maxResultBytes,
   type RunOutcome,
@@ -11,7 +12,10 @@
 
 const healthTimeoutMs = 2000;
 
-/** A back end that runs one task for each HTTP request. */
+/**
+ * A back end that runs one task for each HTTP request and cannot be told to stop
+ * one: a cancelled task keeps its slot until the answer or its longest run time.
+ */
 export class Executor implements Target {
   private readonly pool: Pool;
 
@@ -21,14 +25,24 @@
   }
 
   async run(request: RunRequest, signal: AbortSignal): Promise<RunOutcome> {
-    const {job, task, payload} = request;
+    const {job, task, payload, maxTaskMs} = request;
+    const close = new AbortController();
+    const limit = setTimeout(() => close.abort(), maxTaskMs);
+    const onAbort = () => {
+      if (!isCancelled(signal)) close.abort();
+    };
+    signal.addEventListener('abort', onAbort, {once: true});
     const outcome = await sendRequest(this.pool, {
       method: 'POST',
       path: '/run',
       body: {job, task, payload},
       signal,
+      closeSignal: close.signal,
       maxBytes: maxResultBytes,
     });
+    signal.removeEventListener('abort', onAbort);
+    if (outcome.kind !== 'aborted') clearTimeout(limit);
+    else void outcome.ended.then(() => clearTimeout(limit));
     switch (outcome.kind) {
       case 'answered':
         return interpretAnswer(outcome.status, outcome.body);
@@ -39,7 +53,7 @@
       case 'broken':
         return {kind: 'unknown', detail: outcome.detail};
       case 'aborted':
-        return {kind: 'stopped'};
+        return {kind: 'stopped', released: outcome.ended};
       default:
         return failUnreachable(outcome);
     }
@@ -59,3 +73,7 @@
     await this.pool.destroy();
   }
 }
+
+function isCancelled(signal: AbortSignal): boolean {
+  return (signal.reason as StopCause).kind === 'cancelled';
+}
--- a/packages/agent/src/http.ts
+++ b/packages/agent/src/http.ts
@@ -34,14 +34,16 @@
   | {readonly kind: 'not-sent'; readonly detail: string}
   /** Written, and the exchange broke: the target may have acted on it. */
   | {readonly kind: 'broken'; readonly detail: string}
-  /** Aborted by the caller after it was written. */
-  | {readonly kind: 'aborted'};
+  /** Aborted by the caller after it was written; `ended` resolves once the exchange is over. */
+  | {readonly kind: 'aborted'; readonly ended: Promise<void>};
 
 export interface HttpRequest {
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
   readonly signal?: AbortSignal;
+  /** Closes the exchange, which an abort of `signal` then leaves open once it was written. */
+  readonly closeSignal?: AbortSignal;
   /** The largest body accepted, in bytes. */
   readonly maxBytes: number;
 }
@@ -75,7 +77,9 @@
     let bytes = 0;
     let sent = false;
     let abort = (_cause: Error) => {};
-    const {signal} = request;
+    let end = () => {};
+    const ended = new Promise<void>(settle => (end = settle));
+    const {signal, closeSignal} = request;
     const finish = (outcome: HttpOutcome) => {
       signal?.removeEventListener('abort', onAbort);
       resolve(outcome);
@@ -83,9 +87,10 @@
     const onAbort = () => {
       finish(
         sent
-          ? {kind: 'aborted'}
+          ? {kind: 'aborted', ended}
           : {kind: 'not-sent', detail: 'aborted before it was sent'},
       );
+      if (sent && closeSignal?.aborted === false) return;
       abort(new Error('aborted'));
     };
     if (signal?.aborted === true) {
@@ -93,6 +98,7 @@
       return;
     }
     signal?.addEventListener('abort', onAbort);
+    closeSignal?.addEventListener('abort', () => abort(new Error('closed')));
     pool.dispatch(
       {
         method: request.method,
@@ -120,10 +126,14 @@
           finish({kind: 'unusable', detail});
           controller.abort(new Error(detail));
         },
-        onResponseEnd: () =>
-          finish({kind: 'answered', status, body: Buffer.concat(chunks)}),
-        onResponseError: (_controller, error) =>
-          finish({kind: sent ? 'broken' : 'not-sent', detail: error.message}),
+        onResponseEnd: () => {
+          finish({kind: 'answered', status, body: Buffer.concat(chunks)});
+          end();
+        },
+        onResponseError: (_controller, error) => {
+          finish({kind: sent ? 'broken' : 'not-sent', detail: error.message});
+          end();
+        },
       },
     );
   });
--- a/packages/agent/src/intake.ts
+++ b/packages/agent/src/intake.ts
@@ -313,7 +313,8 @@
     const key = formatTask(request);
     const {epoch} = this.running.get(key)!;
     this.running.delete(key);
-    this.slots.release(epoch, this.options.clock.now());
+    if (end.released === undefined) this.returnSlot(epoch);
+    else void end.released.then(() => this.returnSlot(epoch));
     this.options.metrics.timing('agent.task', end.runMs, {
       fate: end.fate.kind,
     });
@@ -329,6 +330,11 @@
     this.options.onChange();
   }
 
+  private returnSlot(epoch: Epoch): void {
+    this.slots.release(epoch, this.options.clock.now());
+    this.options.onChange();
+  }
+
   private takeReports(epoch: Epoch): readonly (readonly TaskReport[])[] {
     const batches: (readonly TaskReport[])[] = [];
     let batch: readonly TaskReport[] = this.refusals.get(epoch) ?? [];
--- a/packages/agent/src/runner.ts
+++ b/packages/agent/src/runner.ts
@@ -23,6 +23,8 @@
   readonly runMs: number;
   /** True when the target could not be reached. */
   readonly unreachable: boolean;
+  /** Unset unless the target is busy with the task until this resolves. */
+  readonly released?: Promise<void>;
 }
 
 interface RunningTask {
@@ -73,7 +75,7 @@
     const task = this.tasks.get(key);
     if (task === undefined || task.cause !== undefined) return;
     task.cause = cause;
-    task.abort.abort();
+    task.abort.abort(cause);
   }
 
   /** Ends every task because the agent itself ends, and waits for it. */
@@ -91,6 +93,7 @@
       bytes: outcome.kind === 'succeeded' ? outcome.bytes : 0,
       runMs: Math.max(0, this.clock.now() - task.startedAt),
       unreachable: outcome.kind === 'not-run' && task.cause === undefined,
+      ...(outcome.kind === 'stopped' && {released: outcome.released}),
     });
   }
 }
--- a/packages/agent/src/target.ts
+++ b/packages/agent/src/target.ts
@@ -13,8 +13,8 @@
   | {readonly kind: 'not-run'; readonly detail: string}
   /** The target had the task and nothing tells how it ended. */
   | {readonly kind: 'unknown'; readonly detail: string}
-  /** Ended by the signal. */
-  | {readonly kind: 'stopped'};
+  /** Ended by the signal. Where the target goes on, it is busy with the task until `released`. */
+  | {readonly kind: 'stopped'; readonly released?: Promise<void>};
 
 export interface RunRequest extends TaskRef {
   readonly payload: unknown;
@@ -26,7 +26,10 @@
 
 /** The back end beside this agent. */
 export interface Target extends AsyncDisposable {
-  /** Runs a task once and waits for its end; an abort of the signal stops it. */
+  /**
+   * Runs a task once and waits for its end; an abort of the signal stops it. The
+   * reason of the abort is a `StopCause`.
+   */
   readonly run: (
     request: RunRequest,
     signal: AbortSignal,
