Judge by the wall clock whether a job may still start

Before, only records of the leader's own term could be started by an heir; the test 'a leading control replica cut off silently costs no answer' showed that a leader's loss also costs entries their leases, so that every job in hand became unknown.

--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -166,7 +166,11 @@
   ): Promise<void> {
     const begun = this.runtime.clock.now();
     const admissions = batch.flatMap(one => one.admissions);
-    const reply = await this.propose({kind: 'admit', admissions});
+    const reply = await this.propose({
+      kind: 'admit',
+      wallMs: Date.now(),
+      admissions,
+    });
     const {metrics, clock} = this.runtime;
     metrics.timing('control.admit.commit', clock.now() - begun);
     metrics.increment('control.admit.jobs', admissions.length);
--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -17,8 +17,6 @@
 export class Machine implements StateMachine<Command, CommandResult> {
   private current: ControlState = createState();
   private readonly ring = new ChangeRing();
-  private term = -1;
-  private firstOfTerm = Infinity;
 
   /** `onChange` is called after each batch that watchers must learn of. */
   constructor(private readonly onChange: () => void) {}
@@ -29,8 +27,7 @@
 
   apply(entries: readonly AppliedCommand<Command>[]): readonly CommandResult[] {
     let changed = false;
-    const results = entries.map(({index, term, command}) => {
-      if (term > this.term) this.enterTerm(term, index);
+    const results = entries.map(({index, command}) => {
       const {result, changes} = applyCommand(this.current, command, index);
       this.ring.add(index, changes);
       changed ||= changes.length > 0;
@@ -40,11 +37,6 @@
     return results;
   }
 
-  /** Returns the first index applied of a term; infinity before there is one. */
-  findFirstIndex(term: number): number {
-    return term === this.term ? this.firstOfTerm : Infinity;
-  }
-
   takeSnapshot(): Uint8Array {
     return encodeSnapshot(this.current);
   }
@@ -64,11 +56,6 @@
     this.onChange();
   }
 
-  private enterTerm(term: number, index: number): void {
-    this.term = term;
-    this.firstOfTerm = index;
-  }
-
   /** Builds what a watcher at a revision lacks: the changes since, or the whole view. */
   buildUpdate(since: number, topics: WatchParams['topics']): ViewUpdate {
     const {revision} = this.current;
--- a/packages/control/src/office.ts
+++ b/packages/control/src/office.ts
@@ -1,6 +1,6 @@
-import type {Clock, Epoch, Instant, JobId, TargetId} from '#model';
-import type {LookupResult, ProcessConfigStatus} from '#protocol';
-import {type LogTime, lookupJob} from '#membership';
+import type {Clock, Epoch, Instant, TargetId} from '#model';
+import type {ProcessConfigStatus} from '#protocol';
+import type {LogTime} from '#membership';
 import type {LeaseSettings} from '#settings';
 import {LeaseTable} from './leases.js';
 import type {Machine} from './machine.js';
@@ -41,12 +41,6 @@
     return Math.max(this.machine.state.time, this.baseTime + elapsedMs);
   }
 
-  /** Tells whether a job is admitted, and whether it may still start as far as this term can know. */
-  lookUp(job: JobId): LookupResult {
-    const since = this.machine.findFirstIndex(this.term);
-    return lookupJob(this.machine.state, job, {time: this.tellTime(), since});
-  }
-
   /** Renews an entry's lease from now; false when it is over. */
   renewEntry(epoch: Epoch): boolean {
     if (!this.machine.state.epochs.live.has(epoch)) return false;
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,8 +1,6 @@
 import {randomUUID} from 'node:crypto';
-import type {JobId} from '#model';
 import type {
   Admission,
-  AdmitResult,
   ApplyConfigParams,
   ApplyConfigResult,
   ConfigStatus,
@@ -21,6 +19,7 @@
   type ControlState,
   findAnswer,
   isRecordId,
+  lookupJob,
   maxRecordTasks,
   maxTicket,
 } from '#membership';
@@ -47,7 +46,7 @@
 
 /** Serves the methods that only the leader answers. */
 export function createLeaderHandlers(parts: ServiceParts) {
-  const {leader, office} = parts;
+  const {leader} = parts;
   return {
     'control.openEntry': params => openEntry(parts, params),
     'control.renewEntry': params => renewEntry(parts, params),
@@ -75,16 +74,10 @@
       checkAdmissions(admissions);
       const reply = await leader.admit(admissions);
       if (reply === 'full') throw new Error('no room for more admissions');
-      if (reply.kind !== 'done') return reply;
-      const value = reply.value.map((result, i) =>
-        result.kind === 'exists'
-          ? refreshStanding(office, admissions[i]!.job, result)
-          : result,
-      );
-      return {kind: 'done', value};
+      return reply;
     },
     'control.lookup': ({jobs}) =>
-      leader.read(() => jobs.map(job => office.lookUp(job))),
+      leader.read(state => jobs.map(job => lookupJob(state, job, Date.now()))),
     'control.epochJobs': ({epochs}) =>
       leader.read(({admissions}) =>
         admissions
@@ -176,16 +169,6 @@
   return reply.kind === 'done' ? {kind: 'done', value: {}} : reply;
 }
 
-/** Adds to a result of the log what only the leader can tell: whether the job may still start. */
-function refreshStanding(
-  office: Office,
-  job: JobId,
-  result: AdmitResult,
-): AdmitResult {
-  const found = office.lookUp(job);
-  return found.kind === 'exists' ? found : result;
-}
-
 /** Throws what is wrong with a request that no command could hold. */
 function checkAdmissions(admissions: readonly Admission[]): void {
   if (admissions.length > maxAdmissionsPerRequest) {
--- a/packages/membership/src/admissions.ts
+++ b/packages/membership/src/admissions.ts
@@ -11,7 +11,7 @@
   readonly revision: number;
   /** The entry's number of its request, 32 bits. */
   readonly ticket: number;
-  /** Log time in whole seconds after which nothing of the job starts. */
+  /** Wall clock in whole seconds since 1970 after which nothing of the job starts. */
   readonly startSecond: number;
   /** Log time in whole seconds from which the record may be forgotten. */
   readonly expirySecond: number;
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -38,7 +38,12 @@
       readonly target: TargetId;
       readonly incarnation: number;
     }
-  | {readonly kind: 'admit'; readonly admissions: readonly Admission[]}
+  | {
+      readonly kind: 'admit';
+      /** The leader's wall clock, in ms since 1970. */
+      readonly wallMs: number;
+      readonly admissions: readonly Admission[];
+    }
   | {readonly kind: 'forget'}
   /** Replicas that have log entries on their disks. */
   | {readonly kind: 'note-members'; readonly members: readonly ControlId[]}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,6 @@
 export type {Command, CommandResult, LogTime} from './command.js';
 
-export type {Applied, ControlState, GoneLife, StartBounds} from './state.js';
+export type {Applied, ControlState, GoneLife} from './state.js';
 export {
   applyCommand,
   buildView,
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -89,7 +89,7 @@
     case 'target-gone':
       return removeTarget(state, command.target, command.incarnation);
     case 'admit':
-      return admitJobs(state, command.admissions);
+      return admitJobs(state, command.admissions, command.wallMs);
     case 'forget':
       return forgetExpired(state);
     case 'note-members':
@@ -106,28 +106,20 @@
 }
 
 /**
- * What a leader knows of real time. Log time stands still while nobody leads, so
- * only records of the leader's own term can be told from those whose deadline
- * has passed.
+ * Tells whether a job is admitted, where to ask about it, and by the leader's
+ * wall clock whether it may still start. Log time would not do: it stands still
+ * while nobody leads, and agents' clocks do not. Agents keep what they started
+ * for the retention after the deadline, which bounds how far the control hosts'
+ * wall clocks may lie apart.
  */
-export interface StartBounds {
-  /** Log time now. */
-  readonly time: LogTime;
-  /** The first log index of the leader's term. */
-  readonly since: number;
-}
-
-const neverStarts: StartBounds = {time: 0, since: Infinity};
-
-/** Tells whether a job is admitted, and where to ask about it. Nothing may start without bounds. */
 export function lookupJob(
   state: ControlState,
   job: JobId,
-  starts: StartBounds = neverStarts,
+  wallMs: number,
 ): LookupResult {
   const record = state.admissions.find(job);
   if (record === undefined) return {kind: 'absent'};
-  return {kind: 'exists', standing: describeStanding(state, record, starts)};
+  return {kind: 'exists', standing: describeStanding(state, record, wallMs)};
 }
 
 /** Builds the whole view for a watcher. */
@@ -186,16 +178,23 @@
 function admitJobs(
   state: ControlState,
   admissions: readonly Admission[],
+  wallMs: number,
 ): Applied {
   if (state.admissions.size + admissions.length > maxAdmissions) {
     return {result: {kind: 'full'}, changes: []};
   }
-  const results = admissions.map(admission => admitJob(state, admission));
+  const results = admissions.map(admission =>
+    admitJob(state, admission, wallMs),
+  );
   return {result: {kind: 'admitted', results}, changes: []};
 }
 
 /** A resend of the request that made the record is admitted again; nothing else ever is. */
-function admitJob(state: ControlState, admission: Admission): AdmitResult {
+function admitJob(
+  state: ControlState,
+  admission: Admission,
+  wallMs: number,
+): AdmitResult {
   const {job, digest, epoch, tasks, unrepeatable, ticket} = admission;
   if (!state.epochs.live.has(epoch)) return {kind: 'ended'};
   const known = state.admissions.find(job);
@@ -205,10 +204,10 @@
       known.ticket === ticket &&
       known.digest === digest;
     if (resent) return {kind: 'admitted'};
-    const standing = describeStanding(state, known, neverStarts);
+    const standing = describeStanding(state, known, wallMs);
     return {kind: 'exists', standing};
   }
-  const startSecond = Math.ceil((state.time + admission.startMs) / 1000);
+  const startSecond = Math.ceil((wallMs + admission.startMs) / 1000);
   const expirySecond = Math.ceil((state.time + admission.keepMs) / 1000);
   const {revision} = state;
   state.admissions.add({
@@ -228,7 +227,7 @@
 function describeStanding(
   state: ControlState,
   record: AdmissionRecord,
-  starts: StartBounds,
+  wallMs: number,
 ): AdmittedJob {
   const {digest, tasks, unrepeatable, epoch, revision, ticket} = record;
   const owner = resolveOwner(state.epochs, epoch);
@@ -241,8 +240,7 @@
     owner,
     revision,
     ticket,
-    mayStart:
-      revision >= starts.since && starts.time <= record.startSecond * 1000,
+    mayStart: wallMs <= record.startSecond * 1000,
   };
   return address === undefined ? standing : {...standing, address};
 }
