Never take this end's own timeout for a rejection by the other

Cause: a timer may fire before its deadline, because the loop counts it from the time at which the turn began; the failure was then told from a rejection by the clock, and a request that may have been carried out passed for one that was refused. Seen once as a failure of 'a request moves on from a replica that never answers'; brought about by a busy turn of 30 ms before the request. Ruled out: the message's text, which the other end could send too.

--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -48,6 +48,9 @@
 
 const maxBufferedBytes = 128 * 1024 * 1024;
 const maxRequestMs = 2 ** 31 - 1;
+const timeoutCode = 0;
+/** Marks the errors of this end's own timer: no error from the wire is this object. */
+const ownTimeout = {};
 
 /**
  * One end of an inner connection: JSON-RPC 2.0 messages in MessagePack frames.
@@ -128,10 +131,12 @@
       Math.max(1, computeRemainingMs(monotonicClock.now(), deadline)),
     );
     try {
-      const requester = this.rpc.timeout(remainingMs);
+      const requester = this.rpc.client.timeout(remainingMs, id =>
+        createJSONRPCErrorResponse(id, timeoutCode, 'timeout', ownTimeout),
+      );
       return Right(await requester.request(method, params, undefined));
     } catch (error) {
-      return Left(this.describeFailure(error, deadline));
+      return Left(this.describeFailure(error));
     }
   }
 
@@ -234,14 +239,14 @@
     }
   }
 
-  private describeFailure(error: unknown, deadline: Instant): RpcFailure {
+  private describeFailure(error: unknown): RpcFailure {
     if (!this.isOpen) {
       return {kind: 'disconnected', detail: this.closeCause ?? ''};
     }
-    const detail = error instanceof Error ? error.message : String(error);
-    if (detail === 'Request timeout' && monotonicClock.now() >= deadline - 1) {
+    if ((error as JSONRPCErrorException).data === ownTimeout) {
       return {kind: 'timeout'};
     }
+    const detail = error instanceof Error ? error.message : String(error);
     return {kind: 'rejected', detail};
   }
 }
--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -89,3 +89,17 @@
   await again.unsafeCoerce()[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
+
+test('a timer that fires early makes a timeout, not a rejection', async t => {
+  const {listener, peer} = await connectPair({
+    'entry.peek': () => new Promise(() => {}),
+  });
+  await new Promise(resolve => setImmediate(resolve));
+  const busyUntil = monotonicClock.now() + 30;
+  while (monotonicClock.now() < busyUntil);
+  const deadline = monotonicClock.now() + 50;
+  const reply = await peer.request('entry.peek', {job: 'a'}, deadline);
+  t.is(reply.swap().unsafeCoerce().kind, 'timeout');
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
