--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -90,16 +90,15 @@
   await listener[Symbol.asyncDispose]();
 });
 
-test('a timer that fires early makes a timeout, not a rejection', async t => {
+test('a timer that fires a little early makes a timeout, not a rejection', async t => {
   const {listener, peer} = await connectPair({
     'entry.peek': () => new Promise(() => {}),
   });
-  await new Promise(resolve => setImmediate(resolve));
-  const busyUntil = monotonicClock.now() + 30;
-  while (monotonicClock.now() < busyUntil);
-  const deadline = monotonicClock.now() + 50;
-  const reply = await peer.request('entry.peek', {job: 'a'}, deadline);
-  t.is(reply.swap().unsafeCoerce().kind, 'timeout');
+  for (let i = 0; i < 100; i++) {
+    const deadline = monotonicClock.now() + 2.95;
+    const reply = await peer.request('entry.peek', {job: 'a'}, deadline);
+    t.is(reply.swap().unsafeCoerce().kind, 'timeout');
+  }
   await peer[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
