--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -36,7 +36,7 @@
 const packr = new Packr({useRecords: false});
 const unpackr = new Unpackr({useRecords: false});
 
-/** Encodes the whole state: 54 bytes an admission, and all else is bounded by the site's size. */
+/** Encodes the whole state: 58 bytes an admission, and all else is bounded by the site's size. */
 export function encodeSnapshot(state: ControlState): Uint8Array {
   const {epochs, configuration, admissions} = state;
   const snapshot: Snapshot = {
