--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -89,3 +89,16 @@
   await again.unsafeCoerce()[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
+
+test('a timer that fires a little early makes a timeout, not a rejection', async t => {
+  const {listener, peer} = await connectPair({
+    'entry.peek': () => new Promise(() => {}),
+  });
+  for (let i = 0; i < 100; i++) {
+    const deadline = monotonicClock.now() + 2.95;
+    const reply = await peer.request('entry.peek', {job: 'a'}, deadline);
+    t.is(reply.swap().unsafeCoerce().kind, 'timeout');
+  }
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
