Answer a cancellation once no task of the job can start any more

Cause: the entry answered while starts sent before the cancellation were on their way to the agents. Ruled out: the queue (discarded first) and the agents' order (the cancellation follows the start). The entry now waits for the fate of what it sent; a job that completes meanwhile is answered as complete. A cancellation at an entry that merely waits for another owner's answer now goes to the owner.

--- a/packages/bench/test/proof-entry-pause.test.ts
+++ b/packages/bench/test/proof-entry-pause.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {noFault} from '#bench';
 import {joinRecords, planJobs} from './jobs.js';
 import {Stand} from './stand.js';
 
@@ -33,3 +34,25 @@
     stand.assertAllComplete(joinRecords(await atHeir, await atFirst));
   },
 );
+
+test.serial(
+  'an entry cut off from control past its lease loses no job that it was given',
+  async t => {
+    const stand = await Stand.open(t);
+    const {proxy} = stand.site.find('control-0');
+    const before = planJobs('before', {jobs: 24, tasks: 4, taskMs: 300});
+    const atFirst = stand.submitAll(before, 0);
+    await stand.waitForJobs(before.slice(0, 4));
+    proxy!.inject({kind: 'freeze'}, 'entry-0');
+    const meanwhile = stand.submitAll(
+      planJobs('meanwhile', {jobs: 8, tasks: 4, taskMs: 20}),
+      0,
+    );
+    await stand.waitUntil('the lease of the entry is over', async () => {
+      const status = await stand.askControl('control-0');
+      return status?.entries.length === 1;
+    });
+    proxy!.inject(noFault, 'entry-0');
+    stand.assertAllComplete([...(await atFirst), ...(await meanwhile)]);
+  },
+);
--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -113,20 +113,22 @@
     return {kind: 'running', tasks: tasks.length, ended};
   }
 
-  /** Cancels a job, here or at its owner: tasks not started never start. */
+  /** Cancels a job, here or at its owner: once it is answered no task of it starts. */
   async cancel(job: JobId, deadline: Instant): Promise<JobState> {
-    const local = this.cancelLocal(job);
-    if (local.kind !== 'absent') return local;
+    if (this.executions.get(job)?.isOwned) return this.cancelLocal(job);
     const address = await this.findOwner(job);
-    if (address === undefined) return local;
-    return (await this.neighbours.cancel(address, job, deadline)) ?? local;
+    if (address === undefined) return this.cancelLocal(job);
+    const state = await this.neighbours.cancel(address, job, deadline);
+    return state ?? this.peekLocal(job);
   }
 
-  /** Cancels a job of this process. */
-  cancelLocal(job: JobId): JobState {
+  /** Cancels a job of this process; what was sent of it has ended when this resolves. */
+  async cancelLocal(job: JobId): Promise<JobState> {
     const execution = this.executions.get(job);
-    if (execution === undefined) return {kind: 'absent'};
-    if (execution.job.answer === undefined) {
+    if (execution !== undefined && execution.job.answer === undefined) {
+      const settled = execution.cancel();
+      this.owner.stop(execution);
+      await Promise.race([settled, execution.answered]);
       this.end(
         execution,
         failJob(execution.job, 'cancelled', 'cancelled by the caller'),
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -10,6 +10,8 @@
   private owned = false;
   private detached = false;
   private sent = false;
+  private cancelled = false;
+  private readonly inFlight = new Set<Promise<unknown>>();
   private longestMs = 0;
 
   constructor(
@@ -21,7 +23,7 @@
 
   /** True when nothing more may be placed for this job here. */
   get isOver(): boolean {
-    return this.detached || this.job.answer !== undefined;
+    return this.cancelled || this.detached || this.job.answer !== undefined;
   }
 
   /** True when this entry decides the job's answer. */
@@ -63,6 +65,20 @@
     if (!this.sent) this.detached = false;
   }
 
+  /** Takes in the end, to come, of a task that was sent. */
+  async follow<End>(end: Promise<End>): Promise<End> {
+    this.inFlight.add(end);
+    const reached = await end;
+    this.inFlight.delete(end);
+    return reached;
+  }
+
+  /** Stops placing tasks here; resolves once none that was sent can start any more. */
+  async cancel(): Promise<void> {
+    this.cancelled = true;
+    await Promise.all(this.inFlight);
+  }
+
   /** Stops placing tasks here: another entry owns the job now. */
   detach(): void {
     this.detached = true;
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -300,7 +300,7 @@
     execution.apply({kind: 'sent', task, target, incarnation});
     this.counts.started++;
     this.startedOn.add(link);
-    const end = await link.start({
+    const started = link.start({
       job: submission.job,
       task,
       payload: submission.tasks[task]!.payload,
@@ -308,6 +308,7 @@
       keepMs: this.owner.getKeepMs(submission.unrepeatable),
       granted: destination.granted,
     });
+    const end = await execution.follow(started);
     this.finish(execution, task, target, end);
     this.owner.onTaskEnd(execution, end, now - queuedAt);
   }
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -169,7 +169,7 @@
   const submission = buildSubmission('k');
   const answer = bench.submit(submission);
   while (bench.started.length === 0) await new Promise(setImmediate);
-  bench.desk.cancelLocal(submission.job);
+  await bench.desk.cancelLocal(submission.job);
   t.like(await answer, {kind: 'failed', reason: 'cancelled'});
   t.like(await bench.submit(submission), {kind: 'failed', reason: 'cancelled'});
 });
