Admit a job again after its entry lost an epoch before the job was admitted

Cause: losing the epoch detaches the execution; the admission under the next epoch was committed, and then dropped because a detached execution counts as over. Ruled out: the take-over (its log shows it complete in 8 ms) and slots (all idle).

--- a/packages/bench/test/proof-entry-pause.test.ts
+++ b/packages/bench/test/proof-entry-pause.test.ts
@@ -44,7 +44,7 @@
     const atFirst = stand.submitAll(before, 0);
     await stand.waitForJobs(before.slice(0, 4));
     proxy!.inject({kind: 'freeze'}, 'entry-0');
-    const meanwhile = stand.submitAll(
+    const meanwhile = stand.submitOnce(
       planJobs('meanwhile', {jobs: 8, tasks: 4, taskMs: 20}),
       0,
     );
--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -337,7 +337,8 @@
       }
       if (found?.kind === 'absent') {
         if (this.owner.getStartingEpoch() === undefined) continue;
-        await this.admit(execution);
+        if (execution.reattach()) await this.admit(execution);
+        else this.lose(execution, 'answer-expired', 'the record is forgotten');
         return;
       }
       if (this.isNearDeadline(execution)) {
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -62,7 +62,13 @@
   /** The admission is confirmed: tasks are placed here, also after a detachment before any was sent. */
   own(): void {
     this.owned = true;
+    this.reattach();
+  }
+
+  /** Undoes a detachment unless a task was sent before it; true when tasks may be placed here. */
+  reattach(): boolean {
     if (!this.sent) this.detached = false;
+    return !this.detached;
   }
 
   /** Takes in the end, to come, of a task that was sent. */
