--- a/packages/bench/src/socket-owner.ts
+++ b/packages/bench/src/socket-owner.ts
@@ -6,29 +6,29 @@
  */
 export function findSocketOwner(
   localPort: number,
-  pids: Iterable<number>,
+  pids: readonly number[],
 ): number | undefined {
-  const inode = findInode(localPort);
-  if (inode === undefined) return undefined;
-  for (const pid of pids) {
-    if (hasSocket(pid, inode)) return pid;
+  for (let i = 0; i < maxReads; i++) {
+    const inodes = listInodes(localPort);
+    for (const pid of pids) {
+      if (inodes.some(inode => hasSocket(pid, inode))) return pid;
+    }
   }
   return undefined;
 }
 
+/** The kernel's table may lack a socket when others come and go while it is read. */
+const maxReads = 5;
 const localColumn = 1;
 const inodeColumn = 9;
 
-function findInode(localPort: number): string | undefined {
+function listInodes(localPort: number): readonly string[] {
   const hexPort = localPort.toString(16).toUpperCase().padStart(4, '0');
-  const lines = readFileSync('/proc/net/tcp', 'utf8').split('\n');
-  for (const line of lines) {
-    const columns = line.trim().split(/\s+/);
-    if (columns[localColumn]?.endsWith(`:${hexPort}`)) {
-      return columns[inodeColumn];
-    }
-  }
-  return undefined;
+  return readFileSync('/proc/net/tcp', 'utf8')
+    .split('\n')
+    .map(line => line.trim().split(/\s+/))
+    .filter(columns => columns[localColumn]?.endsWith(`:${hexPort}`))
+    .map(columns => columns[inodeColumn]!);
 }
 
 function hasSocket(pid: number, inode: string): boolean {
