--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -39,6 +39,7 @@
   private waiting: WaitingAdmissions[] = [];
   private nextForget = 0;
   private bootstrapping = false;
+  private noting = false;
   private closed = false;
 
   constructor(
@@ -108,6 +109,7 @@
   tick(): void {
     if (!this.leads) return;
     this.office.matchLeases();
+    this.noteMembers();
     if (this.machine.state.configuration.current.version === 0) {
       void this.proposeBootstrap();
     }
@@ -131,8 +133,9 @@
       : {kind: 'not-leader', leader};
   }
 
-  /** Finds the leader's address, if one is known. */
+  /** Finds the leader's address, if one is known and stays. */
   findLeader(): Address | undefined {
+    if (this.closed) return undefined;
     const {leader, members} = this.replica.describeStatus();
     return members.find(({id}) => id === leader)?.address;
   }
@@ -187,6 +190,20 @@
     }
   }
 
+  /** Notes in the log which replicas have entries on their disks, once each. */
+  private noteMembers(): void {
+    const members = this.replica
+      .describeStatus()
+      .progress.filter(({matchIndex}) => matchIndex > 0)
+      .map(({id}) => id)
+      .filter(id => !this.machine.state.acknowledged.has(id));
+    if (members.length === 0 || this.noting) return;
+    this.noting = true;
+    void this.propose({kind: 'note-members', members}).then(
+      () => (this.noting = false),
+    );
+  }
+
   private async proposeBootstrap(): Promise<void> {
     if (this.bootstrapping) return;
     this.bootstrapping = true;
