--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -10,6 +10,8 @@
   private owned = false;
   private detached = false;
   private sent = false;
+  private cancelled = false;
+  private readonly inFlight = new Set<Promise<unknown>>();
   private longestMs = 0;
 
   constructor(
@@ -21,7 +23,7 @@
 
   /** True when nothing more may be placed for this job here. */
   get isOver(): boolean {
-    return this.detached || this.job.answer !== undefined;
+    return this.cancelled || this.detached || this.job.answer !== undefined;
   }
 
   /** True when this entry decides the job's answer. */
@@ -60,7 +62,27 @@
   /** The admission is confirmed: tasks are placed here, also after a detachment before any was sent. */
   own(): void {
     this.owned = true;
+    this.reattach();
+  }
+
+  /** Undoes a detachment unless a task was sent before it; true when tasks may be placed here. */
+  reattach(): boolean {
     if (!this.sent) this.detached = false;
+    return !this.detached;
+  }
+
+  /** Takes in the end, to come, of a task that was sent. */
+  async follow<End>(end: Promise<End>): Promise<End> {
+    this.inFlight.add(end);
+    const reached = await end;
+    this.inFlight.delete(end);
+    return reached;
+  }
+
+  /** Stops placing tasks here; resolves once none that was sent can start any more. */
+  async cancel(): Promise<void> {
+    this.cancelled = true;
+    await Promise.all(this.inFlight);
   }
 
   /** Stops placing tasks here: another entry owns the job now. */
