--- a/packages/agent/src/http.ts
+++ b/packages/agent/src/http.ts
@@ -1,3 +1,4 @@
+import {Either} from 'purify-ts';
 import {Pool} from 'undici';
 
 const connectTimeoutMs = 2000;
@@ -27,18 +28,22 @@
       readonly status: number;
       readonly body: Buffer;
     }
+  /** The request cannot be written as JSON, or the answer is too large. */
+  | {readonly kind: 'unusable'; readonly detail: string}
   /** Nothing was written to the target: it provably did not see the request. */
   | {readonly kind: 'not-sent'; readonly detail: string}
   /** Written, and the exchange broke: the target may have acted on it. */
   | {readonly kind: 'broken'; readonly detail: string}
-  /** Aborted by the caller after it was written. */
-  | {readonly kind: 'aborted'};
+  /** Aborted by the caller after it was written; `ended` resolves once the exchange is over. */
+  | {readonly kind: 'aborted'; readonly ended: Promise<void>};
 
 export interface HttpRequest {
   readonly method: 'GET' | 'POST' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
   readonly signal?: AbortSignal;
+  /** Closes the exchange, which an abort of `signal` then leaves open once it was written. */
+  readonly closeSignal?: AbortSignal;
   /** The largest body accepted, in bytes. */
   readonly maxBytes: number;
 }
@@ -47,16 +52,34 @@
 export function sendRequest(
   pool: Pool,
   request: HttpRequest,
+): Promise<HttpOutcome> {
+  const body = encodeBody(request.body);
+  if (body.isLeft()) {
+    return Promise.resolve({kind: 'unusable', detail: body.extract()});
+  }
+  return dispatchOnce(pool, request, body.extract());
+}
+
+function encodeBody(body: unknown): Either<string, string | undefined> {
+  return Either.encase(() => JSON.stringify(body)).mapLeft(
+    error => `the request cannot be written as JSON: ${error.message}`,
+  );
+}
+
+function dispatchOnce(
+  pool: Pool,
+  request: HttpRequest,
+  body: string | undefined,
 ): Promise<HttpOutcome> {
   return new Promise(resolve => {
-    const body =
-      request.body === undefined ? undefined : JSON.stringify(request.body);
     const chunks: Buffer[] = [];
     let status = 0;
     let bytes = 0;
     let sent = false;
     let abort = (_cause: Error) => {};
-    const {signal} = request;
+    let end = () => {};
+    const ended = new Promise<void>(settle => (end = settle));
+    const {signal, closeSignal} = request;
     const finish = (outcome: HttpOutcome) => {
       signal?.removeEventListener('abort', onAbort);
       resolve(outcome);
@@ -64,9 +87,10 @@
     const onAbort = () => {
       finish(
         sent
-          ? {kind: 'aborted'}
+          ? {kind: 'aborted', ended}
           : {kind: 'not-sent', detail: 'aborted before it was sent'},
       );
+      if (sent && closeSignal?.aborted === false) return;
       abort(new Error('aborted'));
     };
     if (signal?.aborted === true) {
@@ -74,6 +98,7 @@
       return;
     }
     signal?.addEventListener('abort', onAbort);
+    closeSignal?.addEventListener('abort', () => abort(new Error('closed')));
     pool.dispatch(
       {
         method: request.method,
@@ -97,14 +122,18 @@
           bytes += chunk.length;
           chunks.push(chunk);
           if (bytes <= request.maxBytes) return;
-          controller.abort(
-            new Error(`the answer exceeds ${request.maxBytes} bytes`),
-          );
+          const detail = `the answer exceeds ${request.maxBytes} bytes`;
+          finish({kind: 'unusable', detail});
+          controller.abort(new Error(detail));
+        },
+        onResponseEnd: () => {
+          finish({kind: 'answered', status, body: Buffer.concat(chunks)});
+          end();
+        },
+        onResponseError: (_controller, error) => {
+          finish({kind: sent ? 'broken' : 'not-sent', detail: error.message});
+          end();
         },
-        onResponseEnd: () =>
-          finish({kind: 'answered', status, body: Buffer.concat(chunks)}),
-        onResponseError: (_controller, error) =>
-          finish({kind: sent ? 'broken' : 'not-sent', detail: error.message}),
       },
     );
   });
--- a/packages/agent/src/intake.ts
+++ b/packages/agent/src/intake.ts
@@ -71,7 +71,8 @@
 
 const maxRetainedBytes = 24 * 1024 * 1024;
 const maxReportBytes = 16 * 1024 * 1024;
-const maxKnownTasks = 400_000;
+/** Bounds the start table's memory and the answer to a fence; beyond it starts are refused. */
+const maxKnownTasks = 200_000;
 const maxQueuedPerSlot = 2;
 
 /** Decides on each start that arrives, runs what may run, and gathers what entries are to be told. */
@@ -312,7 +313,8 @@
     const key = formatTask(request);
     const {epoch} = this.running.get(key)!;
     this.running.delete(key);
-    this.slots.release(epoch, this.options.clock.now());
+    if (end.released === undefined) this.returnSlot(epoch);
+    else void end.released.then(() => this.returnSlot(epoch));
     this.options.metrics.timing('agent.task', end.runMs, {
       fate: end.fate.kind,
     });
@@ -328,6 +330,11 @@
     this.options.onChange();
   }
 
+  private returnSlot(epoch: Epoch): void {
+    this.slots.release(epoch, this.options.clock.now());
+    this.options.onChange();
+  }
+
   private takeReports(epoch: Epoch): readonly (readonly TaskReport[])[] {
     const batches: (readonly TaskReport[])[] = [];
     let batch: readonly TaskReport[] = this.refusals.get(epoch) ?? [];
--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -3,7 +3,9 @@
 import {
   describeSettingsError,
   diffConfiguration,
+  findRepeatedKeys,
   parseConfiguration,
+  type RepeatedKey,
 } from '#settings';
 import {type ExitCode, exitCode} from '#telemetry';
 import {
@@ -23,6 +25,7 @@
   fetchInForce,
   type InForce,
 } from './config-status.js';
+import {ControlClient} from './control-client.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {
   addSourceOptions,
@@ -97,17 +100,31 @@
     Left: errors => reportSettingsErrors(context, options, errors),
     Right: source => {
       const sites = Object.keys(source.overlays);
+      const repeated = findRepeatedKeys(source);
       printResult(
         context.console,
         options,
-        {valid: true, sites},
-        () => `valid: base and ${sites.length} overlays`,
+        {valid: true, sites, repeated},
+        renderCheck,
       );
       return exitCode.ok;
     },
   });
 }
 
+function renderCheck(result: {
+  readonly sites: readonly string[];
+  readonly repeated: readonly RepeatedKey[];
+}): string {
+  return [
+    `valid: base and ${result.sites.length} overlays`,
+    ...result.repeated.map(
+      ({site, key, value}) =>
+        `note: overlay "${site}" repeats ${key} = ${value} of the base`,
+    ),
+  ].join('\n');
+}
+
 async function showDifference(
   context: Context,
   options: ControlOptions & SourceFiles,
@@ -118,7 +135,7 @@
   }
   const source = read.unsafeCoerce();
   const status = await fetchConfigStatus(
-    options,
+    new ControlClient(options.control),
     computeCommandDeadline(options),
   );
   return status.caseOf<ExitCode>({
@@ -183,7 +200,10 @@
   {console}: Context,
   options: ControlOptions,
 ): Promise<ExitCode> {
-  const status = await fetchInForce(options, computeCommandDeadline(options));
+  const status = await fetchInForce(
+    new ControlClient(options.control),
+    computeCommandDeadline(options),
+  );
   return status.caseOf<ExitCode>({
     Left: failure => reportFailure(console, options, failure),
     Right: found => {
@@ -219,7 +239,7 @@
   options: ControlOptions,
 ): Promise<ExitCode> {
   const status = await fetchConfigStatus(
-    options,
+    new ControlClient(options.control),
     computeCommandDeadline(options),
   );
   return status.caseOf<ExitCode>({
@@ -241,7 +261,7 @@
   options: ControlOptions,
 ): Promise<ExitCode> {
   const status = await fetchConfigStatus(
-    options,
+    new ControlClient(options.control),
     computeCommandDeadline(options),
   );
   return status.caseOf<ExitCode>({
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -35,7 +35,13 @@
   readonly address: Address;
   readonly machine: Machine;
   /** Sends a message to another replica or drops it. */
-  readonly send: (to: ControlId, address: Address, message: Message) => void;
+  readonly send: (
+    to: ControlId,
+    address: Address | undefined,
+    message: Message,
+  ) => void;
+  /** Asks another replica how it stands; nothing when it does not answer soon. */
+  readonly askStatus: (address: Address) => Promise<ControlStatus | undefined>;
   /** Called once when the disk has failed. */
   readonly fail: (detail: string) => void;
 }
@@ -65,7 +71,6 @@
   private leader!: Leader;
   private replica!: Replica;
   private listener!: PeerListener;
-  private ready = false;
   private ticker: NodeJS.Timeout | undefined;
   private leaderSeen: Instant = 0;
   private fail!: (detail: string) => void;
@@ -73,20 +78,21 @@
   private constructor(private readonly options: ControlOptions) {
     const {settings, runtime} = options;
     this.failed = new Promise(resolve => (this.fail = resolve));
-    this.links = new Links(settings.id);
+    this.links = new Links(settings.id, (from, message) =>
+      this.receive(from, message),
+    );
     this.office = new Office(this.machine, settings.leases, runtime.clock);
   }
 
   /** Listens and starts the replica; fails with what the address or the data folder refuses. */
   static async open(options: ControlOptions): Promise<Either<string, Control>> {
     const control = new Control(options);
-    const handlers: {-readonly [Name in keyof Handlers]: Handlers[Name]} = {};
+    const handlers: {-readonly [Name in keyof Handlers]: Handlers[Name]} = {
+      'control.status': () => control.describeStart(),
+    };
     const listening = await PeerListener.listen(
       options.settings.role.listen,
       handlers,
-      peer => {
-        if (!control.ready) peer.close('the replica is starting');
-      },
     );
     return listening.caseOf<Promise<Either<string, Control>>>({
       Left: async detail => Left(detail),
@@ -101,7 +107,7 @@
           },
           Right: async () => {
             Object.assign(handlers, control.createHandlers());
-            control.ready = true;
+            for (const peer of listener.peers) peer.close('has started');
             return Right(control);
           },
         });
@@ -155,7 +161,8 @@
       id: settings.id,
       address: this.listener.address,
       machine: this.machine,
-      send: (_to, address, message) => this.links.send(address, message),
+      send: (to, address, message) => this.links.send(to, address, message),
+      askStatus: address => this.askStatus(address),
       fail: detail => this.fail(detail),
     });
     return started.map(replica => {
@@ -172,6 +179,23 @@
     });
   }
 
+  /** What a replica that has not started yet says of itself. */
+  private describeStart(): ControlStatus {
+    return {
+      member: this.options.settings.id,
+      role: 'learner',
+      term: 0,
+      commitIndex: 0,
+      members: [],
+      ...describeState(this.machine.state),
+    };
+  }
+
+  private askStatus(address: Address): Promise<ControlStatus | undefined> {
+    const deadline = this.options.runtime.clock.now() + statusTimeoutMs;
+    return this.links.askStatus(address, deadline);
+  }
+
   private tick(): void {
     this.leader.tick();
     const {members, leader} = this.replica.describeStatus();
@@ -195,18 +219,21 @@
       'control.watch': (params, peer) => this.watch(peer, params),
       'control.changeMembers': params => this.changeMembers(params),
       'control.status': () => this.describeStatus(),
-      'control.replicate': ({from, message}) =>
-        checkMessage(message)
-          .ifRight(checked => this.replica.receive(from, checked))
-          .ifLeft(detail =>
-            this.options.runtime.log.warn(
-              {event: 'bad-replica-message', from, detail},
-              'dropped a message',
-            ),
-          ),
+      'control.replicate': (params, peer) => this.links.accept(params, peer),
     };
   }
 
+  private receive(from: ControlId, message: unknown): void {
+    checkMessage(message)
+      .ifRight(checked => this.replica.receive(from, checked))
+      .ifLeft(detail =>
+        this.options.runtime.log.warn(
+          {event: 'bad-replica-message', from, detail},
+          'dropped a message',
+        ),
+      );
+  }
+
   /** Refuses to serve a view that is missing, may lag for long or is behind what the watcher saw. */
   private watch(peer: Peer, params: WatchParams): ViewUpdate {
     const {revision, configuration} = this.machine.state;
@@ -244,12 +271,11 @@
   /** Asks every member which configuration version it has applied. */
   private async listControls(): Promise<readonly ProcessConfigStatus[]> {
     const {members} = this.replica.describeStatus();
-    const deadline = this.options.runtime.clock.now() + statusTimeoutMs;
     const statuses = await Promise.all(
       members.map(({id, address}) =>
         id === this.options.settings.id
           ? this.describeStatus()
-          : this.links.askStatus(address, deadline),
+          : this.askStatus(address),
       ),
     );
     return statuses
--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -1,20 +1,14 @@
 import test from 'ava';
 import type {TargetInfo} from '#model';
-import {describeFailure, openSite, place, soon} from './site.js';
-
-const job = (digit: string) => digit.repeat(32);
-
-function admit(name: string, epoch: number, digest = 'd') {
-  return {
-    job: job(name),
-    digest: job(digest),
-    epoch,
-    tasks: 3,
-    unrepeatable: false,
-    ticket: 0,
-    keepMs: 60_000,
-  };
-}
+import {
+  createAdmission,
+  describeFailure,
+  job,
+  openSite,
+  place,
+  soon,
+  source,
+} from './site.js';
 
 const target: TargetInfo = {
   target: 'pen-1',
@@ -31,7 +25,7 @@
   const client = site.connect();
   const {epoch} = await client.open('gilgit-1');
   const admitted = await client.ask('control.admit', {
-    admissions: [admit('a', epoch), admit('a', epoch, 'e')],
+    admissions: [createAdmission('a', epoch), createAdmission('a', epoch, 'e')],
   });
   t.deepEqual(
     admitted.map(({kind}) => kind),
@@ -58,7 +52,7 @@
     .connect()
     .client.request(
       'control.admit',
-      {admissions: [{...admit('a', 1), job: 'tally'}]},
+      {admissions: [{...createAdmission('a', 1), job: 'tally'}]},
       soon(),
     );
   t.regex(describeFailure(reply), /job "tally"/);
@@ -81,7 +75,7 @@
 test('an entry that stops renewing is ended and another inherits its jobs', async t => {
   await using site = await openSite();
   const dying = await site.connect().open('gilgit-1');
-  const admitted = {admissions: [admit('a', dying.epoch)]};
+  const admitted = {admissions: [createAdmission('a', dying.epoch)]};
   const client = site.connect();
   await client.ask('control.admit', admitted);
   client.follow('all');
@@ -113,3 +107,24 @@
   const {gone} = await client.awaitView(view => !view.targets.has('pen-1'));
   t.is(gone.length, 1);
 });
+
+test('a watcher of the configuration is woken by nothing else and misses no version', async t => {
+  await using site = await openSite();
+  const client = site.connect();
+  client.follow('configuration');
+  await client.awaitView(view => view.configuration.version === 1);
+  const other = site.connect();
+  other.follow('all');
+  for (const name of ['pen-1', 'pen-2']) {
+    const announced = {...target, target: name};
+    await other.ask('control.announce', {target: announced, configVersion: 1});
+    await other.awaitView(view => view.targets.has(name));
+  }
+  const changed = {changeId: 'c', expectedVersion: 1, author: 'a', source};
+  await other.ask('control.applyConfig', changed);
+  const view = await client.awaitView(
+    ({configuration}) => configuration.version === 2,
+  );
+  t.is(view.targets.size, 0);
+  t.is(client.revisions.length, 2);
+});
--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -64,7 +64,7 @@
   /** Requests for admission whose answer was not seen, by job, by ticket; none of the job started here. */
   private readonly unconfirmed = new Map<JobId, Set<number>>();
   private nextTicket = 0;
-  /** Jobs of ended epochs that this process has continued; never a second time. */
+  /** Jobs of ended epochs that this epoch has continued; never a second time. */
   private readonly resumed = new Set<JobId>();
 
   constructor(
@@ -138,6 +138,7 @@
   /** The epoch is over: its jobs are answered by whoever owns them now. */
   relinquish(): void {
     this.unconfirmed.clear();
+    this.resumed.clear();
     for (const execution of this.listUnanswered()) {
       if (execution.isOver) continue;
       execution.detach();
@@ -151,10 +152,7 @@
     const receivedAt = this.owner.clock.now();
     const remainingMs = computeRemainingMs(receivedAt, deadline);
     const expiry = setTimeout(() => {
-      this.end(
-        execution,
-        failJob(execution.job, 'deadline-passed', 'the deadline passed'),
-      );
+      this.end(execution, expireJob(execution));
     }, remainingMs);
     void execution.answered.then(answer => {
       clearTimeout(expiry);
@@ -199,15 +197,13 @@
       await this.resolveElsewhere(execution);
       return;
     }
-    const keepMs =
-      computeRemainingMs(this.owner.clock.now(), deadline) +
-      this.owner.getKeepMs(submission.unrepeatable);
     const ticket = this.issueTicket(submission.job);
     const result = await this.registrar.admit(
       submission,
       epoch,
       ticket,
-      keepMs,
+      computeRemainingMs(this.owner.clock.now(), deadline),
+      this.owner.getKeepMs(submission.unrepeatable),
     );
     if (execution.isOver) return;
     if (result === undefined) {
@@ -240,6 +236,7 @@
   /** From here on no ticket of the job starts it again. */
   private startConfirmed(execution: Execution): void {
     this.unconfirmed.delete(execution.job.submission.job);
+    execution.own();
     this.owner.start(execution);
   }
 
@@ -314,6 +311,7 @@
     execution.detach();
     this.executions.set(submission.job, inherited);
     void inherited.answered.then(answer => execution.resolve(answer));
+    inherited.own();
     this.keep(inherited);
     if (inherited.job.answer === undefined) this.owner.start(inherited);
   }
@@ -383,3 +381,16 @@
 function pause(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
+
+/** Answers a job at its deadline. Only its owner knows that it has failed. */
+function expireJob(execution: Execution): JobAnswer {
+  if (execution.isOwned) {
+    return failJob(execution.job, 'deadline-passed', 'the deadline passed');
+  }
+  return {
+    kind: 'unknown',
+    job: execution.job.submission.job,
+    reason: 'owner-unreachable',
+    detail: 'the deadline passed before the owner of the job answered',
+  };
+}
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -35,6 +35,7 @@
 export class Fleet implements AsyncDisposable {
   private readonly links = new Map<TargetId, AgentLink>();
   private readonly pools = new Map<ServiceName, Pool>();
+  private connections = 0;
 
   constructor(
     private configuration: Configuration,
@@ -122,7 +123,7 @@
       clock: this.owner.clock,
       random: this.owner.random,
       getStartingEpoch: this.owner.getStartingEpoch,
-      getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
+      getKeepMs: () => this.configuration.limits.retentionMs,
       getWeight: team => this.getWeight(team),
       onTaskEnd: this.owner.onTaskEnd,
     });
@@ -182,6 +183,7 @@
       clock,
       log,
       getEpoch,
+      nextConnection: () => ++this.connections,
       onOpened: (link, slots) =>
         tell(link, {
           kind: 'target-connected',
@@ -203,9 +205,4 @@
       this.configuration.teams.find(({name}) => name === team)?.weight ?? 1
     );
   }
-
-  private getKeepMs(unrepeatable: boolean): number {
-    const {limits} = this.configuration;
-    return unrepeatable ? limits.unrepeatableRetentionMs : limits.retentionMs;
-  }
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,6 @@
 export type {Command, CommandResult, LogTime} from './command.js';
 
-export type {Applied, ControlState, GoneLife} from './state.js';
+export type {Applied, ControlState, GoneLife, StartBounds} from './state.js';
 export {
   applyCommand,
   buildView,
@@ -9,7 +9,12 @@
   maxAdmissions,
 } from './state.js';
 export type {AdmissionRecord} from './admissions.js';
-export {AdmissionTable, isRecordId, maxRecordTasks} from './admissions.js';
+export {
+  AdmissionTable,
+  isRecordId,
+  maxRecordTasks,
+  maxTicket,
+} from './admissions.js';
 export type {EpochTable, LiveEntry} from './epochs.js';
 export {resolveOwner} from './epochs.js';
 export type {ChangeSummary, ConfigurationState} from './configure.js';
--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -1,6 +1,6 @@
 import {Packr, Unpackr} from 'msgpackr';
 import {type Either, Left, Right} from 'purify-ts';
-import type {EndedEpoch, Epoch, TargetInfo} from '#model';
+import type {ControlId, EndedEpoch, Epoch, TargetInfo} from '#model';
 import {AdmissionTable} from './admissions.js';
 import type {
   ChangeAnswer,
@@ -27,6 +27,7 @@
     readonly history: readonly ChangeSummary[];
     readonly answers: readonly (readonly [string, ChangeAnswer])[];
   };
+  readonly acknowledged: readonly ControlId[];
   readonly forgottenSecond: number;
   readonly latestExpirySecond: number;
   readonly admissions: Uint8Array;
@@ -35,7 +36,7 @@
 const packr = new Packr({useRecords: false});
 const unpackr = new Unpackr({useRecords: false});
 
-/** Encodes the whole state: 50 bytes an admission, and all else is bounded by the site's size. */
+/** Encodes the whole state: 54 bytes an admission, and all else is bounded by the site's size. */
 export function encodeSnapshot(state: ControlState): Uint8Array {
   const {epochs, configuration, admissions} = state;
   const snapshot: Snapshot = {
@@ -53,6 +54,7 @@
       history: configuration.history,
       answers: [...configuration.answers],
     },
+    acknowledged: [...state.acknowledged],
     forgottenSecond: admissions.lastForgottenSecond,
     latestExpirySecond: admissions.latestExpirySecond,
     admissions: admissions.encode(),
@@ -95,6 +97,7 @@
       history: [...configuration.history],
       answers: new Map(configuration.answers),
     },
+    acknowledged: new Set(snapshot.acknowledged),
     admissions: AdmissionTable.decode(
       Buffer.from(snapshot.admissions),
       snapshot.forgottenSecond,
