--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -46,7 +46,7 @@
 export {describeTrouble, planChaos} from './chaos-plan.js';
 export type {ChaosRun} from './chaos.js';
 export {runChaos} from './chaos.js';
-export {judgeRaces} from './operator.js';
+export {judgeRaces, raceChanges, replaceControl} from './operator.js';
 export {countWasted, MessageTap} from './tap.js';
 export type {Fit, Point} from './fit.js';
 export {computeLine} from './fit.js';
--- a/packages/bench/src/member.ts
+++ b/packages/bench/src/member.ts
@@ -13,6 +13,8 @@
   /** Where others are told to dial it: the address of its proxy, if it has one. */
   readonly advertise: Address;
   readonly settings: string;
+  /** A control replica that starts as a learner of a running group. */
+  readonly joins: boolean;
   readonly log: string;
 }
 
--- a/packages/bench/src/operator.ts
+++ b/packages/bench/src/operator.ts
@@ -4,6 +4,7 @@
 import {stringify} from 'smol-toml';
 import {exitCode} from '#telemetry';
 import type {Site} from './site.js';
+import {waitUntil} from './wait.js';
 
 /** What the command line of an operator came to. */
 export interface CommandResult {
@@ -157,3 +158,23 @@
 function nameControls(site: Site): readonly string[] {
   return site.controls.flatMap(address => ['--control', address]);
 }
+
+/** Puts a replica with an empty disk in the place of one that is lost for good. */
+export async function replaceControl(
+  site: Site,
+  lost: string,
+  name: string,
+): Promise<void> {
+  const {plan} = await site.startLearner(name);
+  const change = async (...args: readonly string[]) => {
+    const controls = nameControls(site);
+    const {code} = await runCommand(site, ['members', ...args, ...controls]);
+    return code === exitCode.ok;
+  };
+  const limitMs = 30_000;
+  await waitUntil(`${name} is a learner`, limitMs, () =>
+    change('add-learner', name, plan.advertise),
+  );
+  await waitUntil(`${name} is a voter`, limitMs, () => change('promote', name));
+  await waitUntil(`${lost} is removed`, limitMs, () => change('remove', lost));
+}
--- a/packages/bench/src/site-files.ts
+++ b/packages/bench/src/site-files.ts
@@ -39,10 +39,9 @@
           control: {
             ...listen,
             data: join(options.data, plan.name),
-            members: addresses.controls.map(({name, advertise: address}) => ({
-              member: name,
-              address,
-            })),
+            ...(plan.joins
+              ? {join: true}
+              : {members: listMembers(addresses.controls)}),
           },
         };
       case 'entry':
@@ -89,6 +88,13 @@
   writeFileSync(plan.settings, stringify(tables));
 }
 
+function listMembers(controls: readonly MemberPlan[]): readonly TomlTable[] {
+  return controls.map(({name, advertise: address}) => ({
+    member: name,
+    address,
+  }));
+}
+
 /** Writes the configuration alone, as an operator edits it. */
 export function writeBaseFile(options: SiteOptions): string {
   const path = join(options.data, 'base.toml');
--- a/packages/bench/src/site.ts
+++ b/packages/bench/src/site.ts
@@ -7,8 +7,14 @@
 import {Member, type MemberPlan, type MemberRole} from './member.js';
 import {PortRange} from './ports.js';
 import {FaultProxy} from './proxy.js';
-import {writeBaseFile, writeSettings, writeStandInFile} from './site-files.js';
+import {
+  type SiteAddresses,
+  writeBaseFile,
+  writeSettings,
+  writeStandInFile,
+} from './site-files.js';
 import type {SiteOptions} from './site-options.js';
+import {filterRole, planMember, planMembers} from './site-plan.js';
 import {findSocketOwner} from './socket-owner.js';
 import type {Temper} from './temper.js';
 import {waitUntil} from './wait.js';
@@ -32,7 +38,9 @@
 
 interface SiteParts {
   readonly options: SiteOptions;
-  readonly members: readonly Member[];
+  readonly range: PortRange;
+  readonly addresses: SiteAddresses;
+  readonly members: Member[];
   readonly standIns: Child;
   readonly standInUrls: readonly string[];
   readonly entryUrls: readonly string[];
@@ -79,6 +87,8 @@
     }
     return new Site({
       options,
+      range,
+      addresses,
       members,
       standIns,
       standInUrls,
@@ -140,6 +150,17 @@
     await this.find(name).restart();
   }
 
+  /** Starts a control replica with an empty disk that waits to be added to the group. */
+  async startLearner(name: string): Promise<Member> {
+    const {options, range, addresses, members} = this.parts;
+    const plan = await planMember(options, range, 'control', name, true);
+    writeSettings(options, addresses, plan, this.list('control').length);
+    const proxy = await openProxy(plan, members);
+    const member = new Member(plan, options.binary, proxy);
+    members.push(member);
+    return member;
+  }
+
   /** Waits until every running entry is ready and sees every running agent's target. */
   async waitUntilReady(limitMs = readyLimitMs): Promise<void> {
     const targets = this.list('agent').filter(({child}) => child.isRunning);
@@ -201,41 +222,6 @@
 
 const memberRoles = ['control', 'entry', 'agent'] as const;
 
-function filterRole(
-  plans: readonly MemberPlan[],
-  role: MemberRole,
-): readonly MemberPlan[] {
-  return plans.filter(plan => plan.role === role);
-}
-
-async function planMembers(
-  options: SiteOptions,
-  range: PortRange,
-): Promise<readonly MemberPlan[]> {
-  const plans: MemberPlan[] = [];
-  const add = async (role: MemberRole, name: string) => {
-    const listen = `127.0.0.1:${await range.take()}`;
-    const advertise = options.proxied
-      ? `127.0.0.1:${await range.take()}`
-      : listen;
-    plans.push({
-      name,
-      role,
-      listen,
-      advertise,
-      settings: join(options.data, `${name}.toml`),
-      log: join(options.data, `${name}.log`),
-    });
-  };
-  for (let i = 0; i < options.controls; i++)
-    await add('control', `control-${i}`);
-  for (let i = 0; i < options.entries; i++) await add('entry', `entry-${i}`);
-  for (const [i, target] of options.targets.entries()) {
-    await add('agent', `${target.service}-${i}`);
-  }
-  return plans;
-}
-
 /** Opens the proxy of a planned process; it tells the dialling process by its socket. */
 async function openProxy(
   plan: MemberPlan,
--- a/packages/bench/test/site.test.ts
+++ b/packages/bench/test/site.test.ts
@@ -10,7 +10,9 @@
   isSound,
   type LoadOptions,
   planLoad,
+  raceChanges,
   readJournal,
+  replaceControl,
   runChaos,
   runLoad,
   Site,
@@ -108,6 +110,19 @@
   },
 );
 
+test.serial('a second control lost after a repair loses nothing', async t => {
+  await using site = await startSite();
+  const counts = await judgeLoad(site, async () => {
+    await site.kill('control-2', 'SIGKILL');
+    await replaceControl(site, 'control-2', 'control-3');
+    await site.kill('control-0', 'SIGKILL');
+  });
+  t.deepEqual(counts.offences, []);
+  t.is(counts.complete, load.jobs);
+  const race = await raceChanges(site, 2, 'after');
+  t.is(race?.accepted.length, 1);
+});
+
 test.serial('a seeded run of troubles breaks no promise', async t => {
   const run = await runChaos(makeFolder(), 2, 4);
   t.deepEqual(run.faults, []);
