--- a/packages/bench/src/ports.ts
+++ b/packages/bench/src/ports.ts
@@ -3,6 +3,8 @@
 // Below the range from which the system takes the ports of outgoing connections.
 const firstPort = 10_000;
 const lastPort = 32_000;
+// Prime to the span, so that processes with ids near each other get ranges far apart.
+const portsPerProcess = 997;
 
 let ownRange: PortRange | undefined;
 
@@ -13,7 +15,9 @@
   /** The range of this process, apart from those of others that start at the same time. */
   static choose(): PortRange {
     const span = lastPort - firstPort;
-    ownRange ??= new PortRange(firstPort + ((process.pid * 97) % span));
+    ownRange ??= new PortRange(
+      firstPort + ((process.pid * portsPerProcess) % span),
+    );
     return ownRange;
   }
 
