Let an executor's request know of an abort before its exchange closes

Cause: the limit of a cancelled request ran from the start beside the longest run time, and its listener came first, so that a task on a hanging target was told as unknown instead of failed. The limit now begins at the cancellation.

--- a/packages/agent/src/executor.ts
+++ b/packages/agent/src/executor.ts
@@ -27,12 +27,12 @@
   async run(request: RunRequest, signal: AbortSignal): Promise<RunOutcome> {
     const {job, task, payload, maxTaskMs} = request;
     const close = new AbortController();
-    const limit = setTimeout(() => close.abort(), maxTaskMs);
+    let limit: NodeJS.Timeout | undefined;
     const onAbort = () => {
       if (!isCancelled(signal)) close.abort();
+      else limit = setTimeout(() => close.abort(), maxTaskMs);
     };
-    signal.addEventListener('abort', onAbort, {once: true});
-    const outcome = await sendRequest(this.pool, {
+    const sending = sendRequest(this.pool, {
       method: 'POST',
       path: '/run',
       body: {job, task, payload},
@@ -40,9 +40,14 @@
       closeSignal: close.signal,
       maxBytes: maxResultBytes,
     });
+    // The request must know of an abort before its exchange closes.
+    signal.addEventListener('abort', onAbort, {once: true});
+    if (signal.aborted) onAbort();
+    const outcome = await sending;
     signal.removeEventListener('abort', onAbort);
-    if (outcome.kind !== 'aborted') clearTimeout(limit);
-    else void outcome.ended.then(() => clearTimeout(limit));
+    if (outcome.kind === 'aborted') {
+      void outcome.ended.then(() => clearTimeout(limit));
+    }
     switch (outcome.kind) {
       case 'answered':
         return interpretAnswer(outcome.status, outcome.body);
