--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -199,6 +199,7 @@
       await this.resolveElsewhere(execution);
       return;
     }
+    const detachments = execution.detachmentCount;
     const ticket = this.issueTicket(submission.job);
     const result = await this.registrar.admit(
       submission,
@@ -207,7 +208,7 @@
       computeRemainingMs(this.owner.clock.now(), deadline),
       this.owner.getKeepMs(submission.unrepeatable),
     );
-    if (execution.isOver) return;
+    if (execution.isOver || execution.detachmentCount !== detachments) return;
     if (result === undefined) {
       await this.resolveElsewhere(execution, 'admission-unconfirmed');
       return;
@@ -261,8 +262,10 @@
   }
 
   private async retryAdmission(execution: Execution): Promise<void> {
+    const detachments = execution.detachmentCount;
     await pause(retryPauseMs);
-    if (!execution.isOver) await this.admit(execution);
+    if (execution.isOver || execution.detachmentCount !== detachments) return;
+    await this.admit(execution);
   }
 
   /** Gets the answer of a job that has a record from whoever owns it. */
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -11,6 +11,7 @@
   private detached = false;
   private sent = false;
   private cancelled = false;
+  private detachments = 0;
   private readonly inFlight = new Set<Promise<unknown>>();
   private longestMs = 0;
 
@@ -26,6 +27,11 @@
     return this.cancelled || this.detached || this.job.answer !== undefined;
   }
 
+  /** Counts the detachments so far: an attempt at admission ends with the next one. */
+  get detachmentCount(): number {
+    return this.detachments;
+  }
+
   /** True when this entry decides the job's answer. */
   get isOwned(): boolean {
     return this.owned && !this.detached;
@@ -88,6 +94,7 @@
   /** Stops placing tasks here: another entry owns the job now. */
   detach(): void {
     this.detached = true;
+    this.detachments++;
   }
 
   /** Lists the tasks that were sent and have not ended. */
