Part entries that wait for each other's answer

An entry now never attaches to its own address, and leaves an attachment whose owner's epoch the view shows as over.

--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   type Clock,
   computeRemainingMs,
   type Epoch,
@@ -28,6 +29,10 @@
 export interface DeskOwner {
   readonly clock: Clock;
   readonly log: Logger;
+  /** Where other entries are told to dial this one. */
+  readonly address: Address;
+  /** True unless the view shows that an epoch is over. */
+  readonly isLive: (epoch: Epoch) => boolean;
   /** The epoch held, perhaps past its lease. */
   readonly getEpoch: () => Epoch | undefined;
   readonly getStartingEpoch: () => Epoch | undefined;
@@ -56,6 +61,8 @@
 }
 
 const retryPauseMs = 100;
+/** How often a waiting entry checks that the owner's epoch still lives. */
+const ownerCheckMs = 500;
 const ticketLimit = 2 ** 32;
 
 /** Takes in jobs: at most one execution a job in this process, and one owner among all. */
@@ -285,15 +292,36 @@
       await this.resume(execution, standing);
       return;
     }
-    const answer =
-      standing.address === undefined
-        ? undefined
-        : await this.neighbours.attach(standing.address, submission, deadline);
+    const answer = await this.attach(submission, deadline, standing);
     if (execution.job.answer !== undefined) return;
     if (answer === undefined) await this.resolveElsewhere(execution);
     else execution.resolve(answer);
   }
 
+  /**
+   * Waits for the answer at the job's owner. Undefined: there is none to be had
+   * there, also when the owner's epoch ends meanwhile. Two entries that wait for
+   * each other, as after a quick restart at the same address, part by this.
+   */
+  private async attach(
+    submission: Submission,
+    deadline: Instant,
+    {address, owner}: AdmittedJob,
+  ): Promise<JobAnswer | undefined> {
+    if (address === undefined || address === this.owner.address) {
+      return undefined;
+    }
+    let isAttached = true;
+    const attached = this.neighbours
+      .attach(address, submission, deadline)
+      .finally(() => (isAttached = false));
+    const ended = async () => {
+      while (isAttached && this.owner.isLive(owner)) await pause(ownerCheckMs);
+      return isAttached ? undefined : attached;
+    };
+    return Promise.race([attached, ended()]);
+  }
+
   /** Continues a job that this epoch owns: as the one that admitted it, or as an heir. */
   private async resume(
     execution: Execution,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -89,6 +89,8 @@
       {
         clock,
         log,
+        address: this.address,
+        isLive: epoch => !this.client.view.ended.has(epoch),
         getEpoch: () => this.lease.epoch,
         getStartingEpoch: () => this.lease.startingEpoch,
         getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
@@ -136,6 +138,11 @@
     return Right(entry);
   }
 
+  /** Where other entries are told to dial. */
+  private get address(): Address {
+    return this.settings.role.advertise ?? this.listener.address;
+  }
+
   /** Where callers connect. */
   get httpAddress(): Address {
     return this.front!.address;
@@ -184,7 +191,7 @@
 
   private openLease(): EntryLease {
     const {id: entry, place} = this.settings;
-    const address = this.settings.role.advertise ?? this.listener.address;
+    const {address} = this;
     return new EntryLease(
       {
         open: async deadline =>
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -10,6 +10,7 @@
 import {buildSubmission} from './builders.js';
 
 const ownEpoch = 7;
+const ownAddress = '127.0.0.1:7';
 
 /** A desk among fakes: what control and the other entries answer, and what starts. */
 class Bench {
@@ -20,12 +21,16 @@
   });
   found: LookupResult | undefined = {kind: 'absent'};
   refusal: Refusal | undefined;
-  attached: JobAnswer | undefined;
+  attached: JobAnswer | undefined | Promise<JobAnswer | undefined>;
+  attachments = 0;
+  ownerLives = true;
 
   readonly desk = new Desk(
     {
       clock: monotonicClock,
       log: openLog('silent', 'entry', 'e1'),
+      address: ownAddress,
+      isLive: epoch => this.ownerLives || epoch !== 3,
       getEpoch: () => ownEpoch,
       getStartingEpoch: () => ownEpoch,
       getKeepMs: () => 60_000,
@@ -43,7 +48,12 @@
       },
       lookUp: async () => this.found,
     } as unknown as Registrar,
-    {attach: async () => this.attached} as unknown as Neighbours,
+    {
+      attach: async () => {
+        this.attachments++;
+        return this.attached;
+      },
+    } as unknown as Neighbours,
   );
 
   submit(submission: Submission, withinMs = 30_000): Promise<JobAnswer> {
@@ -174,3 +184,34 @@
   t.like(await answer, {kind: 'failed', reason: 'cancelled'});
   t.like(await bench.submit(submission), {kind: 'failed', reason: 'cancelled'});
 });
+
+test('a job whose owner ends while it is waited for is asked for again', async t => {
+  const bench = new Bench();
+  const submission = buildSubmission('k');
+  const {job} = submission;
+  bench.admit = () => ({
+    kind: 'exists',
+    standing: buildStanding(submission, 3),
+  });
+  bench.attached = new Promise(() => {});
+  const answer = bench.submit(submission);
+  while (bench.attachments === 0) await new Promise(setImmediate);
+  bench.attached = {kind: 'complete', job, results: [0, 1]};
+  bench.found = {kind: 'exists', standing: buildStanding(submission, 4)};
+  bench.ownerLives = false;
+  t.is((await answer).kind, 'complete');
+  t.is(bench.attachments, 2);
+});
+
+test('an entry never waits for itself at the address of its former life', async t => {
+  const bench = new Bench();
+  const submission = buildSubmission('k');
+  bench.found = {
+    kind: 'exists',
+    standing: buildStanding(submission, 3, {address: ownAddress}),
+  };
+  bench.admit = () => bench.found as AdmitResult;
+  const answer = await bench.submit(submission, 600);
+  t.is(answer.kind, 'unknown');
+  t.is(bench.attachments, 0);
+});
