--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -17,6 +17,7 @@
 import {createJob, failJob, loseJob} from './job.js';
 import type {Neighbours} from './neighbours.js';
 import type {Registrar} from './registrar.js';
+import {Tickets} from './tickets.js';
 
 /** A refusal as admission control gives it, before control has confirmed it. */
 export interface Refusal {
@@ -63,14 +64,11 @@
 const retryPauseMs = 100;
 /** How often a waiting entry checks that the owner's epoch still lives. */
 const ownerCheckMs = 500;
-const ticketLimit = 2 ** 32;
 
 /** Takes in jobs: at most one execution a job in this process, and one owner among all. */
 export class Desk {
   private readonly executions = new Map<JobId, Execution>();
-  /** Requests for admission whose answer was not seen, by job, by ticket; none of the job started here. */
-  private readonly unconfirmed = new Map<JobId, Set<number>>();
-  private nextTicket = 0;
+  private readonly tickets = new Tickets();
   /** Jobs of ended epochs that this epoch has continued; never a second time. */
   private readonly resumed = new Set<JobId>();
 
@@ -146,7 +144,7 @@
 
   /** The epoch is over: its jobs are answered by whoever owns them now. */
   relinquish(): void {
-    this.unconfirmed.clear();
+    this.tickets.clear();
     this.resumed.clear();
     for (const execution of this.listUnanswered()) {
       if (execution.isOver) continue;
@@ -207,7 +205,7 @@
       return;
     }
     const detachments = execution.detachmentCount;
-    const ticket = this.issueTicket(submission.job);
+    const ticket = this.tickets.issue(submission.job);
     const result = await this.registrar.admit(
       submission,
       epoch,
@@ -235,17 +233,9 @@
     }
   }
 
-  private issueTicket(job: JobId): number {
-    const ticket = this.nextTicket;
-    this.nextTicket = (this.nextTicket + 1) % ticketLimit;
-    const tickets = this.unconfirmed.get(job) ?? new Set();
-    this.unconfirmed.set(job, tickets.add(ticket));
-    return ticket;
-  }
-
   /** From here on no ticket of the job starts it again. */
   private startConfirmed(execution: Execution): void {
-    this.unconfirmed.delete(execution.job.submission.job);
+    this.tickets.retire(execution.job.submission.job);
     execution.own();
     this.owner.start(execution);
   }
@@ -282,7 +272,7 @@
   ): Promise<void> {
     const {submission, deadline} = execution.job;
     if (standing.epoch !== this.owner.getEpoch()) {
-      this.unconfirmed.delete(submission.job);
+      this.tickets.retire(submission.job);
     }
     if (standing.digest !== submission.digest) {
       execution.resolve(refuseReusedKey(submission.job));
@@ -329,8 +319,8 @@
   ): Promise<void> {
     const {submission, deadline} = execution.job;
     if (standing.epoch === standing.owner) {
-      const tickets = this.unconfirmed.get(submission.job);
-      if (tickets?.has(standing.ticket)) this.startConfirmed(execution);
+      if (this.tickets.has(submission.job, standing.ticket))
+        this.startConfirmed(execution);
       else this.lose(execution, 'answer-expired', 'the answer is forgotten');
       return;
     }
--- a/packages/entry/src/neighbours.ts
+++ b/packages/entry/src/neighbours.ts
@@ -26,27 +26,21 @@
   }
 
   /** Asks how far a job has come at its owner. */
-  async peek(
+  peek(
     address: Address,
     job: JobId,
     deadline: Instant,
   ): Promise<JobState | undefined> {
-    const peer = await this.open(address, deadline);
-    return (await peer?.request('entry.peek', {job}, deadline))
-      ?.toMaybe()
-      .extract();
+    return this.askAbout('entry.peek', address, job, deadline);
   }
 
   /** Cancels a job at its owner. */
-  async cancel(
+  cancel(
     address: Address,
     job: JobId,
     deadline: Instant,
   ): Promise<JobState | undefined> {
-    const peer = await this.open(address, deadline);
-    return (await peer?.request('entry.cancel', {job}, deadline))
-      ?.toMaybe()
-      .extract();
+    return this.askAbout('entry.cancel', address, job, deadline);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -55,6 +49,17 @@
     }
   }
 
+  private async askAbout(
+    method: 'entry.peek' | 'entry.cancel',
+    address: Address,
+    job: JobId,
+    deadline: Instant,
+  ): Promise<JobState | undefined> {
+    const peer = await this.open(address, deadline);
+    const reply = await peer?.request(method, {job}, deadline);
+    return reply?.toMaybe().extract();
+  }
+
   private open(address: Address, deadline: Instant): Promise<Peer | undefined> {
     const known = this.peers.get(address);
     if (known !== undefined) return known;
