Probe silent connections instead of pinging live ones

Cause: every connection pinged both ways each second, so an entry with 1,300 agents in view spent 9% of a core and far over 9 KB/s on links that carried nothing. Ruled out: longer ping intervals for all, which would notice a dead link late when a fate is awaited. A peer now asks for a sign of life only when it has heard nothing: after 1 s where something is awaited, after 20 s on an idle link; targets renew at a third of their lease instead of each second.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -16,6 +16,7 @@
   type Handlers,
   type HelloParams,
   type HelloResult,
+  idleLiveness,
   type Liveness,
   type Peer,
   PeerListener,
@@ -244,6 +245,7 @@
     const {epoch} = hello;
     if (this.intake.isBarred(epoch)) return {kind: 'fenced'};
     if (!this.sessions.open(hello, peer)) return {kind: 'fenced'};
+    peer.setLiveness(idleLiveness);
     this.intake.connect(epoch);
     return {
       kind: 'welcome',
--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -21,6 +21,10 @@
   readonly onConfiguration: (configuration: VersionedSource) => void;
 }
 
+/** Renewals are the signs of life; a probe is needed only when one is overdue. */
+const renewalLiveness: Liveness = {probeAfterMs: 3000, silenceLimitMs: 6000};
+/** Two renewals may be lost before a lease is. */
+const renewalsPerLease = 3;
 const dialTimeoutMs = 1000;
 const requestTimeoutMs = 2000;
 const firstBackoffMs = 20;
@@ -79,6 +83,11 @@
     );
   }
 
+  private computePauseMs(): number {
+    const {renewalIntervalMs, targetLeaseMs} = this.owner.leases;
+    return Math.max(renewalIntervalMs, targetLeaseMs / renewalsPerLease);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped = true;
     this.wakePause();
@@ -114,7 +123,7 @@
       address,
       {'watcher.update': update => this.receiveView(update)},
       this.deriveDeadline(dialTimeoutMs),
-      this.owner.liveness,
+      this.owner.liveness ?? renewalLiveness,
     );
     const peer = dialled.toMaybe().extractNullable();
     if (peer === null) return {kind: 'lost'};
@@ -135,7 +144,7 @@
       if (ending !== undefined) return ending;
       if (!this.isAnnounced) continue;
       this.wakeWaiters();
-      await this.pause(this.owner.leases.renewalIntervalMs);
+      await this.pause(this.computePauseMs());
     }
     return {kind: 'lost'};
   }
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -6,6 +6,7 @@
   type ControlReply,
   type ControlStatus,
   type Handlers,
+  type Liveness,
   type Nothing,
   type Peer,
   PeerListener,
@@ -23,6 +24,11 @@
 import {createLeaderHandlers, describeState} from './service.js';
 import {Watchers} from './watchers.js';
 
+/** Who dials control watches the connection; this end only has to let go of dead ones. */
+const clientLiveness: Liveness = {
+  probeAfterMs: 10_000,
+  silenceLimitMs: 30_000,
+};
 const tickIntervalMs = 100;
 const statusTimeoutMs = 500;
 /** A replica without a leader for this long lets its watchers look elsewhere, in ms. */
@@ -93,6 +99,8 @@
     const listening = await PeerListener.listen(
       options.settings.role.listen,
       handlers,
+      undefined,
+      clientLiveness,
     );
     return listening.caseOf<Promise<Either<string, Control>>>({
       Left: async detail => Left(detail),
--- a/packages/control/src/links.ts
+++ b/packages/control/src/links.ts
@@ -11,8 +11,8 @@
 const dialTimeoutMs = 1000;
 const redialPauseMs = 100;
 
-/** Replicas talk all the time, so that silence shows early; the other end pings every second when idle. */
-const linkLiveness: Liveness = {pingIntervalMs: 1000, silenceLimitMs: 2500};
+/** Replicas talk all the time, so that silence shows early. */
+const linkLiveness: Liveness = {probeAfterMs: 1000, silenceLimitMs: 2500};
 
 interface Link {
   peer?: Peer;
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -10,8 +10,10 @@
   type TaskStanding,
 } from '#model';
 import {
+  defaultLiveness,
   dialPeer,
   type FenceResult,
+  idleLiveness,
   type Liveness,
   type Peer,
   type ReportParams,
@@ -114,6 +116,7 @@
         return;
       }
       this.sent.set(formatTask(task), {ref: task, resolve});
+      this.watchPeer();
       if (this.outgoing.length === 0) setImmediate(() => this.flush());
       this.outgoing.push(task);
     });
@@ -259,6 +262,7 @@
       return false;
     }
     this.ready = true;
+    this.watchPeer();
     this.wakeWaiters();
     this.owner.onOpened(this, slots);
     if (this.early > 0) this.owner.onGranted(this, this.early);
@@ -352,6 +356,7 @@
       return;
     }
     this.sent.delete(key);
+    this.watchPeer();
     task.resolve(end);
   }
 
@@ -369,6 +374,13 @@
     this.peer?.notify('agent.start', {tasks, waiting: this.waiting});
   }
 
+  /** Silence is noticed soon while a fate is awaited; idle links cost next to nothing. */
+  private watchPeer(): void {
+    const isIdle = this.sent.size === 0;
+    const {liveness = defaultLiveness} = this.owner;
+    this.peer?.setLiveness(isIdle ? idleLiveness : liveness);
+  }
+
   private waitOpen(): Promise<boolean> {
     if (this.stopped || !this.inView) return Promise.resolve(false);
     return new Promise(resolve => {
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -252,7 +252,6 @@
     Codec.interface({from: string, message: unknown}),
   ),
   'watcher.update': toCheck(viewUpdate),
-  'peer.ping': toCheck(nothing),
   'peer.sync': toCheck(nothing),
 };
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -14,6 +14,6 @@
 export {encodeFrame, FrameReader, maxFrameBytes, preface} from './frame.js';
 
 export type {Handlers, Liveness, RpcFailure} from './peer.js';
-export {defaultLiveness, Peer} from './peer.js';
+export {defaultLiveness, idleLiveness, Peer} from './peer.js';
 export {parseAddress} from '#model';
 export {dialPeer, PeerListener} from './endpoint.js';
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -113,8 +113,6 @@
   'entry.report': ReportParams;
   'control.replicate': ReplicateParams;
   'watcher.update': ViewUpdate;
-  /** Shows that the sender is alive when it has nothing else to send. */
-  'peer.ping': Nothing;
 }
 
 export type RequestName = keyof Requests;
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -40,17 +40,24 @@
 
 /** How a connection tells a live peer from a silent one; all in ms. */
 export interface Liveness {
-  /** A ping is sent when nothing else was for this long. */
-  readonly pingIntervalMs: number;
+  /** The other end is asked for a sign of life when nothing was received for this long. */
+  readonly probeAfterMs: number;
   /** The connection is closed when nothing was received for this long. */
   readonly silenceLimitMs: number;
 }
 
+/** For a connection on which something is awaited. */
 export const defaultLiveness: Liveness = {
-  pingIntervalMs: 1000,
+  probeAfterMs: 1000,
   silenceLimitMs: 4000,
 };
 
+/** For a connection that is only held open: a few bytes a minute. */
+export const idleLiveness: Liveness = {
+  probeAfterMs: 20_000,
+  silenceLimitMs: 45_000,
+};
+
 const maxBufferedBytes = 128 * 1024 * 1024;
 const maxRequestMs = 2 ** 31 - 1;
 const timeoutCode = 0;
@@ -67,17 +74,16 @@
 
   private readonly rpc: JSONRPCServerAndClient;
   private readonly reader = new FrameReader();
-  private readonly heartbeat: NodeJS.Timeout;
+  private watchdog: NodeJS.Timeout | undefined;
   private resolveClosed!: (cause: string) => void;
   private closeCause: string | undefined;
-  private lastSent: Instant = monotonicClock.now();
   private lastReceived: Instant = monotonicClock.now();
   private outgoing: Buffer[] = [];
 
   constructor(
     private readonly socket: Socket,
     handlers: Handlers,
-    private readonly liveness: Liveness = defaultLiveness,
+    private liveness: Liveness = defaultLiveness,
   ) {
     this.closed = new Promise(resolve => (this.resolveClosed = resolve));
     this.rpc = new JSONRPCServerAndClient(
@@ -92,14 +98,7 @@
         String((error as Error).message ?? error),
       );
     this.addHandlers(handlers);
-    this.heartbeat = setInterval(
-      () => this.checkLiveness(),
-      Math.max(
-        1,
-        Math.min(liveness.pingIntervalMs, liveness.silenceLimitMs) / 2,
-      ),
-    );
-    this.heartbeat.unref();
+    this.armWatchdog();
     socket.setNoDelay(true);
     socket.on('data', chunk => this.receive(chunk));
     socket.on('error', error => this.close(error.message));
@@ -122,6 +121,14 @@
     return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
   }
 
+  /** Changes how soon silence is noticed. Silence so far does not count. */
+  setLiveness(liveness: Liveness): void {
+    if (liveness === this.liveness) return;
+    this.liveness = liveness;
+    this.lastReceived = monotonicClock.now();
+    this.armWatchdog();
+  }
+
   /** Sends a request and waits for its result until the deadline. */
   async request<Name extends RequestName>(
     method: Name,
@@ -156,7 +163,7 @@
     if (this.closeCause !== undefined) return;
     this.flush();
     this.closeCause = cause;
-    clearInterval(this.heartbeat);
+    clearTimeout(this.watchdog);
     this.socket.destroy();
     this.rpc.rejectAllPendingRequests(`disconnected: ${cause}`);
     this.resolveClosed(cause);
@@ -171,7 +178,6 @@
   }
 
   private addHandlers(handlers: Handlers): void {
-    this.rpc.addMethod('peer.ping', () => undefined);
     this.rpc.addMethod('peer.sync', () => ({}));
     for (const [name, handler] of Object.entries(handlers)) {
       const method = name as MethodName;
@@ -226,22 +232,37 @@
         ? this.outgoing[0]!
         : Buffer.concat(this.outgoing);
     this.outgoing = [];
-    this.lastSent = monotonicClock.now();
     this.socket.write(chunk);
     if (this.socket.writableLength > maxBufferedBytes) {
       this.close('the other end does not read');
     }
   }
 
+  private armWatchdog(): void {
+    if (!this.isOpen) return;
+    clearTimeout(this.watchdog);
+    const {probeAfterMs, silenceLimitMs} = this.liveness;
+    const silentMs = monotonicClock.now() - this.lastReceived;
+    const dueMs =
+      silentMs < probeAfterMs
+        ? probeAfterMs - silentMs
+        : Math.min(probeAfterMs, silenceLimitMs - silentMs + 1);
+    this.watchdog = setTimeout(() => this.checkLiveness(), Math.max(1, dueMs));
+    this.watchdog.unref();
+  }
+
   private checkLiveness(): void {
+    const {probeAfterMs, silenceLimitMs} = this.liveness;
     const now = monotonicClock.now();
-    if (now - this.lastReceived > this.liveness.silenceLimitMs) {
-      this.close(`silent for ${Math.round(now - this.lastReceived)} ms`);
+    const silentMs = now - this.lastReceived;
+    if (silentMs > silenceLimitMs) {
+      this.close(`silent for ${Math.round(silentMs)} ms`);
       return;
     }
-    if (now - this.lastSent > this.liveness.pingIntervalMs) {
-      this.notify('peer.ping', {});
+    if (silentMs >= probeAfterMs) {
+      void this.request('peer.sync', {}, now + silenceLimitMs);
     }
+    this.armWatchdog();
   }
 
   private describeFailure(error: unknown): RpcFailure {
--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -6,6 +6,7 @@
   type Liveness,
   type Peer,
   PeerListener,
+  preface,
 } from '#protocol';
 
 const soon = () => monotonicClock.now() + 5000;
@@ -102,3 +103,44 @@
   await peer[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
+
+/** A listener that accepts, sends the preface and then says nothing. */
+async function openMute() {
+  const {createServer} = await import('node:net');
+  const server = createServer(socket => {
+    socket.on('error', () => {});
+    socket.resume();
+    socket.write(preface);
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as {port: number};
+  return {server, address: `127.0.0.1:${port}`};
+}
+
+test('a peer that stays silent is closed, at once when that begins to matter', async t => {
+  const {server, address} = await openMute();
+  const idle = {probeAfterMs: 60_000, silenceLimitMs: 120_000};
+  const busy = {probeAfterMs: 5, silenceLimitMs: 30};
+  const peer = (await dialPeer(address, {}, soon(), idle)).unsafeCoerce();
+  t.true(peer.isOpen);
+  peer.setLiveness(busy);
+  t.regex(await peer.closed, /silent/);
+  server.close();
+});
+
+test('a peer that is only idle answers probes and stays', async t => {
+  const {listener, peer} = await connectPair(
+    {},
+    {},
+    {probeAfterMs: 5, silenceLimitMs: 5000},
+  );
+  for (let i = 0; i < 20; i++) {
+    t.true((await peer.request('peer.sync', {}, soon())).isRight());
+    await new Promise(resolve => setTimeout(resolve, 6));
+  }
+  t.true(peer.isOpen);
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
