--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -1,4 +1,4 @@
-import type {JobAnswer, TaskRef} from '#model';
+import type {JobAnswer} from '#model';
 import {applyJobEvent, type Job, type JobEvent} from './job.js';
 
 /** A job in hand and the promise of its one answer. */
@@ -96,12 +96,4 @@
     this.detached = true;
     this.detachments++;
   }
-
-  /** Lists the tasks that were sent and have not ended. */
-  listSent(): readonly TaskRef[] {
-    const {job, tasks} = {job: this.job.submission.job, tasks: this.job.tasks};
-    return tasks.flatMap((state, task) =>
-      state.kind === 'sent' ? [{job, task}] : [],
-    );
-  }
 }
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -359,7 +359,7 @@
       this.owner.random,
     );
     if (verdict.kind === 'exhausted') {
-      const detail = `task ${task} was refused; the ${verdict.cause} budget is used up`;
+      const detail = `task ${task} was refused and may not be placed again: no ${verdict.cause} left`;
       execution.resolve(failJob(execution.job, 'retries-exhausted', detail));
       return;
     }
