--- a/packages/bench/test/proof-entry-death.test.ts
+++ b/packages/bench/test/proof-entry-death.test.ts
@@ -35,6 +35,11 @@
     await stand.waitForStarts(16);
     await stand.site.kill('entry-0', 'SIGKILL');
     await stand.site.restart('entry-0');
-    stand.assertAllComplete(await submitted);
+    const records = await submitted;
+    stand.assertAllComplete(records);
+    const unknown = records
+      .flatMap(({attempts}) => attempts)
+      .filter(({outcome}) => outcome.kind === 'unknown');
+    t.deepEqual(unknown, []);
   },
 );
