--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -1,5 +1,6 @@
 import {parseArgs} from 'node:util';
 import {endOnSignals} from './child.js';
+import {measureCommit} from './bench-commit.js';
 import {measureDeployments} from './bench-deployments.js';
 import {measurePlacement} from './bench-placement.js';
 import {measureScale} from './bench-scale.js';
@@ -10,6 +11,7 @@
   placement: measurePlacement,
   slopes: measureSlopes,
   scale: measureScale,
+  commit: measureCommit,
 };
 
 const {values, positionals} = parseArgs({
@@ -20,7 +22,7 @@
 const seed = Number(values.seed);
 if (run === undefined || !Number.isInteger(seed)) {
   console.error(
-    'usage: npm run bench -- [deployments|placement|slopes|scale] [--seed N]',
+    'usage: npm run bench -- [deployments|placement|slopes|scale|commit] [--seed N]',
   );
   process.exit(2);
 }
