Bound the bytes of the answers that an entry keeps

The oldest now give way beyond 32 MB as JSON; a resubmission then gets unknown, answer-expired, and by the ticket rule nothing starts again.

--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -17,6 +17,7 @@
 import {createJob, failJob, loseJob} from './job.js';
 import type {Neighbours} from './neighbours.js';
 import type {Registrar} from './registrar.js';
+import {Retention} from './retention.js';
 import {Tickets} from './tickets.js';
 
 /** A refusal as admission control gives it, before control has confirmed it. */
@@ -64,11 +65,16 @@
 const retryPauseMs = 100;
 /** How often a waiting entry checks that the owner's epoch still lives. */
 const ownerCheckMs = 500;
+/** Answers kept for resubmissions, as JSON. */
+const maxAnswerBytes = 32 * 1024 * 1024;
 
 /** Takes in jobs: at most one execution a job in this process, and one owner among all. */
 export class Desk {
   private readonly executions = new Map<JobId, Execution>();
   private readonly tickets = new Tickets();
+  private readonly retention = new Retention(maxAnswerBytes, job =>
+    this.executions.delete(job),
+  );
   /** Jobs of ended epochs that this epoch has continued; never a second time. */
   private readonly resumed = new Set<JobId>();
 
@@ -172,9 +178,9 @@
   private forgetLater(execution: Execution, answer: JobAnswer): void {
     const {submission, deadline} = execution.job;
     const forget = () => {
-      if (this.executions.get(submission.job) === execution) {
-        this.executions.delete(submission.job);
-      }
+      if (this.executions.get(submission.job) !== execution) return;
+      this.executions.delete(submission.job);
+      this.retention.release(submission.job);
     };
     const isFinal = answer.kind === 'complete' || answer.kind === 'failed';
     if (!isFinal && !execution.hasSent) {
@@ -183,6 +189,7 @@
     }
     const now = this.owner.clock.now();
     const keepMs = this.owner.getKeepMs(false);
+    this.retention.keep(submission.job, answer);
     setTimeout(forget, computeRemainingMs(now, deadline) + keepMs).unref();
   }
 
--- /dev/null
+++ b/packages/entry/test/retention.test.ts
@@ -0,0 +1,26 @@
+import test from 'ava';
+import type {JobAnswer} from '#model';
+import {Retention} from '../src/retention.js';
+
+const answer = (job: string, letters: number): JobAnswer => ({
+  kind: 'complete',
+  job,
+  results: ['x'.repeat(letters)],
+});
+
+test('the oldest answers give way once the bound of bytes is passed', t => {
+  const forgotten: string[] = [];
+  const retention = new Retention(1000, job => forgotten.push(job));
+  for (const job of ['a', 'b', 'c', 'd']) retention.keep(job, answer(job, 300));
+  t.deepEqual(forgotten, ['a', 'b']);
+  t.true(retention.bytes <= 1000);
+});
+
+test('the newest answer is kept even when it alone is over the bound', t => {
+  const forgotten: string[] = [];
+  const retention = new Retention(100, job => forgotten.push(job));
+  retention.keep('a', answer('a', 500));
+  t.deepEqual(forgotten, []);
+  retention.release('a');
+  t.is(retention.bytes, 0);
+});
