--- a/packages/bench/src/chaos.ts
+++ b/packages/bench/src/chaos.ts
@@ -1,5 +1,6 @@
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import {request} from 'undici';
 import type {JobRecord} from './caller.js';
 import {type Counts, countOutcomes, countReasons, isSound} from './check.js';
 import {type ChaosOptions, planChaos, type TroubleStep} from './chaos-plan.js';
@@ -140,6 +141,20 @@
   };
 }
 
+/** Lists the outcomes of a job that was never completed. */
+function describeIncomplete({plan, attempts}: JobRecord): readonly string[] {
+  if (attempts.some(({outcome}) => outcome.kind === 'complete')) return [];
+  const outcomes = attempts.map(({outcome}) => JSON.stringify(outcome));
+  return [`${plan.service} ${plan.key}: ${outcomes.join(', ')}`];
+}
+
+/** Shows the pools of an entry. */
+async function describeEntry(url: string): Promise<string> {
+  const response = await request(`${url}/v1/status`);
+  const status = (await response.body.json()) as {readonly pools: unknown};
+  return `pools of ${url}: ${JSON.stringify(status.pools)}`;
+}
+
 /** Says what a site without troubles still does wrong. */
 async function describeRecovery(
   site: Site,
@@ -164,5 +179,9 @@
   });
   const {complete, jobs} = countOutcomes(readJournal(site.journal), records);
   if (complete === jobs) return [];
-  return [`no recovery: ${complete} of ${jobs} jobs complete after the repair`];
+  return [
+    `no recovery: ${complete} of ${jobs} jobs complete after the repair`,
+    ...records.flatMap(describeIncomplete),
+    ...(await Promise.all(site.entryUrls.map(describeEntry))),
+  ];
 }
