--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -126,6 +126,7 @@
   adopt(ref: TaskRef): Promise<TaskEnd> {
     return new Promise(resolve => {
       this.sent.set(formatTask(ref), {ref, resolve});
+      this.watchPeer();
     });
   }
 
