Keep a returned target's slots when its old connection closes

Cause: a target whose lease ran out and came back got a second link; when the first one's connection closed after the second had opened, the pool took the target for disconnected and ignored every grant, while the agent counted the slots as held. Tasks of the service waited at that entry for ever. The new test hangs without the change and passes with it. A link to a target that is gone now closes once nothing is awaited on it.

--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -175,8 +175,10 @@
   }
 
   private openLink(target: TargetInfo): AgentLink {
-    const tell = (link: AgentLink, event: PlacementEvent) =>
+    const tell = (link: AgentLink, event: PlacementEvent) => {
+      if (this.links.get(link.target.target) !== link) return;
       this.pools.get(link.target.service)?.apply(event);
+    };
     const {entry, clock, log, getEpoch} = this.owner;
     return new AgentLink(target, {
       entry,
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -211,6 +211,7 @@
   retire(): void {
     this.inView = false;
     if (!this.ready) this.loseTasks('the agent is gone');
+    this.closeSpent();
     this.wakeBackoff();
     this.wakeWaiters();
   }
@@ -358,6 +359,7 @@
     }
     this.sent.delete(key);
     this.watchPeer();
+    this.closeSpent();
     task.resolve(end);
   }
 
@@ -375,6 +377,11 @@
     this.peer?.notify('agent.start', {tasks, waiting: this.waiting});
   }
 
+  /** Gives the agent its idle slots back once the target is gone and nothing is awaited. */
+  private closeSpent(): void {
+    if (this.isSpent) this.peer?.close('the target left the view');
+  }
+
   /** Silence is noticed soon while a fate is awaited; idle links cost next to nothing. */
   private watchPeer(): void {
     const isIdle = this.sent.size === 0;
--- /dev/null
+++ b/packages/entry/test/fleet.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava';
+import {monotonicClock, type TargetInfo} from '#model';
+import {emptyView} from '#membership';
+import {createRandom} from '#policy';
+import {type Peer, PeerListener} from '#protocol';
+import {openLog} from '#telemetry';
+import {Execution} from '../src/execution.js';
+import {Fleet} from '../src/fleet.js';
+import {createJob} from '../src/job.js';
+import {buildSubmission} from './builders.js';
+
+const configuration = {
+  services: [
+    {
+      name: 'tally',
+      objective: {kind: 'response-time'},
+      demand: {cores: 1, memoryMb: 1, accelerators: 0},
+      maxTaskMs: 1000,
+      maxPlacements: 3,
+    },
+  ],
+  teams: [],
+  limits: {
+    maxTasksPerJob: 10,
+    maxBodyBytes: 1000,
+    maxDeadlineMs: 60_000,
+    retentionMs: 1000,
+    unrepeatableRetentionMs: 1000,
+    maxQueuedTasks: 100,
+  },
+} as const;
+
+/** An agent that grants two slots a session, runs every task at once and leaves older connections open. */
+async function openAgent() {
+  const sessions: Peer[] = [];
+  const listener = (
+    await PeerListener.listen('127.0.0.1:0', {
+      'agent.hello': (_hello, peer) => {
+        sessions.push(peer);
+        peer.notify('entry.grant', {slots: 2});
+        return {kind: 'welcome', target: describe(), slots: 2};
+      },
+      'agent.start': ({tasks}, peer) =>
+        peer.notify('entry.report', {
+          tasks: tasks.map(({job, task}) => ({
+            job,
+            task,
+            fate: {kind: 'succeeded' as const, result: task},
+            runMs: 1,
+          })),
+          slots: tasks.length,
+        }),
+      'agent.demand': () => {},
+    })
+  ).unsafeCoerce();
+  const describe = (): TargetInfo => ({
+    target: 't1',
+    incarnation: 1,
+    service: 'tally',
+    address: listener.address,
+    place: {site: 's', region: 'r', failureDomain: 'd', rack: 'k'},
+    capacity: {kind: 'executor', slots: 2, maxConnections: 2},
+    leaving: false,
+  });
+  return {listener, sessions, describe};
+}
+
+test('a target that left and came back keeps its slots when its old connection closes', async t => {
+  const agent = await openAgent();
+  const fleet = new Fleet(configuration, {
+    entry: 'e1',
+    clock: monotonicClock,
+    log: openLog('silent', 'entry', 'e1'),
+    random: createRandom(1),
+    getEpoch: () => 1,
+    getStartingEpoch: () => 1,
+    onTaskEnd: () => {},
+  });
+  const waitForSessions = async (count: number) => {
+    while (agent.sessions.length < count) await new Promise(setImmediate);
+  };
+  const target = agent.describe();
+  fleet.follow(emptyView, [{kind: 'target-joined', target}]);
+  await waitForSessions(1);
+  const gone = {target: 't1', incarnation: 1, revision: 1};
+  fleet.follow(emptyView, [
+    {kind: 'target-gone', gone},
+    {kind: 'target-joined', target},
+  ]);
+  await waitForSessions(2);
+  const link = fleet.listLinks()[0]!;
+  while (!link.isReady) await new Promise(setImmediate);
+  agent.sessions[0]!.close('an older connection');
+  await new Promise(resolve => setTimeout(resolve, 20));
+  const job = createJob(buildSubmission('k', 4), monotonicClock.now() + 5000);
+  const execution = new Execution(job, 3);
+  fleet.start(execution);
+  t.is((await execution.answered).kind, 'complete');
+  await fleet[Symbol.asyncDispose]();
+  await agent.listener[Symbol.asyncDispose]();
+});
