Ask a silent link for a sign of life when its slots are awaited

Cause: an entry watched a link closely only while tasks were sent on it. An entry without slots that asked for some on a connection that had gone silent had nothing sent, so that it noticed only by the idle limit of 45 s: the tasks of the service got no slot there until their deadline. The same held for an agent that asked idle slots back over a dead connection.

New tests: the peer's ensureAlive, and 'a connection that goes silent while tasks wait for its slots is noticed'.

It now asks each target twice first, so that what was sent before the answer has been read; what is sent after it still counts.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -16,6 +16,7 @@
   type Handlers,
   type HelloParams,
   type HelloResult,
+  defaultLiveness,
   idleLiveness,
   type Liveness,
   type Peer,
@@ -295,10 +296,17 @@
     }
     for (const [epoch, mail] of mails) {
       const peer = this.sessions.getPeer(epoch);
-      if (peer !== undefined) sendMail(peer, mail);
+      if (peer === undefined) continue;
+      sendMail(peer, mail);
+      // Idle slots that are asked back may be all that another entry waits for.
+      if (mail.recalled > 0) peer.ensureAlive(this.liveness);
     }
   }
 
+  private get liveness(): Liveness {
+    return this.options.liveness ?? defaultLiveness;
+  }
+
   private getConfigVersion(): number {
     return Math.max(0, this.configVersion);
   }
--- a/packages/bench/src/site.ts
+++ b/packages/bench/src/site.ts
@@ -182,6 +182,17 @@
     await response.body.dump();
   }
 
+  /** Counts the tasks that each stand-in has started, by asking it. */
+  async countAtTargets(): Promise<readonly number[]> {
+    return Promise.all(
+      this.parts.standInUrls.map(async url => {
+        const response = await request(`${url}/counts`);
+        const body = (await response.body.json()) as {readonly started: number};
+        return body.started;
+      }),
+    );
+  }
+
   describe(): SiteDescription {
     const {services, teams} = this.options.configuration;
     const listPids = (role: MemberRole) => this.list(role).map(({pid}) => pid);
--- a/packages/bench/test/proof-cancellation.test.ts
+++ b/packages/bench/test/proof-cancellation.test.ts
@@ -32,6 +32,7 @@
     const cancelled = await Promise.all(
       jobs.map(async plan => {
         const {reason} = await cancelJob(stand.site.entryUrls[0]!, plan);
+        await stand.awaitTargets();
         return {
           plan,
           isCancelled: reason === 'cancelled',
--- a/packages/bench/test/proof-links.test.ts
+++ b/packages/bench/test/proof-links.test.ts
@@ -17,6 +17,26 @@
   },
 );
 
+test.serial(
+  'a connection that goes silent while tasks wait for its slots is noticed',
+  async t => {
+    const stand = await Stand.open(t, {leases: {}});
+    const holding = planJobs('holding', {jobs: 32, tasks: 1, taskMs: 1500});
+    const held = stand.submitOnce(holding, 1);
+    await stand.waitForStarts(16);
+    const waiting = planJobs('waiting', {...shape, jobs: 4});
+    const submitted = stand.submitOnce(waiting, 0);
+    await stand.waitUntil('the jobs wait', async () => {
+      const {jobsInHand} = await stand.readEntry(0);
+      return jobsInHand === waiting.length;
+    });
+    for (const {proxy} of stand.site.list('agent')) {
+      proxy!.swallowOpen('entry-0');
+    }
+    stand.assertAllComplete([...(await held), ...(await submitted)]);
+  },
+);
+
 for (const way of ['to-server', 'to-client'] as const) {
   test.serial(
     `a link to an agent that swallows bytes ${way} for a while costs no answer`,
--- a/packages/bench/test/site.test.ts
+++ b/packages/bench/test/site.test.ts
@@ -7,6 +7,7 @@
   describeExecutor,
   describeSite,
   describeWorker,
+  findFinal,
   isSound,
   type LoadOptions,
   planLoad,
@@ -65,7 +66,15 @@
   }
   await makeTrouble();
   const records = await running;
-  return countOutcomes(readJournal(site.journal), records);
+  const incomplete = records
+    .filter(record => findFinal(record).kind !== 'complete')
+    .map(({plan, attempts}) => ({
+      job: plan.key,
+      service: plan.service,
+      attempts: attempts.map(({entry, outcome}) => ({entry, outcome})),
+    }));
+  const counts = countOutcomes(readJournal(site.journal), records);
+  return {...counts, incomplete: JSON.stringify(incomplete)};
 }
 
 test.serial(
@@ -76,7 +85,7 @@
       for (const {proxy} of site.members) proxy!.swallowOpen();
     });
     t.deepEqual(counts.offences, []);
-    t.is(counts.complete, load.jobs);
+    t.is(counts.complete, load.jobs, counts.incomplete);
   },
 );
 
@@ -106,7 +115,7 @@
       await site.restart('entry-0');
     });
     t.deepEqual(counts.offences, []);
-    t.is(counts.complete, load.jobs);
+    t.is(counts.complete, load.jobs, counts.incomplete);
   },
 );
 
@@ -118,7 +127,7 @@
     await site.kill('control-0', 'SIGKILL');
   });
   t.deepEqual(counts.offences, []);
-  t.is(counts.complete, load.jobs);
+  t.is(counts.complete, load.jobs, counts.incomplete);
   const race = await raceChanges(site, 2, 'after');
   t.is(race?.accepted.length, 1);
 });
--- a/packages/bench/test/stand.ts
+++ b/packages/bench/test/stand.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import type {ExecutionContext} from 'ava';
+import {request} from 'undici';
 import {
   type Attempt,
   Caller,
@@ -22,6 +23,11 @@
 import {monotonicClock} from '#model';
 import {dialPeer} from '#protocol';
 
+/** What tests read of an entry's status. */
+export interface EntryStatus {
+  readonly jobsInHand: number;
+}
+
 /** Bounds every wait; no test judges by it. */
 export const guardMs = 60_000;
 const askLimitMs = 1000;
@@ -132,6 +138,22 @@
     });
   }
 
+  /** Reads the status of the entry with this index. */
+  async readEntry(entry: number): Promise<EntryStatus> {
+    const response = await request(`${this.site.entryUrls[entry]!}/v1/status`);
+    return (await response.body.json()) as EntryStatus;
+  }
+
+  /**
+   * Resolves once every target has read what was sent to it before the call: a
+   * request that has reached it is read no later than the next one is accepted,
+   * so that it is seen when a second one is answered.
+   */
+  async awaitTargets(): Promise<void> {
+    await this.site.countAtTargets();
+    await this.site.countAtTargets();
+  }
+
   /** Reads the status that the first answering control replica gives. */
   private async readControl() {
     for (const {name} of this.site.list('control')) {
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -153,6 +153,7 @@
     if (!this.ready || slots === 0) return;
     this.sentMessages.reserve++;
     this.peer?.notify('agent.reserve', {slots});
+    this.ensureAlive();
   }
 
   /** Gives back granted slots, or withdraws reservations. */
@@ -167,6 +168,7 @@
     if (!this.ready) return;
     this.sentMessages.demand++;
     this.peer?.notify('agent.demand', {waiting});
+    this.ensureAlive();
   }
 
   /** Asks the agent to stop tasks or never to start them. */
@@ -389,6 +391,11 @@
     this.peer?.setLiveness(isIdle ? idleLiveness : liveness);
   }
 
+  /** Slots that were asked for may be all that tasks wait for. */
+  private ensureAlive(): void {
+    this.peer?.ensureAlive(this.owner.liveness ?? defaultLiveness);
+  }
+
   private waitOpen(): Promise<boolean> {
     if (this.stopped || !this.inView) return Promise.resolve(false);
     return new Promise(resolve => {
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -78,6 +78,7 @@
   private resolveClosed!: (cause: string) => void;
   private closeCause: string | undefined;
   private lastReceived: Instant = monotonicClock.now();
+  private isAsking = false;
   private outgoing: Buffer[] = [];
 
   constructor(
@@ -129,6 +130,22 @@
     this.armWatchdog();
   }
 
+  /**
+   * Closes the connection unless the other end lives: it is asked for a sign of
+   * life when none came lately. For a notice that something depends on, on a
+   * connection that is otherwise idle.
+   */
+  ensureAlive({probeAfterMs, silenceLimitMs}: Liveness): void {
+    const askedAt = monotonicClock.now();
+    if (this.isAsking || askedAt - this.lastReceived < probeAfterMs) return;
+    this.isAsking = true;
+    const deadline = askedAt + silenceLimitMs - probeAfterMs;
+    void this.request('peer.sync', {}, deadline).then(() => {
+      this.isAsking = false;
+      if (this.lastReceived < askedAt) this.close('silent when asked');
+    });
+  }
+
   /** Sends a request and waits for its result until the deadline. */
   async request<Name extends RequestName>(
     method: Name,
--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -144,3 +144,27 @@
   await peer[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
+
+test('an idle connection is closed when its peer is asked for a sign of life in vain', async t => {
+  const {server, address} = await openMute();
+  const idle = {probeAfterMs: 60_000, silenceLimitMs: 120_000};
+  const peer = (await dialPeer(address, {}, soon(), idle)).unsafeCoerce();
+  const asking = setInterval(
+    () => peer.ensureAlive({probeAfterMs: 5, silenceLimitMs: 30}),
+    10,
+  );
+  t.is(await peer.closed, 'silent when asked');
+  clearInterval(asking);
+  server.close();
+});
+
+test('a peer that gives a sign of life stays, however often it is asked', async t => {
+  const {listener, peer} = await connectPair({});
+  for (let i = 0; i < 20; i++) {
+    peer.ensureAlive({probeAfterMs: 0, silenceLimitMs: 5000});
+    t.true((await peer.request('peer.sync', {}, soon())).isRight());
+  }
+  t.true(peer.isOpen);
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
