Close the proxy's sockets for good, and name who dialled only when asked

A socket that is reset while its end is still being sent gets EINVAL from the system and is never closed; it keeps the process alive (tried with a script of two sockets: end() and resetAndDestroy() in one turn). Ruled out: children that live on (all had logged their exit), undici's connections.

The proxy also read the kernel's table of sockets up to five times for each connection it accepted; on a busy machine this held its loop up. It now looks up who dialled only while a fault concerns one source.

New test: 'a connection whose end is just being passed on is gone after a reset'; with the old reset the file fails to exit.

--- a/packages/bench/src/pipe.ts
+++ b/packages/bench/src/pipe.ts
@@ -84,7 +84,7 @@
   }
 
   private closeReceiver(): void {
-    if (this.from.errored) this.to.resetAndDestroy();
+    if (this.from.errored) resetSocket(this.to);
     else this.to.destroySoon();
   }
 
@@ -93,3 +93,12 @@
     this.waiting.length = 0;
   }
 }
+
+/**
+ * Closes a socket at once, with a reset where the system allows one: not while it
+ * connects, and not once its end is being sent, when a reset would leak the socket.
+ */
+export function resetSocket(socket: Socket): void {
+  if (!socket.connecting && !socket.writableEnded) socket.resetAndDestroy();
+  socket.destroy();
+}
--- a/packages/bench/src/proxy.ts
+++ b/packages/bench/src/proxy.ts
@@ -1,7 +1,7 @@
 import {type AddressInfo, connect, createServer, type Server} from 'node:net';
 import type {Socket} from 'node:net';
 import type {Address} from '#model';
-import {Pipe} from './pipe.js';
+import {Pipe, resetSocket} from './pipe.js';
 import {MessageTap} from './tap.js';
 
 /** What a link does to the bytes that cross it. */
@@ -22,7 +22,8 @@
 export type Identify = (localPort: number) => string | undefined;
 
 interface Link {
-  readonly source: string | undefined;
+  /** Who dialled, found out when first asked for. */
+  readonly findSource: () => string | undefined;
   readonly client: Socket;
   readonly server: Socket;
   readonly toServer: Pipe;
@@ -89,16 +90,12 @@
 
   /** Resets the open connections; new ones work. */
   resetOpen(source?: string): void {
-    for (const link of this.links) {
-      if (source !== undefined && link.source !== source) continue;
-      resetLink(link);
-    }
+    for (const link of this.listLinks(source)) resetLink(link);
   }
 
   /** Silences the open connections for good without closing them; new ones work. */
   swallowOpen(source?: string): void {
-    for (const link of this.links) {
-      if (source !== undefined && link.source !== source) continue;
+    for (const link of this.listLinks(source)) {
       link.toServer.swallow();
       link.toClient.swallow();
     }
@@ -112,16 +109,25 @@
     await closed;
   }
 
-  private find(source: string | undefined): Fault {
+  private listLinks(source: string | undefined): readonly Link[] {
+    return [...this.links].filter(
+      link => source === undefined || link.findSource() === source,
+    );
+  }
+
+  /** Finds the fault of a link; who dialled matters only while some source has a fault of its own. */
+  private find(findSource: Link['findSource']): Fault {
+    if (this.faultBySource.size === 0) return this.fault;
+    const source = findSource();
     if (source === undefined) return this.fault;
     return this.faultBySource.get(source) ?? this.fault;
   }
 
   private accept(client: Socket): void {
-    const source = this.identify(client.remotePort!);
+    const findSource = this.deferIdentify(client.remotePort!);
     client.on('error', () => {});
-    if (this.find(source).kind === 'cut') {
-      client.resetAndDestroy();
+    if (this.find(findSource).kind === 'cut') {
+      resetSocket(client);
       return;
     }
     const server = connect({...this.target, allowHalfOpen: true});
@@ -129,7 +135,7 @@
     client.setNoDelay(true);
     server.setNoDelay(true);
     const link: Link = {
-      source,
+      findSource,
       client,
       server,
       toServer: new Pipe(client, server, this.tap.open()),
@@ -144,8 +150,13 @@
     this.applyTo(link);
   }
 
+  private deferIdentify(localPort: number): Link['findSource'] {
+    let found: {readonly source: string | undefined} | undefined;
+    return () => (found ??= {source: this.identify(localPort)}).source;
+  }
+
   private applyTo(link: Link): void {
-    const fault = this.find(link.source);
+    const fault = this.find(link.findSource);
     switch (fault.kind) {
       case 'cut':
         resetLink(link);
@@ -172,6 +183,6 @@
 }
 
 function resetLink(link: Link): void {
-  link.client.resetAndDestroy();
-  link.server.resetAndDestroy();
+  resetSocket(link.client);
+  resetSocket(link.server);
 }
--- a/packages/bench/src/site.ts
+++ b/packages/bench/src/site.ts
@@ -1,7 +1,7 @@
 import {mkdirSync} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import type {Address} from '#model';
 import {Child, type ChildExit} from './child.js';
 import {Member, type MemberPlan, type MemberRole} from './member.js';
@@ -50,6 +50,9 @@
 
 /** Every process of a site on loopback. Disposal stops those that it started. */
 export class Site implements AsyncDisposable {
+  /** One connection a stand-in, so that counting takes none that its agent may need. */
+  private readonly counting = new Agent({connections: 1});
+
   private constructor(private readonly parts: SiteParts) {}
 
   /** Starts every process; they are not yet ready. */
@@ -186,7 +189,9 @@
   async countAtTargets(): Promise<readonly number[]> {
     return Promise.all(
       this.parts.standInUrls.map(async url => {
-        const response = await request(`${url}/counts`);
+        const response = await request(`${url}/counts`, {
+          dispatcher: this.counting,
+        });
         const body = (await response.body.json()) as {readonly started: number};
         return body.started;
       }),
@@ -220,6 +225,7 @@
         this.list(role).map(member => member[Symbol.asyncDispose]()),
       );
     }
+    await this.counting.destroy();
     await this.parts.standIns.stop();
   }
 
--- a/packages/bench/test/proxy.test.ts
+++ b/packages/bench/test/proxy.test.ts
@@ -7,7 +7,7 @@
 } from 'node:net';
 import {once} from 'node:events';
 import test from 'ava';
-import {FaultProxy, type Identify} from '#bench';
+import {FaultProxy, type Identify, noFault} from '#bench';
 
 /** An echo server behind a proxy. */
 async function openPair(identify?: Identify) {
@@ -150,3 +150,22 @@
   t.is(await exchange(free, 'b'), 'b');
   await close();
 });
+
+test('a connection whose end is just being passed on is gone after a reset', async t => {
+  const {proxy, close} = await openPair();
+  const socket = await dialThrough(proxy);
+  t.is(await exchange(socket, 'a'), 'a');
+  proxy.inject({kind: 'freeze'});
+  socket.end();
+  await once(socket, 'finish');
+  for (let i = 0; i < 20; i++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  proxy.inject(noFault);
+  proxy.resetOpen();
+  while (proxy.connections > 0) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  t.is(proxy.connections, 0);
+  await close();
+});
--- a/packages/bench/test/site.test.ts
+++ b/packages/bench/test/site.test.ts
@@ -20,6 +20,9 @@
   type SiteOptions,
 } from '#bench';
 
+/** Bounds the wait for a site; no test judges by it. */
+const guardMs = 60_000;
+
 const load: LoadOptions = {
   seed: 5,
   jobs: 40,
@@ -48,7 +51,12 @@
       ...changes,
     }),
   );
-  await site.waitUntilReady();
+  try {
+    await site.waitUntilReady(guardMs);
+  } catch (error) {
+    await site[Symbol.asyncDispose]();
+    throw error;
+  }
   return site;
 }
 
