--- /dev/null
+++ b/packages/bench/src/bench-entry.ts
@@ -0,0 +1,152 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {request} from 'undici';
+import {describeBenchLoad} from './bench-load.js';
+import {countOutcomes} from './check.js';
+import {Crowd} from './crowd.js';
+import {planLoad} from './load.js';
+import {runLoad} from './run-load.js';
+import {Site} from './site.js';
+import {describeSite} from './site-options.js';
+import {formatTable} from './table.js';
+import {sumUsage} from './usage.js';
+import {sleepFor, waitUntil} from './wait.js';
+
+/** How the same rate of tasks reaches the entry. */
+interface Shape {
+  readonly targets: number;
+  readonly tasksPerJob: number;
+}
+
+/** Few targets get many tasks in one message; many targets get one each. */
+const shapes: readonly Shape[] = [
+  {targets: 24, tasksPerJob: 170},
+  {targets: 200, tasksPerJob: 170},
+  {targets: 24, tasksPerJob: 10},
+];
+/** One of 13 entries that share 30,000 starts a second. */
+const tasksPerSecond = 2300;
+const loadSeconds = 6;
+const runs = 3;
+const settleMs = 1000;
+const joinLimitMs = 60_000;
+const microsPerMs = 1000;
+
+/** Processor time in us a task; `complete` of `jobs` were answered. */
+interface EntryRun {
+  readonly entry: number;
+  readonly agents: number;
+  readonly complete: number;
+  readonly jobs: number;
+}
+
+/** Measures the processor time a task of one entry at a steady rate, for jobs and targets of several shapes. */
+export async function measureEntry(seed: number): Promise<void> {
+  const rows: (readonly string[])[] = [];
+  for (const shape of shapes) {
+    const data = mkdtempSync(join(tmpdir(), 'wasabiring-entry-'));
+    rows.push(formatRow(shape, await measureShape(data, shape, seed)));
+    rmSync(data, {recursive: true});
+  }
+  const heading = [
+    'targets',
+    'tasks a job',
+    'entry, us a task',
+    'agents, us a task',
+    'complete',
+  ];
+  console.log(formatTable([heading, ...rows]));
+}
+
+async function measureShape(
+  data: string,
+  shape: Shape,
+  seed: number,
+): Promise<readonly EntryRun[]> {
+  await using site = await Site.start(
+    describeSite(data, {targets: [], entries: 1}),
+  );
+  await site.waitUntilReady();
+  await using crowd = await Crowd.start(site, 'tally', shape.targets);
+  const url = site.entryUrls[0]!;
+  await waitUntil('every target is in view', joinLimitMs, async () => {
+    const {targets} = await readStatus(url);
+    return targets >= shape.targets;
+  });
+  const measured: EntryRun[] = [];
+  await measureRun(url, crowd, shape, seed + runs);
+  for (let i = 0; i < runs; i++) {
+    await sleepFor(settleMs);
+    measured.push(await measureRun(url, crowd, shape, seed + i));
+  }
+  return measured;
+}
+
+async function measureRun(
+  url: string,
+  crowd: Crowd,
+  {tasksPerJob}: Shape,
+  seed: number,
+): Promise<EntryRun> {
+  const jobsPerSecond = tasksPerSecond / tasksPerJob;
+  const load = describeBenchLoad('tally', {
+    seed,
+    jobs: Math.round(jobsPerSecond * loadSeconds),
+    arrivals: {kind: 'poisson', jobsPerSecond},
+    minTasks: tasksPerJob,
+    maxTasks: tasksPerJob,
+    minTaskMs: 20,
+    maxTaskMs: 80,
+  });
+  const plan = planLoad(load);
+  const before = await readCpuMs(url, crowd);
+  const records = await runLoad(plan, {
+    entries: [url],
+    seed,
+    arrivals: load.arrivals,
+    persistence: {maxAttempts: 1, maxPauseMs: 0},
+    doubledShare: 0,
+  });
+  const after = await readCpuMs(url, crowd);
+  const microsPerTask = (fromMs: number, toMs: number) =>
+    ((toMs - fromMs) * microsPerMs) / (load.jobs * tasksPerJob);
+  return {
+    entry: microsPerTask(before.entry, after.entry),
+    agents: microsPerTask(before.agents, after.agents),
+    complete: countOutcomes([], records).complete,
+    jobs: load.jobs,
+  };
+}
+
+async function readCpuMs(url: string, crowd: Crowd) {
+  const status = await readStatus(url);
+  return {entry: status.process.cpuMs, agents: sumUsage(crowd.pids).cpuMs};
+}
+
+interface EntryStatus {
+  readonly targets: number;
+  readonly process: {readonly cpuMs: number};
+}
+
+async function readStatus(url: string): Promise<EntryStatus> {
+  const response = await request(`${url}/v1/status`);
+  return (await response.body.json()) as EntryStatus;
+}
+
+function formatRow(
+  {targets, tasksPerJob}: Shape,
+  measured: readonly EntryRun[],
+): readonly string[] {
+  const list = (read: (run: EntryRun) => number) =>
+    measured.map(run => read(run).toFixed(0)).join(', ');
+  const sum = (read: (run: EntryRun) => number) =>
+    measured.reduce((total, run) => total + read(run), 0);
+  return [
+    String(targets),
+    String(tasksPerJob),
+    list(({entry}) => entry),
+    list(({agents}) => agents),
+    `${sum(({complete}) => complete)} of ${sum(({jobs}) => jobs)}`,
+  ];
+}
