Read dialled sockets into one buffer and put a large frame together once

The entry dials every agent, and each small message cost it a buffer of 64 KB and the walk through a readable stream. Dialled sockets now read into one shared buffer. A frame in many chunks was copied again with each chunk; it is now joined when it is complete.

--- a/packages/protocol/src/endpoint.ts
+++ b/packages/protocol/src/endpoint.ts
@@ -2,7 +2,11 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {Address, Instant} from '#model';
 import {monotonicClock, computeRemainingMs, parseAddress} from '#model';
-import {type Handlers, type Liveness, Peer} from './peer.js';
+import {type ByteSink, type Handlers, type Liveness, Peer} from './peer.js';
+
+const readBufferBytes = 64 * 1024;
+/** Every dialled socket reads into it; each chunk is taken in before the next one is read. */
+const readBuffer = Buffer.allocUnsafeSlow(readBufferBytes);
 
 /** Connects to a peer by the deadline, or says why it could not. */
 export async function dialPeer(
@@ -15,18 +19,34 @@
     Left: async detail => Left(detail),
     Right: async ({host, port}) =>
       (await openSocket(host, port, deadline)).map(
-        socket => new Peer(socket, handlers, liveness),
+        ({socket, sink}) => new Peer(socket, handlers, liveness, sink),
       ),
   });
 }
 
+interface DialledSocket {
+  readonly socket: Socket;
+  readonly sink: ByteSink;
+}
+
 function openSocket(
   host: string,
   port: number,
   deadline: Instant,
-): Promise<Either<string, Socket>> {
+): Promise<Either<string, DialledSocket>> {
   return new Promise(resolve => {
-    const socket = connect({host, port});
+    const sink: ByteSink = {receive: () => {}};
+    const socket = connect({
+      host,
+      port,
+      onread: {
+        buffer: readBuffer,
+        callback: (count, buffer) => {
+          sink.receive(Buffer.from(buffer.buffer, buffer.byteOffset, count));
+          return true;
+        },
+      },
+    });
     const timer = setTimeout(
       () => giveUp('no connection by the deadline'),
       computeRemainingMs(monotonicClock.now(), deadline),
@@ -40,7 +60,7 @@
     socket.once('connect', () => {
       clearTimeout(timer);
       socket.removeAllListeners('error');
-      resolve(Right(socket));
+      resolve(Right({socket, sink}));
     });
   });
 }
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -9,7 +9,7 @@
 
 const lengthBytes = 4;
 const packr = new Packr({useRecords: false});
-const unpackr = new Unpackr({useRecords: false});
+const unpackr = new Unpackr({useRecords: false, copyBuffers: true});
 
 /** Encodes one message as a frame: its length in four bytes, big-endian, then MessagePack. */
 export function encodeFrame(message: unknown): Buffer {
@@ -20,49 +20,65 @@
   return frame;
 }
 
-/** Collects bytes from a socket into messages. */
+/** Collects bytes from a socket into messages. A frame in many chunks is put together once. */
 export class FrameReader {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly parts: Buffer[] = [];
+  private pendingBytes = 0;
+  /** Below so many bytes nothing more can be read. */
+  private neededBytes = preface.length;
   private prefaceSeen = false;
 
-  /** Returns the messages completed by a chunk, or why the connection cannot go on. */
+  /**
+   * Returns the messages completed by a chunk, or why the connection cannot go
+   * on. The chunk may be overwritten afterwards: what is kept of it is copied.
+   */
   readChunk(chunk: Buffer): Either<string, readonly unknown[]> {
-    this.pending =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    if (!this.prefaceSeen) {
-      if (this.pending.length < preface.length) return Right([]);
-      const start = this.pending.subarray(0, preface.length);
-      if (!start.equals(preface)) {
-        return Left(
-          `expected protocol preface ${preface.toString('hex')}, got ${start.toString('hex')}`,
-        );
-      }
-      this.prefaceSeen = true;
-      this.pending = this.pending.subarray(preface.length);
+    this.pendingBytes += chunk.length;
+    if (this.pendingBytes < this.neededBytes) {
+      this.parts.push(Buffer.from(chunk));
+      return Right([]);
+    }
+    const bytes =
+      this.parts.length === 0 ? chunk : Buffer.concat([...this.parts, chunk]);
+    this.parts.length = 0;
+    if (this.prefaceSeen) return this.readFrames(bytes, 0);
+    const start = bytes.subarray(0, preface.length);
+    if (!start.equals(preface)) {
+      return Left(
+        `expected protocol preface ${preface.toString('hex')}, got ${start.toString('hex')}`,
+      );
     }
-    return this.readFrames();
+    this.prefaceSeen = true;
+    return this.readFrames(bytes, preface.length);
   }
 
-  private readFrames(): Either<string, readonly unknown[]> {
+  private readFrames(
+    bytes: Buffer,
+    start: number,
+  ): Either<string, readonly unknown[]> {
     const messages: unknown[] = [];
-    let pos = 0;
-    while (this.pending.length - pos >= lengthBytes) {
-      const length = this.pending.readUInt32BE(pos);
+    let pos = start;
+    this.neededBytes = lengthBytes;
+    while (bytes.length - pos >= lengthBytes) {
+      const length = bytes.readUInt32BE(pos);
       if (length > maxFrameBytes) {
         return Left(`frame of ${length} bytes is over ${maxFrameBytes}`);
       }
       const end = pos + lengthBytes + length;
-      if (this.pending.length < end) break;
+      if (bytes.length < end) {
+        this.neededBytes = lengthBytes + length;
+        break;
+      }
       try {
-        messages.push(
-          unpackr.unpack(this.pending.subarray(pos + lengthBytes, end)),
-        );
+        messages.push(unpackr.unpack(bytes.subarray(pos + lengthBytes, end)));
       } catch (error) {
         return Left(`frame is not MessagePack: ${String(error)}`);
       }
       pos = end;
     }
-    this.pending = this.pending.subarray(pos);
+    this.pendingBytes = bytes.length - pos;
+    if (this.pendingBytes > 0)
+      this.parts.push(Buffer.from(bytes.subarray(pos)));
     return Right(messages);
   }
 }
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -58,6 +58,11 @@
   silenceLimitMs: 45_000,
 };
 
+/** Where a socket that does not emit its bytes as events hands them; the chunk is overwritten afterwards. */
+export interface ByteSink {
+  receive: (chunk: Buffer) => void;
+}
+
 const maxBufferedBytes = 128 * 1024 * 1024;
 const maxRequestMs = 2 ** 31 - 1;
 const timeoutCode = 0;
@@ -84,6 +89,7 @@
     private readonly socket: Socket,
     handlers: Handlers,
     private liveness: Liveness = defaultLiveness,
+    sink?: ByteSink,
   ) {
     this.closed = new Promise(resolve => (this.resolveClosed = resolve));
     this.rpc = new JSONRPCServerAndClient(
@@ -100,7 +106,8 @@
     this.addHandlers(handlers);
     this.armWatchdog();
     socket.setNoDelay(true);
-    socket.on('data', chunk => this.receive(chunk));
+    if (sink === undefined) socket.on('data', chunk => this.receive(chunk));
+    else sink.receive = chunk => this.receive(chunk);
     socket.on('error', error => this.close(error.message));
     socket.on('close', () => this.close('closed by the other end'));
     socket.write(preface);
--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -67,6 +67,37 @@
   await listener[Symbol.asyncDispose]();
 });
 
+for (const side of ['dialling', 'dialled'] as const) {
+  test(`messages of many chunks arrive whole at the ${side} end`, async t => {
+    const sizes = [3, 5_000_000, 0, 70_000];
+    const seen: Uint8Array[] = [];
+    let resolveAll = () => {};
+    const all = new Promise<void>(resolve => (resolveAll = resolve));
+    const handlers: Handlers = {
+      'control.replicate': ({message}) => {
+        if (seen.push(message as Uint8Array) === sizes.length) resolveAll();
+      },
+    };
+    const {listener, peer} = await connectPair(handlers, handlers);
+    await peer.request('peer.sync', {}, soon());
+    const sender = side === 'dialled' ? peer : [...listener.peers][0]!;
+    sizes.forEach((size, i) =>
+      sender.notify('control.replicate', {
+        from: 'a',
+        message: Buffer.alloc(size, i + 1),
+      }),
+    );
+    await all;
+    t.true(seen.every((bytes, i) => bytes.every(byte => byte === i + 1)));
+    t.deepEqual(
+      seen.map(({length}) => length),
+      sizes,
+    );
+    await peer[Symbol.asyncDispose]();
+    await listener[Symbol.asyncDispose]();
+  });
+}
+
 test('a request in flight fails as disconnected when the connection ends', async t => {
   const {listener, peer} = await connectPair({
     'entry.peek': () => new Promise(() => {}),
