Drop the tasks of a job once it is answered

An answered job is kept 120 s for resubmissions, and with it the bodies and the states of all its tasks, which the bound on kept answers did not count: 1.2 KB a task, at 2,300 tasks/s over 300 MB (extrapolated from 50 MB of heap after 41,000 tasks). Now only the answer stays. The count of tasks in flight replaces a set of promises, one a task.

--- a/packages/bench/src/bench-entry.ts
+++ b/packages/bench/src/bench-entry.ts
@@ -32,11 +32,14 @@
 const settleMs = 1000;
 const joinLimitMs = 60_000;
 const microsPerMs = 1000;
+const bytesPerMb = 2 ** 20;
 
 /** Processor time in us a task; `complete` of `jobs` were answered. */
 interface EntryRun {
   readonly entry: number;
   readonly agents: number;
+  /** Resident memory of the entry after the run, in MB. */
+  readonly memoryMb: number;
   readonly complete: number;
   readonly jobs: number;
 }
@@ -54,6 +57,7 @@
     'tasks a job',
     'entry, us a task',
     'agents, us a task',
+    'entry memory, MB',
     'complete',
   ];
   console.log(formatTable([heading, ...rows]));
@@ -100,7 +104,7 @@
     maxTaskMs: 80,
   });
   const plan = planLoad(load);
-  const before = await readCpuMs(url, crowd);
+  const before = await readUse(url, crowd);
   const records = await runLoad(plan, {
     entries: [url],
     seed,
@@ -108,25 +112,30 @@
     persistence: {maxAttempts: 1, maxPauseMs: 0},
     doubledShare: 0,
   });
-  const after = await readCpuMs(url, crowd);
+  const after = await readUse(url, crowd);
   const microsPerTask = (fromMs: number, toMs: number) =>
     ((toMs - fromMs) * microsPerMs) / (load.jobs * tasksPerJob);
   return {
     entry: microsPerTask(before.entry, after.entry),
     agents: microsPerTask(before.agents, after.agents),
+    memoryMb: after.memoryMb,
     complete: countOutcomes([], records).complete,
     jobs: load.jobs,
   };
 }
 
-async function readCpuMs(url: string, crowd: Crowd) {
+async function readUse(url: string, crowd: Crowd) {
   const status = await readStatus(url);
-  return {entry: status.process.cpuMs, agents: sumUsage(crowd.pids).cpuMs};
+  return {
+    entry: status.process.cpuMs,
+    agents: sumUsage(crowd.pids).cpuMs,
+    memoryMb: status.process.residentBytes / bytesPerMb,
+  };
 }
 
 interface EntryStatus {
   readonly targets: number;
-  readonly process: {readonly cpuMs: number};
+  readonly process: {readonly cpuMs: number; readonly residentBytes: number};
 }
 
 async function readStatus(url: string): Promise<EntryStatus> {
@@ -147,6 +156,7 @@
     String(tasksPerJob),
     list(({entry}) => entry),
     list(({agents}) => agents),
+    list(({memoryMb}) => memoryMb),
     `${sum(({complete}) => complete)} of ${sum(({jobs}) => jobs)}`,
   ];
 }
--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -170,6 +170,7 @@
     void execution.answered.then(answer => {
       clearTimeout(expiry);
       this.owner.onAnswered(execution, answer, receivedAt);
+      execution.forgetTasks();
       this.forgetLater(execution, answer);
     });
   }
--- a/packages/entry/src/execution.ts
+++ b/packages/entry/src/execution.ts
@@ -12,7 +12,8 @@
   private sent = false;
   private cancelled = false;
   private detachments = 0;
-  private readonly inFlight = new Set<Promise<unknown>>();
+  private inFlight = 0;
+  private readonly emptied: (() => void)[] = [];
   private longestMs = 0;
 
   constructor(
@@ -77,18 +78,29 @@
     return !this.detached;
   }
 
-  /** Takes in the end, to come, of a task that was sent. */
-  async follow<End>(end: Promise<End>): Promise<End> {
-    this.inFlight.add(end);
-    const reached = await end;
-    this.inFlight.delete(end);
-    return reached;
+  /** Drops the tasks of a job that is answered: who asks again needs the answer only. */
+  forgetTasks(): void {
+    const {submission} = this.job;
+    this.job = {...this.job, submission: {...submission, tasks: []}, tasks: []};
+  }
+
+  /** Counts a task that is sent as in flight, until `endTask`. */
+  beginTask(): void {
+    this.inFlight++;
+  }
+
+  /** The fate of a task that was sent is known. */
+  endTask(): void {
+    this.inFlight--;
+    if (this.inFlight > 0) return;
+    for (const resolve of this.emptied.splice(0)) resolve();
   }
 
   /** Stops placing tasks here; resolves once none that was sent can start any more. */
-  async cancel(): Promise<void> {
+  cancel(): Promise<void> {
     this.cancelled = true;
-    await Promise.all(this.inFlight);
+    if (this.inFlight === 0) return Promise.resolve();
+    return new Promise(resolve => this.emptied.push(resolve));
   }
 
   /** Stops placing tasks here: another entry owns the job now. */
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -7,6 +7,7 @@
   type Instant,
   type JobId,
   type ServiceConfig,
+  type Submission,
   type TargetId,
   type TeamName,
 } from '#model';
@@ -301,7 +302,8 @@
     execution.apply({kind: 'sent', task, target, incarnation});
     this.counts.started++;
     this.startedOn.add(link);
-    const started = link.start({
+    execution.beginTask();
+    const end = await link.start({
       job: submission.job,
       task,
       payload: submission.tasks[task]!.payload,
@@ -309,7 +311,8 @@
       keepMs: this.owner.getKeepMs(),
       granted: destination.granted,
     });
-    const end = await execution.follow(started);
+    execution.endTask();
+    this.learn(submission, task, target, end);
     this.finish(execution, task, target, end);
     this.owner.onTaskEnd(execution, end, now - queuedAt);
   }
@@ -320,8 +323,6 @@
     target: TargetId,
     end: TaskEnd,
   ): void {
-    const {submission} = execution.job;
-    this.learn(submission.job, task, target, end, execution);
     execution.apply({kind: 'fate', task, fate: end.fate});
     this.apply({kind: 'task-ended', target});
     if (end.fate.kind !== 'not-run') return;
@@ -330,17 +331,16 @@
   }
 
   private learn(
-    job: JobId,
+    {job, tasks}: Submission,
     task: number,
     target: TargetId,
     {fate, runMs}: TaskEnd,
-    execution: Execution,
   ): void {
     if (fate.kind !== 'succeeded' && fate.kind !== 'failed') return;
     const succeeded = fate.kind === 'succeeded';
     const now = this.getTime();
     if (succeeded && runMs > 0) {
-      const hintMs = execution.job.submission.tasks[task]!.expectedMs;
+      const hintMs = tasks[task]!.expectedMs;
       const {name} = this.service;
       this.runTimes.observe(name, target, runMs, hintMs, now);
     }
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -94,6 +94,18 @@
   };
 }
 
+test('an answered job keeps its answer and not its tasks', async t => {
+  const bench = new Bench();
+  const submission = buildSubmission('k', 2);
+  const answered = bench.submit(submission);
+  await bench.finish();
+  const answer = await answered;
+  t.is(answer.kind, 'complete');
+  const {job} = bench.started[0]!;
+  t.is(job.tasks.length + job.submission.tasks.length, 0);
+  t.deepEqual(await bench.submit(submission), answer);
+});
+
 test('the same job submitted twice starts once and both get the whole answer', async t => {
   const bench = new Bench();
   const first = bench.submit(buildSubmission('k'));
