Page the answer to a fence and keep what ends on the way

The answer to a fence was one message with everything that the ended epochs had started. It now comes in pages of at most 2,000 records or about 1 MB; a page is asked for by the number of the last record, so the agent keeps no state for it. Reports that reach the heir before the page that lists their task are kept for it; before, a report in the same read as the answer was lost and the job waited for its deadline.

Tests of the ledger now fence page by page, with two records a page.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -268,12 +268,12 @@
   }
 
   private fence(params: FenceParams): FenceResult {
-    const tasks = this.intake.fence(params);
+    const {records: tasks, next} = this.intake.fence(params);
     for (const epoch of params.epochs) {
       if (this.intake.isBarred(epoch)) this.sessions.end(epoch);
     }
     const {target, incarnation} = this.info;
-    return {target, incarnation, tasks};
+    return {target, incarnation, tasks, ...(next !== undefined && {next})};
   }
 
   private scheduleSettle(): void {
--- a/packages/agent/src/intake.ts
+++ b/packages/agent/src/intake.ts
@@ -10,15 +10,9 @@
   type TaskRefusal,
   type TaskStanding,
 } from '#model';
-import type {
-  FenceParams,
-  StartParams,
-  StartTask,
-  TaskRecord,
-  TaskReport,
-} from '#protocol';
+import type {FenceParams, StartParams, StartTask, TaskReport} from '#protocol';
 import type {Metrics} from '#telemetry';
-import {formatTask, Ledger} from './ledger.js';
+import {type FencePage, formatTask, Ledger} from './ledger.js';
 import {type RunEnd, Runner, type StopCause} from './runner.js';
 import {type QueuedStart, Slots} from './slots.js';
 import type {RunRequest, Target} from './target.js';
@@ -71,7 +65,7 @@
 
 const maxRetainedBytes = 24 * 1024 * 1024;
 const maxReportBytes = 16 * 1024 * 1024;
-/** Bounds the start table's memory and the answer to a fence; beyond it starts are refused. */
+/** Bounds the start table's memory; beyond it starts are refused. */
 const maxKnownTasks = 200_000;
 const maxQueuedPerSlot = 2;
 
@@ -199,8 +193,8 @@
     return this.ledger.query(epoch, ref);
   }
 
-  fence({epochs, heir}: FenceParams): readonly TaskRecord[] {
-    return this.ledger.fence(epochs, heir);
+  fence({epochs, heir, after}: FenceParams): FencePage {
+    return this.ledger.fence(epochs, heir, after);
   }
 
   /** Stops everything that runs; resolves once each fate is known. */
--- a/packages/agent/src/ledger.ts
+++ b/packages/agent/src/ledger.ts
@@ -27,11 +27,30 @@
   readonly owners: readonly Epoch[];
   readonly keepUntil: Instant;
   readonly state: EntryState;
+  /** Counts the tasks in the order of their first start, from 1. */
+  readonly number: number;
+}
+
+/** A part of what fenced epochs started. */
+export interface FencePage {
+  readonly records: readonly TaskRecord[];
+  /** Ask for the records after this number; unset when there are none. */
+  readonly next?: number;
 }
 
 type TaskKey = string;
 
 const expiryBucketMs = 1000;
+/** Bounds of one page, so that neither end of it holds up its loop. */
+export interface PageLimits {
+  readonly maxRecords: number;
+  readonly maxBytes: number;
+}
+
+const defaultPageLimits: PageLimits = {
+  maxRecords: 2000,
+  maxBytes: 1024 * 1024,
+};
 
 /** Names a task in tables and towards the target. */
 export function formatTask(ref: TaskRef): TaskKey {
@@ -56,10 +75,12 @@
   private sweptBucket: number;
   private retainedBytes = 0;
   private runningCount = 0;
+  private startCount = 0;
 
   constructor(
     private readonly maxRetainedBytes: number,
     now: Instant,
+    private readonly pageLimits: PageLimits = defaultPageLimits,
   ) {
     this.sweptBucket = findBucket(now) - 1;
   }
@@ -104,6 +125,7 @@
         owners: [epoch],
         keepUntil,
         state: {kind: 'running'},
+        number: ++this.startCount,
       });
       this.runningCount++;
       this.scheduleExpiry(key, keepUntil);
@@ -177,24 +199,28 @@
   }
 
   /**
-   * Bars epochs for good and hands what they started to the heir.
-   * Returns all of it that is kept; running tasks are reported to the heir later.
+   * Bars epochs for good and hands what they started to the heir. Lists what is
+   * kept of it after a number, a page at a time; running tasks are reported to
+   * the heir later. What is listed as ended needs no report any more.
    */
-  fence(epochs: readonly Epoch[], heir: Epoch): readonly TaskRecord[] {
+  fence(epochs: readonly Epoch[], heir: Epoch, after = 0): FencePage {
     const fenced = new Set(epochs);
     fenced.delete(heir);
-    const inherits = this.matchLine(fenced);
-    const records: TaskRecord[] = [];
-    for (const [key, entry] of this.entries) {
-      if (!entry.owners.some(inherits)) continue;
-      records.push({...entry.ref, standing: this.describeStanding(entry.ref)});
-      for (const epoch of fenced) this.markDelivered(epoch, key);
+    const page = this.listPage(this.matchLine(fenced), after);
+    for (const {ref} of page.listed) {
+      for (const epoch of fenced) this.markDelivered(epoch, formatTask(ref));
     }
     for (const epoch of fenced) {
       this.barred.add(epoch);
       this.heirs.set(epoch, heir);
     }
-    return records;
+    const records = page.listed.map(({ref}) => ({
+      ...ref,
+      standing: this.describeStanding(ref),
+    }));
+    return page.isLast
+      ? {records}
+      : {records, next: page.listed.at(-1)!.number};
   }
 
   /**
@@ -277,6 +303,25 @@
     };
   }
 
+  /** Lists entries after a number, in its order, about as many as fit a page and at least one. */
+  private listPage(
+    isOwned: (epoch: Epoch) => boolean,
+    after: number,
+  ): {readonly listed: readonly LedgerEntry[]; readonly isLast: boolean} {
+    const {maxRecords, maxBytes} = this.pageLimits;
+    const listed: LedgerEntry[] = [];
+    let bytes = 0;
+    for (const entry of this.entries.values()) {
+      if (entry.number <= after || !entry.owners.some(isOwned)) continue;
+      if (listed.length >= maxRecords || bytes > maxBytes) {
+        return {listed, isLast: false};
+      }
+      listed.push(entry);
+      if (entry.state.kind === 'ended') bytes += entry.state.bytes;
+    }
+    return {listed, isLast: true};
+  }
+
   private addUndelivered(epoch: Epoch, key: TaskKey): void {
     const keys = this.undelivered.get(epoch);
     if (keys === undefined) this.undelivered.set(epoch, new Set([key]));
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -138,7 +138,7 @@
   const other = await FakeEntry.connect(stand, 3);
   const fenced = await other.peer.request(
     'agent.fence',
-    {epochs: [1], heir: 2},
+    {epochs: [1], heir: 2, after: 0},
     inMs(5000),
   );
   t.deepEqual(fenced.unsafeCoerce(), {
--- a/packages/agent/test/ledger.test.ts
+++ b/packages/agent/test/ledger.test.ts
@@ -1,13 +1,32 @@
 import test from 'ava';
 import fc from 'fast-check';
-import {Ledger} from '../src/ledger.js';
+import type {TaskRecord} from '#protocol';
+import {type FencePage, Ledger} from '../src/ledger.js';
 
 const ref = (task: number) => ({job: 'j', task});
 const done = {kind: 'succeeded', result: 1} as const;
-const makeLedger = (maxBytes = 1000) => new Ledger(maxBytes, 0);
+const makeLedger = (maxBytes = 1000, maxRecords = 2) =>
+  new Ledger(maxBytes, 0, {maxRecords, maxBytes: 5});
 const far = 1e9;
 const all = Infinity;
 
+/** Fences page by page; `between` runs after each page but the last. */
+function fenceAll(
+  ledger: Ledger,
+  epochs: readonly number[],
+  heir: number,
+  between = () => {},
+) {
+  const records: TaskRecord[] = [];
+  for (let after: number | undefined = 0; after !== undefined;) {
+    const page: FencePage = ledger.fence(epochs, heir, after);
+    records.push(...page.records);
+    after = page.next;
+    if (after !== undefined) between();
+  }
+  return records;
+}
+
 test('a duplicate start is told the first fate', t => {
   const ledger = makeLedger();
   t.is(ledger.start(1, ref(0), far).kind, 'first');
@@ -33,11 +52,11 @@
   ledger.start(1, ref(1), far);
   ledger.start(5, ref(2), far);
   ledger.end(ref(0), done, 1, 0);
-  t.deepEqual(ledger.fence([1], 2), [
+  t.deepEqual(fenceAll(ledger, [1], 2), [
     {...ref(0), standing: {kind: 'ended', fate: done}},
     {...ref(1), standing: {kind: 'running'}},
   ]);
-  t.deepEqual(ledger.fence([2], 3), [
+  t.deepEqual(fenceAll(ledger, [2], 3), [
     {...ref(0), standing: {kind: 'ended', fate: done}},
     {...ref(1), standing: {kind: 'running'}},
   ]);
@@ -48,6 +67,30 @@
   t.is(ledger.takeReports(3, all).length, 1);
 });
 
+test('the pages of a fence stay whole while tasks end, vanish and start', t => {
+  const ledger = makeLedger();
+  for (let i = 0; i < 7; i++) ledger.start(1, ref(i), far);
+  ledger.end(ref(1), done, 1, 0);
+  let pages = 1;
+  const records = fenceAll(ledger, [1], 2, () => {
+    if (pages === 1) ledger.end(ref(2), done, 9, 0);
+    if (pages === 1) ledger.forget(ref(3));
+    if (pages === 1) ledger.start(2, ref(3), far);
+    if (pages === 2) ledger.end(ref(0), done, 1, 0);
+    pages++;
+  });
+  t.deepEqual(
+    records.map(({task, standing}) => `${task} ${standing.kind}`),
+    ['0 running', '1 ended', '2 ended', '4 running', '5 running', '6 running'],
+  );
+  t.is(pages, 4);
+  t.true(ledger.isBarred(1));
+  t.deepEqual(
+    ledger.takeReports(2, all).map(({task}) => task),
+    [2, 0],
+  );
+});
+
 test('a fence that arrives late does not give tasks back to a barred heir', t => {
   const ledger = makeLedger();
   ledger.start(1, ref(0), far);
@@ -155,7 +198,7 @@
             }
             break;
           case 'fence': {
-            const listed = ledger.fence(each.epochs, each.heir);
+            const listed = fenceAll(ledger, each.epochs, each.heir);
             for (const {task} of listed) {
               if (!model.has(task)) return false;
               for (const fenced of each.epochs) {
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -13,8 +13,9 @@
 import type {ViewChange} from '#protocol';
 import type {Logger} from '#telemetry';
 import type {Execution} from './execution.js';
-import {AgentLink, type TaskEnd} from './link.js';
+import {AgentLink} from './link.js';
 import {Pool} from './pool.js';
+import type {TaskEnd} from './sent-tasks.js';
 
 /** What the fleet needs of the entry. */
 export interface FleetOwner {
--- a/packages/entry/src/heir.ts
+++ b/packages/entry/src/heir.ts
@@ -1,6 +1,7 @@
 import type {EndedEpoch, Epoch, TargetId, TaskRef} from '#model';
 import type {AdmittedJob, FenceResult, GoneTarget} from '#protocol';
-import {type AgentLink, formatTask, type TaskEnd} from './link.js';
+import type {AgentLink} from './link.js';
+import {formatTask, type TaskEnd} from './sent-tasks.js';
 
 /** What the agents know of a task that an ended epoch started. */
 export type Inherited =
@@ -35,7 +36,7 @@
   return [...heirs.keys()].filter(leadsToHeir).sort((a, b) => a - b);
 }
 
-/** Fences epochs at every agent in one message each and gathers what they started. */
+/** Fences epochs at every agent and gathers what they started. */
 export async function collectEstate(
   links: readonly AgentLink[],
   epochs: readonly Epoch[],
@@ -46,13 +47,14 @@
   const silent: TargetId[] = [];
   await Promise.all(
     links.map(async link => {
-      const result = await link.fence(epochs, heir);
-      if (result === undefined) {
+      const last = await link.fence(epochs, heir, page =>
+        takeOver(link, page, tasks),
+      );
+      if (last === undefined) {
         silent.push(link.target.target);
         return;
       }
-      answered.set(result.target, result.incarnation);
-      takeOver(link, result, tasks);
+      answered.set(last.target, last.incarnation);
     }),
   );
   return {tasks, answered, silent};
--- a/packages/entry/src/inheritance.ts
+++ b/packages/entry/src/inheritance.ts
@@ -16,7 +16,8 @@
   type Lives,
 } from './heir.js';
 import {createJob, loseJob} from './job.js';
-import {type AgentLink, formatTask} from './link.js';
+import type {AgentLink} from './link.js';
+import {formatTask} from './sent-tasks.js';
 
 /** What taking over needs of the entry. */
 export interface InheritanceOwner {
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -1,3 +1,4 @@
+import type {Either} from 'purify-ts';
 import {
   type Clock,
   computeDeadline,
@@ -5,7 +6,6 @@
   type Epoch,
   type EntryId,
   type TargetInfo,
-  type TaskFate,
   type TaskRef,
   type TaskStanding,
 } from '#model';
@@ -17,16 +17,11 @@
   type Liveness,
   type Peer,
   type ReportParams,
+  type RpcFailure,
   type StartTask,
 } from '#protocol';
 import type {Logger} from '#telemetry';
-
-/** How a task that was sent to an agent ended, as far as can be known. */
-export interface TaskEnd {
-  readonly fate: TaskFate;
-  /** Time at the target, in ms. */
-  readonly runMs: number;
-}
+import {SentTasks, type TaskEnd} from './sent-tasks.js';
 
 /** What a link needs of the entry that owns it. */
 export interface LinkOwner {
@@ -55,16 +50,6 @@
 const firstBackoffMs = 20;
 const maxBackoffMs = 1000;
 
-/** Names one task in maps. */
-export function formatTask(ref: TaskRef): string {
-  return `${ref.job}.${ref.task}`;
-}
-
-interface SentTask {
-  readonly ref: TaskRef;
-  readonly resolve: (end: TaskEnd) => void;
-}
-
 /**
  * The entry's side of one agent: keeps a connection open, holds the slots that
  * the agent granted, and accounts for every task sent until its fate is known.
@@ -79,7 +64,7 @@
   private stopped = false;
   private inView = true;
   private wakeBackoff = () => {};
-  private readonly sent = new Map<string, SentTask>();
+  private readonly sent = new SentTasks();
   private outgoing: StartTask[] = [];
   private waiting = 0;
   private readonly opened: (() => void)[] = [];
@@ -110,24 +95,22 @@
 
   /** Sends a task and waits for its fate. A fate of `not-run` proves that it did not start. */
   start(task: StartTask): Promise<TaskEnd> {
-    return new Promise(resolve => {
-      if (!this.ready) {
-        resolve({fate: {kind: 'not-run', reason: 'no-slot'}, runMs: 0});
-        return;
-      }
-      this.sent.set(formatTask(task), {ref: task, resolve});
-      this.watchPeer();
-      if (this.outgoing.length === 0) setImmediate(() => this.flush());
-      this.outgoing.push(task);
-    });
+    if (!this.ready) {
+      return Promise.resolve({
+        fate: {kind: 'not-run', reason: 'no-slot'},
+        runMs: 0,
+      });
+    }
+    if (this.outgoing.length === 0) setImmediate(() => this.flush());
+    this.outgoing.push(task);
+    return this.adopt(task);
   }
 
-  /** Waits for the fate of a task that an ended epoch started at this agent. */
+  /** Waits for the fate of a task that was sent, here or by an ended epoch. */
   adopt(ref: TaskRef): Promise<TaskEnd> {
-    return new Promise(resolve => {
-      this.sent.set(formatTask(ref), {ref, resolve});
-      this.watchPeer();
-    });
+    const end = this.sent.add(ref);
+    this.watchPeer();
+    return end;
   }
 
   /** Closes the connection; it opens again at once, with no slots. */
@@ -177,23 +160,26 @@
     });
   }
 
-  /** Bars epochs at the agent. Undefined when it left the view before it answered. */
-  async fence(
+  /**
+   * Bars epochs at the agent and hands over what they started, page by page;
+   * after a lost connection it begins anew. Returns the last page, or undefined
+   * when the agent left the view before that.
+   */
+  fence(
     epochs: readonly Epoch[],
     heir: Epoch,
+    take: (page: FenceResult) => void,
   ): Promise<FenceResult | undefined> {
-    for (;;) {
-      if (!this.ready && !(await this.waitOpen())) return undefined;
-      const reply = await this.peer!.request(
-        'agent.fence',
-        {epochs, heir},
-        this.getDeadline(queryTimeoutMs),
-      );
-      const result = reply.toMaybe().extractNullable();
-      if (result !== null) return result;
-      if (!this.inView || this.stopped) return undefined;
-      this.peer?.close('fence was not answered');
-    }
+    return this.sent.takeOver(async () => {
+      while (this.ready || (await this.waitOpen())) {
+        const peer = this.peer!;
+        const last = await this.fetchPages(peer, epochs, heir, take);
+        if (last !== undefined) return last;
+        if (!this.inView || this.stopped) return undefined;
+        peer.close('fence was not answered');
+      }
+      return undefined;
+    });
   }
 
   /** Takes in a newer announcement of the same target. */
@@ -298,12 +284,31 @@
     return settled ? welcome.slots : undefined;
   }
 
+  /** Returns the last page; undefined when one did not come. */
+  private async fetchPages(
+    peer: Peer,
+    epochs: readonly Epoch[],
+    heir: Epoch,
+    take: (page: FenceResult) => void,
+  ): Promise<FenceResult | undefined> {
+    let after: number | undefined = 0;
+    for (;;) {
+      const reply: Either<RpcFailure, FenceResult> = await peer.request(
+        'agent.fence',
+        {epochs, heir, after},
+        this.getDeadline(queryTimeoutMs),
+      );
+      const page = reply.toMaybe().extract();
+      if (page === undefined) return undefined;
+      take(page);
+      if (page.next === undefined) return page;
+      after = page.next;
+    }
+  }
+
   /** Asks about every task sent on an earlier connection. */
   private async settleSent(peer: Peer): Promise<boolean> {
-    const tasks = [...this.sent.values()].map(({ref}) => ({
-      job: ref.job,
-      task: ref.task,
-    }));
+    const tasks = this.sent.list().map(({job, task}) => ({job, task}));
     if (tasks.length === 0) return peer.isOpen;
     const reply = await peer.request(
       'agent.query',
@@ -351,20 +356,16 @@
   }
 
   private finish(ref: TaskRef, end: TaskEnd): void {
-    const key = formatTask(ref);
-    const task = this.sent.get(key);
-    if (task === undefined) {
+    if (!this.sent.finish(ref, end)) {
       this.owner.onStray(ref, end);
       return;
     }
-    this.sent.delete(key);
     this.watchPeer();
     this.closeSpent();
-    task.resolve(end);
   }
 
   private loseTasks(detail: string): void {
-    for (const {ref} of [...this.sent.values()]) {
+    for (const ref of this.sent.list()) {
       this.finish(ref, {fate: {kind: 'unknown', detail}, runMs: 0});
     }
   }
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -37,7 +37,8 @@
 } from '#policy';
 import type {Execution} from './execution.js';
 import {failJob} from './job.js';
-import {type AgentLink, formatTask, type TaskEnd} from './link.js';
+import type {AgentLink} from './link.js';
+import {formatTask, type TaskEnd} from './sent-tasks.js';
 
 /** What a pool needs of the entry that owns it. */
 export interface PoolOwner {
--- a/packages/entry/src/recorder.ts
+++ b/packages/entry/src/recorder.ts
@@ -1,7 +1,7 @@
 import type {Clock, Instant, JobAnswer} from '#model';
 import {Histograms, type HistogramSummary, type Metrics} from '#telemetry';
 import type {Execution} from './execution.js';
-import type {TaskEnd} from './link.js';
+import type {TaskEnd} from './sent-tasks.js';
 
 /** Measures jobs and tasks for each team and service, for status pages and metrics. */
 export class Recorder {
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -184,7 +184,9 @@
 const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
   'agent.hello': toCheck(Codec.interface({...entryEpoch, connection: count})),
   'agent.query': toCheck(tasks),
-  'agent.fence': toCheck(Codec.interface({epochs: array(count), heir: count})),
+  'agent.fence': toCheck(
+    Codec.interface({epochs: array(count), heir: count, after: count}),
+  ),
   'agent.drain': toCheck(Codec.interface({remainingMs: span})),
   'agent.status': toCheck(nothing),
   'agent.start': toCheck(
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -80,6 +80,8 @@
 export interface FenceParams {
   readonly epochs: readonly Epoch[];
   readonly heir: Epoch;
+  /** Where the page begins: the last page's `next`, or 0. */
+  readonly after: number;
 }
 
 export interface TaskRecord extends TaskRef {
@@ -89,8 +91,10 @@
 export interface FenceResult {
   readonly target: TargetId;
   readonly incarnation: number;
-  /** Everything that the fenced epochs started here and that is still kept. */
+  /** A page of what the fenced epochs started here and that is still kept. */
   readonly tasks: readonly TaskRecord[];
+  /** Where the next page begins; unset on the last one. */
+  readonly next?: number;
 }
 
 export interface DrainParams {
