Hand leadership over before a leading control replica drains

A replica without another voter ends at once.

With the hand-over taken out the new tests fail: no replica leads after the end of the process, and admissions of the group test fail.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -31,6 +31,8 @@
 };
 const tickIntervalMs = 100;
 const statusTimeoutMs = 500;
+/** A leader that drains waits this long for its successor, in ms. */
+const handOverLimitMs = 1000;
 /** A replica without a leader for this long lets its watchers look elsewhere, in ms. */
 const maxLeaderlessMs = 3000;
 
@@ -149,8 +151,13 @@
     };
   }
 
-  /** Takes no more requests as a leader, waits for those in flight, then closes. */
+  /** Hands leadership over, answers what was asked of the leader, then closes. */
   async drain(): Promise<void> {
+    const {clock, log} = this.options.runtime;
+    const moved = await this.leader.transferLeadership(
+      clock.now() + handOverLimitMs,
+    );
+    if (!moved) log.warn({event: 'no-successor'}, 'leaves without a successor');
     await this.leader.close();
     await this[Symbol.asyncDispose]();
   }
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -1,5 +1,11 @@
 import PQueue from 'p-queue';
-import {type Address, assertInvariant, type Clock, type Epoch} from '#model';
+import {
+  type Address,
+  assertInvariant,
+  type Clock,
+  type Epoch,
+  type Instant,
+} from '#model';
 import type {Admission, AdmitResult, ControlReply, NotLeader} from '#protocol';
 import {
   bootstrapChangeId,
@@ -40,6 +46,7 @@
   private nextForget = 0;
   private bootstrapping = false;
   private noting = false;
+  private handingOver: Promise<boolean> | undefined;
   private closed = false;
 
   constructor(
@@ -68,7 +75,7 @@
 
   /** Commits a command and returns what it came to. */
   async propose(proposal: Proposal): Promise<ControlReply<CommandResult>> {
-    if (!this.leads) return this.redirect();
+    if (!this.leads) return this.redirectToSuccessor();
     const time = this.office.tellTime();
     const proposed = this.replica.propose({...proposal, time} as Command);
     this.inFlight.add(proposed);
@@ -80,16 +87,16 @@
     if (outcome.kind === 'unknown') {
       return {...this.redirect(), maybeApplied: true};
     }
-    return this.redirect();
+    return this.redirectToSuccessor();
   }
 
   /** Reads the state as it is after every write acknowledged before the call. */
   async read<Value>(
     readState: (state: ControlState) => Value,
   ): Promise<ControlReply<Value>> {
-    if (!this.leads) return this.redirect();
+    if (!this.leads) return this.redirectToSuccessor();
     const outcome = await this.replica.confirmRead();
-    if (outcome.kind !== 'confirmed') return this.redirect();
+    if (outcome.kind !== 'confirmed') return this.redirectToSuccessor();
     return {kind: 'done', value: readState(this.machine.state)};
   }
 
@@ -135,11 +142,20 @@
 
   /** Finds the leader's address, if one is known and stays. */
   findLeader(): Address | undefined {
-    if (this.closed) return undefined;
-    const {leader, members} = this.replica.describeStatus();
+    const {id, leader, members} = this.replica.describeStatus();
+    if (this.closed && leader === id) return undefined;
     return members.find(({id}) => id === leader)?.address;
   }
 
+  /**
+   * Hands leadership to another replica, if this one leads; true when another one is known to
+   * lead by the deadline. What is asked meanwhile is answered with a redirection to it.
+   */
+  transferLeadership(deadline: Instant): Promise<boolean> {
+    this.handingOver ??= this.replica.transferLeadership(deadline);
+    return this.handingOver;
+  }
+
   /** Takes no more proposals and waits for those in flight. */
   async close(): Promise<void> {
     this.closed = true;
@@ -147,6 +163,12 @@
     await this.batches.onIdle();
   }
 
+  /** As `redirect`, but only once a hand-over has come to its end. */
+  private async redirectToSuccessor(): Promise<NotLeader> {
+    await this.handingOver;
+    return this.redirect();
+  }
+
   private async commitWaiting(): Promise<void> {
     const batch: WaitingAdmissions[] = [];
     let size = 0;
--- a/packages/control/src/local.ts
+++ b/packages/control/src/local.ts
@@ -21,6 +21,7 @@
     confirmRead: async (): Promise<ReadResult> => ({kind: 'confirmed', index}),
     receive: () => {},
     changeMembers: async () => ({kind: 'refused', reason: 'not-ready'}),
+    transferLeadership: async () => false,
     describeStatus: (): ReplicaStatus => ({
       id,
       role: 'leader',
--- a/packages/control/src/replica.ts
+++ b/packages/control/src/replica.ts
@@ -1,4 +1,4 @@
-import type {ControlId} from '#model';
+import type {ControlId, Instant} from '#model';
 import type {MemberChange, Message, ReplicaStatus} from '#consensus';
 import type {Command, CommandResult} from '#membership';
 import type {ChangeResult, ProposeResult, ReadResult} from '#storage';
@@ -9,5 +9,7 @@
   confirmRead(): Promise<ReadResult>;
   receive(from: ControlId, message: Message): void;
   changeMembers(change: MemberChange): Promise<ChangeResult>;
+  /** Resolves with true once another replica is known to lead, with false by the deadline. */
+  transferLeadership(deadline: Instant): Promise<boolean>;
   describeStatus(): ReplicaStatus;
 }
--- a/packages/control/test/group.test.ts
+++ b/packages/control/test/group.test.ts
@@ -31,6 +31,38 @@
   );
 });
 
+test('a leader that drains has a successor before it ends, and no admission fails', async t => {
+  await using group = await Group.start();
+  const client = group.connect();
+  const {epoch} = await client.open('gilgit-1');
+  client.keepAlive('gilgit-1', epoch);
+  const names = [...'0123456789abcdef'];
+  const admitted = Promise.all(
+    names.map(name =>
+      client.ask('control.admit', {admissions: [createAdmission(name, epoch)]}),
+    ),
+  );
+  await group.drain(await group.awaitLeader());
+  const roles = [...group.running.values()].map(
+    control => control.describeStatus().role,
+  );
+  t.true(roles.includes('leader'), roles.join());
+  t.deepEqual(
+    (await admitted).flat(),
+    names.map(() => ({kind: 'admitted'})),
+  );
+});
+
+test('a leader without a voter that answers drains all the same', async t => {
+  await using group = await Group.start();
+  const leader = await group.awaitLeader();
+  for (const id of [...group.running.keys()]) {
+    if (id !== leader) await group.stop(id);
+  }
+  await group.drain(leader);
+  t.is(group.running.size, 0);
+});
+
 test('a cut-off leader grants no lease and its successor grants whole ones', async t => {
   await using group = await Group.start();
   const client = group.connect();
--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -83,6 +83,13 @@
     await control?.[Symbol.asyncDispose]();
   }
 
+  /** Lets a replica drain as its process does when it is asked to stop. */
+  async drain(id: string): Promise<void> {
+    const control = this.running.get(id);
+    this.running.delete(id);
+    await control?.drain();
+  }
+
   async loseDisk(id: string): Promise<void> {
     await rm(join(this.folder, id), {recursive: true});
   }
--- a/packages/storage/src/host.ts
+++ b/packages/storage/src/host.ts
@@ -128,11 +128,17 @@
   }
 
   /**
-   * Hands leadership to another voter. Resolves once this replica does not
-   * lead, true, or at the deadline when no other has taken over, false.
+   * Hands leadership to another voter. Resolves with true once another replica is known to
+   * lead, with false at the deadline or at once when there is no other voter. A replica that
+   * does not lead has nothing to hand over.
    */
   transferLeadership(deadline: Instant): Promise<boolean> {
-    if (this.describeStatus().role !== 'leader') return Promise.resolve(true);
+    const {role, members} = this.describeStatus();
+    if (role !== 'leader') return Promise.resolve(true);
+    const hasSuccessor = members.some(
+      ({id, voter}) => voter && id !== this.options.id,
+    );
+    if (!hasSuccessor) return Promise.resolve(false);
     return new Promise(resolve => {
       const delayMs = computeRemainingMs(this.options.clock.now(), deadline);
       const timer = setTimeout(() => settle(false), delayMs);
@@ -163,7 +169,7 @@
     clearTimeout(this.timer);
     for (const {settle} of this.proposals.close()) settle({kind: 'not-leader'});
     this.requests.endAll();
-    for (const settle of this.transferWaiters) settle(true);
+    for (const settle of this.transferWaiters) settle(false);
   }
 
   /** Steps the replica; an input that an effect brings about waits for the step's end. */
@@ -211,7 +217,8 @@
         this.requests.confirmRead(effect);
         return;
       case 'role':
-        if (effect.role !== 'leader') this.endLeadership();
+        if (effect.role !== 'leader') this.requests.loseLeadership();
+        this.settleTransfers();
         this.options.observe?.(this.describeStatus());
         return;
       case 'members':
@@ -313,8 +320,9 @@
     );
   }
 
-  private endLeadership(): void {
-    this.requests.loseLeadership();
+  private settleTransfers(): void {
+    const {role, leader} = this.describeStatus();
+    if (role === 'leader' || leader === undefined) return;
     for (const settle of this.transferWaiters) settle(true);
   }
 
--- a/packages/storage/test/host.test.ts
+++ b/packages/storage/test/host.test.ts
@@ -55,10 +55,19 @@
   await cluster.submit('x');
   const old = await cluster.awaitLeader();
   t.true(await old.transferLeadership(monotonicClock.now() + 60_000));
-  t.not(old.describeStatus().role, 'leader');
+  const {role, leader} = old.describeStatus();
+  t.not(role, 'leader');
+  t.is(cluster.hosts.get(leader!)!.describeStatus().role, 'leader');
   t.is(await cluster.submit('y'), 2);
 });
 
+test('a leader without another voter says at once that it cannot hand over', async t => {
+  await using cluster = await Cluster.start(['a']);
+  const leader = await cluster.awaitLeader();
+  t.false(await leader.transferLeadership(Infinity));
+  t.is(leader.describeStatus().role, 'leader');
+});
+
 test('a group that restarts has all that it acknowledged', async t => {
   await using cluster = await Cluster.start(['a', 'b', 'c']);
   for (const name of names(50)) await cluster.submit(name);
