Catch lost leases, missing bars and repeated tasks after reconnections

Cause: docs/PROOFS.md listed two planted faults that no test caught. The pause tests let a woken entry learn at once that its epoch was over, and the link tests used tasks that had ended before their link came back.

An entry that wakes past its lease while control cannot be reached now runs against its heir; tasks run on through a reconnection, with free slots elsewhere for a wrong second start; tasks are sent on a link of which one way is swallowed from before the start. Link proofs use leases that a busy machine does not end.

--- a/packages/bench/test/proof-entry-pause.test.ts
+++ b/packages/bench/test/proof-entry-pause.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {noFault} from '#bench';
 import {joinRecords, planJobs} from './jobs.js';
-import {Stand} from './stand.js';
+import {shortEntryLeases, Stand} from './stand.js';
 
 test.serial(
   'an entry that stands still past its lease starts nothing that its heir has started',
@@ -35,6 +35,28 @@
   },
 );
 
+/** More work than is done within a lease: tasks wait at the entry when it ends. */
+const backlog = {jobs: 50, tasks: 4, taskMs: 400};
+
+test.serial(
+  'an entry that wakes past its lease without control starts nothing that its heir starts',
+  async t => {
+    const stand = await Stand.open(t, {leases: shortEntryLeases});
+    const {proxy} = stand.site.find('control-0');
+    const jobs = planJobs('deaf', backlog);
+    const atFirst = stand.submitOnce(jobs, 0);
+    await stand.waitForStarts(16);
+    await stand.site.kill('entry-0', 'SIGSTOP');
+    await stand.waitForHeir();
+    proxy!.inject({kind: 'freeze'}, 'entry-0');
+    const atHeir = stand.submitAll(jobs, 1);
+    await stand.site.kill('entry-0', 'SIGCONT');
+    const records = await atHeir;
+    proxy!.inject(noFault, 'entry-0');
+    stand.assertAllComplete(joinRecords(records, await atFirst));
+  },
+);
+
 test.serial(
   'an entry cut off from control past its lease loses no job that it was given',
   async t => {
--- a/packages/bench/test/proof-links.test.ts
+++ b/packages/bench/test/proof-links.test.ts
@@ -1,15 +1,23 @@
 import test from 'ava';
-import type {Fault} from '#bench';
-import {noFault} from '#bench';
+import type {Fault, FaultProxy} from '#bench';
+import {describeExecutor, noFault} from '#bench';
 import {planJobs} from './jobs.js';
-import {Stand} from './stand.js';
+import {steadyLeases, Stand} from './stand.js';
 
 const shape = {jobs: 16, tasks: 4, taskMs: 300};
+/** Slots of two targets of three stay free, so that a task placed again would start at once. */
+const longShape = {jobs: 4, tasks: 2, taskMs: 8000};
+const threeTargets = {
+  leases: steadyLeases,
+  targets: ['tally', 'tally', 'tally'].map(service =>
+    describeExecutor(service),
+  ),
+};
 
 test.serial(
   'open connections to agents that go silent for good cost no answer',
   async t => {
-    const stand = await Stand.open(t);
+    const stand = await Stand.open(t, {leases: steadyLeases});
     const submitted = stand.submitOnce(planJobs('silent', shape), 0);
     await stand.waitForStarts(12);
     for (const {proxy} of stand.site.list('agent')) proxy!.swallowOpen();
@@ -17,11 +25,44 @@
   },
 );
 
+for (const [how, breakLinks] of [
+  ['are reset', (proxy: FaultProxy) => proxy.resetOpen()],
+  ['go silent for good', (proxy: FaultProxy) => proxy.swallowOpen()],
+] as const) {
+  test.serial(
+    `tasks that run on while open connections to agents ${how} are not started again`,
+    async t => {
+      const stand = await Stand.open(t, threeTargets);
+      const submitted = stand.submitOnce(planJobs('on', longShape), 0);
+      await stand.waitForStarts(8);
+      for (const {proxy} of stand.site.list('agent')) breakLinks(proxy!);
+      stand.assertAllComplete(await submitted);
+    },
+  );
+}
+
+for (const way of ['to-server', 'to-client'] as const) {
+  test.serial(
+    `tasks sent on a link that swallows bytes ${way} from before the start are started once`,
+    async t => {
+      const stand = await Stand.open(t, threeTargets);
+      const jobs = planJobs(`sent-${way}`, {...shape, taskMs: 1500});
+      for (const {proxy} of stand.site.list('agent').slice(0, 2)) {
+        proxy!.inject({kind: 'swallow', way}, 'entry-0');
+      }
+      const submitted = stand.submitOnce(jobs, 0);
+      await stand.waitForStarts(way === 'to-client' ? 24 : 16);
+      for (const {proxy} of stand.site.list('agent')) proxy!.restore();
+      stand.assertAllComplete(await submitted);
+    },
+  );
+}
+
 for (const way of ['to-server', 'to-client'] as const) {
   test.serial(
     `a link to an agent that swallows bytes ${way} for a while costs no answer`,
     async t => {
-      const stand = await Stand.open(t);
+      const stand = await Stand.open(t, {leases: steadyLeases});
       const {proxy} = stand.site.find('tally-0');
       const submitted = stand.submitOnce(planJobs(way, shape), 0);
       await stand.waitForStarts(12);
@@ -38,7 +79,7 @@
 test.serial(
   'connections between the entries that go silent for good cost no answer',
   async t => {
-    const stand = await Stand.open(t);
+    const stand = await Stand.open(t, {leases: steadyLeases});
     const jobs = planJobs('between', {...shape, jobs: 6});
     const first = stand.submitOnce(jobs, 0);
     await stand.waitForJobs(jobs);
--- a/packages/bench/test/stand.ts
+++ b/packages/bench/test/stand.ts
@@ -26,6 +26,20 @@
 export const guardMs = 60_000;
 const askLimitMs = 1000;
 
+/** Leases that no busy machine lets run out. */
+export const steadyLeases = {
+  entry_lease_ms: 20_000,
+  target_lease_ms: 20_000,
+  renewal_interval_ms: 500,
+  clock_margin_ms: 100,
+};
+
+/** Entry leases that run out within a test. */
+export const shortEntryLeases = {...steadyLeases, entry_lease_ms: 2000};
+
+/** Target leases that run out within a test. */
+export const shortTargetLeases = {...steadyLeases, target_lease_ms: 2000};
+
 /** Leases that run out within a test. */
 const shortLeases = {
   entry_lease_ms: 1000,
@@ -132,6 +146,14 @@
     });
   }
 
+  /** Waits until control has ended the epoch of one of the two entries. */
+  waitForHeir(): Promise<void> {
+    return this.waitUntil('one entry is left', async () => {
+      const status = await this.readControl();
+      return status?.entries.length === 1;
+    });
+  }
+
   /** Reads the status that the first answering control replica gives. */
   private async readControl() {
     for (const {name} of this.site.list('control')) {
--- a/packages/entry/test/fleet.test.ts
+++ b/packages/entry/test/fleet.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {monotonicClock, type TargetInfo} from '#model';
+import {type Epoch, monotonicClock, type TargetInfo} from '#model';
 import {emptyView} from '#membership';
 import {createRandom} from '#policy';
 import {type Peer, PeerListener} from '#protocol';
@@ -65,17 +65,21 @@
   return {listener, sessions, describe};
 }
 
-test('a target that left and came back keeps its slots when its old connection closes', async t => {
-  const agent = await openAgent();
-  const fleet = new Fleet(configuration, {
+function openFleet(getStartingEpoch: () => Epoch | undefined): Fleet {
+  return new Fleet(configuration, {
     entry: 'e1',
     clock: monotonicClock,
     log: openLog('silent', 'entry', 'e1'),
     random: createRandom(1),
     getEpoch: () => 1,
-    getStartingEpoch: () => 1,
+    getStartingEpoch,
     onTaskEnd: () => {},
   });
+}
+
+test('a target that left and came back keeps its slots when its old connection closes', async t => {
+  const agent = await openAgent();
+  const fleet = openFleet(() => 1);
   const waitForSessions = async (count: number) => {
     while (agent.sessions.length < count) await new Promise(setImmediate);
   };
@@ -99,3 +103,25 @@
   await fleet[Symbol.asyncDispose]();
   await agent.listener[Symbol.asyncDispose]();
 });
+
+test('tasks with a slot at hand wait while the lease is over, and start once it is renewed', async t => {
+  const agent = await openAgent();
+  let epoch: Epoch | undefined = undefined;
+  let looks = 0;
+  const fleet = openFleet(() => {
+    looks++;
+    return epoch;
+  });
+  fleet.follow(emptyView, [{kind: 'target-joined', target: agent.describe()}]);
+  const link = fleet.listLinks()[0]!;
+  while (!link.isReady) await new Promise(setImmediate);
+  const job = createJob(buildSubmission('k', 2), monotonicClock.now() + 5000);
+  const execution = new Execution(job, 3);
+  fleet.start(execution);
+  while (looks < 5 && !execution.hasSent) await new Promise(setImmediate);
+  t.false(execution.hasSent);
+  epoch = 1;
+  t.is((await execution.answered).kind, 'complete');
+  await fleet[Symbol.asyncDispose]();
+  await agent.listener[Symbol.asyncDispose]();
+});
