--- a/packages/policy/src/credit-placement.ts
+++ b/packages/policy/src/credit-placement.ts
@@ -8,7 +8,7 @@
   PlacementVerdict,
   WaitingTasks,
 } from './placement.js';
-import {type BookedTarget, SlotBook} from './slot-book.js';
+import {type BookedEvent, type BookedTarget, SlotBook} from './slot-book.js';
 
 /** How eagerly an entry asks for slots that others hold. */
 interface DemandPace {
@@ -133,36 +133,15 @@
 
   private applyTo(
     booked: BookedTarget,
-    event: Exclude<PlacementEvent, {kind: 'target-connected'}>,
+    event: BookedEvent,
     now: Instant,
   ): readonly PlacementAction[] {
-    switch (event.kind) {
-      case 'target-disconnected':
-        this.book.close(booked);
-        return [];
-      case 'target-gone':
-        this.book.retire(booked);
-        return [];
-      case 'target-allowed':
-        this.book.allow(booked, event.maxInFlight);
-        return [];
-      case 'slots-granted':
-        if (!booked.connected) return [];
-        this.acceptSlots(booked, event.slots);
-        return [];
-      case 'slots-recalled':
-        return this.giveBack(booked, event.slots);
-      case 'start-unused':
-        this.book.end(booked, event.granted);
-        return [];
-      case 'task-ended':
-        booked.slotsDue++;
-        this.book.end(booked, false);
-        this.book.updateSpeed(booked, now);
-        return [];
-      default:
-        return failUnreachable(event);
+    if (event.kind === 'slots-granted') {
+      if (booked.connected) this.acceptSlots(booked, event.slots);
+      return [];
     }
+    if (event.kind === 'task-ended') booked.slotsDue++;
+    return this.book.apply(booked, event, now);
   }
 
   /** Slots beyond those of ended tasks show that telling the agent was of use. */
@@ -172,16 +151,6 @@
     this.book.grant(booked, slots);
   }
 
-  private giveBack(
-    booked: BookedTarget,
-    recalled: number,
-  ): readonly PlacementAction[] {
-    const slots = Math.min(recalled, booked.free);
-    if (slots === 0) return [];
-    this.book.grant(booked, -slots);
-    return [{kind: 'release', target: booked.target, slots}];
-  }
-
   /** Until when the next task should rather wait for a faster slot; `now` when it should not. */
   private holdUntil(
     booked: BookedTarget,
--- a/packages/policy/src/probe-placement.ts
+++ b/packages/policy/src/probe-placement.ts
@@ -1,4 +1,4 @@
-import {failUnreachable, type Instant} from '#model';
+import type {Instant} from '#model';
 import {PickList} from './pick-list.js';
 import type {
   Placement,
@@ -9,7 +9,7 @@
   WaitingTasks,
 } from './placement.js';
 import {pickBySpeed} from './random-placement.js';
-import {type BookedTarget, SlotBook} from './slot-book.js';
+import {type BookedEvent, type BookedTarget, SlotBook} from './slot-book.js';
 
 /** Waiting tasks without a start for this long are probed for anew, in ms. */
 const reprobeIntervalMs = 50;
@@ -76,34 +76,16 @@
 
   private applyTo(
     booked: BookedTarget,
-    event: Exclude<PlacementEvent, {kind: 'target-connected'}>,
+    event: BookedEvent,
     now: Instant,
   ): readonly PlacementAction[] {
-    switch (event.kind) {
-      case 'target-disconnected':
-        this.book.close(booked);
-        return [];
-      case 'target-gone':
-        this.book.retire(booked);
-        return [];
-      case 'target-allowed':
-        this.book.allow(booked, event.maxInFlight);
-        return event.maxInFlight === 0 ? this.release(booked) : [];
-      case 'slots-granted':
-        this.acceptSlots(booked, event.slots);
-        return [];
-      case 'slots-recalled':
-        return this.giveBack(booked, event.slots);
-      case 'start-unused':
-        this.book.end(booked, event.granted);
-        return [];
-      case 'task-ended':
-        this.book.end(booked, false);
-        this.book.updateSpeed(booked, now);
-        return [];
-      default:
-        return failUnreachable(event);
+    if (event.kind === 'slots-granted') {
+      this.acceptSlots(booked, event.slots);
+      return [];
     }
+    const actions = this.book.apply(booked, event, now);
+    const isBarred = event.kind === 'target-allowed' && event.maxInFlight === 0;
+    return isBarred ? this.release(booked) : actions;
   }
 
   /**
@@ -116,16 +98,6 @@
     this.book.grant(booked, accepted);
   }
 
-  private giveBack(
-    booked: BookedTarget,
-    recalled: number,
-  ): readonly PlacementAction[] {
-    const slots = Math.min(recalled, booked.free);
-    if (slots === 0) return [];
-    this.book.grant(booked, -slots);
-    return [{kind: 'release', target: booked.target, slots}];
-  }
-
   private reserve(slots: number): readonly PlacementAction[] {
     const asked = new Map<BookedTarget, number>();
     for (let i = 0; i < slots; i++) {
--- a/packages/policy/src/random-placement.ts
+++ b/packages/policy/src/random-placement.ts
@@ -1,4 +1,4 @@
-import {failUnreachable, type Instant} from '#model';
+import type {Instant} from '#model';
 import {weighSpeed} from './speed.js';
 import {PickList} from './pick-list.js';
 import type {
@@ -32,7 +32,7 @@
     }
     const booked = this.book.find(event.target);
     if (booked === undefined) return [];
-    this.applyTo(booked, event, now);
+    if (!isSlotEvent(event)) this.book.apply(booked, event, now);
     this.refresh(booked);
     return [];
   }
@@ -53,37 +53,17 @@
     return waiting;
   }
 
-  private applyTo(
-    booked: BookedTarget,
-    event: Exclude<PlacementEvent, {kind: 'target-connected'}>,
-    now: Instant,
-  ): void {
-    switch (event.kind) {
-      case 'target-disconnected':
-        return this.book.close(booked);
-      case 'target-gone':
-        return this.book.retire(booked);
-      case 'target-allowed':
-        return this.book.allow(booked, event.maxInFlight);
-      case 'slots-granted':
-      case 'slots-recalled':
-        return;
-      case 'start-unused':
-        return this.book.end(booked, false);
-      case 'task-ended':
-        this.book.end(booked, false);
-        return this.book.updateSpeed(booked, now);
-      default:
-        return failUnreachable(event);
-    }
-  }
-
   private refresh(booked: BookedTarget): void {
     const limit = Math.min(booked.maxInFlight, booked.slots * inFlightPerSlot);
     this.open.set(booked, booked.connected && booked.inFlight < limit);
   }
 }
 
+/** Slots mean nothing to a policy that asks for none. */
+function isSlotEvent({kind}: PlacementEvent): boolean {
+  return kind === 'slots-granted' || kind === 'slots-recalled';
+}
+
 const maxDraws = 4;
 
 /** Draws a target; one slower than the service's mean is passed over the more often the slower it is. */
--- a/packages/policy/src/slot-book.ts
+++ b/packages/policy/src/slot-book.ts
@@ -1,6 +1,15 @@
-import {assertInvariant, type Instant, type TargetId} from '#model';
+import {
+  assertInvariant,
+  failUnreachable,
+  type Instant,
+  type TargetId,
+} from '#model';
 import {Heap, type HeapElement} from './heap.js';
-import type {PlacementSources} from './placement.js';
+import type {
+  PlacementAction,
+  PlacementEvent,
+  PlacementSources,
+} from './placement.js';
 
 /** One target as the placement of an entry knows it. */
 export interface BookedTarget extends HeapElement {
@@ -27,6 +36,9 @@
   slotsDue: number;
 }
 
+/** What happens to a target that is booked already. */
+export type BookedEvent = Exclude<PlacementEvent, {kind: 'target-connected'}>;
+
 /** Slots in use in one speed class, and how fast they fall free. */
 interface ClassLoad {
   inFlight: number;
@@ -79,6 +91,39 @@
     return known;
   }
 
+  /** Takes in an event as every policy does unless it says otherwise; returns what it calls for. */
+  apply(
+    booked: BookedTarget,
+    event: BookedEvent,
+    now: Instant,
+  ): readonly PlacementAction[] {
+    switch (event.kind) {
+      case 'target-disconnected':
+        this.close(booked);
+        return [];
+      case 'target-gone':
+        this.retire(booked);
+        return [];
+      case 'target-allowed':
+        this.allow(booked, event.maxInFlight);
+        return [];
+      case 'slots-granted':
+        this.grant(booked, event.slots);
+        return [];
+      case 'slots-recalled':
+        return this.giveBack(booked, event.slots);
+      case 'start-unused':
+        this.end(booked, event.granted);
+        return [];
+      case 'task-ended':
+        this.end(booked, false);
+        this.updateSpeed(booked, now);
+        return [];
+      default:
+        return failUnreachable(event);
+    }
+  }
+
   close(booked: BookedTarget): void {
     booked.connected = false;
     this.clearSlots(booked);
@@ -155,6 +200,17 @@
     return {endsPerMs, runMs: endsPerMs === 0 ? 0 : inFlight / endsPerMs};
   }
 
+  /** Gives back idle slots that the agent asked for, as many as there are. */
+  private giveBack(
+    booked: BookedTarget,
+    recalled: number,
+  ): readonly PlacementAction[] {
+    const slots = Math.min(recalled, booked.free);
+    if (slots === 0) return [];
+    this.grant(booked, -slots);
+    return [{kind: 'release', target: booked.target, slots}];
+  }
+
   private addTarget(target: TargetId, now: Instant): BookedTarget {
     const {service, runTimes} = this.sources;
     const runMs = runTimes.estimateOn(service, target, now);
