Divide a team's quota by what it asks of each entry

Cause: each entry enforced an even part of a quota, so that a team whose callers reach one of two entries was refused at half of what it may start. Entries now exchange measured demands with their renewals.

Ruled out: a counter at control on each job's way (a message a job, and none admitted without the leader); totals in place of each entry's demand (a max-min division from an average gives less than the quota when others are unlike).

--- a/packages/control/src/office.ts
+++ b/packages/control/src/office.ts
@@ -1,5 +1,5 @@
-import type {Clock, Epoch, Instant, TargetId} from '#model';
-import type {ProcessConfigStatus} from '#protocol';
+import type {Clock, EntryId, Epoch, Instant, TargetId} from '#model';
+import type {ProcessConfigStatus, TeamDemands} from '#protocol';
 import type {LogTime} from '#membership';
 import type {LeaseSettings} from '#settings';
 import {LeaseTable} from './leases.js';
@@ -14,6 +14,7 @@
   readonly entries = new LeaseTable<Epoch>();
   readonly targets = new LeaseTable<TargetId>();
   private readonly reports = new Map<string, ProcessConfigStatus>();
+  private readonly demands = new Map<Epoch, TeamDemands>();
   private term = 0;
   private baseTime: LogTime = 0;
   private baseInstant: Instant = 0;
@@ -31,6 +32,7 @@
     this.entries.clear();
     this.targets.clear();
     this.reports.clear();
+    this.demands.clear();
     this.baseTime = this.machine.state.time;
     this.baseInstant = this.clock.now();
   }
@@ -64,6 +66,22 @@
     return [...this.reports.values()];
   }
 
+  /** Notes what teams ask of an entry; returns what they ask of the other live ones. */
+  exchangeDemands(
+    epoch: Epoch,
+    demands: TeamDemands,
+  ): Readonly<Record<EntryId, TeamDemands>> {
+    this.demands.set(epoch, demands);
+    const {live} = this.machine.state.epochs;
+    const others: Record<EntryId, TeamDemands> = {};
+    for (const [other, told] of this.demands) {
+      const entry = live.get(other)?.info.entry;
+      if (entry === undefined) this.demands.delete(other);
+      else if (other !== epoch) others[entry] = pickTeams(told, demands);
+    }
+    return others;
+  }
+
   /** Gives each holder without a lease a whole one, and drops the leases of those that are gone. */
   matchLeases(): void {
     const {epochs, targets} = this.machine.state;
@@ -104,3 +122,9 @@
     return this.clock.now() + targetLeaseMs + clockMarginMs;
   }
 }
+
+function pickTeams(told: TeamDemands, wanted: TeamDemands): TeamDemands {
+  return Object.fromEntries(
+    Object.entries(told).filter(([team]) => wanted[team] !== undefined),
+  );
+}
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -134,14 +134,17 @@
  */
 function renewEntry(
   {leader, office, leases}: ServiceParts,
-  {entry, epoch, configVersion: version}: RenewEntryParams,
+  {entry, epoch, configVersion: version, demands}: RenewEntryParams,
 ): Promise<ControlReply<Renewal>> {
   const renewed = leader.leads && office.renewEntry(epoch);
   if (renewed) office.report({process: entry, role: 'entry', version});
   return leader.read(({epochs, configuration}) => {
     const lives = renewed && epochs.live.has(epoch);
     if (!lives || office.entries.isEnding(epoch)) return {kind: 'ended'};
-    return describeRenewal(leases.entryLeaseMs, configuration);
+    return {
+      ...describeRenewal(leases.entryLeaseMs, configuration),
+      ...(demands && {demands: office.exchangeDemands(epoch, demands)}),
+    };
   });
 }
 
--- a/packages/control/test/office.test.ts
+++ b/packages/control/test/office.test.ts
@@ -79,3 +79,14 @@
   run({kind: 'end-epoch', time: 0, epoch: 1});
   t.false(office.renewEntry(1));
 });
+
+test('entries learn what teams that they told of ask of the other live ones', t => {
+  const {office, run} = createOffice(3);
+  office.begin(1);
+  t.deepEqual(office.exchangeDemands(1, {a: 5, b: 7}), {});
+  t.deepEqual(office.exchangeDemands(2, {a: 1, c: 2}), {e1: {a: 5}});
+  run({kind: 'close-entry', time: 0, epoch: 1});
+  t.deepEqual(office.exchangeDemands(3, {a: 1, b: 1}), {e2: {a: 1}});
+  office.begin(2);
+  t.deepEqual(office.exchangeDemands(2, {a: 1}), {});
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,7 +12,12 @@
 } from '#model';
 import {createRandom} from '#policy';
 import {ControlClient, type View} from '#membership';
-import {type Handlers, PeerListener, type ViewChange} from '#protocol';
+import {
+  type Handlers,
+  PeerListener,
+  type Renewal,
+  type ViewChange,
+} from '#protocol';
 import {
   type EntryRole,
   parseConfiguration,
@@ -204,16 +209,7 @@
           )
             .toMaybe()
             .extract(),
-        renew: async (epoch, deadline) =>
-          (
-            await this.client.request(
-              'control.renewEntry',
-              {entry, epoch, configVersion: this.version},
-              deadline,
-            )
-          )
-            .toMaybe()
-            .extract(),
+        renew: (epoch, deadline) => this.renew(epoch, deadline),
         close: async (epoch, deadline) => {
           await this.client.request(
             'control.closeEntry',
@@ -229,6 +225,29 @@
     );
   }
 
+  /** Renews the lease, and at times tells and learns what teams ask of the entries. */
+  private async renew(
+    epoch: Epoch,
+    deadline: Instant,
+  ): Promise<Renewal | undefined> {
+    const demands = this.gate.takeDemands();
+    const reply = await this.client.request(
+      'control.renewEntry',
+      {
+        entry: this.settings.id,
+        epoch,
+        configVersion: this.version,
+        ...(demands && {demands}),
+      },
+      deadline,
+    );
+    const renewal = reply.toMaybe().extract();
+    if (renewal?.kind === 'renewed' && renewal.demands !== undefined) {
+      this.gate.followDemands(renewal.demands);
+    }
+    return renewal;
+  }
+
   private takeEpoch(epoch: Epoch): void {
     this.runtime.log.info({event: 'epoch-opened', epoch}, 'opened an epoch');
     this.fleet.resume();
--- a/packages/entry/src/gate.ts
+++ b/packages/entry/src/gate.ts
@@ -8,21 +8,32 @@
   TeamName,
 } from '#model';
 import {
+  addDemand,
   adjustBucket,
+  computeDemandRate,
   createBucket,
+  createDemandRate,
+  type DemandRate,
   judgeAdmission,
   type QuotaShare,
   shareQuota,
   type TokenBucket,
 } from '#policy';
+import type {TeamDemands} from '#protocol';
 import type {Refusal} from './desk.js';
 import type {Pool} from './pool.js';
 
+/** Between two reports of what teams ask for, in ms. */
+const demandIntervalMs = 10_000;
+
 /** Admission at one entry: quotas, queue limits and deadlines that can be met. */
 export class Gate {
   private readonly buckets = new Map<TeamName, TokenBucket>();
   private readonly refusals = new Map<string, number>();
+  private readonly demands = new Map<TeamName, DemandRate>();
   private entries: readonly EntryId[];
+  private others: Readonly<Record<EntryId, TeamDemands>> = {};
+  private demandsDueAt: Instant = -Infinity;
 
   constructor(
     private readonly entry: EntryId,
@@ -47,6 +58,24 @@
     this.adjustBuckets();
   }
 
+  /** Tells what teams ask of this entry, if it is time to tell the others. */
+  takeDemands(): TeamDemands | undefined {
+    const now = this.clock.now();
+    if (now < this.demandsDueAt) return undefined;
+    this.demandsDueAt = now + demandIntervalMs;
+    const rates = [...this.demands].map(
+      ([team, demand]) =>
+        [team, Math.round(computeDemandRate(demand, now))] as const,
+    );
+    return Object.fromEntries(rates.filter(([, rate]) => rate > 0));
+  }
+
+  /** Divides the quotas anew by what the other entries were asked for. */
+  followDemands(others: Readonly<Record<EntryId, TeamDemands>>): void {
+    this.others = others;
+    this.adjustBuckets();
+  }
+
   /** Counts refusals since the start by reason. */
   countRefusals(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.refusals);
@@ -61,6 +90,11 @@
     const now = this.clock.now();
     const {services, teams, limits} = this.configuration;
     const team = teams.find(({name}) => name === submission.team);
+    if (team !== undefined) {
+      const demand = this.demands.get(team.name) ?? createDemandRate(now);
+      const {length} = submission.tasks;
+      this.demands.set(team.name, addDemand(demand, length, now));
+    }
     const verdict = judgeAdmission(
       {
         service: services.find(({name}) => name === submission.service),
@@ -118,16 +152,28 @@
       );
     }
     for (const name of [...this.buckets.keys()]) {
-      if (!configured.has(name)) this.buckets.delete(name);
+      if (configured.has(name)) continue;
+      this.buckets.delete(name);
+      this.demands.delete(name);
     }
   }
 
   private computeShare(team: TeamConfig): QuotaShare {
     const demands = new Map(
-      this.entries.map(entry => [entry, undefined] as const),
+      this.entries.map(entry => [entry, this.findDemand(entry, team)] as const),
     );
     return shareQuota(team, demands).get(this.entry)!;
   }
+
+  /** Tasks a second that an entry is asked for; undefined when it has not told of any team. */
+  private findDemand(entry: EntryId, {name}: TeamConfig): number | undefined {
+    if (entry !== this.entry) {
+      const told = this.others[entry];
+      return told && (told[name] ?? 0);
+    }
+    const own = this.demands.get(name);
+    return own && computeDemandRate(own, this.clock.now());
+  }
 }
 
 function computeMeanHint({tasks}: Submission): number | undefined {
--- a/packages/entry/test/builders.ts
+++ b/packages/entry/test/builders.ts
@@ -1,4 +1,4 @@
-import type {Submission} from '#model';
+import type {Configuration, Submission, TeamConfig} from '#model';
 import {computeDigest, deriveJobId} from '#model';
 
 /** Builds a job of tasks whose payloads are their indexes. */
@@ -18,3 +18,29 @@
     ...change,
   };
 }
+
+/** Builds a configuration of one service, `tally`, and these teams. */
+export function buildConfiguration(
+  teams: readonly TeamConfig[],
+): Configuration {
+  return {
+    services: [
+      {
+        name: 'tally',
+        objective: {kind: 'response-time'},
+        demand: {cores: 1, memoryMb: 1, accelerators: 0},
+        maxTaskMs: 1000,
+        maxPlacements: 3,
+      },
+    ],
+    teams,
+    limits: {
+      maxTasksPerJob: 1000,
+      maxBodyBytes: 1e6,
+      maxDeadlineMs: 60_000,
+      retentionMs: 1000,
+      unrepeatableRetentionMs: 1000,
+      maxQueuedTasks: 1e6,
+    },
+  };
+}
--- a/packages/entry/test/fleet.test.ts
+++ b/packages/entry/test/fleet.test.ts
@@ -7,28 +7,9 @@
 import {Execution} from '../src/execution.js';
 import {Fleet} from '../src/fleet.js';
 import {createJob} from '../src/job.js';
-import {buildSubmission} from './builders.js';
+import {buildConfiguration, buildSubmission} from './builders.js';
 
-const configuration = {
-  services: [
-    {
-      name: 'tally',
-      objective: {kind: 'response-time'},
-      demand: {cores: 1, memoryMb: 1, accelerators: 0},
-      maxTaskMs: 1000,
-      maxPlacements: 3,
-    },
-  ],
-  teams: [],
-  limits: {
-    maxTasksPerJob: 10,
-    maxBodyBytes: 1000,
-    maxDeadlineMs: 60_000,
-    retentionMs: 1000,
-    unrepeatableRetentionMs: 1000,
-    maxQueuedTasks: 100,
-  },
-} as const;
+const configuration = buildConfiguration([]);
 
 /** An agent that grants two slots a session, runs every task at once and leaves older connections open. */
 async function openAgent() {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,6 +13,9 @@
   spendTokens,
 } from './quota.js';
 
+export type {DemandRate} from './demand.js';
+export {addDemand, computeDemandRate, createDemandRate} from './demand.js';
+
 export type {DrainRate} from './drain-rate.js';
 export {
   computeDrainRate,
--- a/packages/policy/test/quota.test.ts
+++ b/packages/policy/test/quota.test.ts
@@ -1,8 +1,11 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {
+  addDemand,
   adjustBucket,
+  computeDemandRate,
   createBucket,
+  createDemandRate,
   returnTokens,
   shareQuota,
   spendTokens,
@@ -109,3 +112,12 @@
   );
   t.deepEqual(shares.get('busy'), {tasksPerSecond: 87.5, burstTasks: 35});
 });
+
+test('a steady demand is measured after a few half-lives, and halves in one without it', t => {
+  let demand = createDemandRate(0);
+  for (let now = 0; now <= 100_000; now += 100)
+    demand = addDemand(demand, 2, now);
+  const rate = computeDemandRate(demand, 100_000);
+  t.true(Math.abs(rate - 20) < 0.2, String(rate));
+  t.is(computeDemandRate(demand, 110_000), rate / 2);
+});
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -213,7 +213,11 @@
     }),
   ),
   'control.renewEntry': toCheck(
-    Codec.interface({...entryEpoch, configVersion: count}),
+    Codec.interface({
+      ...entryEpoch,
+      configVersion: count,
+      demands: optional(record(string, count)),
+    }),
   ),
   'control.closeEntry': toCheck(Codec.interface(entryEpoch)),
   'control.announce': toCheck(Codec.interface({target, configVersion: count})),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -15,6 +15,7 @@
   TaskFate,
   TaskRef,
   TaskStanding,
+  TeamName,
   VersionedSource,
 } from '#model';
 
@@ -180,10 +181,15 @@
   readonly configVersion: number;
 }
 
+/** Whole tasks a second that each team was lately asked for; teams without demand are left out. */
+export type TeamDemands = Readonly<Record<TeamName, number>>;
+
 export interface RenewEntryParams {
   readonly entry: EntryId;
   readonly epoch: Epoch;
   readonly configVersion: number;
+  /** What teams ask of this entry; unset when it was told lately. */
+  readonly demands?: TeamDemands;
 }
 
 export type Renewal =
@@ -191,6 +197,8 @@
       readonly kind: 'renewed';
       readonly leaseMs: number;
       readonly configVersion: number;
+      /** To an entry that told its demands: those of the other live ones, of the teams that it told of. */
+      readonly demands?: Readonly<Record<EntryId, TeamDemands>>;
     }
   /** The lease ran out and its holder was replaced. It must not act again. */
   | {readonly kind: 'ended'};
