Part the finding of a job's owner from the desk

desk.ts keeps jobs and their answers; ownership.ts has what admits, follows, attaches and inherits. No change of behaviour; the desk's unused logger is gone.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -19,7 +19,7 @@
   type ProcessSettings,
 } from '#settings';
 import type {Runtime} from '#telemetry';
-import {Desk, type Refusal} from './desk.js';
+import {Desk} from './desk.js';
 import {Fleet} from './fleet.js';
 import {Gate} from './gate.js';
 import {listInherited} from './heir.js';
@@ -27,6 +27,7 @@
 import {Inheritance} from './inheritance.js';
 import {EntryLease} from './lease.js';
 import {Neighbours} from './neighbours.js';
+import type {Refusal} from './ownership.js';
 import {Recorder} from './recorder.js';
 import {Registrar} from './registrar.js';
 import type {CheckedRequest} from './request.js';
@@ -88,7 +89,6 @@
     this.desk = new Desk(
       {
         clock,
-        log,
         address: this.address,
         isLive: epoch => !this.client.view.ended.has(epoch),
         getEpoch: () => this.lease.epoch,
--- a/packages/entry/src/gate.ts
+++ b/packages/entry/src/gate.ts
@@ -15,7 +15,7 @@
   shareQuota,
   type TokenBucket,
 } from '#policy';
-import type {Refusal} from './desk.js';
+import type {Refusal} from './ownership.js';
 import type {Pool} from './pool.js';
 
 /** Admission at one entry: quotas, queue limits and deadlines that can be met. */
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -2,10 +2,10 @@
 import type {JobAnswer, Submission} from '#model';
 import {monotonicClock} from '#model';
 import type {AdmitResult, AdmittedJob, LookupResult} from '#protocol';
-import {openLog} from '#telemetry';
-import {Desk, type Refusal} from '../src/desk.js';
+import {Desk} from '../src/desk.js';
 import type {Execution} from '../src/execution.js';
 import type {Neighbours} from '../src/neighbours.js';
+import type {Refusal} from '../src/ownership.js';
 import type {Registrar} from '../src/registrar.js';
 import {buildSubmission} from './builders.js';
 
@@ -28,7 +28,6 @@
   readonly desk = new Desk(
     {
       clock: monotonicClock,
-      log: openLog('silent', 'entry', 'e1'),
       address: ownAddress,
       isLive: epoch => this.ownerLives || epoch !== 3,
       getEpoch: () => ownEpoch,
