--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -1,4 +1,3 @@
-import type {Either} from 'purify-ts';
 import {
   type Clock,
   computeDeadline,
@@ -17,10 +16,10 @@
   type Liveness,
   type Peer,
   type ReportParams,
-  type RpcFailure,
   type StartTask,
 } from '#protocol';
 import type {Logger} from '#telemetry';
+import {fetchFenced, openSession, queryTasks} from './agent-requests.js';
 import {SentTasks, type TaskEnd} from './sent-tasks.js';
 
 /** What a link needs of the entry that owns it. */
@@ -45,8 +44,6 @@
 }
 
 const dialTimeoutMs = 2000;
-const helloTimeoutMs = 3000;
-const queryTimeoutMs = 5000;
 const firstBackoffMs = 20;
 const maxBackoffMs = 1000;
 
@@ -175,7 +172,8 @@
     return this.sent.takeOver(async () => {
       while (this.ready || (await this.waitOpen())) {
         const peer = this.peer!;
-        const last = await this.fetchPages(peer, epochs, heir, take);
+        const {clock} = this.owner;
+        const last = await fetchFenced(peer, {epochs, heir}, clock, take);
         if (last !== undefined) return last;
         if (!this.inView || this.stopped) return undefined;
         peer.close('fence was not answered');
@@ -246,7 +244,7 @@
     if (peer === null) return false;
     this.peer = peer;
     this.early = 0;
-    const slots = await this.openSession(peer, epoch);
+    const slots = await this.joinAgent(peer, epoch);
     if (slots === undefined) {
       peer.close('the agent did not welcome this entry');
       return false;
@@ -267,17 +265,15 @@
   }
 
   /** Returns how many slots the agent has in all, or undefined when the session did not open. */
-  private async openSession(
+  private async joinAgent(
     peer: Peer,
     epoch: Epoch,
   ): Promise<number | undefined> {
-    const hello = await peer.request(
-      'agent.hello',
-      {entry: this.owner.entry, epoch, connection: this.owner.nextConnection()},
-      this.getDeadline(helloTimeoutMs),
-    );
-    const welcome = hello.toMaybe().extractNullable();
-    if (welcome === null || welcome.kind !== 'welcome') return undefined;
+    const {entry, clock} = this.owner;
+    const connection = this.owner.nextConnection();
+    const hello = {entry, epoch, connection};
+    const welcome = await openSession(peer, hello, clock);
+    if (welcome === undefined) return undefined;
     if (welcome.target.target !== this.target.target) return undefined;
     if (welcome.target.incarnation !== this.target.incarnation) {
       this.update(welcome.target);
@@ -286,42 +282,13 @@
     return settled ? welcome.slots : undefined;
   }
 
-  /** Returns the last page; undefined when one did not come. */
-  private async fetchPages(
-    peer: Peer,
-    epochs: readonly Epoch[],
-    heir: Epoch,
-    take: (page: FenceResult) => void,
-  ): Promise<FenceResult | undefined> {
-    let after: number | undefined = 0;
-    for (;;) {
-      const reply: Either<RpcFailure, FenceResult> = await peer.request(
-        'agent.fence',
-        {epochs, heir, after},
-        this.getDeadline(queryTimeoutMs),
-      );
-      const page = reply.toMaybe().extract();
-      if (page === undefined) return undefined;
-      take(page);
-      if (page.next === undefined) return page;
-      after = page.next;
-    }
-  }
-
   /** Asks about every task sent on an earlier connection. */
   private async settleSent(peer: Peer): Promise<boolean> {
-    const tasks = this.sent.list().map(({job, task}) => ({job, task}));
-    if (tasks.length === 0) return peer.isOpen;
-    const reply = await peer.request(
-      'agent.query',
-      {tasks},
-      this.getDeadline(queryTimeoutMs),
-    );
-    const result = reply.toMaybe().extractNullable();
-    if (result === null || result.standings.length !== tasks.length) {
-      return false;
-    }
-    tasks.forEach((ref, i) => this.settle(ref, result.standings[i]!));
+    const refs = this.sent.list();
+    if (refs.length === 0) return peer.isOpen;
+    const standings = await queryTasks(peer, refs, this.owner.clock);
+    if (standings === undefined) return false;
+    refs.forEach((ref, i) => this.settle(ref, standings[i]!));
     return peer.isOpen;
   }
 
