--- a/packages/entry/src/gate.ts
+++ b/packages/entry/src/gate.ts
@@ -20,7 +20,7 @@
   type TokenBucket,
 } from '#policy';
 import type {TeamDemands} from '#protocol';
-import type {Refusal} from './desk.js';
+import type {Refusal} from './ownership.js';
 import type {Pool} from './pool.js';
 
 /** Between two reports of what teams ask for, in ms. */
