Prove lost disks, hundreds of changes and a long cut-off with real processes

- proof-configuration: 300 changes and 11,000 other entries pass a control replica, an entry, an agent (killed) and an agent (stopped).
- proof-control: a leader cut off while 77 changes pass and 3 epochs end is asked past its proxy all the while; it gives no look-up, no configuration and no watch, and follows after.

A change of members that was made already is now answered as done, so that an operator may give it again after a lost answer.

--- /dev/null
+++ b/packages/bench/src/ask.ts
@@ -0,0 +1,24 @@
+import {type Address, monotonicClock} from '#model';
+import {
+  dialPeer,
+  type ParamsOf,
+  type RequestName,
+  type ResultOf,
+} from '#protocol';
+
+const askLimitMs = 1000;
+
+/** Asks a process at an address over a connection of its own; undefined when it gives no result in 1 s. */
+export async function askPeer<Name extends RequestName>(
+  address: Address,
+  method: Name,
+  params: ParamsOf<Name>,
+): Promise<ResultOf<Name> | undefined> {
+  const deadline = monotonicClock.now() + askLimitMs;
+  const dialled = await dialPeer(address, {}, deadline);
+  if (dialled.isLeft()) return undefined;
+  const peer = dialled.unsafeCoerce();
+  const reply = await peer.request(method, params, deadline);
+  peer.close('asked');
+  return reply.toMaybe().extract();
+}
--- a/packages/bench/src/operator.ts
+++ b/packages/bench/src/operator.ts
@@ -159,6 +159,14 @@
   return site.controls.flatMap(address => ['--control', address]);
 }
 
+/** A change of members is sent once only: a dead host's address would cost the attempt. */
+function nameRunningControls(site: Site): readonly string[] {
+  return site
+    .list('control')
+    .filter(({child}) => child.isRunning)
+    .flatMap(({plan}) => ['--control', plan.advertise]);
+}
+
 /** Puts a replica with an empty disk in the place of one that is lost for good. */
 export async function replaceControl(
   site: Site,
@@ -167,7 +175,7 @@
 ): Promise<void> {
   const {plan} = await site.startLearner(name);
   const change = async (...args: readonly string[]) => {
-    const controls = nameControls(site);
+    const controls = nameRunningControls(site);
     const {code} = await runCommand(site, ['members', ...args, ...controls]);
     return code === exitCode.ok;
   };
--- a/packages/bench/src/saboteur.ts
+++ b/packages/bench/src/saboteur.ts
@@ -1,14 +1,14 @@
-import {monotonicClock, failUnreachable} from '#model';
-import {dialPeer} from '#protocol';
+import {failUnreachable} from '#model';
+import {askPeer} from './ask.js';
 import type {Trouble, TroubleStep} from './chaos-plan.js';
 import type {Child} from './child.js';
+import {cutOff, reconnect} from './isolation.js';
 import type {Member} from './member.js';
 import {raceChanges, type RaceResult} from './operator.js';
 import {noFault} from './proxy.js';
 import type {Site} from './site.js';
 import {sleepFor, waitUntil} from './wait.js';
 
-const askLimitMs = 1000;
 const restartLimitMs = 20_000;
 
 /** Brings troubles about at a site. */
@@ -132,14 +132,9 @@
   }
 
   private async cutOffFor(name: string, forMs: number): Promise<void> {
-    const others = this.site.members.filter(member => member.name !== name);
-    const own = this.site.find(name).proxy;
-    const fault = {kind: 'swallow', way: 'both'} as const;
-    own?.inject(fault);
-    for (const {proxy} of others) proxy?.inject(fault, name);
+    cutOff(this.site, name);
     await sleepFor(forMs);
-    own?.inject(noFault);
-    for (const {proxy} of others) proxy?.inject(noFault, name);
+    reconnect(this.site, name);
   }
 
   private async raceConfig(operators: number, step: number): Promise<void> {
@@ -153,13 +148,8 @@
 
   private async findLeader(): Promise<Member | undefined> {
     for (const member of this.site.list('control')) {
-      const deadline = monotonicClock.now() + askLimitMs;
-      const dialled = await dialPeer(member.plan.listen, {}, deadline);
-      if (dialled.isLeft()) continue;
-      const peer = dialled.unsafeCoerce();
-      const status = await peer.request('control.status', {}, deadline);
-      peer.close('asked');
-      if (status.map(({role}) => role).extract() === 'leader') return member;
+      const status = await askPeer(member.plan.listen, 'control.status', {});
+      if (status?.role === 'leader') return member;
     }
     return undefined;
   }
--- a/packages/bench/src/socket-owner.ts
+++ b/packages/bench/src/socket-owner.ts
@@ -10,25 +10,25 @@
 ): number | undefined {
   for (let i = 0; i < maxReads; i++) {
     const inodes = listInodes(localPort);
-    for (const pid of pids) {
-      if (inodes.some(inode => hasSocket(pid, inode))) return pid;
-    }
+    if (inodes.length === 0) continue;
+    return pids.find(pid => inodes.some(inode => hasSocket(pid, inode)));
   }
   return undefined;
 }
 
 /** The kernel's table may lack a socket when others come and go while it is read. */
 const maxReads = 5;
-const localColumn = 1;
-const inodeColumn = 9;
+/** A line of the table: its number, local address, seven columns, and the inode; 0 when closed. */
+const inodePattern = '(?:\\S+ +){7}([1-9]\\d*) ';
 
 function listInodes(localPort: number): readonly string[] {
   const hexPort = localPort.toString(16).toUpperCase().padStart(4, '0');
-  return readFileSync('/proc/net/tcp', 'utf8')
-    .split('\n')
-    .map(line => line.trim().split(/\s+/))
-    .filter(columns => columns[localColumn]?.endsWith(`:${hexPort}`))
-    .map(columns => columns[inodeColumn]!);
+  const lines = new RegExp(
+    `^ *\\d+: [0-9A-F]{8}:${hexPort} +${inodePattern}`,
+    'gm',
+  );
+  const table = readFileSync('/proc/net/tcp', 'utf8');
+  return [...table.matchAll(lines)].map(([, inode]) => inode!);
 }
 
 function hasSocket(pid: number, inode: string): boolean {
--- a/packages/bench/src/version-watch.ts
+++ b/packages/bench/src/version-watch.ts
@@ -1,6 +1,7 @@
 import {request} from 'undici';
-import {type Address, monotonicClock} from '#model';
-import {dialPeer, type RequestName} from '#protocol';
+import type {Address} from '#model';
+import type {RequestName} from '#protocol';
+import {askPeer} from './ask.js';
 import type {Site} from './site.js';
 import type {Member} from './member.js';
 import {sleepFor} from './wait.js';
@@ -33,6 +34,11 @@
     return Math.max(0, ...this.highest.values());
   }
 
+  /** Counts any version below this one as gone back from now on, at the processes named. */
+  expectAtLeast(version: number, names: readonly string[]): void {
+    for (const name of names) this.highest.set(name, version);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.isOver = true;
     await this.rounds;
@@ -104,15 +110,7 @@
   address: Address,
   method: Extract<RequestName, 'agent.status' | 'control.status'>,
 ): Promise<number | undefined> {
-  const deadline = monotonicClock.now() + askLimitMs;
-  const dialled = await dialPeer(address, {}, deadline);
-  if (dialled.isLeft()) return undefined;
-  const peer = dialled.unsafeCoerce();
-  const status = await peer.request(method, {}, deadline);
-  peer.close('asked');
-  return status
-    .map(({configVersion}) => configVersion)
-    .toMaybe()
-    .filter(version => version > 0)
-    .extract();
+  const status = await askPeer(address, method, {});
+  const version = status?.configVersion ?? 0;
+  return version > 0 ? version : undefined;
 }
--- a/packages/bench/test/proof-configuration.test.ts
+++ b/packages/bench/test/proof-configuration.test.ts
@@ -1,9 +1,16 @@
+import {readdirSync} from 'node:fs';
 import test from 'ava';
 import {join} from 'node:path';
+import {applyChanges, fillLog} from '../src/changes.js';
 import {raceChanges, runCommand} from '../src/operator.js';
 import {VersionWatch} from '../src/version-watch.js';
+import {planJobs} from './jobs.js';
 import {Stand} from './stand.js';
 
+const changes = 300;
+/** So many entries that a replica that missed them is sent a snapshot. */
+const entriesBeyondLog = 11_000;
+
 interface ConfigStatus {
   readonly processes: readonly {readonly version?: number}[];
 }
@@ -50,6 +57,11 @@
   return json as Outcome;
 }
 
+function hasSnapshot({site}: Stand, control: string): boolean {
+  const files = readdirSync(join(site.options.data, control));
+  return files.some(file => file.startsWith('snapshot'));
+}
+
 function waitUntilInForce(stand: Stand, version: number): Promise<void> {
   const {members} = stand.site;
   return stand.waitUntil(`version ${version} in force everywhere`, async () => {
@@ -86,22 +98,27 @@
 );
 
 test.serial(
-  'a process that starts again after many changes never shows an older version',
+  'processes that are away during hundreds of changes come back to the last one and never show an older one',
   async t => {
     const stand = await Stand.open(t, {controls: 3});
-    await using watch = new VersionWatch(stand.site);
+    const {site} = stand;
+    await using watch = new VersionWatch(site);
+    await applyChanges(site, 'before', 3);
     const away = ['control-2', 'entry-1', 'tally-1'];
-    await Promise.all(away.map(name => stand.site.kill(name, 'SIGKILL')));
+    const halted = 'tally-0';
+    await Promise.all(away.map(name => site.kill(name, 'SIGKILL')));
+    await site.kill(halted, 'SIGSTOP');
     await stand.awaitLeader();
-    const changes = 12;
-    let version = 0;
-    for (let i = 0; i < changes; i++) {
-      const race = (await raceChanges(stand.site, 1, `change-${i}`))!;
-      version = race.accepted[0]!.version;
-    }
-    for (const name of away) await stand.site.restart(name);
+    const version = await applyChanges(site, 'change', changes);
+    await fillLog(site, entriesBeyondLog);
+    watch.expectAtLeast(version, away);
+    await site.kill(halted, 'SIGCONT');
+    await Promise.all(away.map(name => site.restart(name)));
     await waitUntilInForce(stand, version);
+    t.true(hasSnapshot(stand, 'control-2'));
     t.deepEqual(watch.regressions, []);
     t.is(watch.highestSeen, version);
+    const jobs = planJobs('after', {jobs: 8, tasks: 2, taskMs: 20});
+    stand.assertAllComplete(await stand.submitAll(jobs, 1));
   },
 );
--- a/packages/bench/test/proof-control.test.ts
+++ b/packages/bench/test/proof-control.test.ts
@@ -1,11 +1,36 @@
 import test from 'ava';
-import {type JobRecord, noFault} from '#bench';
+import type {JobRecord} from '#bench';
+import {askPeer} from '../src/ask.js';
+import {applyChanges} from '../src/changes.js';
+import {cutOff, reconnect} from '../src/isolation.js';
 import {VersionWatch} from '../src/version-watch.js';
 import {planJobs} from './jobs.js';
 import {Stand} from './stand.js';
 
+const endedEpochs = 3;
+const changesPerRound = 25;
 const shape = {jobs: 16, tasks: 3, taskMs: 300};
-const silence = {kind: 'swallow', way: 'both'} as const;
+
+/** Asks a replica past its proxy what only a leader answers; returns the results that it gave. */
+async function askAsLeader({site}: Stand, name: string, job: string) {
+  const {listen} = site.find(name).plan;
+  const replies = await Promise.all([
+    askPeer(listen, 'control.lookup', {jobs: [job]}),
+    askPeer(listen, 'control.configStatus', {}),
+  ]);
+  return replies.filter(reply => reply?.kind === 'done');
+}
+
+function watchDirectly({site}: Stand, name: string) {
+  const {listen} = site.find(name).plan;
+  return askPeer(listen, 'control.watch', {since: 0, topics: 'all'});
+}
+
+/** Lists the entries with a lease, by the word of whoever leads now. */
+async function readEntries(stand: Stand, except: string) {
+  const status = await stand.askControl(await stand.awaitLeader(except));
+  return status?.entries ?? [];
+}
 
 /** Submits small jobs, each once and at each entry in turn, for as long as some work goes on. */
 async function submitDuring(
@@ -88,17 +113,11 @@
     const submitted = stand.submitAll(before, 0);
     await stand.waitForStarts(8);
     const leader = await stand.awaitLeader();
-    const injectAround = (fault: typeof silence | typeof noFault) => {
-      for (const {name, proxy} of stand.site.members) {
-        if (name === leader) proxy!.inject(fault);
-        else proxy!.inject(fault, leader);
-      }
-    };
-    injectAround(silence);
+    cutOff(stand.site, leader);
     await stand.awaitLeader(leader);
     const after = await stand.submitAll(planJobs('after', shape), 1);
     stand.assertAllComplete([...(await submitted), ...after]);
-    injectAround(noFault);
+    reconnect(stand.site, leader);
     await stand.waitUntil(
       'the replica that was cut off follows again',
       async () => (await stand.askControl(leader))?.role === 'follower',
@@ -106,3 +125,46 @@
     t.deepEqual(watch.regressions, []);
   },
 );
+
+test.serial(
+  'a leader cut off while many changes pass and entries end answers no read, and follows after',
+  async t => {
+    const stand = await Stand.open(t, {controls: 3});
+    const {site} = stand;
+    await using watch = new VersionWatch(site);
+    const old = await stand.awaitLeader();
+    const [record] = await stand.submitAll(planJobs('before', shape), 0);
+    const {job} = record!.plan;
+    t.is((await askAsLeader(stand, old, job)).length, 2);
+    cutOff(site, old);
+    await stand.awaitLeader(old);
+    await applyChanges(site, 'first', 1);
+    const stale: unknown[] = [];
+    for (let round = 0; round < endedEpochs; round++) {
+      await site.kill('entry-1', 'SIGKILL');
+      await stand.waitUntil('the epoch of the dead entry is over', async () => {
+        stale.push(...(await askAsLeader(stand, old, job)));
+        return (await readEntries(stand, old)).length === 1;
+      });
+      await applyChanges(site, `round-${round}`, changesPerRound);
+      stale.push(...(await askAsLeader(stand, old, job)));
+      await site.restart('entry-1');
+      await stand.waitUntil(
+        'the entry has a new epoch',
+        async () => (await readEntries(stand, old)).length === 2,
+      );
+    }
+    t.deepEqual(stale, []);
+    t.not((await stand.askControl(old))?.role, 'leader');
+    t.is(await watchDirectly(stand, old), undefined);
+    const version = await applyChanges(site, 'last', 1);
+    reconnect(site, old);
+    await stand.waitUntil('the replica follows', async () => {
+      const status = await stand.askControl(old);
+      return status?.role === 'follower' && status.configVersion === version;
+    });
+    const jobs = planJobs('after', shape);
+    stand.assertAllComplete(await stand.submitAll(jobs, 1));
+    t.deepEqual(watch.regressions, []);
+  },
+);
--- a/packages/bench/test/stand.ts
+++ b/packages/bench/test/stand.ts
@@ -19,12 +19,10 @@
   type SiteOptions,
   waitUntil,
 } from '#bench';
-import {monotonicClock} from '#model';
-import {dialPeer} from '#protocol';
+import {askPeer} from '../src/ask.js';
 
 /** Bounds every wait; no test judges by it. */
 export const guardMs = 60_000;
-const askLimitMs = 1000;
 
 /** Leases that run out within a test. */
 const shortLeases = {
@@ -142,15 +140,8 @@
   }
 
   /** Asks a control replica for its status, past its proxy. */
-  async askControl(name: string) {
-    const deadline = monotonicClock.now() + askLimitMs;
-    const {listen} = this.site.find(name).plan;
-    const dialled = await dialPeer(listen, {}, deadline);
-    if (dialled.isLeft()) return undefined;
-    const peer = dialled.unsafeCoerce();
-    const status = await peer.request('control.status', {}, deadline);
-    peer.close('asked');
-    return status.toMaybe().extract();
+  askControl(name: string) {
+    return askPeer(this.site.find(name).plan.listen, 'control.status', {});
   }
 
   /** Waits until a control replica other than `except` leads; returns its name. */
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,6 +1,17 @@
 import {type Either, Left, Right} from 'purify-ts';
-import type {Address, ConfigurationSource, ControlId, Instant} from '#model';
-import {checkMessage, type MemberChange, type Message} from '#consensus';
+import {
+  type Address,
+  type ConfigurationSource,
+  type ControlId,
+  failUnreachable,
+  type Instant,
+} from '#model';
+import {
+  type ChangeRefusal,
+  checkMessage,
+  type MemberChange,
+  type Message,
+} from '#consensus';
 import {
   type ChangeMembersParams,
   type ControlReply,
@@ -277,12 +288,36 @@
       case 'unknown':
         return {...this.leader.redirect(), maybeApplied: true};
       case 'refused':
+        if (this.isInForce(change, outcome.reason)) {
+          return {kind: 'done', value: {}};
+        }
         throw new Error(
           `${params.change} of "${params.member}" is refused: ${outcome.reason}`,
         );
     }
   }
 
+  /** True when a refused change was made before: a resend gets the first one's answer. */
+  private isInForce(change: MemberChange, reason: ChangeRefusal): boolean {
+    const {members} = this.replica.describeStatus();
+    const present = members.find(({id}) => id === change.member);
+    switch (change.kind) {
+      case 'add-learner':
+        return (
+          reason === 'already-member' && present?.address === change.address
+        );
+      case 'promote':
+        return reason === 'already-member';
+      case 'remove':
+        return (
+          reason === 'unknown-member' &&
+          this.machine.state.acknowledged.has(change.member)
+        );
+      default:
+        return failUnreachable(change);
+    }
+  }
+
   /** Asks every member which configuration version it has applied. */
   private async listControls(): Promise<readonly ProcessConfigStatus[]> {
     const {members} = this.replica.describeStatus();
--- a/packages/control/test/group.test.ts
+++ b/packages/control/test/group.test.ts
@@ -165,11 +165,9 @@
   await group.stop(lost);
   await group.start('c4');
   const address = group.getAddress('c4');
-  await client.ask('control.changeMembers', {
-    change: 'add-learner',
-    member: 'c4',
-    address,
-  });
+  const joining = {change: 'add-learner', member: 'c4', address} as const;
+  await client.ask('control.changeMembers', joining);
+  await client.ask('control.changeMembers', joining);
   await group.awaitStatus(
     (id, {members}) =>
       id === leader &&
@@ -177,6 +175,13 @@
   );
   await client.promote('c4');
   await client.ask('control.changeMembers', {change: 'remove', member: lost});
+  // A resend of a change whose answer was lost is answered as the first one was.
+  await client.ask('control.changeMembers', {change: 'promote', member: 'c4'});
+  await client.ask('control.changeMembers', {change: 'remove', member: lost});
+  const never = {change: 'remove', member: 'c9'} as const;
+  await t.throwsAsync(client.ask('control.changeMembers', never), {
+    message: /unknown-member/,
+  });
   await group.stop(leader);
   const [found] = await group
     .connect('c4')
