Prove workers, slow targets and jobs that can never run

Cause: docs/PROOFS.md had no proof with real processes for workers, stragglers and jobs that fit nowhere, and no fault was planted in health.

Stand-in workers count guard commands; a site reads the counts of a stand-in.

Ruled out: a bound on the slow target's share under full load; random placement passed it, since slots bound what a slow target takes.

--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -36,6 +36,9 @@
     readonly sleepMs: number;
     readonly echo: string;
     readonly fail?: true;
+    /** What it really holds of a worker, where that is not its service's demand. */
+    readonly cores?: number;
+    readonly memoryMb?: number;
   };
   readonly expectedMs: number;
 }
--- a/packages/bench/src/site.ts
+++ b/packages/bench/src/site.ts
@@ -16,6 +16,7 @@
 import type {SiteOptions} from './site-options.js';
 import {filterRole, planMember, planMembers} from './site-plan.js';
 import {findSocketOwner} from './socket-owner.js';
+import type {StandInCounts} from './standin.js';
 import type {Temper} from './temper.js';
 import {waitUntil} from './wait.js';
 
@@ -174,14 +175,19 @@
 
   /** Changes how a target's stand-in behaves from now on. */
   async changeTemper(target: string, change: Partial<Temper>): Promise<void> {
-    const index = this.list('agent').findIndex(({name}) => name === target);
-    const response = await request(`${this.parts.standInUrls[index]}/fault`, {
+    const response = await request(`${this.findStandIn(target)}/fault`, {
       method: 'POST',
       body: JSON.stringify(change),
     });
     await response.body.dump();
   }
 
+  /** Reads what a target's stand-in has counted. */
+  async readCounts(target: string): Promise<StandInCounts> {
+    const response = await request(`${this.findStandIn(target)}/counts`);
+    return (await response.body.json()) as StandInCounts;
+  }
+
   describe(): SiteDescription {
     const {services, teams} = this.options.configuration;
     const listPids = (role: MemberRole) => this.list(role).map(({pid}) => pid);
@@ -212,6 +218,11 @@
     await this.parts.standIns.stop();
   }
 
+  private findStandIn(target: string): string {
+    const index = this.list('agent').findIndex(({name}) => name === target);
+    return this.parts.standInUrls[index]!;
+  }
+
   private async failOnExit(member: Member): Promise<never> {
     const exit = await member.child.exited;
     throw new Error(
--- a/packages/bench/src/standin.ts
+++ b/packages/bench/src/standin.ts
@@ -14,6 +14,16 @@
   readonly usageLagMs: number;
 }
 
+/** What a stand-in has counted since its start. The parts of guards are a worker's. */
+export interface StandInCounts {
+  readonly started: number;
+  readonly running: number;
+  readonly refused: number;
+  readonly stopped?: number;
+  readonly throttled?: number;
+  readonly checkpointed?: number;
+}
+
 /** A back end that keeps to the target protocol and works by the clock. */
 export type StandIn = ExecutorStandIn | WorkerStandIn;
 
--- a/packages/bench/src/worker.ts
+++ b/packages/bench/src/worker.ts
@@ -46,6 +46,8 @@
   private started = 0;
   private refused = 0;
   private stopped = 0;
+  private throttled = 0;
+  private checkpointed = 0;
   private readonly held = new Map<string, HeldTask>();
   private report: UsageReport = {takenAt: performance.now(), tasks: []};
   private readonly reporter: NodeJS.Timeout;
@@ -107,6 +109,8 @@
       running: this.held.size,
       refused: this.refused,
       stopped: this.stopped,
+      throttled: this.throttled,
+      checkpointed: this.checkpointed,
     };
   }
 
@@ -196,9 +200,11 @@
         task.lease = setTimeout(() => task.work.stop(), body?.leaseMs ?? 0);
         break;
       case 'throttle':
+        this.throttled += 1;
         this.throttle(task, body?.cores ?? 0);
         break;
       case 'checkpoint':
+        this.checkpointed += 1;
         task.checkpoint = {remainingMs: task.work.computeRemainingMs()};
         return sendJson(response, 200, {checkpoint: task.checkpoint});
       case 'stop':
--- a/packages/bench/test/jobs.ts
+++ b/packages/bench/test/jobs.ts
@@ -1,8 +1,11 @@
-import {type JobRecord, nameEcho, type PlannedJob} from '#bench';
+import {
+  type JobRecord,
+  nameEcho,
+  type PlannedJob,
+  type PlannedTask,
+} from '#bench';
 import {deriveJobId} from '#model';
 
-const team = 'herd-registry';
-
 /** What each planned job is like. */
 export interface JobShape {
   readonly jobs: number;
@@ -10,10 +13,15 @@
   readonly taskMs: number;
   readonly deadlineMs?: number;
   readonly unrepeatable?: boolean;
+  readonly team?: string;
+  readonly service?: string;
+  /** What each task does beside its time. */
+  readonly payload?: Partial<PlannedTask['payload']>;
 }
 
-/** Plans equal jobs of the service `tally`, with keys that begin with a label. */
+/** Plans equal jobs, of the service `tally` unless named, with keys that begin with a label. */
 export function planJobs(label: string, shape: JobShape): PlannedJob[] {
+  const {team = 'herd-registry', service = 'tally'} = shape;
   return Array.from({length: shape.jobs}, (_, i) => {
     const key = `${label}-${i}`;
     return {
@@ -21,11 +29,15 @@
       key,
       job: deriveJobId(team, key),
       team,
-      service: 'tally',
+      service,
       deadlineMs: shape.deadlineMs ?? 40_000,
       unrepeatable: shape.unrepeatable ?? false,
       tasks: Array.from({length: shape.tasks}, (_task, task) => ({
-        payload: {sleepMs: shape.taskMs, echo: nameEcho(key, task)},
+        payload: {
+          ...shape.payload,
+          sleepMs: shape.taskMs,
+          echo: nameEcho(key, task),
+        },
         expectedMs: shape.taskMs,
       })),
     };
