Draw the bench's figures on one page

Cause: figures stood in tables only, and no run showed what callers receive while a process is killed and comes back.

'npm run bench -- report' measures placement by load, the entries' histograms and three recovery timelines, writes each row as a JSON line and draws one HTML page that loads nothing. Weighed: vega-lite (SVG without a browser too, but a large tree of dependencies), plot (needs a DOM), chart.js (needs a canvas or a script in the page).

The folder of an experiment is lent by one function instead of five copies; bench-scale's search for the leader is shared.

--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -3,29 +3,39 @@
 import {measureCommit} from './bench-commit.js';
 import {measureDeployments} from './bench-deployments.js';
 import {measurePlacement} from './bench-placement.js';
+import {writeReport} from './bench-report.js';
 import {measureScale} from './bench-scale.js';
 import {measureSlopes} from './bench-slopes.js';
 
-const experiments: Readonly<Record<string, (seed: number) => Promise<void>>> = {
-  deployments: measureDeployments,
-  placement: measurePlacement,
-  slopes: measureSlopes,
-  scale: measureScale,
-  commit: measureCommit,
-};
-
 const {values, positionals} = parseArgs({
-  options: {seed: {type: 'string', default: '1'}},
+  options: {
+    seed: {type: 'string', default: '1'},
+    repeat: {type: 'string', default: '2'},
+    from: {type: 'string'},
+    out: {type: 'string', default: 'report'},
+  },
   allowPositionals: true,
 });
-const run = experiments[positionals[0] ?? 'deployments'];
 const seed = Number(values.seed);
-if (run === undefined || !Number.isInteger(seed)) {
+const repeats = Number(values.repeat);
+
+const experiments: Readonly<Record<string, () => Promise<void>>> = {
+  deployments: () => measureDeployments(seed),
+  placement: () => measurePlacement(seed),
+  slopes: () => measureSlopes(seed),
+  scale: () => measureScale(seed),
+  commit: () => measureCommit(),
+  report: () =>
+    writeReport({seed, repeats, folder: values.out, from: values.from}),
+};
+
+const run = experiments[positionals[0] ?? 'deployments'];
+if (run === undefined || !Number.isInteger(seed) || !(repeats >= 1)) {
   console.error(
-    'usage: npm run bench -- [deployments|placement|slopes|scale|commit] [--seed N]',
+    `usage: npm run bench -- [${Object.keys(experiments).join('|')}] [--seed N] [--repeat N] [--out FOLDER] [--from FILE]`,
   );
   process.exit(2);
 }
 endOnSignals();
-await run(seed);
+await run();
 process.exit();
--- a/packages/bench/src/bench-scale.ts
+++ b/packages/bench/src/bench-scale.ts
@@ -1,6 +1,4 @@
-import {readFileSync, mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {readFileSync} from 'node:fs';
 import {request} from 'undici';
 import {ControlClient} from '#membership';
 import {monotonicClock} from '#model';
@@ -8,6 +6,8 @@
 import {countOutcomes} from './check.js';
 import {Crowd} from './crowd.js';
 import {computeLine} from './fit.js';
+import {lendFolder} from './folder.js';
+import {findLeader} from './leader.js';
 import {planLoad} from './load.js';
 import {runLoad} from './run-load.js';
 import {Site} from './site.js';
@@ -56,11 +56,8 @@
   printSamples(samples);
 }
 
-async function sampleSize(targets: number, seed: number): Promise<ScaleSample> {
-  const data = mkdtempSync(join(tmpdir(), 'wasabiring-scale-'));
-  const sample = await sampleSite(data, targets, seed);
-  rmSync(data, {recursive: true});
-  return sample;
+function sampleSize(targets: number, seed: number): Promise<ScaleSample> {
+  return lendFolder('scale', data => sampleSite(data, targets, seed));
 }
 
 async function sampleSite(
@@ -83,7 +80,7 @@
     ),
   );
   await sleepFor(settleMs);
-  const leader = await findLeader(site, client);
+  const leader = (await findLeader(site)).pid;
   const pids: Readonly<Record<Part, readonly number[]>> = {
     leader: [leader],
     follower: [site.list('control').find(({pid}) => pid !== leader)!.pid],
@@ -207,19 +204,6 @@
   return (JSON.parse(line) as {fenceMs: number}).fenceMs;
 }
 
-async function findLeader(site: Site, client: ControlClient): Promise<number> {
-  const status = await client.request(
-    'control.status',
-    {},
-    monotonicClock.now() + joinLimitMs,
-  );
-  const {leader} = status.unsafeCoerce();
-  const found = site
-    .list('control')
-    .find(({plan}) => plan.advertise === leader);
-  return (found ?? site.list('control')[0]!).pid;
-}
-
 async function countTargets(url: string): Promise<number> {
   const response = await request(`${url}/v1/status`);
   const status = (await response.body.json()) as {readonly targets: number};
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -50,3 +50,13 @@
 export {countWasted, MessageTap} from './tap.js';
 export type {Fit, Point} from './fit.js';
 export {computeLine} from './fit.js';
+export type {
+  FailureRow,
+  HistogramRow,
+  PlacementRow,
+  RecoveryRow,
+  ReportRow,
+  RunRow,
+} from './report-row.js';
+export {formatRows, parseRows} from './report-row.js';
+export {renderPage} from './report-page.js';
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,7 +1,5 @@
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
 import {type Counts, countOutcomes} from './check.js';
+import {lendFolder} from './folder.js';
 import {readJournal} from './journal.js';
 import {
   computeIdealMs,
@@ -36,19 +34,14 @@
 const persistence = {maxAttempts: 6, maxPauseMs: 1000};
 
 /** Starts a site, submits a load, and measures; warms up with a part of the same kind of load. */
-export async function measureLoad(
+export function measureLoad(
   changes: Partial<SiteOptions>,
   load: LoadOptions,
   warmUpJobs: number,
 ): Promise<Measurement> {
-  const data = mkdtempSync(join(tmpdir(), 'wasabiring-bench-'));
-  const measurement = await measureSite(
-    describeSite(data, changes),
-    load,
-    warmUpJobs,
+  return lendFolder('bench', data =>
+    measureSite(describeSite(data, changes), load, warmUpJobs),
   );
-  rmSync(data, {recursive: true});
-  return measurement;
 }
 
 async function measureSite(
@@ -90,14 +83,13 @@
 }
 
 /** Measures what the processes of a site use while no job comes. */
-export async function measureIdle(
+export function measureIdle(
   changes: Partial<SiteOptions>,
   idleMs: number,
 ): Promise<RoleUsage> {
-  const data = mkdtempSync(join(tmpdir(), 'wasabiring-bench-'));
-  const usage = await measureIdleSite(describeSite(data, changes), idleMs);
-  rmSync(data, {recursive: true});
-  return usage;
+  return lendFolder('bench', data =>
+    measureIdleSite(describeSite(data, changes), idleMs),
+  );
 }
 
 async function measureIdleSite(
