Measure the slope of every driver with exact processor time

Cause: slopes had three drivers, processor time in steps of 10 ms, no bytes or messages, and took the planned rate for the one reached.

A sample whose site does not serve is said and left out.

--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -11,6 +11,7 @@
   options: {
     seed: {type: 'string', default: '1'},
     repeat: {type: 'string', default: '2'},
+    driver: {type: 'string'},
     from: {type: 'string'},
     out: {type: 'string', default: 'report'},
   },
@@ -22,7 +23,8 @@
 const experiments: Readonly<Record<string, () => Promise<void>>> = {
   deployments: () => measureDeployments(seed),
   placement: () => measurePlacement(seed),
-  slopes: () => measureSlopes(seed),
+  slopes: () =>
+    measureSlopes({seed, repeats, only: values.driver, from: values.from}),
   scale: () => measureScale(seed),
   commit: () => measureCommit(),
   report: () =>
@@ -32,7 +34,7 @@
 const run = experiments[positionals[0] ?? 'deployments'];
 if (run === undefined || !Number.isInteger(seed) || !(repeats >= 1)) {
   console.error(
-    `usage: npm run bench -- [${Object.keys(experiments).join('|')}] [--seed N] [--repeat N] [--out FOLDER] [--from FILE]`,
+    `usage: npm run bench -- [${Object.keys(experiments).join('|')}] [--seed N] [--repeat N] [--driver NAME] [--out FOLDER] [--from FILE]`,
   );
   process.exit(2);
 }
--- a/packages/bench/src/bench-slopes.ts
+++ b/packages/bench/src/bench-slopes.ts
@@ -1,170 +1,161 @@
-import {describeBenchLoad} from './bench-load.js';
-import {type Fit, computeLine, type Point} from './fit.js';
-import {measureIdle, measureLoad, type RoleUsage} from './measure.js';
+import {readFileSync} from 'node:fs';
+import {computeLine, type Point} from './fit.js';
 import type {MemberRole} from './member.js';
-import {describeExecutor, type TargetOptions} from './site-options.js';
+import {
+  type Driver,
+  drivers,
+  type Sample,
+  takeSample,
+} from './slope-drivers.js';
 import {formatTable} from './table.js';
 
-const repeats = 2;
-const runMs = 6000;
-
-interface Sample {
-  readonly x: number;
-  readonly elapsedMs: number;
-  readonly usage: RoleUsage;
-}
-
-/** One cost of a role against its driver. */
-interface Slope {
+/** One cost of a role, from a sample. */
+interface Cost {
   readonly name: string;
-  readonly role: MemberRole;
   readonly unit: string;
   readonly read: (sample: Sample) => number;
 }
 
-interface Experiment {
-  readonly driver: string;
-  readonly points: readonly number[];
-  readonly sample: (x: number, seed: number) => Promise<Sample>;
-  readonly slopes: readonly Slope[];
-}
-
-const readCpu = (role: MemberRole) => (sample: Sample) =>
-  (sample.usage[role].cpuMs / sample.elapsedMs) * 1000;
-const readMemory = (role: MemberRole) => (sample: Sample) =>
-  sample.usage[role].residentMb;
+const roles: readonly MemberRole[] = ['entry', 'agent', 'control'];
+const msPerSecond = 1000;
+const bytesPerKb = 1000;
 
-const describeCpu = (role: MemberRole): Slope => ({
-  name: `processor time of all ${role} processes`,
-  role,
-  unit: 'ms/s',
-  read: readCpu(role),
-});
-const describeMemory = (role: MemberRole): Slope => ({
-  name: `memory of all ${role} processes`,
-  role,
-  unit: 'MB',
-  read: readMemory(role),
-});
-
-const targets: readonly TargetOptions[] = Array.from({length: 8}, () =>
-  describeExecutor('tally'),
-);
-
-async function sampleRate(
-  jobsPerSecond: number,
-  tasksPerJob: number,
-  x: number,
-  seed: number,
-): Promise<Sample> {
-  const measured = await measureLoad(
-    {targets},
-    describeBenchLoad('tally', {
-      seed,
-      jobs: Math.round((jobsPerSecond * runMs) / 1000),
-      arrivals: {kind: 'poisson', jobsPerSecond},
-      minTasks: tasksPerJob,
-      maxTasks: tasksPerJob,
-      minTaskMs: 1,
-      maxTaskMs: 10,
-    }),
-    20,
-  );
-  return {x, elapsedMs: measured.elapsedMs, usage: measured.usage};
+function rate({elapsedMs}: Sample, amount: number): number {
+  return (amount / elapsedMs) * msPerSecond;
 }
 
-async function sampleAgents(count: number): Promise<Sample> {
-  const usage = await measureIdle(
-    {targets: Array.from({length: count}, () => describeExecutor('tally'))},
-    runMs,
-  );
-  return {x: count, elapsedMs: runMs, usage};
-}
+const entryHeap: Cost = {
+  name: 'entry, heap in use',
+  unit: 'MB',
+  read: sample => sample.roles.entry.heapMb,
+};
 
-const tasksPerJob = 20;
-const experiments: readonly Experiment[] = [
+/** Costs of all the processes of a role together. */
+const costs: readonly Cost[] = roles.flatMap(role => [
+  {
+    name: `${role}, processor`,
+    unit: 'ms/s',
+    read: sample => rate(sample, sample.roles[role].cpuMs),
+  },
   {
-    driver: `tasks a second, in jobs of ${tasksPerJob}`,
-    points: [200, 400, 800, 1600],
-    sample: (rate, seed) =>
-      sampleRate(rate / tasksPerJob, tasksPerJob, rate, seed),
-    slopes: [
-      describeCpu('entry'),
-      describeCpu('agent'),
-      describeCpu('control'),
-    ],
+    name: `${role}, accepted links`,
+    unit: 'messages/s',
+    read: sample => rate(sample, sample.roles[role].messages),
   },
   {
-    driver: 'jobs a second, of one task each',
-    points: [25, 50, 100, 200],
-    sample: (rate, seed) => sampleRate(rate, 1, rate, seed),
-    slopes: [
-      describeCpu('entry'),
-      describeCpu('control'),
-      describeMemory('control'),
-    ],
+    name: `${role}, accepted links`,
+    unit: 'KB/s',
+    read: sample => rate(sample, sample.roles[role].bytes / bytesPerKb),
   },
   {
-    driver: 'idle agents',
-    points: [4, 8, 16, 32],
-    sample: sampleAgents,
-    slopes: [
-      describeCpu('control'),
-      describeCpu('entry'),
-      describeCpu('agent'),
-      describeMemory('control'),
-      describeMemory('entry'),
-    ],
+    name: `${role}, resident`,
+    unit: 'MB',
+    read: sample => sample.roles[role].residentMb,
   },
-];
+  ...(role === 'entry' ? [entryHeap] : []),
+]);
 
-/** Measures the slope of each cost against its driver and prints fits, residuals and spread. */
-export async function measureSlopes(seed: number): Promise<void> {
-  for (const experiment of experiments) {
-    console.log(
-      `\nDriver: ${experiment.driver}, at ${experiment.points.join(', ')}`,
-    );
-    const runs: (readonly Sample[])[] = [];
-    for (let i = 0; i < repeats; i++) {
-      const samples: Sample[] = [];
-      for (const x of experiment.points) {
-        samples.push(await experiment.sample(x, seed + i));
-      }
-      runs.push(samples);
+export interface SlopesCommand {
+  readonly seed: number;
+  readonly repeats: number;
+  /** The one driver to measure; all when unset. */
+  readonly only: string | undefined;
+  /** JSON lines of earlier runs, to fit again instead of measuring. */
+  readonly from: string | undefined;
+}
+
+/** Measures or reads the samples of each driver and prints fits, residuals and spread. */
+export async function measureSlopes(command: SlopesCommand): Promise<void> {
+  const {only, from} = command;
+  const known = from === undefined ? undefined : readSamples(from);
+  for (const driver of drivers) {
+    if (only !== undefined && driver.name !== only) continue;
+    const samples = known ?? (await sampleDriver(driver, command));
+    const own = samples.filter(sample => sample.driver === driver.name);
+    if (own.length > 0) printDriver(driver, own);
+  }
+}
+
+/** Reads the lines that `sampleDriver` writes. */
+function readSamples(path: string): readonly Sample[] {
+  const lines = readFileSync(path, 'utf8').split('\n');
+  return lines
+    .filter(line => line.startsWith('{'))
+    .map(line => JSON.parse(line) as Sample);
+}
+
+async function sampleDriver(
+  driver: Driver,
+  {seed, repeats}: SlopesCommand,
+): Promise<readonly Sample[]> {
+  const samples: Sample[] = [];
+  for (let i = 0; i < repeats; i++) {
+    for (const x of driver.points) {
+      const sample = await trySample(driver, x, seed + i);
+      if (sample !== undefined) samples.push(sample);
     }
-    console.log(
-      formatTable([
-        [
-          'cost',
-          'unit',
-          'slope',
-          'at 0',
-          'residual',
-          'slopes of the runs',
-          'points',
-        ],
-        ...experiment.slopes.map(slope => describeSlope(slope, runs)),
-      ]),
-    );
   }
+  return samples;
+}
+
+/** Writes the sample as a line; undefined when the site did not serve, which is said instead. */
+async function trySample(
+  driver: Driver,
+  x: number,
+  seed: number,
+): Promise<Sample | undefined> {
+  try {
+    const sample = await takeSample(driver, x, seed);
+    console.error(JSON.stringify(sample));
+    return sample;
+  } catch (error) {
+    console.error(`no sample of ${driver.name} at ${x}: ${error}`);
+    return undefined;
+  }
+}
+
+function printDriver({name, unit}: Driver, samples: readonly Sample[]): void {
+  const loads = samples.map(({loadAverage}) => loadAverage);
+  const [least, most] = [Math.min(...loads), Math.max(...loads)];
+  console.log(
+    `\nDriver: ${name} (${unit}); load average ${least.toFixed(1)} to ${most.toFixed(1)}`,
+  );
+  const listed = costs.filter(({read}) => samples.some(one => read(one) > 0));
+  console.log(
+    formatTable([
+      [
+        'cost of all processes',
+        'unit',
+        'slope',
+        'at 0',
+        'residual',
+        'slopes of the runs',
+        'points',
+      ],
+      ...listed.map(cost => describeCost(cost, samples)),
+    ]),
+  );
 }
 
-function describeSlope(
-  {name, unit, read}: Slope,
-  runs: readonly (readonly Sample[])[],
+function describeCost(
+  {name, unit, read}: Cost,
+  samples: readonly Sample[],
 ): readonly string[] {
-  const toPoints = (samples: readonly Sample[]): readonly Point[] =>
-    samples.map(sample => ({x: sample.x, y: read(sample)}));
-  const all: Fit = computeLine(runs.flatMap(toPoints));
-  const each = runs.map(samples => computeLine(toPoints(samples)).slope);
-  const points = runs.flatMap(toPoints).map(({x, y}) => `${x}:${y.toFixed(1)}`);
+  const toPoints = (some: readonly Sample[]): readonly Point[] =>
+    some.map(sample => ({x: sample.x, y: read(sample)}));
+  const seeds = [...new Set(samples.map(({seed}) => seed))];
+  const each = seeds.map(seed =>
+    computeLine(toPoints(samples.filter(sample => sample.seed === seed))),
+  );
+  const points = toPoints(samples);
+  const all = computeLine(points);
   return [
     name,
     unit,
     all.slope.toPrecision(3),
     all.intercept.toPrecision(3),
     all.residual.toPrecision(2),
-    each.map(slope => slope.toPrecision(3)).join(' '),
-    points.join(' '),
+    each.map(({slope}) => slope.toPrecision(3)).join(' '),
+    points.map(({x, y}) => `${x.toFixed(1)}:${y.toFixed(1)}`).join(' '),
   ];
 }
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,4 +1,6 @@
+import type {JobRecord} from './caller.js';
 import {type Counts, countOutcomes} from './check.js';
+import {measureCosts, type RoleCosts, type SiteCosts} from './costs.js';
 import {lendFolder} from './folder.js';
 import {readJournal} from './journal.js';
 import {
@@ -8,12 +10,10 @@
   summarizeTimes,
 } from './latency.js';
 import {type LoadOptions, planLoad} from './load.js';
-import type {MemberRole} from './member.js';
 import {runLoad} from './run-load.js';
 import {Site} from './site.js';
 import {describeSite, type SiteOptions} from './site-options.js';
 import {countWasted} from './tap.js';
-import {sumUsage, type Usage} from './usage.js';
 import {sleepFor} from './wait.js';
 
 /** What one load on one site came to. */
@@ -27,7 +27,8 @@
   /** Unset without proxies, which count the messages. */
   readonly wastedPerJob: number | undefined;
   /** What all the processes of a role used during the load; memory at its end. */
-  readonly usage: RoleUsage;
+  readonly usage: RoleCosts;
+  readonly costs: SiteCosts;
 }
 
 const settleMs = 1000;
@@ -58,11 +59,10 @@
   });
   await sleepFor(settleMs);
   const wastedBefore = sumWasted(site);
-  const before = readRoles(site);
-  const startedAt = performance.now();
-  const records = await submitLoad(site, load);
-  const elapsedMs = performance.now() - startedAt;
-  const after = readRoles(site);
+  let records: readonly JobRecord[] = [];
+  const costs = await measureCosts(site, async () => {
+    records = await submitLoad(site, load);
+  });
   const wasted = sumWasted(site) - wastedBefore;
   const responses = records.map(record => ({
     record,
@@ -74,34 +74,26 @@
   return {
     counts: countOutcomes(readJournal(site.journal), records),
     tasks: records.reduce((sum, {plan}) => sum + plan.tasks.length, 0),
-    elapsedMs,
+    elapsedMs: costs.elapsedMs,
     response: summarizeTimes(complete.map(({ms}) => ms)),
     overIdeal: summarizeTimes(complete.map(({overMs}) => overMs)),
     wastedPerJob: options.proxied ? wasted / records.length : undefined,
-    usage: subtractRoles(after, before),
+    usage: costs.roles,
+    costs,
   };
 }
 
-/** Measures what the processes of a site use while no job comes. */
-export function measureIdle(
+/** Measures what a site costs while something is done with it, once it has settled. */
+export function measureActing(
   changes: Partial<SiteOptions>,
-  idleMs: number,
-): Promise<RoleUsage> {
-  return lendFolder('bench', data =>
-    measureIdleSite(describeSite(data, changes), idleMs),
-  );
-}
-
-async function measureIdleSite(
-  options: SiteOptions,
-  idleMs: number,
-): Promise<RoleUsage> {
-  await using site = await Site.start(options);
-  await site.waitUntilReady();
-  await sleepFor(settleMs);
-  const before = readRoles(site);
-  await sleepFor(idleMs);
-  return subtractRoles(readRoles(site), before);
+  act: (site: Site) => Promise<unknown>,
+): Promise<SiteCosts> {
+  return lendFolder('bench', async data => {
+    await using site = await Site.start(describeSite(data, changes));
+    await site.waitUntilReady();
+    await sleepFor(settleMs);
+    return await measureCosts(site, () => act(site));
+  });
 }
 
 function submitLoad(site: Site, load: LoadOptions) {
@@ -119,24 +111,3 @@
     .list('agent')
     .reduce((sum, {proxy}) => sum + (proxy ? countWasted(proxy.tap) : 0), 0);
 }
-
-/** What all the processes of each role used. */
-export type RoleUsage = Readonly<Record<MemberRole, Usage>>;
-
-function readRoles(site: Site): RoleUsage {
-  const read = (role: MemberRole) =>
-    sumUsage(site.list(role).map(({pid}) => pid));
-  return {entry: read('entry'), agent: read('agent'), control: read('control')};
-}
-
-function subtractRoles(after: RoleUsage, before: RoleUsage): RoleUsage {
-  const subtract = (role: MemberRole): Usage => ({
-    cpuMs: after[role].cpuMs - before[role].cpuMs,
-    residentMb: after[role].residentMb,
-  });
-  return {
-    entry: subtract('entry'),
-    agent: subtract('agent'),
-    control: subtract('control'),
-  };
-}
--- a/packages/bench/src/tap.ts
+++ b/packages/bench/src/tap.ts
@@ -4,12 +4,15 @@
 export class MessageTap {
   private readonly counts = new Map<string, number>();
   private refused = 0;
+  private allMessages = 0;
+  private allBytes = 0;
 
   /** Returns what to call with the chunks of one connection's one way. */
   open(): (chunk: Buffer) => void {
     const reader = new FrameReader();
     let isProtocol = true;
     return chunk => {
+      this.allBytes += chunk.length;
       if (!isProtocol) return;
       const messages = reader.readChunk(chunk);
       isProtocol = messages.isRight();
@@ -29,7 +32,17 @@
     return this.refused;
   }
 
+  /** Calls, answers and notices. */
+  get messages(): number {
+    return this.allMessages;
+  }
+
+  get bytes(): number {
+    return this.allBytes;
+  }
+
   private note({method, params}: WireMessage): void {
+    this.allMessages++;
     if (method === undefined) return;
     this.counts.set(method, this.count(method) + 1);
     if (method !== 'entry.report') return;
--- a/packages/bench/src/usage.ts
+++ b/packages/bench/src/usage.ts
@@ -1,4 +1,4 @@
-import {readFileSync} from 'node:fs';
+import {readdirSync, readFileSync} from 'node:fs';
 
 /** What a process has used of the machine. */
 export interface Usage {
@@ -6,38 +6,41 @@
   readonly residentMb: number;
 }
 
-const ticksPerSecond = 100;
+const nsPerMs = 1_000_000;
 const pageBytes = 4096;
-// Of the fields after the command's name in /proc/PID/stat.
-const userTicksField = 11;
-const systemTicksField = 12;
-const residentPagesField = 21;
+const bytesPerMb = 2 ** 20;
 
-/** Reads the processor time since its start and the memory of a process; zeros when it has ended. */
+/** Reads the processor time of a process's threads and its memory; zeros when it has ended. */
 export function readUsage(pid: number): Usage {
-  const text = readStat(pid);
-  if (text === undefined) return {cpuMs: 0, residentMb: 0};
-  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
-  const ticks =
-    Number(fields[userTicksField]) + Number(fields[systemTicksField]);
-  return {
-    cpuMs: (ticks * 1000) / ticksPerSecond,
-    residentMb: (Number(fields[residentPagesField]) * pageBytes) / 2 ** 20,
-  };
-}
-
-function readStat(pid: number): string | undefined {
   try {
-    return readFileSync(`/proc/${pid}/stat`, 'utf8');
+    const statm = readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ');
+    return {
+      cpuMs: sumThreadNs(pid) / nsPerMs,
+      residentMb: (Number(statm[1]) * pageBytes) / bytesPerMb,
+    };
   } catch {
-    return undefined;
+    return {cpuMs: 0, residentMb: 0};
   }
 }
 
+/** The scheduler's own account, in ns, of the threads that run now. */
+function sumThreadNs(pid: number): number {
+  const threads = readdirSync(`/proc/${pid}/task`);
+  return threads.reduce((sum, thread) => sum + readThreadNs(pid, thread), 0);
+}
+
+function readThreadNs(pid: number, thread: string): number {
+  const path = `/proc/${pid}/task/${thread}/schedstat`;
+  return Number(readFileSync(path, 'utf8').split(' ')[0]);
+}
+
 /** Sums the usage of processes. */
 export function sumUsage(pids: readonly number[]): Usage {
-  return pids.map(readUsage).reduce((sum, one) => ({
-    cpuMs: sum.cpuMs + one.cpuMs,
-    residentMb: sum.residentMb + one.residentMb,
-  }));
+  return pids.map(readUsage).reduce(
+    (sum, one) => ({
+      cpuMs: sum.cpuMs + one.cpuMs,
+      residentMb: sum.residentMb + one.residentMb,
+    }),
+    {cpuMs: 0, residentMb: 0},
+  );
 }
--- a/packages/bench/test/plan.test.ts
+++ b/packages/bench/test/plan.test.ts
@@ -84,8 +84,12 @@
       params: {tasks: [{fate: {kind: 'not-run'}}, {fate: {kind: 'succeeded'}}]},
     },
   ].map(encodeFrame);
-  read(Buffer.concat([preface, ...frames]));
-  tap.open()(Buffer.from('not the protocol'));
+  const sent = Buffer.concat([preface, ...frames]);
+  const foreign = Buffer.from('not the protocol');
+  read(sent);
+  tap.open()(foreign);
+  t.is(tap.messages, frames.length);
+  t.is(tap.bytes, sent.length + foreign.length);
   t.is(tap.count('agent.start'), 1);
   t.is(countWasted(tap), 2);
 });
