--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -2,6 +2,7 @@
 import {endOnSignals} from './child.js';
 import {measureCommit} from './bench-commit.js';
 import {measureDeployments} from './bench-deployments.js';
+import {measureEntry} from './bench-entry.js';
 import {measurePlacement} from './bench-placement.js';
 import {writeReport} from './bench-report.js';
 import {measureScale} from './bench-scale.js';
@@ -27,6 +28,7 @@
     measureSlopes({seed, repeats, only: values.driver, from: values.from}),
   scale: () => measureScale(seed),
   commit: () => measureCommit(),
+  entry: () => measureEntry(seed),
   report: () =>
     writeReport({seed, repeats, folder: values.out, from: values.from}),
 };
--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -67,6 +67,55 @@
   await listener[Symbol.asyncDispose]();
 });
 
+test('a notice that is malformed or fails is dropped and the next one is handled', async t => {
+  const seen: number[] = [];
+  const {listener, peer} = await connectPair({
+    'agent.release': ({slots}) => {
+      if (slots === 1) throw new Error('refused');
+      seen.push(slots);
+    },
+  });
+  peer.notify('agent.release', {slots: -1});
+  peer.notify('agent.release', {slots: 1});
+  peer.notify('agent.reserve', {slots: 2});
+  peer.notify('agent.release', {slots: 3});
+  t.true((await peer.request('peer.sync', {}, soon())).isRight());
+  t.deepEqual(seen, [3]);
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
+
+for (const side of ['dialling', 'dialled'] as const) {
+  test(`messages of many chunks arrive whole at the ${side} end`, async t => {
+    const sizes = [3, 5_000_000, 0, 70_000];
+    const seen: Uint8Array[] = [];
+    let resolveAll = () => {};
+    const all = new Promise<void>(resolve => (resolveAll = resolve));
+    const handlers: Handlers = {
+      'control.replicate': ({message}) => {
+        if (seen.push(message as Uint8Array) === sizes.length) resolveAll();
+      },
+    };
+    const {listener, peer} = await connectPair(handlers, handlers);
+    await peer.request('peer.sync', {}, soon());
+    const sender = side === 'dialled' ? peer : [...listener.peers][0]!;
+    sizes.forEach((size, i) =>
+      sender.notify('control.replicate', {
+        from: 'a',
+        message: Buffer.alloc(size, i + 1),
+      }),
+    );
+    await all;
+    t.true(seen.every((bytes, i) => bytes.every(byte => byte === i + 1)));
+    t.deepEqual(
+      seen.map(({length}) => length),
+      sizes,
+    );
+    await peer[Symbol.asyncDispose]();
+    await listener[Symbol.asyncDispose]();
+  });
+}
+
 test('a request in flight fails as disconnected when the connection ends', async t => {
   const {listener, peer} = await connectPair({
     'entry.peek': () => new Promise(() => {}),
@@ -144,3 +193,27 @@
   await peer[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
+
+test('an idle connection is closed when its peer is asked for a sign of life in vain', async t => {
+  const {server, address} = await openMute();
+  const idle = {probeAfterMs: 60_000, silenceLimitMs: 120_000};
+  const peer = (await dialPeer(address, {}, soon(), idle)).unsafeCoerce();
+  const asking = setInterval(
+    () => peer.ensureAlive({probeAfterMs: 5, silenceLimitMs: 30}),
+    10,
+  );
+  t.is(await peer.closed, 'silent when asked');
+  clearInterval(asking);
+  server.close();
+});
+
+test('a peer that gives a sign of life stays, however often it is asked', async t => {
+  const {listener, peer} = await connectPair({});
+  for (let i = 0; i < 20; i++) {
+    peer.ensureAlive({probeAfterMs: 0, silenceLimitMs: 5000});
+    t.true((await peer.request('peer.sync', {}, soon())).isRight());
+  }
+  t.true(peer.isOpen);
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
