--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -38,6 +38,7 @@
 import type {Execution} from './execution.js';
 import {failJob} from './job.js';
 import type {AgentLink} from './link.js';
+import {estimateRun} from './run-estimate.js';
 import {formatTask, type TaskEnd} from './sent-tasks.js';
 
 /** What a pool needs of the entry that owns it. */
@@ -73,9 +74,6 @@
 
 const healthIntervalMs = 500;
 const starvedIntervalMs = 10;
-const lowQuantile = 0.05;
-const medianQuantile = 0.5;
-const highQuantile = 0.95;
 
 /** One service's waiting tasks, its targets and the slots that they grant. */
 export class Pool implements Disposable {
@@ -157,14 +155,7 @@
   /** Estimates the run time of a task, with the caller's hint blended in. */
   estimateRun(hintMs: number | undefined): RunEstimate {
     const {name} = this.service;
-    const now = this.getTime();
-    return {
-      lowMs: this.runTimes.estimateRun(name, lowQuantile, hintMs, now),
-      medianMs: this.runTimes.estimateRun(name, medianQuantile, hintMs, now),
-      highMs: this.runTimes.estimateRun(name, highQuantile, hintMs, now),
-      meanMs: this.runTimes.computeMean(name),
-      observations: this.runTimes.countObservations(name, now),
-    };
+    return estimateRun(this.runTimes, name, hintMs, this.getTime());
   }
 
   /** Puts a changed service in force. A change of policy starts with what is connected. */
