Give a service that is configured later the targets that are here already

A new pool now takes the links of its service, which connect anew to tell their slots.

The new test of the fleet fails without the change.

--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -98,7 +98,7 @@
   configure(configuration: Configuration): void {
     this.configuration = configuration;
     for (const service of configuration.services) {
-      this.pools.get(service.name)?.configure(service);
+      this.getPool(service.name)?.configure(service);
     }
   }
 
@@ -129,6 +129,7 @@
       onTaskEnd: this.owner.onTaskEnd,
     });
     this.pools.set(service, pool);
+    this.fillPool(pool);
     return pool;
   }
 
@@ -139,6 +140,15 @@
     );
   }
 
+  /** Gives a new pool the targets of its service that are here already; they connect anew to tell their slots. */
+  private fillPool(pool: Pool): void {
+    for (const link of this.links.values()) {
+      if (link.target.service !== pool.config.name) continue;
+      pool.addLink(link);
+      link.reconnect();
+    }
+  }
+
   private followAll(view: View): void {
     for (const target of view.targets.list()) this.putTarget(target);
     for (const id of [...this.links.keys()]) {
@@ -162,9 +172,10 @@
       return;
     }
     if (known !== undefined) this.removeTarget(target.target);
+    const pool = this.getPool(target.service);
     const link = this.openLink(target);
     this.links.set(target.target, link);
-    this.getPool(target.service)?.addLink(link);
+    pool?.addLink(link);
   }
 
   private removeTarget(target: TargetId): void {
--- a/packages/entry/test/fleet.test.ts
+++ b/packages/entry/test/fleet.test.ts
@@ -46,8 +46,11 @@
   return {listener, sessions, describe};
 }
 
-function openFleet(getStartingEpoch: () => Epoch | undefined): Fleet {
-  return new Fleet(configuration, {
+function openFleet(
+  getStartingEpoch: () => Epoch | undefined,
+  inForce = configuration,
+): Fleet {
+  return new Fleet(inForce, {
     entry: 'e1',
     clock: monotonicClock,
     log: openLog('silent', 'entry', 'e1'),
@@ -106,3 +109,20 @@
   await fleet[Symbol.asyncDispose]();
   await agent.listener[Symbol.asyncDispose]();
 });
+
+test('targets that joined before their service was configured serve it afterwards', async t => {
+  const agent = await openAgent();
+  const fleet = openFleet(() => 1, {...configuration, services: []});
+  fleet.follow(emptyView, [{kind: 'target-joined', target: agent.describe()}]);
+  const link = fleet.listLinks()[0]!;
+  while (!link.isReady) await new Promise(setImmediate);
+  t.is(fleet.getPool('tally'), undefined);
+  fleet.configure(configuration);
+  t.is(fleet.getPool('tally')!.listCapacities().length, 1);
+  const job = createJob(buildSubmission('k', 1), monotonicClock.now() + 5000);
+  const execution = new Execution(job, 3);
+  fleet.start(execution);
+  t.is((await execution.answered).kind, 'complete');
+  await fleet[Symbol.asyncDispose]();
+  await agent.listener[Symbol.asyncDispose]();
+});
