Measure how long jobs wait after the loss of each kind of process

Ruled out: leases of 1.5 s, with which the silent cut-off of the leader ended the leases of entries and targets together, so that jobs in hand became unknown; the bench then waited for them for good and was stopped.

--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -3,6 +3,7 @@
 import {measureCommit} from './bench-commit.js';
 import {measureDeployments} from './bench-deployments.js';
 import {measurePlacement} from './bench-placement.js';
+import {measureRecovery} from './bench-recovery.js';
 import {measureScale} from './bench-scale.js';
 import {measureSlopes} from './bench-slopes.js';
 
@@ -12,6 +13,7 @@
   slopes: measureSlopes,
   scale: measureScale,
   commit: measureCommit,
+  recovery: measureRecovery,
 };
 
 const {values, positionals} = parseArgs({
@@ -22,7 +24,7 @@
 const seed = Number(values.seed);
 if (run === undefined || !Number.isInteger(seed)) {
   console.error(
-    'usage: npm run bench -- [deployments|placement|slopes|scale|commit] [--seed N]',
+    'usage: npm run bench -- [deployments|placement|slopes|scale|commit|recovery] [--seed N]',
   );
   process.exit(2);
 }
