--- a/packages/bench/src/site.ts
+++ b/packages/bench/src/site.ts
@@ -1,7 +1,7 @@
 import {mkdirSync} from 'node:fs';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import type {Address} from '#model';
 import {Child, type ChildExit} from './child.js';
 import {Member, type MemberPlan, type MemberRole} from './member.js';
@@ -16,6 +16,7 @@
 import type {SiteOptions} from './site-options.js';
 import {filterRole, planMember, planMembers} from './site-plan.js';
 import {findSocketOwner} from './socket-owner.js';
+import type {StandInCounts} from './standin.js';
 import type {Temper} from './temper.js';
 import {waitUntil} from './wait.js';
 
@@ -50,6 +51,9 @@
 
 /** Every process of a site on loopback. Disposal stops those that it started. */
 export class Site implements AsyncDisposable {
+  /** One connection a stand-in, so that counting takes none that its agent may need. */
+  private readonly counting = new Agent({connections: 1});
+
   private constructor(private readonly parts: SiteParts) {}
 
   /** Starts every process; they are not yet ready. */
@@ -174,14 +178,21 @@
 
   /** Changes how a target's stand-in behaves from now on. */
   async changeTemper(target: string, change: Partial<Temper>): Promise<void> {
-    const index = this.list('agent').findIndex(({name}) => name === target);
-    const response = await request(`${this.parts.standInUrls[index]}/fault`, {
+    const response = await request(`${this.findStandIn(target)}/fault`, {
       method: 'POST',
       body: JSON.stringify(change),
     });
     await response.body.dump();
   }
 
+  /** Reads what a target's stand-in has counted. */
+  async readCounts(target: string): Promise<StandInCounts> {
+    const response = await request(`${this.findStandIn(target)}/counts`, {
+      dispatcher: this.counting,
+    });
+    return (await response.body.json()) as StandInCounts;
+  }
+
   describe(): SiteDescription {
     const {services, teams} = this.options.configuration;
     const listPids = (role: MemberRole) => this.list(role).map(({pid}) => pid);
@@ -209,9 +220,15 @@
         this.list(role).map(member => member[Symbol.asyncDispose]()),
       );
     }
+    await this.counting.destroy();
     await this.parts.standIns.stop();
   }
 
+  private findStandIn(target: string): string {
+    const index = this.list('agent').findIndex(({name}) => name === target);
+    return this.parts.standInUrls[index]!;
+  }
+
   private async failOnExit(member: Member): Promise<never> {
     const exit = await member.child.exited;
     throw new Error(
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,14 +12,19 @@
 } from '#model';
 import {createRandom} from '#policy';
 import {ControlClient, type View} from '#membership';
-import {type Handlers, PeerListener, type ViewChange} from '#protocol';
+import {
+  type Handlers,
+  PeerListener,
+  type Renewal,
+  type ViewChange,
+} from '#protocol';
 import {
   type EntryRole,
   parseConfiguration,
   type ProcessSettings,
 } from '#settings';
 import type {Runtime} from '#telemetry';
-import {Desk, type Refusal} from './desk.js';
+import {Desk} from './desk.js';
 import {Fleet} from './fleet.js';
 import {Gate} from './gate.js';
 import {listInherited} from './heir.js';
@@ -27,6 +32,7 @@
 import {Inheritance} from './inheritance.js';
 import {EntryLease} from './lease.js';
 import {Neighbours} from './neighbours.js';
+import type {Refusal} from './ownership.js';
 import {Recorder} from './recorder.js';
 import {Registrar} from './registrar.js';
 import type {CheckedRequest} from './request.js';
@@ -88,7 +94,6 @@
     this.desk = new Desk(
       {
         clock,
-        log,
         address: this.address,
         isLive: epoch => !this.client.view.ended.has(epoch),
         getEpoch: () => this.lease.epoch,
@@ -204,16 +209,7 @@
           )
             .toMaybe()
             .extract(),
-        renew: async (epoch, deadline) =>
-          (
-            await this.client.request(
-              'control.renewEntry',
-              {entry, epoch, configVersion: this.version},
-              deadline,
-            )
-          )
-            .toMaybe()
-            .extract(),
+        renew: (epoch, deadline) => this.renew(epoch, deadline),
         close: async (epoch, deadline) => {
           await this.client.request(
             'control.closeEntry',
@@ -229,6 +225,29 @@
     );
   }
 
+  /** Renews the lease, and at times tells and learns what teams ask of the entries. */
+  private async renew(
+    epoch: Epoch,
+    deadline: Instant,
+  ): Promise<Renewal | undefined> {
+    const demands = this.gate.takeDemands();
+    const reply = await this.client.request(
+      'control.renewEntry',
+      {
+        entry: this.settings.id,
+        epoch,
+        configVersion: this.version,
+        ...(demands && {demands}),
+      },
+      deadline,
+    );
+    const renewal = reply.toMaybe().extract();
+    if (renewal?.kind === 'renewed' && renewal.demands !== undefined) {
+      this.gate.followDemands(renewal.demands);
+    }
+    return renewal;
+  }
+
   private takeEpoch(epoch: Epoch): void {
     this.runtime.log.info({event: 'epoch-opened', epoch}, 'opened an epoch');
     this.fleet.resume();
--- a/packages/entry/src/link.ts
+++ b/packages/entry/src/link.ts
@@ -5,7 +5,6 @@
   type Epoch,
   type EntryId,
   type TargetInfo,
-  type TaskFate,
   type TaskRef,
   type TaskStanding,
 } from '#model';
@@ -20,13 +19,8 @@
   type StartTask,
 } from '#protocol';
 import type {Logger} from '#telemetry';
-
-/** How a task that was sent to an agent ended, as far as can be known. */
-export interface TaskEnd {
-  readonly fate: TaskFate;
-  /** Time at the target, in ms. */
-  readonly runMs: number;
-}
+import {fetchFenced, openSession, queryTasks} from './agent-requests.js';
+import {SentTasks, type TaskEnd} from './sent-tasks.js';
 
 /** What a link needs of the entry that owns it. */
 export interface LinkOwner {
@@ -50,21 +44,9 @@
 }
 
 const dialTimeoutMs = 2000;
-const helloTimeoutMs = 3000;
-const queryTimeoutMs = 5000;
 const firstBackoffMs = 20;
 const maxBackoffMs = 1000;
 
-/** Names one task in maps. */
-export function formatTask(ref: TaskRef): string {
-  return `${ref.job}.${ref.task}`;
-}
-
-interface SentTask {
-  readonly ref: TaskRef;
-  readonly resolve: (end: TaskEnd) => void;
-}
-
 /**
  * The entry's side of one agent: keeps a connection open, holds the slots that
  * the agent granted, and accounts for every task sent until its fate is known.
@@ -79,7 +61,7 @@
   private stopped = false;
   private inView = true;
   private wakeBackoff = () => {};
-  private readonly sent = new Map<string, SentTask>();
+  private readonly sent = new SentTasks();
   private outgoing: StartTask[] = [];
   private waiting = 0;
   private readonly opened: (() => void)[] = [];
@@ -110,24 +92,22 @@
 
   /** Sends a task and waits for its fate. A fate of `not-run` proves that it did not start. */
   start(task: StartTask): Promise<TaskEnd> {
-    return new Promise(resolve => {
-      if (!this.ready) {
-        resolve({fate: {kind: 'not-run', reason: 'no-slot'}, runMs: 0});
-        return;
-      }
-      this.sent.set(formatTask(task), {ref: task, resolve});
-      this.watchPeer();
-      if (this.outgoing.length === 0) setImmediate(() => this.flush());
-      this.outgoing.push(task);
-    });
+    if (!this.ready) {
+      return Promise.resolve({
+        fate: {kind: 'not-run', reason: 'no-slot'},
+        runMs: 0,
+      });
+    }
+    if (this.outgoing.length === 0) setImmediate(() => this.flush());
+    this.outgoing.push(task);
+    return this.adopt(task);
   }
 
-  /** Waits for the fate of a task that an ended epoch started at this agent. */
+  /** Waits for the fate of a task that was sent, here or by an ended epoch. */
   adopt(ref: TaskRef): Promise<TaskEnd> {
-    return new Promise(resolve => {
-      this.sent.set(formatTask(ref), {ref, resolve});
-      this.watchPeer();
-    });
+    const end = this.sent.add(ref);
+    this.watchPeer();
+    return end;
   }
 
   /** Closes the connection; it opens again at once, with no slots. */
@@ -153,6 +133,7 @@
     if (!this.ready || slots === 0) return;
     this.sentMessages.reserve++;
     this.peer?.notify('agent.reserve', {slots});
+    this.ensureAlive();
   }
 
   /** Gives back granted slots, or withdraws reservations. */
@@ -167,6 +148,7 @@
     if (!this.ready) return;
     this.sentMessages.demand++;
     this.peer?.notify('agent.demand', {waiting});
+    this.ensureAlive();
   }
 
   /** Asks the agent to stop tasks or never to start them. */
@@ -177,23 +159,27 @@
     });
   }
 
-  /** Bars epochs at the agent. Undefined when it left the view before it answered. */
-  async fence(
+  /**
+   * Bars epochs at the agent and hands over what they started, page by page;
+   * after a lost connection it begins anew. Returns the last page, or undefined
+   * when the agent left the view before that.
+   */
+  fence(
     epochs: readonly Epoch[],
     heir: Epoch,
+    take: (page: FenceResult) => void,
   ): Promise<FenceResult | undefined> {
-    for (;;) {
-      if (!this.ready && !(await this.waitOpen())) return undefined;
-      const reply = await this.peer!.request(
-        'agent.fence',
-        {epochs, heir},
-        this.getDeadline(queryTimeoutMs),
-      );
-      const result = reply.toMaybe().extractNullable();
-      if (result !== null) return result;
-      if (!this.inView || this.stopped) return undefined;
-      this.peer?.close('fence was not answered');
-    }
+    return this.sent.takeOver(async () => {
+      while (this.ready || (await this.waitOpen())) {
+        const peer = this.peer!;
+        const {clock} = this.owner;
+        const last = await fetchFenced(peer, {epochs, heir}, clock, take);
+        if (last !== undefined) return last;
+        if (!this.inView || this.stopped) return undefined;
+        peer.close('fence was not answered');
+      }
+      return undefined;
+    });
   }
 
   /** Takes in a newer announcement of the same target. */
@@ -258,7 +244,7 @@
     if (peer === null) return false;
     this.peer = peer;
     this.early = 0;
-    const slots = await this.openSession(peer, epoch);
+    const slots = await this.joinAgent(peer, epoch);
     if (slots === undefined) {
       peer.close('the agent did not welcome this entry');
       return false;
@@ -279,17 +265,15 @@
   }
 
   /** Returns how many slots the agent has in all, or undefined when the session did not open. */
-  private async openSession(
+  private async joinAgent(
     peer: Peer,
     epoch: Epoch,
   ): Promise<number | undefined> {
-    const hello = await peer.request(
-      'agent.hello',
-      {entry: this.owner.entry, epoch, connection: this.owner.nextConnection()},
-      this.getDeadline(helloTimeoutMs),
-    );
-    const welcome = hello.toMaybe().extractNullable();
-    if (welcome === null || welcome.kind !== 'welcome') return undefined;
+    const {entry, clock} = this.owner;
+    const connection = this.owner.nextConnection();
+    const hello = {entry, epoch, connection};
+    const welcome = await openSession(peer, hello, clock);
+    if (welcome === undefined) return undefined;
     if (welcome.target.target !== this.target.target) return undefined;
     if (welcome.target.incarnation !== this.target.incarnation) {
       this.update(welcome.target);
@@ -300,21 +284,11 @@
 
   /** Asks about every task sent on an earlier connection. */
   private async settleSent(peer: Peer): Promise<boolean> {
-    const tasks = [...this.sent.values()].map(({ref}) => ({
-      job: ref.job,
-      task: ref.task,
-    }));
-    if (tasks.length === 0) return peer.isOpen;
-    const reply = await peer.request(
-      'agent.query',
-      {tasks},
-      this.getDeadline(queryTimeoutMs),
-    );
-    const result = reply.toMaybe().extractNullable();
-    if (result === null || result.standings.length !== tasks.length) {
-      return false;
-    }
-    tasks.forEach((ref, i) => this.settle(ref, result.standings[i]!));
+    const refs = this.sent.list();
+    if (refs.length === 0) return peer.isOpen;
+    const standings = await queryTasks(peer, refs, this.owner.clock);
+    if (standings === undefined) return false;
+    refs.forEach((ref, i) => this.settle(ref, standings[i]!));
     return peer.isOpen;
   }
 
@@ -351,20 +325,16 @@
   }
 
   private finish(ref: TaskRef, end: TaskEnd): void {
-    const key = formatTask(ref);
-    const task = this.sent.get(key);
-    if (task === undefined) {
+    if (!this.sent.finish(ref, end)) {
       this.owner.onStray(ref, end);
       return;
     }
-    this.sent.delete(key);
     this.watchPeer();
     this.closeSpent();
-    task.resolve(end);
   }
 
   private loseTasks(detail: string): void {
-    for (const {ref} of [...this.sent.values()]) {
+    for (const ref of this.sent.list()) {
       this.finish(ref, {fate: {kind: 'unknown', detail}, runMs: 0});
     }
   }
@@ -389,6 +359,11 @@
     this.peer?.setLiveness(isIdle ? idleLiveness : liveness);
   }
 
+  /** Slots that were asked for may be all that tasks wait for. */
+  private ensureAlive(): void {
+    this.peer?.ensureAlive(this.owner.liveness ?? defaultLiveness);
+  }
+
   private waitOpen(): Promise<boolean> {
     if (this.stopped || !this.inView) return Promise.resolve(false);
     return new Promise(resolve => {
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -2,10 +2,10 @@
 import type {JobAnswer, Submission} from '#model';
 import {monotonicClock} from '#model';
 import type {AdmitResult, AdmittedJob, LookupResult} from '#protocol';
-import {openLog} from '#telemetry';
-import {Desk, type Refusal} from '../src/desk.js';
+import {Desk} from '../src/desk.js';
 import type {Execution} from '../src/execution.js';
 import type {Neighbours} from '../src/neighbours.js';
+import type {Refusal} from '../src/ownership.js';
 import type {Registrar} from '../src/registrar.js';
 import {buildSubmission} from './builders.js';
 
@@ -28,7 +28,6 @@
   readonly desk = new Desk(
     {
       clock: monotonicClock,
-      log: openLog('silent', 'entry', 'e1'),
       address: ownAddress,
       isLive: epoch => this.ownerLives || epoch !== 3,
       getEpoch: () => ownEpoch,
@@ -94,6 +93,18 @@
   };
 }
 
+test('an answered job keeps its answer and not its tasks', async t => {
+  const bench = new Bench();
+  const submission = buildSubmission('k', 2);
+  const answered = bench.submit(submission);
+  await bench.finish();
+  const answer = await answered;
+  t.is(answer.kind, 'complete');
+  const {job} = bench.started[0]!;
+  t.is(job.tasks.length + job.submission.tasks.length, 0);
+  t.deepEqual(await bench.submit(submission), answer);
+});
+
 test('the same job submitted twice starts once and both get the whole answer', async t => {
   const bench = new Bench();
   const first = bench.submit(buildSubmission('k'));
--- a/packages/entry/test/fleet.test.ts
+++ b/packages/entry/test/fleet.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {monotonicClock, type TargetInfo} from '#model';
+import {type Epoch, monotonicClock, type TargetInfo} from '#model';
 import {emptyView} from '#membership';
 import {createRandom} from '#policy';
 import {type Peer, PeerListener} from '#protocol';
@@ -7,28 +7,9 @@
 import {Execution} from '../src/execution.js';
 import {Fleet} from '../src/fleet.js';
 import {createJob} from '../src/job.js';
-import {buildSubmission} from './builders.js';
+import {buildConfiguration, buildSubmission} from './builders.js';
 
-const configuration = {
-  services: [
-    {
-      name: 'tally',
-      objective: {kind: 'response-time'},
-      demand: {cores: 1, memoryMb: 1, accelerators: 0},
-      maxTaskMs: 1000,
-      maxPlacements: 3,
-    },
-  ],
-  teams: [],
-  limits: {
-    maxTasksPerJob: 10,
-    maxBodyBytes: 1000,
-    maxDeadlineMs: 60_000,
-    retentionMs: 1000,
-    unrepeatableRetentionMs: 1000,
-    maxQueuedTasks: 100,
-  },
-} as const;
+const configuration = buildConfiguration([]);
 
 /** An agent that grants two slots a session, runs every task at once and leaves older connections open. */
 async function openAgent() {
@@ -65,17 +46,21 @@
   return {listener, sessions, describe};
 }
 
-test('a target that left and came back keeps its slots when its old connection closes', async t => {
-  const agent = await openAgent();
-  const fleet = new Fleet(configuration, {
+function openFleet(getStartingEpoch: () => Epoch | undefined): Fleet {
+  return new Fleet(configuration, {
     entry: 'e1',
     clock: monotonicClock,
     log: openLog('silent', 'entry', 'e1'),
     random: createRandom(1),
     getEpoch: () => 1,
-    getStartingEpoch: () => 1,
+    getStartingEpoch,
     onTaskEnd: () => {},
   });
+}
+
+test('a target that left and came back keeps its slots when its old connection closes', async t => {
+  const agent = await openAgent();
+  const fleet = openFleet(() => 1);
   const waitForSessions = async (count: number) => {
     while (agent.sessions.length < count) await new Promise(setImmediate);
   };
@@ -99,3 +84,25 @@
   await fleet[Symbol.asyncDispose]();
   await agent.listener[Symbol.asyncDispose]();
 });
+
+test('tasks with a slot at hand wait while the lease is over, and start once it is renewed', async t => {
+  const agent = await openAgent();
+  let epoch: Epoch | undefined = undefined;
+  let looks = 0;
+  const fleet = openFleet(() => {
+    looks++;
+    return epoch;
+  });
+  fleet.follow(emptyView, [{kind: 'target-joined', target: agent.describe()}]);
+  const link = fleet.listLinks()[0]!;
+  while (!link.isReady) await new Promise(setImmediate);
+  const job = createJob(buildSubmission('k', 2), monotonicClock.now() + 5000);
+  const execution = new Execution(job, 3);
+  fleet.start(execution);
+  while (looks < 5 && !execution.hasSent) await new Promise(setImmediate);
+  t.false(execution.hasSent);
+  epoch = 1;
+  t.is((await execution.answered).kind, 'complete');
+  await fleet[Symbol.asyncDispose]();
+  await agent.listener[Symbol.asyncDispose]();
+});
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -184,7 +184,9 @@
 const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
   'agent.hello': toCheck(Codec.interface({...entryEpoch, connection: count})),
   'agent.query': toCheck(tasks),
-  'agent.fence': toCheck(Codec.interface({epochs: array(count), heir: count})),
+  'agent.fence': toCheck(
+    Codec.interface({epochs: array(count), heir: count, after: count}),
+  ),
   'agent.drain': toCheck(Codec.interface({remainingMs: span})),
   'agent.status': toCheck(nothing),
   'agent.start': toCheck(
@@ -211,7 +213,11 @@
     }),
   ),
   'control.renewEntry': toCheck(
-    Codec.interface({...entryEpoch, configVersion: count}),
+    Codec.interface({
+      ...entryEpoch,
+      configVersion: count,
+      demands: optional(record(string, count)),
+    }),
   ),
   'control.closeEntry': toCheck(Codec.interface(entryEpoch)),
   'control.announce': toCheck(Codec.interface({target, configVersion: count})),
