--- a/packages/bench/src/bench-main.ts
+++ b/packages/bench/src/bench-main.ts
@@ -4,6 +4,7 @@
 import {measureDeployments} from './bench-deployments.js';
 import {measureEntry} from './bench-entry.js';
 import {measurePlacement} from './bench-placement.js';
+import {measureRecovery} from './bench-recovery.js';
 import {writeReport} from './bench-report.js';
 import {measureScale} from './bench-scale.js';
 import {measureSlopes} from './bench-slopes.js';
@@ -29,6 +30,7 @@
   scale: () => measureScale(seed),
   commit: () => measureCommit(),
   entry: () => measureEntry(seed),
+  recovery: () => measureRecovery(),
   report: () =>
     writeReport({seed, repeats, folder: values.out, from: values.from}),
 };
