--- a/packages/bench/test/stand.ts
+++ b/packages/bench/test/stand.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import type {ExecutionContext} from 'ava';
+import {request} from 'undici';
 import {
   type Attempt,
   Caller,
@@ -113,6 +114,16 @@
     return this.caller.tryOnce(plan, this.site.entryUrls[entry]!);
   }
 
+  /** Cancels a job at the entry with this index; true when it is answered as cancelled. */
+  async cancel({key, team}: PlannedJob, entry: number): Promise<boolean> {
+    const {body} = await request(
+      `${this.site.entryUrls[entry]}/v1/jobs/${key}`,
+      {method: 'DELETE', headers: {'wasabiring-team': team}},
+    );
+    const answer = (await body.json()) as {readonly reason?: string};
+    return answer.reason === 'cancelled';
+  }
+
   /** Reads the task starts that targets have seen. */
   readStarts(): readonly JournalLine[] {
     return readJournal(this.site.journal);
