Admit every team's jobs in one home region

Cause: with a control group a region, a key submitted in two regions that cannot talk would be admitted in both.

The base file names regions and the addresses of their entries; then every team states its home, and an entry passes what belongs elsewhere to an entry there. A home that was ever in force stays: the replicated configuration remembers it, also for removed teams, and refuses a change. An entry that has just started waits for control's configuration, since by its files it could admit what belongs elsewhere. A team unknown here may be known where the configuration is newer, so it is refused only when every region has.

Ruled out: refusing what belongs elsewhere as not run when its home cannot be reached, since the job may have run there under the same key.

--- a/packages/agent/test/stand.ts
+++ b/packages/agent/test/stand.ts
@@ -54,6 +54,7 @@
       },
     ],
     teams: [],
+    regions: [],
     limits: {
       maxTasksPerJob: 100,
       maxBodyBytes: 1e6,
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -16,6 +16,7 @@
 } from '#protocol';
 import type {ControlRole, ProcessSettings} from '#settings';
 import type {Runtime} from '#telemetry';
+import {describeHomes} from './homes.js';
 import {Leader} from './leader.js';
 import {Links} from './links.js';
 import {Machine} from './machine.js';
@@ -179,7 +180,11 @@
         replica,
         this.machine,
         this.office,
-        {author: settings.id, source: configuration},
+        {
+          author: settings.id,
+          source: configuration,
+          homes: describeHomes(configuration, settings.place.region),
+        },
         runtime,
       );
       this.leaderSeen = runtime.clock.now();
@@ -219,11 +224,12 @@
   }
 
   private createHandlers(): Handlers {
-    const {leases} = this.options.settings;
+    const {leases, place} = this.options.settings;
+    const {region} = place;
     const {leader, office} = this;
     const listControls = () => this.listControls();
     return {
-      ...createLeaderHandlers({leader, office, leases, listControls}),
+      ...createLeaderHandlers({leader, office, leases, region, listControls}),
       'control.watch': (params, peer) => this.watch(peer, params),
       'control.changeMembers': params => this.changeMembers(params),
       'control.status': () => this.describeStatus(),
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -6,6 +6,7 @@
   type Command,
   type CommandResult,
   type ControlState,
+  type Homes,
 } from '#membership';
 import type {ConfigurationSource} from '#model';
 import type {Logger, Metrics} from '#telemetry';
@@ -49,6 +50,7 @@
     private readonly bootstrap: {
       readonly author: string;
       readonly source: ConfigurationSource;
+      readonly homes: Homes;
     },
     private readonly runtime: {
       readonly clock: Clock;
@@ -211,10 +213,11 @@
   private async proposeBootstrap(): Promise<void> {
     if (this.bootstrapping) return;
     this.bootstrapping = true;
-    const {author, source} = this.bootstrap;
+    const {author, source, homes} = this.bootstrap;
     await this.propose({
       kind: 'configure',
       change: {changeId: bootstrapChangeId, expectedVersion: 0, author, source},
+      homes,
     });
     this.bootstrapping = false;
   }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import type {RegionName} from '#model';
 import type {
   Admission,
   ApplyConfigParams,
@@ -28,6 +29,7 @@
   describeSettingsError,
   type LeaseSettings,
 } from '#settings';
+import {describeHomes} from './homes.js';
 import type {Leader} from './leader.js';
 import type {Office} from './office.js';
 
@@ -40,6 +42,8 @@
   readonly leader: Leader;
   readonly office: Office;
   readonly leases: LeaseSettings;
+  /** The region that the group serves. */
+  readonly region: RegionName;
   /** The versions in force at the control replicas. */
   readonly listControls: () => Promise<readonly ProcessConfigStatus[]>;
 }
@@ -84,7 +88,7 @@
           .listOfEpochs(new Set(epochs))
           .map(({expirySecond: _, startSecond: __, ...job}) => job),
       ),
-    'control.applyConfig': params => applyConfig(leader, params),
+    'control.applyConfig': params => applyConfig(parts, params),
     'control.configStatus': () => describeConfiguration(parts),
   } satisfies Handlers;
 }
@@ -196,7 +200,7 @@
 }
 
 async function applyConfig(
-  leader: Leader,
+  {leader, region}: ServiceParts,
   change: ApplyConfigParams,
 ): Promise<ControlReply<ApplyConfigResult>> {
   const known = await leader.read(state =>
@@ -208,7 +212,8 @@
   if (errors.length > 0) {
     return {kind: 'done', value: {kind: 'invalid', errors}};
   }
-  const reply = await leader.propose({kind: 'configure', change});
+  const homes = describeHomes(change.source, region);
+  const reply = await leader.propose({kind: 'configure', change, homes});
   if (reply.kind !== 'done') return reply;
   if (reply.value.kind !== 'configured') {
     throw new Error(`unexpected ${reply.value.kind}`);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,7 +12,13 @@
 } from '#model';
 import {createRandom} from '#policy';
 import {ControlClient, type View} from '#membership';
-import {type Handlers, PeerListener, type ViewChange} from '#protocol';
+import {
+  type AttachParams,
+  type AttachResult,
+  type Handlers,
+  PeerListener,
+  type ViewChange,
+} from '#protocol';
 import {
   type EntryRole,
   parseConfiguration,
@@ -21,6 +27,7 @@
 import type {Runtime} from '#telemetry';
 import {Desk, type Refusal} from './desk.js';
 import {Fleet} from './fleet.js';
+import {Forwarder} from './forwarder.js';
 import {Gate} from './gate.js';
 import {listInherited} from './heir.js';
 import {HttpFront} from './http.js';
@@ -48,6 +55,7 @@
   private readonly fleet: Fleet;
   private readonly recorder: Recorder;
   private readonly gate: Gate;
+  private readonly forwarder: Forwarder;
   private front: HttpFront | undefined;
   private view: View | undefined;
   private draining = false;
@@ -106,6 +114,14 @@
       this.registrar,
       this.neighbours,
     );
+    this.forwarder = new Forwarder({
+      clock,
+      region: settings.place.region,
+      getConfiguration: () =>
+        this.version > 0 ? this.configuration : undefined,
+      desk: this.desk,
+      neighbours: this.neighbours,
+    });
     this.lease = this.openLease();
     this.client.watch('all', (view, changes) => this.follow(view, changes));
   }
@@ -121,10 +137,15 @@
     if (configuration === undefined)
       return Left('the configuration is invalid');
     const listened = await PeerListener.listen(settings.role.listen, {
-      'entry.attach': ({submission, remainingMs}) =>
-        entry.attach(submission, remainingMs),
-      'entry.peek': ({job}) => entry.desk.peekLocal(job),
-      'entry.cancel': ({job}) => entry.desk.cancelLocal(job),
+      'entry.attach': params => entry.attach(params),
+      'entry.peek': ({job, forwarded}) =>
+        forwarded
+          ? entry.desk.peek(job, entry.getAskDeadline())
+          : entry.desk.peekLocal(job),
+      'entry.cancel': ({job, forwarded}) =>
+        forwarded
+          ? entry.desk.cancel(job, entry.getAskDeadline())
+          : entry.desk.cancelLocal(job),
     } satisfies Handlers);
     const listener = listened.extract();
     if (typeof listener === 'string') return Left(listener);
@@ -160,7 +181,7 @@
   /** Refuses new jobs and waits for those in hand; true when none is left by the deadline. */
   async drain(deadline: Instant): Promise<boolean> {
     this.draining = true;
-    while (this.desk.unanswered > 0) {
+    while (this.desk.unanswered + this.forwarder.pending > 0) {
       if (this.runtime.clock.now() >= deadline) return false;
       if (this.runtime.halt.aborted) return false;
       await new Promise(resolve => setTimeout(resolve, settledPollMs));
@@ -181,8 +202,10 @@
     return HttpFront.listen(this.settings.role.http, {
       getLimits: () => this.configuration.limits,
       submit: request => this.submit(request),
-      peek: job => this.desk.peek(job, this.getAskDeadline()),
-      cancel: job => this.desk.cancel(job, this.getAskDeadline()),
+      peek: (team, job) =>
+        this.forwarder.peek(team, job, this.getAskDeadline()),
+      cancel: (team, job) =>
+        this.forwarder.cancel(team, job, this.getAskDeadline()),
       isReady: () => this.isReady,
       isDraining: () => this.draining,
       getStatus: () => this.describe(),
@@ -254,14 +277,18 @@
     remainingMs,
   }: CheckedRequest): Promise<JobAnswer> {
     const deadline = computeDeadline(this.runtime.clock.now(), remainingMs);
-    return this.desk.submit(submission, deadline);
+    return this.forwarder.submit(submission, deadline);
   }
 
-  private async attach(
-    submission: Submission,
-    remainingMs: number,
-  ): Promise<{readonly answer: JobAnswer}> {
-    const answer = await this.submit({submission, remainingMs});
+  private async attach({
+    submission,
+    remainingMs,
+    forwarded,
+  }: AttachParams): Promise<AttachResult> {
+    const deadline = computeDeadline(this.runtime.clock.now(), remainingMs);
+    const answer = forwarded
+      ? await this.forwarder.accept(submission, deadline)
+      : await this.desk.submit(submission, deadline);
     return {answer};
   }
 
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -6,7 +6,15 @@
 } from 'node:http';
 import polka from 'polka';
 import {type Either, Left, Right} from 'purify-ts';
-import {type Address, deriveJobId, type JobAnswer, parseAddress} from '#model';
+import {
+  type Address,
+  deriveJobId,
+  type JobAnswer,
+  type JobId,
+  type Limits,
+  parseAddress,
+  type TeamName,
+} from '#model';
 import type {JobState} from '#protocol';
 import {formatAnswer, getRefusalStatus, type HttpAnswer} from './answer.js';
 import {
@@ -15,14 +23,13 @@
   type CheckedRequest,
   checkRequest,
 } from './request.js';
-import type {Limits} from '#model';
 
 /** What callers' HTTP needs of the entry. */
 export interface HttpOwner {
   readonly getLimits: () => Limits;
   readonly submit: (request: CheckedRequest) => Promise<JobAnswer>;
-  readonly peek: (job: string) => Promise<JobState>;
-  readonly cancel: (job: string) => Promise<JobState>;
+  readonly peek: (team: TeamName, job: JobId) => Promise<JobState>;
+  readonly cancel: (team: TeamName, job: JobId) => Promise<JobState>;
   readonly isReady: () => boolean;
   readonly isDraining: () => boolean;
   readonly getStatus: () => unknown;
@@ -154,7 +161,7 @@
 
 async function askAboutJob(
   req: IncomingMessage & {params: Params},
-  ask: (job: string) => Promise<JobState>,
+  ask: HttpOwner['peek'],
 ): Promise<HttpAnswer> {
   const team = checkName('Wasabiring-Team', getHeader(req, 'wasabiring-team'));
   return team.caseOf<Promise<HttpAnswer>>({
@@ -164,7 +171,7 @@
       if (key === undefined) {
         return refuse({reason: 'bad-request', detail: 'malformed URL'});
       }
-      return formatState(await ask(deriveJobId(name, key)));
+      return formatState(await ask(name, deriveJobId(name, key)));
     },
   });
 }
--- a/packages/entry/src/neighbours.ts
+++ b/packages/entry/src/neighbours.ts
@@ -1,6 +1,15 @@
 import type {Address, Instant, JobAnswer, JobId, Submission} from '#model';
 import {computeRemainingMs, monotonicClock} from '#model';
-import {dialPeer, type JobState, type Liveness, type Peer} from '#protocol';
+import {
+  dialPeer,
+  type JobParams,
+  type JobState,
+  type Liveness,
+  type Peer,
+} from '#protocol';
+
+/** A host that takes no connection holds up nobody for longer. */
+const dialTimeoutMs = 1000;
 
 /** Connections to other entries, opened when first needed. */
 export class Neighbours implements AsyncDisposable {
@@ -13,13 +22,14 @@
     address: Address,
     submission: Submission,
     deadline: Instant,
+    forwarded = false,
   ): Promise<JobAnswer | undefined> {
     const peer = await this.open(address, deadline);
     if (peer === undefined) return undefined;
     const remainingMs = computeRemainingMs(monotonicClock.now(), deadline);
     const reply = await peer.request(
       'entry.attach',
-      {submission, remainingMs},
+      {submission, remainingMs, ...(forwarded && {forwarded})},
       deadline,
     );
     return reply.toMaybe().extract()?.answer;
@@ -30,8 +40,9 @@
     address: Address,
     job: JobId,
     deadline: Instant,
+    forwarded = false,
   ): Promise<JobState | undefined> {
-    return this.askAbout('entry.peek', address, job, deadline);
+    return this.askAbout('entry.peek', address, {job, forwarded}, deadline);
   }
 
   /** Cancels a job at its owner. */
@@ -39,8 +50,9 @@
     address: Address,
     job: JobId,
     deadline: Instant,
+    forwarded = false,
   ): Promise<JobState | undefined> {
-    return this.askAbout('entry.cancel', address, job, deadline);
+    return this.askAbout('entry.cancel', address, {job, forwarded}, deadline);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -52,18 +64,22 @@
   private async askAbout(
     method: 'entry.peek' | 'entry.cancel',
     address: Address,
-    job: JobId,
+    params: JobParams,
     deadline: Instant,
   ): Promise<JobState | undefined> {
     const peer = await this.open(address, deadline);
-    const reply = await peer?.request(method, {job}, deadline);
+    const reply = await peer?.request(method, params, deadline);
     return reply?.toMaybe().extract();
   }
 
   private open(address: Address, deadline: Instant): Promise<Peer | undefined> {
     const known = this.peers.get(address);
     if (known !== undefined) return known;
-    const opening = dialPeer(address, {}, deadline, this.liveness).then(
+    const dialDeadline = Math.min(
+      deadline,
+      monotonicClock.now() + dialTimeoutMs,
+    );
+    const opening = dialPeer(address, {}, dialDeadline, this.liveness).then(
       dialled => {
         const peer = dialled.toMaybe().extract();
         if (peer === undefined) this.peers.delete(address);
--- a/packages/entry/test/fleet.test.ts
+++ b/packages/entry/test/fleet.test.ts
@@ -20,6 +20,7 @@
     },
   ],
   teams: [],
+  regions: [],
   limits: {
     maxTasksPerJob: 10,
     maxBodyBytes: 1000,
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -14,6 +14,8 @@
   ApplyConfigResult,
 } from '#protocol';
 
+import type {Homes} from './homes.js';
+
 /**
  * Log time in ms: 0 when the group was formed, carried by each command.
  * A leader advances it by its monotonic clock from the last one applied; it stands still
@@ -47,7 +49,12 @@
   | {readonly kind: 'forget'}
   /** Replicas that have log entries on their disks. */
   | {readonly kind: 'note-members'; readonly members: readonly ControlId[]}
-  | {readonly kind: 'configure'; readonly change: ApplyConfigParams}
+  | {
+      readonly kind: 'configure';
+      readonly change: ApplyConfigParams;
+      /** Where the change admits jobs; unset in logs from before there were regions. */
+      readonly homes?: Homes;
+    }
 );
 
 /** What a command came to; the same on every replica. */
--- a/packages/membership/src/configure.ts
+++ b/packages/membership/src/configure.ts
@@ -1,6 +1,13 @@
 import {createHash} from 'node:crypto';
 import type {VersionedSource} from '#model';
 import type {ApplyConfigParams, ApplyConfigResult, ViewChange} from '#protocol';
+import {
+  createHomes,
+  type Homes,
+  type HomeTable,
+  judgeHomes,
+  rememberHomes,
+} from './homes.js';
 
 /** An accepted change without its texts. */
 export type ChangeSummary = Omit<VersionedSource, 'source'>;
@@ -20,6 +27,7 @@
   readonly history: ChangeSummary[];
   /** First answers by change id, oldest first. */
   readonly answers: Map<string, ChangeAnswer>;
+  readonly homes: HomeTable;
 }
 
 const maxHistory = 400;
@@ -40,6 +48,7 @@
     revision: 0,
     history: [],
     answers: new Map(),
+    homes: createHomes(),
   };
 }
 
@@ -63,6 +72,7 @@
 export function applyChange(
   state: ConfigurationState,
   change: ApplyConfigParams,
+  homes: Homes,
   revision: number,
 ): {
   readonly result: ApplyConfigResult;
@@ -70,7 +80,7 @@
 } {
   const first = findAnswer(state, change);
   if (first !== undefined) return {result: first, changes: []};
-  const result = judgeChange(state, change);
+  const result = judgeChange(state, change, homes);
   state.answers.set(change.changeId, {contentHash: hashChange(change), result});
   dropOldest(state.answers);
   if (result.kind !== 'accepted') return {result, changes: []};
@@ -78,6 +88,7 @@
   const {version} = result;
   state.current = {version, changeId, author, source};
   state.revision = revision;
+  rememberHomes(state.homes, homes);
   state.history.push({version, changeId, author});
   if (state.history.length > maxHistory) state.history.shift();
   return {
@@ -87,10 +98,13 @@
 }
 
 function judgeChange(
-  {current, history}: ConfigurationState,
+  {current, history, homes}: ConfigurationState,
   {expectedVersion}: ApplyConfigParams,
+  changed: Homes,
 ): ApplyConfigResult {
   if (expectedVersion === current.version) {
+    const errors = judgeHomes(homes, changed);
+    if (errors.length > 0) return {kind: 'invalid', errors};
     return {kind: 'accepted', version: current.version + 1};
   }
   const winner =
--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -7,6 +7,7 @@
   ChangeSummary,
   ConfigurationState,
 } from './configure.js';
+import {createHomes, type Homes, listHomes, rememberHomes} from './homes.js';
 import type {LiveEntry} from './epochs.js';
 import type {ControlState, GoneLife} from './state.js';
 
@@ -26,6 +27,8 @@
     readonly revision: number;
     readonly history: readonly ChangeSummary[];
     readonly answers: readonly (readonly [string, ChangeAnswer])[];
+    /** Unset in snapshots from before there were regions. */
+    readonly homes?: Homes;
   };
   readonly acknowledged: readonly ControlId[];
   readonly forgottenSecond: number;
@@ -53,6 +56,7 @@
       revision: configuration.revision,
       history: configuration.history,
       answers: [...configuration.answers],
+      homes: listHomes(configuration.homes),
     },
     acknowledged: [...state.acknowledged],
     forgottenSecond: admissions.lastForgottenSecond,
@@ -81,6 +85,10 @@
 
 function rebuildState(snapshot: Snapshot): ControlState {
   const {configuration} = snapshot;
+  const homes = createHomes();
+  if (configuration.homes !== undefined) {
+    rememberHomes(homes, configuration.homes);
+  }
   return {
     revision: snapshot.revision,
     time: snapshot.time,
@@ -96,6 +104,7 @@
       revision: configuration.revision,
       history: [...configuration.history],
       answers: new Map(configuration.answers),
+      homes,
     },
     acknowledged: new Set(snapshot.acknowledged),
     admissions: AdmissionTable.decode(
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -16,11 +16,13 @@
   type ConfigurationState,
   createConfiguration,
 } from './configure.js';
+import type {Homes} from './homes.js';
 import {endEpoch, type EpochTable, openEpoch, resolveOwner} from './epochs.js';
 
 /** The most admissions kept at a time. */
 export const maxAdmissions = 2 ** 20;
 const maxForgottenPerCommand = 8192;
+const noHomes: Homes = {stated: false, teams: []};
 
 /**
  * The replicated state of a control group. One owner holds it and changes it by `applyCommand` only;
@@ -96,7 +98,8 @@
       for (const member of command.members) state.acknowledged.add(member);
       return finish([]);
     case 'configure': {
-      const applied = applyChange(state.configuration, command.change, index);
+      const {change, homes = noHomes} = command;
+      const applied = applyChange(state.configuration, change, homes, index);
       const {result, changes} = applied;
       return {result: {kind: 'configured', result}, changes};
     }
--- /dev/null
+++ b/packages/membership/test/homes.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava';
+import {decodeSnapshot, encodeSnapshot, type Homes} from '#membership';
+import {change, Log} from './builders.js';
+
+const state = (...homes: readonly string[]): Homes => ({
+  stated: true,
+  teams: homes.map(home => {
+    const [team, region] = home.split('@') as [string, string];
+    return {team, region};
+  }),
+});
+const imply = (...homes: readonly string[]): Homes => ({
+  ...state(...homes),
+  stated: false,
+});
+
+/** Applies changes in turn; returns what each came to. */
+function applyAll(log: Log, ...all: readonly Homes[]): readonly string[] {
+  return all.map(homes => {
+    const {version} = log.state.configuration.current;
+    const command = change(`c${log.state.revision}`, version);
+    const {kind, ...rest} = log.run({
+      kind: 'configure',
+      time: 0,
+      change: command,
+      homes,
+    });
+    const {result} = rest as {readonly result: {readonly kind: string}};
+    return kind === 'configured' ? result.kind : kind;
+  });
+}
+
+test('a home in force never changes, also when its team was away', t => {
+  const log = new Log();
+  t.deepEqual(
+    applyAll(
+      log,
+      state('herds@a', 'pens@b'),
+      state('pens@b'),
+      state('herds@b', 'pens@b'),
+      state('herds@a', 'pens@b'),
+    ),
+    ['accepted', 'accepted', 'invalid', 'accepted'],
+  );
+  t.is(log.state.configuration.current.version, 3);
+});
+
+test('teams from before there were regions have the home of their group', t => {
+  const log = new Log();
+  t.deepEqual(
+    applyAll(log, imply('herds@a'), imply('herds@renamed'), state('herds@b')),
+    ['accepted', 'accepted', 'invalid'],
+  );
+  t.deepEqual(applyAll(log, state('herds@a')), ['accepted']);
+});
+
+test('regions in force stay, and a snapshot keeps them and the homes', t => {
+  const log = new Log();
+  applyAll(log, state('herds@a'), state());
+  const restored = decodeSnapshot(encodeSnapshot(log.state)).unsafeCoerce();
+  for (const each of [log, new Log(restored, restored.revision)]) {
+    t.deepEqual(applyAll(each, imply(), state('herds@b')), [
+      'invalid',
+      'invalid',
+    ]);
+  }
+});
--- a/packages/model/src/configuration.ts
+++ b/packages/model/src/configuration.ts
@@ -1,4 +1,10 @@
-import type {RegionName, ServiceName, SiteName, TeamName} from './id.js';
+import type {
+  Address,
+  RegionName,
+  ServiceName,
+  SiteName,
+  TeamName,
+} from './id.js';
 
 /** Which score weighs more when a service's tasks are placed. */
 export type Objective =
@@ -43,6 +49,19 @@
   readonly weight: number;
 }
 
+/** One region: where its jobs are admitted by a control group of its own. */
+export interface RegionConfig {
+  readonly name: RegionName;
+  /** Where entries of other regions dial its entries. */
+  readonly entries: readonly Address[];
+}
+
+/** The region in which a team's jobs are admitted. */
+export interface TeamHome {
+  readonly team: TeamName;
+  readonly region: RegionName;
+}
+
 export interface Limits {
   readonly maxTasksPerJob: number;
   readonly maxBodyBytes: number;
@@ -59,6 +78,8 @@
 export interface Configuration {
   readonly services: readonly ServiceConfig[];
   readonly teams: readonly TeamConfig[];
+  /** Empty: one control group admits every team's jobs. */
+  readonly regions: readonly RegionConfig[];
   readonly limits: Limits;
 }
 
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -37,9 +37,11 @@
   Limits,
   Objective,
   PlacementPolicy,
+  RegionConfig,
   ResourceDemand,
   ServiceConfig,
   TeamConfig,
+  TeamHome,
   VersionedSource,
 } from './configuration.js';
 
--- a/packages/model/src/outcome.ts
+++ b/packages/model/src/outcome.ts
@@ -24,6 +24,7 @@
   | 'control-unavailable'
   | 'admission-unconfirmed'
   | 'owner-unreachable'
+  | 'home-unreachable'
   | 'target-lost'
   | 'owner-lost'
   | 'answer-expired';
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -171,7 +171,7 @@
 ]);
 const slots = Codec.interface({slots: count});
 const tasks = Codec.interface({tasks: array(Codec.interface(taskRef))});
-const job = Codec.interface({job: string});
+const job = Codec.interface({job: string, forwarded: optional(boolean)});
 const entryEpoch = {entry: string, epoch: count};
 
 /** Keeps only the decoder, so that read-only parameter types can be checked. */
@@ -194,7 +194,13 @@
   'agent.release': toCheck(slots),
   'agent.demand': toCheck(Codec.interface({waiting: count})),
   'agent.cancel': toCheck(tasks),
-  'entry.attach': toCheck(Codec.interface({submission, remainingMs: span})),
+  'entry.attach': toCheck(
+    Codec.interface({
+      submission,
+      remainingMs: span,
+      forwarded: optional(boolean),
+    }),
+  ),
   'entry.cancel': toCheck(job),
   'entry.peek': toCheck(job),
   'entry.grant': toCheck(slots),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -130,10 +130,12 @@
   readonly slots: number;
 }
 
-/** Submits a job to the entry that owns it, on behalf of a caller at another entry. */
+/** Submits a job to the entry that owns it, or to one of its home region, on behalf of a caller at another entry. */
 export interface AttachParams {
   readonly submission: Submission;
   readonly remainingMs: number;
+  /** Comes from another region, and is not passed to a third one. */
+  readonly forwarded?: boolean;
 }
 
 export interface AttachResult {
@@ -142,6 +144,8 @@
 
 export interface JobParams {
   readonly job: JobId;
+  /** Comes from another region: the receiver asks the job's owner in its own. */
+  readonly forwarded?: boolean;
 }
 
 export type JobState =
--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -101,9 +101,12 @@
   const errors: SettingsError[] = [];
   const whole = completeTable(table, configurationShape, '', origin, errors);
   if (errors.length > 0) return Left(errors);
+  const homeless = findHomeless(whole, origin);
+  if (homeless.length > 0) return Left(homeless);
   return Right({
     services: whole.services.map(({name, value}) => toService(name, value)),
     teams: whole.teams.map(({name, value}) => toTeam(name, value)),
+    regions: whole.regions.map(({name, value: {entries}}) => ({name, entries})),
     limits: {
       maxTasksPerJob: whole.limits.max_tasks_per_job,
       maxBodyBytes: whole.limits.max_body_bytes,
@@ -115,6 +118,26 @@
   });
 }
 
+/** Finds the teams whose home is none of the regions, when there are regions. */
+function findHomeless(
+  {regions, teams}: ValueOf<typeof configurationShape>,
+  origin: string,
+): readonly SettingsError[] {
+  if (regions.length === 0) return [];
+  const names = regions.map(({name}) => name);
+  const expected = `one of the regions ${names.map(each => `"${each}"`).join(', ')}`;
+  return teams
+    .filter(({value}) => !names.includes(value.home_region ?? ''))
+    .map(({name, value: {home_region: home}}) => {
+      const key = `teams.${name}.home_region`;
+      if (home === undefined) {
+        return {kind: 'missing-key', origin, key, expected};
+      }
+      const found = describeValue(home);
+      return {kind: 'wrong-value', origin, key, expected, found};
+    });
+}
+
 function toService(
   name: string,
   service: ValueOf<typeof serviceTable>,
--- a/packages/settings/src/difference.ts
+++ b/packages/settings/src/difference.ts
@@ -24,22 +24,23 @@
   before: unknown,
   after: unknown,
 ): readonly string[] {
-  if (before === after) return [];
   if (before === undefined) return [`+ ${key} = ${renderValue(after)}`];
   if (after === undefined) return [`- ${key} = ${renderValue(before)}`];
-  return [`~ ${key} = ${renderValue(before)} -> ${renderValue(after)}`];
+  const [old, fresh] = [renderValue(before), renderValue(after)];
+  return old === fresh ? [] : [`~ ${key} = ${old} -> ${fresh}`];
 }
 
 /** Lists every key of a configuration, as its TOML texts name it, with its value. */
 export function listKeys(
   configuration: Configuration,
 ): ReadonlyMap<string, unknown> {
-  const {services, teams, limits} = configuration;
+  const {services, teams, regions, limits} = configuration;
   return new Map(
     listTableKeys({
       limits: toSnakeCase(limits),
       services: toNamed(services, listServiceKeys),
       teams: toNamed(teams, listTeamKeys),
+      regions: toNamed(regions, ({entries}) => ({entries})),
     }),
   );
 }
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -134,11 +134,16 @@
   weight: fillKey(boundPositive(1_000_000), 1),
 });
 
+export const regionTable = requireTable({
+  entries: keepInBase(requireKey(dialAddresses)),
+});
+
 /** The tables of the dispatch configuration, which control versions and spreads. */
 const configurationTables = {
   limits: limitsTable,
   services: nameTables(serviceTable),
   teams: nameTables(teamTable),
+  regions: nameTables(regionTable),
 };
 
 /** What a configuration text may hold. */
--- a/packages/settings/test/configuration.test.ts
+++ b/packages/settings/test/configuration.test.ts
@@ -26,6 +26,7 @@
   t.deepEqual(configuration.extract(), {
     services: [],
     teams: [],
+    regions: [],
     limits: {
       maxTasksPerJob: 1000,
       maxBodyBytes: 4 * 1024 * 1024,
@@ -180,3 +181,21 @@
     {site: 'gilgit', key: 'services.tally.max_task_ms', value: '5000'},
   ]);
 });
+
+test('with regions every team has one of them as its home', t => {
+  const regions = '[regions.north]\nentries = ["10.0.0.1:7000"]\n';
+  const check = (home: string) =>
+    listErrors(
+      checkSource({
+        base: `${regions}[teams.crossings]\ntasks_per_second = 10\n${home}`,
+        overlays: {},
+      }),
+    );
+  t.deepEqual(check(''), [
+    'base file lacks key "teams.crossings.home_region", expected one of the regions "north"',
+  ]);
+  t.deepEqual(check('home_region = "south"'), [
+    'base file sets key "teams.crossings.home_region" to "south", expected one of the regions "north"',
+  ]);
+  t.deepEqual(check('home_region = "north"'), []);
+});
