Let a region's control group follow the origin of configuration

Cause: with a group a region, configuration had to be applied at each of them, in an order that nothing kept.

A group whose settings name an upstream takes its configuration from there alone: each replica watches it, the leader commits what is newer, with its history and the homes, and reports the versions in force every 2 s. Changes applied at a region are passed on under their change id; without an answer the result is unknown and the command asks again until its time is up. A version that does not name the region is not adopted, and with regions a group opens no entry of another one.

Ruled out: a group of its own for configuration over both regions (docs/ DESIGN.md); watching by the leader alone, which has to ask anew each term.

Not tried: cuts of minutes, two entries a region.

--- /dev/null
+++ b/packages/bench/src/regions.ts
@@ -0,0 +1,108 @@
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {stringify} from 'smol-toml';
+import {exitCode} from '#telemetry';
+import {runCommand} from './operator.js';
+import {type Fault, noFault} from './proxy.js';
+import type {SiteOptions} from './site-options.js';
+import {Site} from './site.js';
+
+export const originRegion = 'north';
+export const otherRegion = 'south';
+
+const applyLimitMs = 20_000;
+
+/** Two regions, each a site with a control group of its own; the first is the origin of configuration. */
+export class Regions implements AsyncDisposable {
+  private constructor(
+    readonly origin: Site,
+    readonly other: Site,
+    private readonly configuration: Readonly<Record<string, unknown>>,
+  ) {}
+
+  /**
+   * Starts the origin without regions, then adds the other one by a change, as operators do.
+   * `homes` names each team's region; `describe` describes the site of a region.
+   */
+  static async start(
+    homes: Readonly<Record<string, string>>,
+    describe: (region: string) => SiteOptions,
+  ): Promise<Regions> {
+    const origin = await Site.start(describe(originRegion));
+    await origin.waitUntilReady();
+    const other = await Site.start({
+      ...describe(otherRegion),
+      upstream: origin.controls,
+    });
+    origin.meet(other);
+    other.meet(origin);
+    // Links opened before carry no region.
+    for (const {proxy} of origin.list('control')) proxy!.resetOpen();
+    const {services, limits} = origin.options.configuration;
+    const regions = new Regions(origin, other, {
+      services,
+      limits,
+      regions: {
+        [originRegion]: {entries: listEntries(origin)},
+        [otherRegion]: {entries: listEntries(other)},
+      },
+      teams: Object.fromEntries(
+        Object.entries(homes).map(([team, region]) => [
+          team,
+          {home_region: region, tasks_per_second: 100_000},
+        ]),
+      ),
+    });
+    const code = await regions.apply(origin, 'divide', 1);
+    if (!isAccepted(code)) throw new Error(`no regions: exit code ${code}`);
+    await other.waitUntilReady();
+    return regions;
+  }
+
+  /** Applies the configuration under a change id at a site's controls; returns the exit code. */
+  async apply(
+    site: Site,
+    changeId: string,
+    expectedVersion: number,
+    timeoutMs = applyLimitMs,
+  ): Promise<number> {
+    const base = join(site.options.data, `${changeId}.toml`);
+    writeFileSync(base, stringify(this.configuration));
+    const {code} = await runCommand(site, [
+      ...['config', 'apply', '--base', base],
+      ...['--change-id', changeId, '--expect', String(expectedVersion)],
+      ...['--timeout-ms', String(timeoutMs)],
+      ...site.controls.flatMap(address => ['--control', address]),
+    ]);
+    return code;
+  }
+
+  /** Puts a fault on every link between the regions. */
+  inject(fault: Fault): void {
+    for (const {proxy} of this.origin.members) {
+      proxy!.inject(fault, otherRegion);
+    }
+    for (const {proxy} of this.other.members) {
+      proxy!.inject(fault, originRegion);
+    }
+  }
+
+  /** Ends the fault. Connections that lost bytes stay silent. */
+  restore(): void {
+    this.inject(noFault);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.other[Symbol.asyncDispose]();
+    await this.origin[Symbol.asyncDispose]();
+  }
+}
+
+/** True when a command was told that its change is in force. */
+export function isAccepted(code: number): boolean {
+  return code === exitCode.ok;
+}
+
+function listEntries(site: Site): readonly string[] {
+  return site.list('entry').map(({plan}) => plan.advertise);
+}
--- a/packages/bench/src/site-files.ts
+++ b/packages/bench/src/site-files.ts
@@ -8,7 +8,6 @@
 type TomlTable = Readonly<Record<string, unknown>>;
 
 const site = 'gilgit';
-const region = 'gilgit-baltistan';
 const failureDomains = ['north', 'east', 'south'];
 const targetsPerRack = 3;
 
@@ -42,6 +41,7 @@
             ...(plan.joins
               ? {join: true}
               : {members: listMembers(addresses.controls)}),
+            ...(options.upstream && {upstream: [...options.upstream]}),
           },
         };
       case 'entry':
@@ -75,7 +75,7 @@
       id: plan.name,
       role: plan.role,
       site,
-      region,
+      region: options.region,
       failure_domain: failureDomains[index % failureDomains.length],
       rack: `rack-${Math.floor(index / targetsPerRack)}`,
       controls: addresses.controls.map(({advertise: address}) => address),
--- a/packages/bench/src/site-options.ts
+++ b/packages/bench/src/site-options.ts
@@ -1,4 +1,4 @@
-import type {Capacity} from '#model';
+import type {Address, Capacity} from '#model';
 import {evenTemper, type Temper} from './temper.js';
 
 /** A target of a site and the agent beside it. */
@@ -11,7 +11,7 @@
 /** Tables of the dispatch configuration as they are written in TOML. */
 export type ConfigurationTables = Readonly<
   Record<'services' | 'teams' | 'limits', Readonly<Record<string, unknown>>>
->;
+> & {readonly regions?: Readonly<Record<string, unknown>>};
 
 export interface SiteOptions {
   /** The folder for settings, logs, the journal and the controls' data. */
@@ -31,6 +31,10 @@
   readonly leases: Readonly<Record<string, number>>;
   readonly configuration: ConfigurationTables;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error';
+  /** The region of every process. */
+  readonly region: string;
+  /** Where the controls of the region that is the origin of configuration are dialled. */
+  readonly upstream?: readonly Address[];
 }
 
 /** An executor of today's size for a service. */
@@ -106,6 +110,7 @@
     leases: {},
     configuration: defaultConfiguration,
     logLevel: 'info',
+    region: 'gilgit-baltistan',
     ...changes,
   };
 }
--- a/packages/bench/src/site.ts
+++ b/packages/bench/src/site.ts
@@ -41,6 +41,8 @@
   readonly range: PortRange;
   readonly addresses: SiteAddresses;
   readonly members: Member[];
+  /** Sites whose processes the proxies tell by their region. */
+  readonly others: Site[];
   readonly standIns: Child;
   readonly standInUrls: readonly string[];
   readonly entryUrls: readonly string[];
@@ -81,8 +83,9 @@
       join(options.data, 'standins.log'),
     );
     const members: Member[] = [];
+    const others: Site[] = [];
     for (const plan of plans) {
-      const proxy = await openProxy(plan, members);
+      const proxy = await openProxy(plan, members, others);
       members.push(new Member(plan, options.binary, proxy));
     }
     return new Site({
@@ -90,6 +93,7 @@
       range,
       addresses,
       members,
+      others,
       standIns,
       standInUrls,
       entryUrls: http.map(address => `http://${address}`),
@@ -150,12 +154,17 @@
     await this.find(name).restart();
   }
 
+  /** Lets the proxies tell another site's processes: the source of their links is its region. */
+  meet(other: Site): void {
+    this.parts.others.push(other);
+  }
+
   /** Starts a control replica with an empty disk that waits to be added to the group. */
   async startLearner(name: string): Promise<Member> {
-    const {options, range, addresses, members} = this.parts;
+    const {options, range, addresses, members, others} = this.parts;
     const plan = await planMember(options, range, 'control', name, true);
     writeSettings(options, addresses, plan, this.list('control').length);
-    const proxy = await openProxy(plan, members);
+    const proxy = await openProxy(plan, members, others);
     const member = new Member(plan, options.binary, proxy);
     members.push(member);
     return member;
@@ -226,15 +235,22 @@
 async function openProxy(
   plan: MemberPlan,
   members: readonly Member[],
+  others: readonly Site[],
 ): Promise<FaultProxy | undefined> {
   if (plan.advertise === plan.listen) return undefined;
   return FaultProxy.listen(
     Number(plan.advertise.split(':')[1]),
     plan.listen,
     localPort => {
-      const pids = members.map(({pid}) => pid);
+      const sources = [
+        ...members.map(({pid, name}) => ({pid, name})),
+        ...others.flatMap(({members: all, options}) =>
+          all.map(({pid}) => ({pid, name: options.region})),
+        ),
+      ];
+      const pids = sources.map(({pid}) => pid);
       const owner = findSocketOwner(localPort, pids);
-      return members.find(({pid}) => pid === owner)?.name;
+      return sources.find(({pid}) => pid === owner)?.name;
     },
   );
 }
--- a/packages/bench/src/version-watch.ts
+++ b/packages/bench/src/version-watch.ts
@@ -33,6 +33,15 @@
     return Math.max(0, ...this.highest.values());
   }
 
+  /** The lowest of the versions that the running processes showed last; 0 until each has shown one. */
+  get lowestSeen(): number {
+    const running = this.site.members.filter(({child}) => child.isRunning);
+    const versions = running.map(
+      member => this.highest.get(nameLife(member, member.pid)) ?? 0,
+    );
+    return Math.min(...versions);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.isOver = true;
     await this.rounds;
--- a/packages/cli/src/config-apply.ts
+++ b/packages/cli/src/config-apply.ts
@@ -1,9 +1,9 @@
 import {randomUUID} from 'node:crypto';
 import {userInfo} from 'node:os';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Either, Right} from 'purify-ts';
+import {type Either, Left, Right} from 'purify-ts';
 import {failUnreachable, type Instant, monotonicClock} from '#model';
-import type {ApplyConfigResult} from '#protocol';
+import type {ApplyConfigParams, ApplyConfigResult} from '#protocol';
 import {type ExitCode, exitCode} from '#telemetry';
 import {
   computeCommandDeadline,
@@ -13,10 +13,12 @@
 } from './command.js';
 import {printErrors, printResult} from './console.js';
 import {ControlClient, type RemoteFailure} from './control-client.js';
-import {fetchConfigStatus, fetchInForce} from './config-status.js';
+import {fetchConfigStatus, fetchInForce, listLagging} from './config-status.js';
 import {reportSettingsErrors} from './settings-commands.js';
 import {readSource, type SourceFiles} from './source-files.js';
 
+const pollIntervalMs = 200;
+
 export interface ApplyOptions extends ControlOptions, SourceFiles {
   readonly expect?: number;
   readonly changeId?: string;
@@ -59,12 +61,7 @@
     author: options.author ?? findUserName(),
     source,
   };
-  const result = await client.change(
-    'control.applyConfig',
-    change,
-    deadline,
-    'idempotent',
-  );
+  const result = await sendChange(client, change, deadline);
   return result.caseOf<Promise<ExitCode>>({
     Left: async failure => {
       if (failure.kind !== 'unanswered') {
@@ -83,6 +80,35 @@
   });
 }
 
+/** What became of a change, once it is known. */
+type Settled = Exclude<ApplyConfigResult, {readonly kind: 'unknown'}>;
+
+/** Sends a change until its fate is known: also when a region's group could not ask the origin. */
+async function sendChange(
+  client: ControlClient,
+  change: ApplyConfigParams,
+  deadline: Instant,
+): Promise<Either<RemoteFailure, Settled>> {
+  for (;;) {
+    const answer = await client.change(
+      'control.applyConfig',
+      change,
+      deadline,
+      'idempotent',
+    );
+    const settled = answer.chain<RemoteFailure, Settled>(result =>
+      result.kind === 'unknown'
+        ? Left({kind: 'unanswered', detail: result.detail})
+        : Right(result),
+    );
+    const isOpen = answer.isRight() && settled.isLeft();
+    if (!isOpen || monotonicClock.now() + pollIntervalMs > deadline) {
+      return settled;
+    }
+    await sleep(pollIntervalMs);
+  }
+}
+
 async function chooseExpected(
   client: ControlClient,
   options: ApplyOptions,
@@ -105,7 +131,7 @@
   {console}: Context,
   options: ApplyOptions,
   changeId: string,
-  result: ApplyConfigResult,
+  result: Settled,
   wait: (version: number) => Promise<readonly string[]>,
 ): Promise<ExitCode> {
   switch (result.kind) {
@@ -150,8 +176,6 @@
     : `${accepted}, not yet reported in force at ${lagging.join(', ')}`;
 }
 
-const pollIntervalMs = 200;
-
 /** Waits until every process reports the version; returns those that did not by the deadline. */
 async function awaitInForce(
   client: ControlClient,
@@ -162,11 +186,7 @@
   while (monotonicClock.now() < deadline) {
     const status = await fetchInForce(client, deadline);
     lagging = status
-      .map<readonly string[]>(({processes}) =>
-        processes
-          .filter(each => (each.version ?? -1) < version)
-          .map(({process}) => process),
-      )
+      .map(found => listLagging(found, version))
       .orDefault(lagging);
     if (lagging.length === 0) return lagging;
     await sleep(pollIntervalMs);
--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -1,5 +1,6 @@
 import type {Command} from 'commander';
 import type {ConfigurationSource, VersionedSource} from '#model';
+import type {UpstreamStatus} from '#protocol';
 import {
   describeSettingsError,
   diffConfiguration,
@@ -24,6 +25,7 @@
   fetchConfigStatus,
   fetchInForce,
   type InForce,
+  type RegionInForce,
 } from './config-status.js';
 import {ControlClient} from './control-client.js';
 import {reportSettingsErrors} from './settings-commands.js';
@@ -213,7 +215,12 @@
   });
 }
 
-function renderStatus({current, processes}: InForce): string {
+function renderStatus({
+  current,
+  processes,
+  regions,
+  upstream,
+}: InForce): string {
   const rows = processes.map(({process, role, version}) => [
     process,
     role,
@@ -222,10 +229,37 @@
   ]);
   return [
     `version ${current.version} by ${current.author} (change ${current.changeId})`,
+    ...(upstream === undefined ? [] : [renderUpstream(upstream)]),
     renderTable(['PROCESS', 'ROLE', 'VERSION', 'STATE'], rows),
+    ...(regions.length === 0 ? [] : [renderRegions(regions)]),
   ].join('\n');
 }
 
+function renderUpstream({version, ageMs}: UpstreamStatus): string {
+  const heard =
+    ageMs === undefined ? 'never heard from' : `heard from ${ageMs} ms ago`;
+  return `follows an origin, ${heard}, its newest version seen ${version}`;
+}
+
+function renderRegions(regions: readonly RegionInForce[]): string {
+  return renderTable(
+    ['REGION', 'ADOPTED', 'LOWEST', 'HIGHEST', 'REPORTED', 'LAGGING', 'AGE MS'],
+    regions.map(status =>
+      status.version === undefined
+        ? [status.region, '-', '-', '-', '-', 'not reported', '-']
+        : [
+            status.region,
+            status.version,
+            status.lowest,
+            status.highest,
+            `${status.processes} of ${status.processes + status.silent}`,
+            status.lagging.join(' ') || '-',
+            status.ageMs,
+          ],
+    ),
+  );
+}
+
 function describeStanding(
   version: number | undefined,
   current: number,
--- a/packages/cli/test/config.test.ts
+++ b/packages/cli/test/config.test.ts
@@ -10,6 +10,9 @@
 const base = 'examples/base.toml';
 
 const status: ConfigStatus = {
+  region: 'north',
+  homes: {stated: false, teams: []},
+  regions: [],
   current: {
     version: 4,
     changeId: 'change-4',
@@ -289,3 +292,53 @@
   t.is(code, 5);
   t.regex(err, /^refused: .*has not caught up/);
 });
+
+test('a change whose origin could not be asked is sent again until it is settled', async t => {
+  const answers: ApplyConfigResult[] = [
+    {kind: 'unknown', detail: 'the origin did not answer'},
+    {kind: 'accepted', version: 5},
+  ];
+  const ids = new Set<string>();
+  const control = await serve(t, {
+    'control.configStatus': answerStatus,
+    'control.applyConfig': ({changeId}) => {
+      ids.add(changeId);
+      return answer(answers.shift()!);
+    },
+  });
+  const args = ['config', 'apply', '--base', base, '--control', control];
+  const {code} = await run(args);
+  t.is(code, 0);
+  t.is(ids.size, 1);
+});
+
+test('status names the regions that follow, also those that have not reported', async t => {
+  const regions =
+    '[regions.north]\nentries = ["10.0.0.1:7000"]\n' +
+    '[regions.south]\nentries = ["10.0.1.1:7000"]\n' +
+    '[regions.west]\nentries = ["10.0.2.1:7000"]\n';
+  const south = {
+    region: 'south',
+    version: 4,
+    lowest: 3,
+    highest: 4,
+    processes: 7,
+    silent: 1,
+    lagging: ['agent-9'],
+    ageMs: 20,
+  };
+  const source = {base: regions, overlays: {}};
+  const divided: ConfigStatus = {
+    ...status,
+    current: {...status.current, source},
+    regions: [south],
+  };
+  const control = await serve(t, {
+    'control.configStatus': () => ({kind: 'done', value: divided}) as const,
+    'control.status': () => system,
+  });
+  const {out} = await run(['config', 'status', '--control', control]);
+  t.regex(out, /south +4 +3 +4 +7 of 8 +agent-9/);
+  t.regex(out, /west .*not reported/);
+  t.notRegex(out, /north .*not reported/);
+});
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -11,6 +11,7 @@
   type Peer,
   PeerListener,
   type ProcessConfigStatus,
+  type RegionReport,
   type ViewUpdate,
   type WatchParams,
 } from '#protocol';
@@ -21,8 +22,10 @@
 import {Links} from './links.js';
 import {Machine} from './machine.js';
 import {Office} from './office.js';
+import {summarizeRegion} from './region-reports.js';
 import type {Replica} from './replica.js';
 import {createLeaderHandlers, describeState} from './service.js';
+import {Upstream} from './upstream.js';
 import {Watchers} from './watchers.js';
 
 /** Who dials control watches the connection; this end only has to let go of dead ones. */
@@ -76,6 +79,7 @@
   private readonly links: Links;
   private readonly office: Office;
   private leader!: Leader;
+  private upstream: Upstream | undefined;
   private replica!: Replica;
   private listener!: PeerListener;
   private ticker: NodeJS.Timeout | undefined;
@@ -158,6 +162,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.ticker);
+    await this.upstream?.[Symbol.asyncDispose]();
     this.watchers[Symbol.dispose]();
     await this.replica[Symbol.asyncDispose]();
     await this.links[Symbol.asyncDispose]();
@@ -180,18 +185,55 @@
         replica,
         this.machine,
         this.office,
-        {
-          author: settings.id,
-          source: configuration,
-          homes: describeHomes(configuration, settings.place.region),
-        },
+        settings.role.upstream === undefined
+          ? {
+              author: settings.id,
+              source: configuration,
+              homes: describeHomes(configuration, settings.place.region),
+            }
+          : undefined,
         runtime,
       );
+      this.upstream = this.followUpstream();
       this.leaderSeen = runtime.clock.now();
       this.ticker = setInterval(() => this.tick(), tickIntervalMs);
     });
   }
 
+  private followUpstream(): Upstream | undefined {
+    const {settings, runtime} = this.options;
+    const {upstream: controls} = settings.role;
+    if (controls === undefined) return undefined;
+    const {leader, machine} = this;
+    const {region} = settings.place;
+    const {clock, log} = runtime;
+    const describeRegion = () => this.describeRegion();
+    return new Upstream({
+      controls,
+      region,
+      clock,
+      log,
+      leader,
+      machine,
+      describeRegion,
+    });
+  }
+
+  private async describeRegion(): Promise<RegionReport> {
+    const {configuration, epochs, targets} = this.machine.state;
+    const processes = [
+      ...(await this.listControls()),
+      ...this.office.listReports(),
+    ];
+    const {members} = this.replica.describeStatus();
+    return summarizeRegion(
+      this.options.settings.place.region,
+      configuration.current.version,
+      processes,
+      members.length + epochs.live.size + targets.size,
+    );
+  }
+
   /** What a replica that has not started yet says of itself. */
   private describeStart(): ControlStatus {
     return {
@@ -211,6 +253,7 @@
 
   private tick(): void {
     this.leader.tick();
+    this.upstream?.tick();
     const {members, leader} = this.replica.describeStatus();
     this.links.keepOnly(new Set(members.map(({address}) => address)));
     const now = this.options.runtime.clock.now();
@@ -226,10 +269,17 @@
   private createHandlers(): Handlers {
     const {leases, place} = this.options.settings;
     const {region} = place;
-    const {leader, office} = this;
+    const {leader, office, upstream} = this;
     const listControls = () => this.listControls();
     return {
-      ...createLeaderHandlers({leader, office, leases, region, listControls}),
+      ...createLeaderHandlers({
+        leader,
+        office,
+        leases,
+        region,
+        upstream,
+        listControls,
+      }),
       'control.watch': (params, peer) => this.watch(peer, params),
       'control.changeMembers': params => this.changeMembers(params),
       'control.status': () => this.describeStatus(),
--- a/packages/control/src/homes.ts
+++ b/packages/control/src/homes.ts
@@ -1,5 +1,5 @@
 import type {ConfigurationSource, RegionName} from '#model';
-import type {Homes} from '#membership';
+import type {Homes} from '#protocol';
 import {parseConfiguration} from '#settings';
 
 /**
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -1,12 +1,17 @@
 import PQueue from 'p-queue';
 import {type Address, assertInvariant, type Clock, type Epoch} from '#model';
-import type {Admission, AdmitResult, ControlReply, NotLeader} from '#protocol';
+import type {
+  Admission,
+  AdmitResult,
+  ControlReply,
+  Homes,
+  NotLeader,
+} from '#protocol';
 import {
   bootstrapChangeId,
   type Command,
   type CommandResult,
   type ControlState,
-  type Homes,
 } from '#membership';
 import type {ConfigurationSource} from '#model';
 import type {Logger, Metrics} from '#telemetry';
@@ -47,11 +52,14 @@
     private readonly replica: Replica,
     private readonly machine: Machine,
     private readonly office: Office,
-    private readonly bootstrap: {
-      readonly author: string;
-      readonly source: ConfigurationSource;
-      readonly homes: Homes;
-    },
+    /** The first configuration; unset when another group is its origin. */
+    private readonly bootstrap:
+      | {
+          readonly author: string;
+          readonly source: ConfigurationSource;
+          readonly homes: Homes;
+        }
+      | undefined,
     private readonly runtime: {
       readonly clock: Clock;
       readonly log: Logger;
@@ -211,7 +219,7 @@
   }
 
   private async proposeBootstrap(): Promise<void> {
-    if (this.bootstrapping) return;
+    if (this.bootstrapping || this.bootstrap === undefined) return;
     this.bootstrapping = true;
     const {author, source, homes} = this.bootstrap;
     await this.propose({
--- a/packages/control/src/office.ts
+++ b/packages/control/src/office.ts
@@ -4,6 +4,7 @@
 import type {LeaseSettings} from '#settings';
 import {LeaseTable} from './leases.js';
 import type {Machine} from './machine.js';
+import {RegionReports} from './region-reports.js';
 
 /**
  * The soft state of a leader's term of office: leases, log time and what each process reports.
@@ -13,6 +14,8 @@
 export class Office {
   readonly entries = new LeaseTable<Epoch>();
   readonly targets = new LeaseTable<TargetId>();
+  /** What the groups that follow this one report. */
+  readonly regions: RegionReports;
   private readonly reports = new Map<string, ProcessConfigStatus>();
   private term = 0;
   private baseTime: LogTime = 0;
@@ -22,7 +25,9 @@
     private readonly machine: Machine,
     private readonly leases: LeaseSettings,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.regions = new RegionReports(clock);
+  }
 
   /** Begins a term unless it has begun. Called before anything else while this replica leads. */
   begin(term: number): void {
@@ -31,6 +36,7 @@
     this.entries.clear();
     this.targets.clear();
     this.reports.clear();
+    this.regions.clear();
     this.baseTime = this.machine.state.time;
     this.baseInstant = this.clock.now();
   }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -20,6 +20,7 @@
   type ControlState,
   findAnswer,
   isRecordId,
+  listHomes,
   lookupJob,
   maxRecordTasks,
   maxTicket,
@@ -32,6 +33,7 @@
 import {describeHomes} from './homes.js';
 import type {Leader} from './leader.js';
 import type {Office} from './office.js';
+import type {Upstream} from './upstream.js';
 
 const maxAdmissionsPerRequest = 4096;
 const maxKeepMs = 400 * 24 * 3600 * 1000;
@@ -46,6 +48,8 @@
   readonly region: RegionName;
   /** The versions in force at the control replicas. */
   readonly listControls: () => Promise<readonly ProcessConfigStatus[]>;
+  /** The origin of configuration, when this group follows one. */
+  readonly upstream: Upstream | undefined;
 }
 
 /** Serves the methods that only the leader answers. */
@@ -88,7 +92,13 @@
           .listOfEpochs(new Set(epochs))
           .map(({expirySecond: _, startSecond: __, ...job}) => job),
       ),
-    'control.applyConfig': params => applyConfig(parts, params),
+    'control.applyConfig': params =>
+      parts.upstream?.apply(params) ?? applyConfig(parts, params),
+    'control.reportRegion': report => {
+      if (!leader.leads) return leader.redirect();
+      parts.office.regions.take(report);
+      return {kind: 'done', value: {}};
+    },
     'control.configStatus': () => describeConfiguration(parts),
   } satisfies Handlers;
 }
@@ -110,9 +120,16 @@
 }
 
 async function openEntry(
-  {leader, office, leases}: ServiceParts,
+  {leader, office, leases, region}: ServiceParts,
   {entry, nonce = '', address, place}: OpenEntryParams,
 ): Promise<ControlReply<LeaseGrant>> {
+  const divided = await leader.read(state => state.configuration.homes.divided);
+  if (divided.kind !== 'done') return divided;
+  if (divided.value && place.region !== region) {
+    throw new Error(
+      `entry "${entry}" is of region "${place.region}", this group serves "${region}"`,
+    );
+  }
   const reply = await leader.propose({
     kind: 'open-entry',
     entry,
@@ -239,12 +256,18 @@
 async function describeConfiguration({
   leader,
   office,
+  region,
+  upstream,
   listControls,
 }: ServiceParts): Promise<ControlReply<ConfigStatus>> {
   const controls = await listControls();
-  return leader.read(({configuration: {current, history}}) => ({
+  return leader.read(({configuration: {current, history, homes}}) => ({
+    region,
     current,
     history: [...history],
+    homes: listHomes(homes),
     processes: [...controls, ...office.listReports()],
+    regions: office.regions.list(),
+    ...(upstream !== undefined && {upstream: upstream.describe()}),
   }));
 }
--- a/packages/control/test/site.ts
+++ b/packages/control/test/site.ts
@@ -1,6 +1,6 @@
 import {pino} from 'pino';
 import {type Either, Right} from 'purify-ts';
-import {monotonicClock, type Place} from '#model';
+import {type ConfigurationSource, monotonicClock, type Place} from '#model';
 import type {Admission, ParamsOf} from '#protocol';
 import {
   ControlClient,
@@ -181,10 +181,19 @@
   }
 }
 
-export async function openSite(): Promise<Site> {
+/** What differs from a group that is the origin and has no regions. */
+export interface SiteChanges {
+  readonly region?: string;
+  readonly upstream?: readonly string[];
+  readonly configuration?: ConfigurationSource;
+}
+
+export async function openSite(changes: SiteChanges = {}): Promise<Site> {
+  const {region = place.region, upstream, configuration = source} = changes;
+  const settings = createSettings('c1', upstream && {upstream});
   const opened = await Control.open({
-    settings: createSettings('c1'),
-    configuration: source,
+    settings: {...settings, place: {...place, region}},
+    configuration,
     runtime,
     startReplica: async ({id, address, machine}) =>
       Right(createLocalReplica(id, address, machine)),
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -6,15 +6,17 @@
   Place,
   TargetId,
   TargetInfo,
+  VersionedSource,
 } from '#model';
 import type {
   Admission,
   AdmitResult,
   ApplyConfigParams,
   ApplyConfigResult,
+  Homes,
 } from '#protocol';
 
-import type {Homes} from './homes.js';
+import type {ChangeSummary} from './configure.js';
 
 /**
  * Log time in ms: 0 when the group was formed, carried by each command.
@@ -55,6 +57,14 @@
       /** Where the change admits jobs; unset in logs from before there were regions. */
       readonly homes?: Homes;
     }
+  /** Takes over what is in force at the origin, unless it is as new here. */
+  | {
+      readonly kind: 'adopt-configuration';
+      readonly configuration: VersionedSource;
+      /** The origin's changes that are newer than this group's, oldest first. */
+      readonly history: readonly ChangeSummary[];
+      readonly homes: Homes;
+    }
 );
 
 /** What a command came to; the same on every replica. */
--- a/packages/membership/src/configure.ts
+++ b/packages/membership/src/configure.ts
@@ -1,14 +1,25 @@
 import {createHash} from 'node:crypto';
 import type {VersionedSource} from '#model';
-import type {ApplyConfigParams, ApplyConfigResult, ViewChange} from '#protocol';
+import type {
+  ApplyConfigParams,
+  ApplyConfigResult,
+  Homes,
+  ViewChange,
+} from '#protocol';
 import {
   createHomes,
-  type Homes,
   type HomeTable,
   judgeHomes,
   rememberHomes,
 } from './homes.js';
 
+/** What is in force at the origin of configuration. */
+export interface Adoption {
+  readonly configuration: VersionedSource;
+  readonly history: readonly ChangeSummary[];
+  readonly homes: Homes;
+}
+
 /** An accepted change without its texts. */
 export type ChangeSummary = Omit<VersionedSource, 'source'>;
 
@@ -97,6 +108,23 @@
   };
 }
 
+/** Adopts the origin's configuration when it is newer: versions only grow. Judged there, it is not judged again. */
+export function adoptConfiguration(
+  state: ConfigurationState,
+  {configuration, history, homes}: Adoption,
+  revision: number,
+): readonly ViewChange[] {
+  const before = state.current.version;
+  if (configuration.version <= before) return [];
+  state.current = configuration;
+  state.revision = revision;
+  rememberHomes(state.homes, homes);
+  state.history.push(...history.filter(({version}) => version > before));
+  const excess = state.history.length - maxHistory;
+  if (excess > 0) state.history.splice(0, excess);
+  return [{kind: 'configured', configuration}];
+}
+
 function judgeChange(
   {current, history, homes}: ConfigurationState,
   {expectedVersion}: ApplyConfigParams,
--- a/packages/membership/src/homes.ts
+++ b/packages/membership/src/homes.ts
@@ -1,11 +1,5 @@
-import type {RegionName, TeamHome, TeamName} from '#model';
-
-/** Where the jobs of a configuration's teams are admitted. */
-export interface Homes {
-  /** The configuration has regions and states each team's home. Otherwise every home is the group's own region. */
-  readonly stated: boolean;
-  readonly teams: readonly TeamHome[];
-}
+import type {RegionName, TeamName} from '#model';
+import type {Homes} from '#protocol';
 
 /** The homes that were ever in force, those of removed teams included. */
 export interface HomeTable {
--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -7,7 +7,8 @@
   ChangeSummary,
   ConfigurationState,
 } from './configure.js';
-import {createHomes, type Homes, listHomes, rememberHomes} from './homes.js';
+import type {Homes} from '#protocol';
+import {createHomes, listHomes, rememberHomes} from './homes.js';
 import type {LiveEntry} from './epochs.js';
 import type {ControlState, GoneLife} from './state.js';
 
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -5,6 +5,7 @@
   AdmittedJob,
   AdmitResult,
   GoneTarget,
+  Homes,
   LookupResult,
   View as WireView,
   ViewChange,
@@ -12,11 +13,11 @@
 import {type AdmissionRecord, AdmissionTable} from './admissions.js';
 import type {Command, CommandResult, LogTime} from './command.js';
 import {
+  adoptConfiguration,
   applyChange,
   type ConfigurationState,
   createConfiguration,
 } from './configure.js';
-import type {Homes} from './homes.js';
 import {endEpoch, type EpochTable, openEpoch, resolveOwner} from './epochs.js';
 
 /** The most admissions kept at a time. */
@@ -103,6 +104,8 @@
       const {result, changes} = applied;
       return {result: {kind: 'configured', result}, changes};
     }
+    case 'adopt-configuration':
+      return finish(adoptConfiguration(state.configuration, command, index));
     default:
       return failUnreachable(command);
   }
--- a/packages/membership/test/homes.test.ts
+++ b/packages/membership/test/homes.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {decodeSnapshot, encodeSnapshot, type Homes} from '#membership';
+import {decodeSnapshot, encodeSnapshot} from '#membership';
+import type {Homes} from '#protocol';
 import {change, Log} from './builders.js';
 
 const state = (...homes: readonly string[]): Homes => ({
@@ -65,3 +66,28 @@
     ]);
   }
 });
+
+test('an adopted configuration is in force only when it is newer', t => {
+  const log = new Log();
+  const adopt = (version: number, ...homes: readonly string[]) => {
+    const {source} = change(`c${version}`, 0);
+    const summary = {version, changeId: `c${version}`, author: 'a'};
+    log.run({
+      kind: 'adopt-configuration',
+      time: 0,
+      configuration: {...summary, source},
+      history: [summary],
+      homes: state(...homes),
+    });
+    return log.state.configuration.current.version;
+  };
+  t.is(adopt(4, 'herds@a'), 4);
+  t.is(adopt(3, 'herds@a', 'pens@b'), 4);
+  t.is(adopt(4, 'herds@a', 'pens@b'), 4);
+  t.false(log.state.configuration.homes.regions.has('pens'));
+  t.is(adopt(6, 'herds@a', 'pens@b'), 6);
+  t.deepEqual(
+    log.state.configuration.history.map(({version}) => version),
+    [4, 6],
+  );
+});
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -243,6 +243,18 @@
       expectedVersion: count,
       author: string,
       source,
+      forwarded: optional(boolean),
+    }),
+  ),
+  'control.reportRegion': toCheck(
+    Codec.interface({
+      region: string,
+      version: count,
+      lowest: count,
+      highest: count,
+      processes: count,
+      silent: count,
+      lagging: array(string),
     }),
   ),
   'control.configStatus': toCheck(nothing),
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -29,6 +29,7 @@
   OpenEntryParams,
   QueryResult,
   RecallParams,
+  RegionReport,
   ReleaseParams,
   Renewal,
   RenewEntryParams,
@@ -91,6 +92,10 @@
     params: ApplyConfigParams;
     result: ControlReply<ApplyConfigResult>;
   };
+  'control.reportRegion': {
+    params: RegionReport;
+    result: ControlReply<Nothing>;
+  };
   'control.configStatus': {params: Nothing; result: ControlReply<ConfigStatus>};
   'control.changeMembers': {
     params: ChangeMembersParams;
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -80,6 +80,7 @@
   data: requireKey(path),
   members: allowKey(controlMembers),
   join: fillKey(boolean, false),
+  upstream: allowKey(dialAddresses),
 });
 
 const processShapes = {
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -198,8 +198,15 @@
       };
     }
     case 'control': {
-      const {listen, data, members, join} = whole.control!;
-      return {kind: 'control', listen, data, members: members ?? [], join};
+      const {listen, data, members, join, upstream} = whole.control!;
+      return {
+        kind: 'control',
+        listen,
+        data,
+        members: members ?? [],
+        join,
+        ...(upstream !== undefined && {upstream}),
+      };
     }
   }
 }
--- a/packages/settings/src/process.ts
+++ b/packages/settings/src/process.ts
@@ -46,6 +46,8 @@
   readonly members: readonly ControlMember[];
   /** Starts with an empty log as a learner of a running group. */
   readonly join: boolean;
+  /** Where the group that is the origin of configuration listens; unset when this group is. */
+  readonly upstream?: readonly Address[];
 }
 
 export type Role = EntryRole | AgentRole | ControlRole;
