Bound what waits for a region out of reach

Jobs posted in the wrong region wait for their home until their deadline, and their bodies with them: at 30,000 tasks a second even a few of them would fill an entry's memory while the regions are apart. Beyond limits.max_queued_tasks a job is answered unknown at once.

--- a/packages/entry/src/forwarder.ts
+++ b/packages/entry/src/forwarder.ts
@@ -64,15 +64,15 @@
  * region. What came from another region is answered here and not passed on.
  */
 export class Forwarder {
-  private underWay = 0;
+  private tasksUnderWay = 0;
   /** Spreads what is passed on over the entries of a region. */
   private next = 0;
 
   constructor(private readonly owner: ForwarderOwner) {}
 
-  /** Jobs that wait for an answer from another region. */
+  /** Tasks of jobs that wait for an answer from another region. */
   get pending(): number {
-    return this.underWay;
+    return this.tasksUnderWay;
   }
 
   /** Submits a caller's job at its home. */
@@ -131,16 +131,25 @@
     }
   }
 
+  /** While a region is out of reach, what waits for it stays bounded. */
+  private get maxPending(): number {
+    return this.owner.getConfiguration()?.limits.maxQueuedTasks ?? 0;
+  }
+
   private async forward(
     region: RegionConfig,
     submission: Submission,
     deadline: Instant,
   ): Promise<JobAnswer> {
-    this.underWay++;
+    const tasks = submission.tasks.length;
+    if (this.tasksUnderWay + tasks > this.maxPending) {
+      return loseHome(submission.job, region.name);
+    }
+    this.tasksUnderWay += tasks;
     const answer = await this.tryEntries(region, deadline, address =>
       this.attach(address, submission, deadline),
     );
-    this.underWay--;
+    this.tasksUnderWay -= tasks;
     return answer ?? loseHome(submission.job, region.name);
   }
 
--- a/packages/entry/test/forwarder.test.ts
+++ b/packages/entry/test/forwarder.test.ts
@@ -18,11 +18,12 @@
 function configure(
   homeRegion: string | undefined,
   regions = ['a', 'b'],
+  maxQueuedTasks = 1000,
 ): Configuration {
   const quota = {tasksPerSecond: 1, burstTasks: 1, weight: 1};
   return {
     services: [],
-    limits: {} as Configuration['limits'],
+    limits: {maxQueuedTasks} as Configuration['limits'],
     teams: homeRegion === undefined ? [] : [{name: team, homeRegion, ...quota}],
     regions: regions.map(name => ({name, entries: [`${name}:1`, `${name}:2`]})),
   };
@@ -109,3 +110,11 @@
   t.is((await bench.submit(50)).kind, 'unknown');
   t.deepEqual(bench.asked, []);
 });
+
+test('what waits for a region out of reach is bounded; the rest is unknown at once', async t => {
+  const bench = new Bench(configure('b', ['a', 'b'], submission.tasks.length));
+  const waiting = bench.submit(200);
+  t.like(await bench.submit(), {kind: 'unknown', reason: 'home-unreachable'});
+  t.is((await waiting).kind, 'unknown');
+  t.is(bench.forwarder.pending, 0);
+});
