--- a/packages/bench/src/regions.ts
+++ b/packages/bench/src/regions.ts
@@ -3,7 +3,7 @@
 import {stringify} from 'smol-toml';
 import {exitCode} from '#telemetry';
 import {runCommand} from './operator.js';
-import {type Fault, noFault} from './proxy.js';
+import type {Fault} from './proxy.js';
 import type {SiteOptions} from './site-options.js';
 import {Site} from './site.js';
 
@@ -36,8 +36,6 @@
     });
     origin.meet(other);
     other.meet(origin);
-    // Links opened before carry no region.
-    for (const {proxy} of origin.list('control')) proxy!.resetOpen();
     const {services, limits} = origin.options.configuration;
     const regions = new Regions(origin, other, {
       services,
@@ -87,9 +85,11 @@
     }
   }
 
-  /** Ends the fault. Connections that lost bytes stay silent. */
+  /** Ends every fault. Connections that lost bytes stay silent. */
   restore(): void {
-    this.inject(noFault);
+    for (const {proxy} of [...this.origin.members, ...this.other.members]) {
+      proxy!.restore();
+    }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
