--- a/packages/control/src/office.ts
+++ b/packages/control/src/office.ts
@@ -1,5 +1,5 @@
-import type {Clock, Epoch, Instant, TargetId} from '#model';
-import type {ProcessConfigStatus} from '#protocol';
+import type {Clock, EntryId, Epoch, Instant, TargetId} from '#model';
+import type {ProcessConfigStatus, TeamDemands} from '#protocol';
 import type {LogTime} from '#membership';
 import type {LeaseSettings} from '#settings';
 import {LeaseTable} from './leases.js';
@@ -17,6 +17,7 @@
   /** What the groups that follow this one report. */
   readonly regions: RegionReports;
   private readonly reports = new Map<string, ProcessConfigStatus>();
+  private readonly demands = new Map<Epoch, TeamDemands>();
   private term = 0;
   private baseTime: LogTime = 0;
   private baseInstant: Instant = 0;
@@ -37,6 +38,7 @@
     this.targets.clear();
     this.reports.clear();
     this.regions.clear();
+    this.demands.clear();
     this.baseTime = this.machine.state.time;
     this.baseInstant = this.clock.now();
   }
@@ -70,6 +72,22 @@
     return [...this.reports.values()];
   }
 
+  /** Notes what teams ask of an entry; returns what they ask of the other live ones. */
+  exchangeDemands(
+    epoch: Epoch,
+    demands: TeamDemands,
+  ): Readonly<Record<EntryId, TeamDemands>> {
+    this.demands.set(epoch, demands);
+    const {live} = this.machine.state.epochs;
+    const others: Record<EntryId, TeamDemands> = {};
+    for (const [other, told] of this.demands) {
+      const entry = live.get(other)?.info.entry;
+      if (entry === undefined) this.demands.delete(other);
+      else if (other !== epoch) others[entry] = pickTeams(told, demands);
+    }
+    return others;
+  }
+
   /** Gives each holder without a lease a whole one, and drops the leases of those that are gone. */
   matchLeases(): void {
     const {epochs, targets} = this.machine.state;
@@ -110,3 +128,9 @@
     return this.clock.now() + targetLeaseMs + clockMarginMs;
   }
 }
+
+function pickTeams(told: TeamDemands, wanted: TeamDemands): TeamDemands {
+  return Object.fromEntries(
+    Object.entries(told).filter(([team]) => wanted[team] !== undefined),
+  );
+}
