--- a/packages/bench/src/version-watch.ts
+++ b/packages/bench/src/version-watch.ts
@@ -34,6 +34,15 @@
     return Math.max(0, ...this.highest.values());
   }
 
+  /** The lowest of the versions that the running processes showed last; 0 until each has shown one. */
+  get lowestSeen(): number {
+    const running = this.site.members.filter(({child}) => child.isRunning);
+    const versions = running.map(
+      member => this.highest.get(nameLife(member, member.pid)) ?? 0,
+    );
+    return Math.min(...versions);
+  }
+
   /** Counts any version below this one as gone back from now on, at the processes named. */
   expectAtLeast(version: number, names: readonly string[]): void {
     for (const name of names) this.highest.set(name, version);
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -6,7 +6,13 @@
   type Epoch,
   type Instant,
 } from '#model';
-import type {Admission, AdmitResult, ControlReply, NotLeader} from '#protocol';
+import type {
+  Admission,
+  AdmitResult,
+  ControlReply,
+  Homes,
+  NotLeader,
+} from '#protocol';
 import {
   bootstrapChangeId,
   type Command,
@@ -53,10 +59,14 @@
     private readonly replica: Replica,
     private readonly machine: Machine,
     private readonly office: Office,
-    private readonly bootstrap: {
-      readonly author: string;
-      readonly source: ConfigurationSource;
-    },
+    /** The first configuration; unset when another group is its origin. */
+    private readonly bootstrap:
+      | {
+          readonly author: string;
+          readonly source: ConfigurationSource;
+          readonly homes: Homes;
+        }
+      | undefined,
     private readonly runtime: {
       readonly clock: Clock;
       readonly log: Logger;
@@ -231,12 +241,13 @@
   }
 
   private async proposeBootstrap(): Promise<void> {
-    if (this.bootstrapping) return;
+    if (this.bootstrapping || this.bootstrap === undefined) return;
     this.bootstrapping = true;
-    const {author, source} = this.bootstrap;
+    const {author, source, homes} = this.bootstrap;
     await this.propose({
       kind: 'configure',
       change: {changeId: bootstrapChangeId, expectedVersion: 0, author, source},
+      homes,
     });
     this.bootstrapping = false;
   }
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -1,4 +1,5 @@
 import {randomUUID} from 'node:crypto';
+import type {RegionName} from '#model';
 import type {
   Admission,
   ApplyConfigParams,
@@ -19,6 +20,7 @@
   type ControlState,
   findAnswer,
   isRecordId,
+  listHomes,
   lookupJob,
   maxRecordTasks,
   maxTicket,
@@ -28,8 +30,10 @@
   describeSettingsError,
   type LeaseSettings,
 } from '#settings';
+import {describeHomes} from './homes.js';
 import type {Leader} from './leader.js';
 import type {Office} from './office.js';
+import type {Upstream} from './upstream.js';
 
 const maxAdmissionsPerRequest = 4096;
 const maxKeepMs = 400 * 24 * 3600 * 1000;
@@ -40,8 +44,12 @@
   readonly leader: Leader;
   readonly office: Office;
   readonly leases: LeaseSettings;
+  /** The region that the group serves. */
+  readonly region: RegionName;
   /** The versions in force at the control replicas. */
   readonly listControls: () => Promise<readonly ProcessConfigStatus[]>;
+  /** The origin of configuration, when this group follows one. */
+  readonly upstream: Upstream | undefined;
 }
 
 /** Serves the methods that only the leader answers. */
@@ -84,7 +92,13 @@
           .listOfEpochs(new Set(epochs))
           .map(({expirySecond: _, startSecond: __, ...job}) => job),
       ),
-    'control.applyConfig': params => applyConfig(leader, params),
+    'control.applyConfig': params =>
+      parts.upstream?.apply(params) ?? applyConfig(parts, params),
+    'control.reportRegion': report => {
+      if (!leader.leads) return leader.redirect();
+      parts.office.regions.take(report);
+      return {kind: 'done', value: {}};
+    },
     'control.configStatus': () => describeConfiguration(parts),
   } satisfies Handlers;
 }
@@ -106,9 +120,16 @@
 }
 
 async function openEntry(
-  {leader, office, leases}: ServiceParts,
+  {leader, office, leases, region}: ServiceParts,
   {entry, nonce = '', address, place}: OpenEntryParams,
 ): Promise<ControlReply<LeaseGrant>> {
+  const divided = await leader.read(state => state.configuration.homes.divided);
+  if (divided.kind !== 'done') return divided;
+  if (divided.value && place.region !== region) {
+    throw new Error(
+      `entry "${entry}" is of region "${place.region}", this group serves "${region}"`,
+    );
+  }
   const reply = await leader.propose({
     kind: 'open-entry',
     entry,
@@ -199,7 +220,7 @@
 }
 
 async function applyConfig(
-  leader: Leader,
+  {leader, region}: ServiceParts,
   change: ApplyConfigParams,
 ): Promise<ControlReply<ApplyConfigResult>> {
   const known = await leader.read(state =>
@@ -211,7 +232,8 @@
   if (errors.length > 0) {
     return {kind: 'done', value: {kind: 'invalid', errors}};
   }
-  const reply = await leader.propose({kind: 'configure', change});
+  const homes = describeHomes(change.source, region);
+  const reply = await leader.propose({kind: 'configure', change, homes});
   if (reply.kind !== 'done') return reply;
   if (reply.value.kind !== 'configured') {
     throw new Error(`unexpected ${reply.value.kind}`);
@@ -237,12 +259,18 @@
 async function describeConfiguration({
   leader,
   office,
+  region,
+  upstream,
   listControls,
 }: ServiceParts): Promise<ControlReply<ConfigStatus>> {
   const controls = await listControls();
-  return leader.read(({configuration: {current, history}}) => ({
+  return leader.read(({configuration: {current, history, homes}}) => ({
+    region,
     current,
     history: [...history],
+    homes: listHomes(homes),
     processes: [...controls, ...office.listReports()],
+    regions: office.regions.list(),
+    ...(upstream !== undefined && {upstream: upstream.describe()}),
   }));
 }
--- a/packages/entry/test/builders.ts
+++ b/packages/entry/test/builders.ts
@@ -34,6 +34,7 @@
       },
     ],
     teams,
+    regions: [],
     limits: {
       maxTasksPerJob: 1000,
       maxBodyBytes: 1e6,
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -6,14 +6,18 @@
   Place,
   TargetId,
   TargetInfo,
+  VersionedSource,
 } from '#model';
 import type {
   Admission,
   AdmitResult,
   ApplyConfigParams,
   ApplyConfigResult,
+  Homes,
 } from '#protocol';
 
+import type {ChangeSummary} from './configure.js';
+
 /**
  * Log time in ms: 0 when the group was formed, carried by each command.
  * A leader advances it by its monotonic clock from the last one applied; it stands still
@@ -47,7 +51,20 @@
   | {readonly kind: 'forget'}
   /** Replicas that have log entries on their disks. */
   | {readonly kind: 'note-members'; readonly members: readonly ControlId[]}
-  | {readonly kind: 'configure'; readonly change: ApplyConfigParams}
+  | {
+      readonly kind: 'configure';
+      readonly change: ApplyConfigParams;
+      /** Where the change admits jobs; unset in logs from before there were regions. */
+      readonly homes?: Homes;
+    }
+  /** Takes over what is in force at the origin, unless it is as new here. */
+  | {
+      readonly kind: 'adopt-configuration';
+      readonly configuration: VersionedSource;
+      /** The origin's changes that are newer than this group's, oldest first. */
+      readonly history: readonly ChangeSummary[];
+      readonly homes: Homes;
+    }
 );
 
 /** What a command came to; the same on every replica. */
--- a/packages/membership/src/configure.ts
+++ b/packages/membership/src/configure.ts
@@ -1,6 +1,24 @@
 import {createHash} from 'node:crypto';
 import type {VersionedSource} from '#model';
-import type {ApplyConfigParams, ApplyConfigResult, ViewChange} from '#protocol';
+import type {
+  ApplyConfigParams,
+  ApplyConfigResult,
+  Homes,
+  ViewChange,
+} from '#protocol';
+import {
+  createHomes,
+  type HomeTable,
+  judgeHomes,
+  rememberHomes,
+} from './homes.js';
+
+/** What is in force at the origin of configuration. */
+export interface Adoption {
+  readonly configuration: VersionedSource;
+  readonly history: readonly ChangeSummary[];
+  readonly homes: Homes;
+}
 
 /** An accepted change without its texts. */
 export type ChangeSummary = Omit<VersionedSource, 'source'>;
@@ -20,6 +38,7 @@
   readonly history: ChangeSummary[];
   /** First answers by change id, oldest first. */
   readonly answers: Map<string, ChangeAnswer>;
+  readonly homes: HomeTable;
 }
 
 const maxHistory = 400;
@@ -40,6 +59,7 @@
     revision: 0,
     history: [],
     answers: new Map(),
+    homes: createHomes(),
   };
 }
 
@@ -63,6 +83,7 @@
 export function applyChange(
   state: ConfigurationState,
   change: ApplyConfigParams,
+  homes: Homes,
   revision: number,
 ): {
   readonly result: ApplyConfigResult;
@@ -70,7 +91,7 @@
 } {
   const first = findAnswer(state, change);
   if (first !== undefined) return {result: first, changes: []};
-  const result = judgeChange(state, change);
+  const result = judgeChange(state, change, homes);
   state.answers.set(change.changeId, {contentHash: hashChange(change), result});
   dropOldest(state.answers);
   if (result.kind !== 'accepted') return {result, changes: []};
@@ -78,6 +99,7 @@
   const {version} = result;
   state.current = {version, changeId, author, source};
   state.revision = revision;
+  rememberHomes(state.homes, homes);
   state.history.push({version, changeId, author});
   if (state.history.length > maxHistory) state.history.shift();
   return {
@@ -86,11 +108,31 @@
   };
 }
 
+/** Adopts the origin's configuration when it is newer: versions only grow. Judged there, it is not judged again. */
+export function adoptConfiguration(
+  state: ConfigurationState,
+  {configuration, history, homes}: Adoption,
+  revision: number,
+): readonly ViewChange[] {
+  const before = state.current.version;
+  if (configuration.version <= before) return [];
+  state.current = configuration;
+  state.revision = revision;
+  rememberHomes(state.homes, homes);
+  state.history.push(...history.filter(({version}) => version > before));
+  const excess = state.history.length - maxHistory;
+  if (excess > 0) state.history.splice(0, excess);
+  return [{kind: 'configured', configuration}];
+}
+
 function judgeChange(
-  {current, history}: ConfigurationState,
+  {current, history, homes}: ConfigurationState,
   {expectedVersion}: ApplyConfigParams,
+  changed: Homes,
 ): ApplyConfigResult {
   if (expectedVersion === current.version) {
+    const errors = judgeHomes(homes, changed);
+    if (errors.length > 0) return {kind: 'invalid', errors};
     return {kind: 'accepted', version: current.version + 1};
   }
   const winner =
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -5,6 +5,7 @@
   AdmittedJob,
   AdmitResult,
   GoneTarget,
+  Homes,
   LookupResult,
   View as WireView,
   ViewChange,
@@ -12,6 +13,7 @@
 import {type AdmissionRecord, AdmissionTable} from './admissions.js';
 import type {Command, CommandResult, LogTime} from './command.js';
 import {
+  adoptConfiguration,
   applyChange,
   type ConfigurationState,
   createConfiguration,
@@ -21,6 +23,7 @@
 /** The most admissions kept at a time. */
 export const maxAdmissions = 2 ** 20;
 const maxForgottenPerCommand = 8192;
+const noHomes: Homes = {stated: false, teams: []};
 
 /**
  * The replicated state of a control group. One owner holds it and changes it by `applyCommand` only;
@@ -96,10 +99,13 @@
       for (const member of command.members) state.acknowledged.add(member);
       return finish([]);
     case 'configure': {
-      const applied = applyChange(state.configuration, command.change, index);
+      const {change, homes = noHomes} = command;
+      const applied = applyChange(state.configuration, change, homes, index);
       const {result, changes} = applied;
       return {result: {kind: 'configured', result}, changes};
     }
+    case 'adopt-configuration':
+      return finish(adoptConfiguration(state.configuration, command, index));
     default:
       return failUnreachable(command);
   }
