Count tasks whose admission is under way as waiting

Cause: the queue limit looked at the queue alone, which a burst reaches only after its records are committed, so that all of it passed (240 tasks of each of two teams at a limit of 160, none refused, seen by proof-overload's author). Tasks now count from the judgement on, beyond the idle slots.

Ruled out: judging again after the commit (a refusal then has a record and is not true of the job).

--- a/packages/bench/test/proof-overload.test.ts
+++ b/packages/bench/test/proof-overload.test.ts
@@ -7,6 +7,8 @@
 /** Tasks that may wait at an entry. */
 const maxQueued = 160;
 const waves = 3;
+/** Of the two executors. */
+const slots = 16;
 
 const quota = {tasks_per_second: 100_000, burst_tasks: 100_000};
 const configuration = {
@@ -54,6 +56,32 @@
   },
 );
 
+test.serial(
+  'a burst of three times the queue that arrives before anything waits is refused beyond twice the limit',
+  async t => {
+    const stand = await Stand.open(t, {leases: steadyLeases, configuration});
+    const burst = ['pens', 'crossings'].flatMap(team =>
+      planJobs(team, {
+        jobs: (waves * maxQueued) / 8,
+        tasks: 4,
+        taskMs: 5000,
+        team,
+        deadlineMs: 120_000,
+      }),
+    );
+    const records = stand.submitOnce(burst, 0);
+    await stand.waitUntil('what is not queued is refused', async () => {
+      const {jobsInHand, refusals} = await stand.readEntry(0);
+      const refused = refusals['overloaded'] ?? 0;
+      return jobsInHand + refused === burst.length && refused > 0;
+    });
+    const {jobsInHand} = await stand.readEntry(0);
+    t.true(4 * jobsInHand - slots < 2 * maxQueued, String(jobsInHand));
+    for (const plan of burst) await stand.cancel(plan, 0);
+    stand.assertSound(await records);
+  },
+);
+
 test.serial(
   'a team beyond its quota is refused as not run, and its part within is served whole',
   async t => {
--- a/packages/bench/test/stand.ts
+++ b/packages/bench/test/stand.ts
@@ -25,6 +25,8 @@
 /** What tests read of an entry's status. */
 export interface EntryStatus {
   readonly jobsInHand: number;
+  /** Refusals since the start by reason. */
+  readonly refusals: Readonly<Record<string, number>>;
 }
 
 /** Bounds every wait; no test judges by it. */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -105,6 +105,7 @@
         getKeepMs: unrepeatable => this.getKeepMs(unrepeatable),
         getMaxPlacements: submission => this.getMaxPlacements(submission),
         judge: (submission, deadline) => this.judge(submission, deadline),
+        announce: submission => this.fleet.announce(submission),
         start: execution => this.fleet.start(execution),
         stop: execution => this.fleet.stop(execution),
         onAnswered: (execution, answer, receivedAt) =>
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -4,6 +4,7 @@
   EntryId,
   Epoch,
   ServiceName,
+  Submission,
   TargetId,
   TargetInfo,
   TeamName,
@@ -58,6 +59,12 @@
     }));
   }
 
+  /** Counts a job's tasks as waiting for its service until disposal. */
+  announce({service, team, tasks}: Submission): Disposable {
+    const pool = this.getPool(service);
+    return pool?.announce(team, tasks.length) ?? {[Symbol.dispose]: () => {}};
+  }
+
   /** Queues the tasks of a job that wait. */
   start(execution: Execution): void {
     const {submission, tasks} = execution.job;
--- a/packages/entry/src/ownership.ts
+++ b/packages/entry/src/ownership.ts
@@ -41,6 +41,8 @@
     submission: Submission,
     deadline: Instant,
   ) => Refusal | undefined;
+  /** Counts a job's tasks as waiting until disposal, while its admission is under way. */
+  readonly announce: (submission: Submission) => Disposable;
   /** Starts the job's waiting tasks. */
   readonly start: (execution: Execution) => void;
   /** Rebuilds a job of an ended epoch, or tells why it cannot be finished. */
@@ -93,6 +95,7 @@
     }
     const detachments = execution.detachmentCount;
     const ticket = this.tickets.issue(submission.job);
+    const announced = this.owner.announce(submission);
     const result = await this.registrar.admit(
       submission,
       epoch,
@@ -100,6 +103,7 @@
       computeRemainingMs(this.owner.clock.now(), deadline),
       this.owner.getKeepMs(submission.unrepeatable),
     );
+    announced[Symbol.dispose]();
     if (execution.isOver || execution.detachmentCount !== detachments) return;
     if (result === undefined) {
       await this.resolveElsewhere(execution, 'admission-unconfirmed');
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -91,6 +91,8 @@
   private destination: Destination | undefined;
   /** Links on which tasks were started in this turn. */
   private readonly startedOn = new Set<AgentLink>();
+  /** Tasks of jobs whose admission is under way, by team. */
+  private readonly announced = new Map<TeamName, number>();
   private armed = false;
   private wakeTimer: NodeJS.Timeout | undefined;
   private counts = {started: 0, refused: 0, overheadMessages: 0};
@@ -142,11 +144,15 @@
 
   /** Describes the work in hand, as admission needs it for one team. */
   describeLoad(team: TeamName): ServiceLoad {
+    const idle = this.fair.size > 0 ? 0 : this.countIdleSlots();
+    const announced = this.countAnnounced();
+    const unplaced = Math.max(0, announced - idle);
+    const ofTeam = Math.min(unplaced, this.announced.get(team) ?? 0);
     return {
-      waiting: this.fair.size,
-      teamWaiting: this.fair.countWaiting(team),
+      waiting: this.fair.size + unplaced,
+      teamWaiting: this.fair.countWaiting(team) + ofTeam,
       teamShare: this.fair.computeShare(team, this.owner.getWeight(team)),
-      freeSlots: this.fair.size > 0 ? 0 : this.countIdleSlots(),
+      freeSlots: Math.max(0, idle - announced),
       startsPerSecond: computeDrainRate(this.drainRate),
       running: this.queue.pending,
     };
@@ -212,6 +218,14 @@
     this.arm();
   }
 
+  /** Counts tasks as waiting until disposal: they come once their admission is on record. */
+  announce(team: TeamName, tasks: number): Disposable {
+    const change = (by: number) =>
+      this.announced.set(team, (this.announced.get(team) ?? 0) + by);
+    change(tasks);
+    return {[Symbol.dispose]: () => void change(-tasks)};
+  }
+
   /** Takes a job's waiting tasks out of the queue. */
   discard(job: JobId, tasks: readonly number[]): void {
     for (const task of tasks) this.fair.remove(formatTask({job, task}));
@@ -229,6 +243,12 @@
     clearTimeout(this.wakeTimer);
   }
 
+  private countAnnounced(): number {
+    let sum = 0;
+    for (const tasks of this.announced.values()) sum += tasks;
+    return sum;
+  }
+
   /** An upper bound: slots of connected targets less the tasks of this entry. */
   private countIdleSlots(): number {
     let slots = 0;
--- a/packages/entry/test/desk.test.ts
+++ b/packages/entry/test/desk.test.ts
@@ -36,6 +36,7 @@
       getKeepMs: () => 60_000,
       getMaxPlacements: () => 3,
       judge: () => this.refusal,
+      announce: () => ({[Symbol.dispose]: () => {}}),
       start: execution => void this.started.push(execution),
       stop: () => {},
       onAnswered: () => {},
--- a/packages/entry/test/fleet.test.ts
+++ b/packages/entry/test/fleet.test.ts
@@ -126,3 +126,22 @@
   await fleet[Symbol.asyncDispose]();
   await agent.listener[Symbol.asyncDispose]();
 });
+
+test('tasks whose admission is under way count as waiting beyond the idle slots', async t => {
+  const agent = await openAgent();
+  const fleet = openFleet(() => 1);
+  fleet.follow(emptyView, [{kind: 'target-joined', target: agent.describe()}]);
+  while (!fleet.listLinks()[0]!.isReady) await new Promise(setImmediate);
+  const read = (team: string) => {
+    const load = fleet.getPool('tally')!.describeLoad(team);
+    return [load.waiting, load.teamWaiting, load.freeSlots];
+  };
+  const {freeSlots} = fleet.getPool('tally')!.describeLoad('team');
+  const announced = fleet.announce(buildSubmission('k', freeSlots + 3));
+  t.deepEqual(read('team'), [3, 3, 0]);
+  t.deepEqual(read('other'), [3, 0, 0]);
+  announced[Symbol.dispose]();
+  t.deepEqual(read('team'), [0, 0, freeSlots]);
+  await fleet[Symbol.asyncDispose]();
+  await agent.listener[Symbol.asyncDispose]();
+});
