Let no lease of a proof run out that need not

Cause: four proof files ran on leases of 1 and 2 s without needing their end; a machine that is busy for so long ends one, and jobs in hand are then unknown, so that the verdict depended on the machine. The default of a stand is now 20 s; the proofs of pauses, and of entries whose epochs end while a leader is cut off, name 2 s for entries only.

--- a/packages/bench/test/proof-control.test.ts
+++ b/packages/bench/test/proof-control.test.ts
@@ -5,7 +5,7 @@
 import {cutOff, reconnect} from '../src/isolation.js';
 import {VersionWatch} from '../src/version-watch.js';
 import {planJobs} from './jobs.js';
-import {Stand} from './stand.js';
+import {shortEntryLeases, Stand} from './stand.js';
 
 const endedEpochs = 3;
 const changesPerRound = 25;
@@ -129,7 +129,10 @@
 test.serial(
   'a leader cut off while many changes pass and entries end answers no read, and follows after',
   async t => {
-    const stand = await Stand.open(t, {controls: 3});
+    const stand = await Stand.open(t, {
+      controls: 3,
+      leases: shortEntryLeases,
+    });
     const {site} = stand;
     await using watch = new VersionWatch(site);
     const old = await stand.awaitLeader();
--- a/packages/bench/test/proof-entry-pause.test.ts
+++ b/packages/bench/test/proof-entry-pause.test.ts
@@ -6,7 +6,7 @@
 test.serial(
   'an entry that stands still past its lease starts nothing that its heir has started',
   async t => {
-    const stand = await Stand.open(t);
+    const stand = await Stand.open(t, {leases: shortEntryLeases});
     const jobs = planJobs('paused', {jobs: 24, tasks: 4, taskMs: 300});
     const atFirst = stand.submitOnce(jobs, 0);
     await stand.waitForJobs(jobs.slice(0, 4));
@@ -22,7 +22,7 @@
 test.serial(
   'an entry that wakes while its heir works hands its callers no second start',
   async t => {
-    const stand = await Stand.open(t);
+    const stand = await Stand.open(t, {leases: shortEntryLeases});
     const jobs = planJobs('woken', {jobs: 24, tasks: 4, taskMs: 300});
     const atFirst = stand.submitAll(jobs, 0);
     await stand.waitForJobs(jobs.slice(0, 4));
@@ -60,7 +60,7 @@
 test.serial(
   'an entry cut off from control past its lease loses no job that it was given',
   async t => {
-    const stand = await Stand.open(t);
+    const stand = await Stand.open(t, {leases: shortEntryLeases});
     const {proxy} = stand.site.find('control-0');
     const before = planJobs('before', {jobs: 24, tasks: 4, taskMs: 300});
     const atFirst = stand.submitAll(before, 0);
--- a/packages/bench/test/stand.ts
+++ b/packages/bench/test/stand.ts
@@ -46,14 +46,6 @@
 /** Target leases that run out within a test. */
 export const shortTargetLeases = {...steadyLeases, target_lease_ms: 2000};
 
-/** Leases that run out within a test. */
-const shortLeases = {
-  entry_lease_ms: 1000,
-  target_lease_ms: 2000,
-  renewal_interval_ms: 300,
-  clock_margin_ms: 100,
-};
-
 const patient: Persistence = {maxAttempts: 100, maxPauseMs: 500};
 
 /** A small site behind fault proxies: 1 control, 2 entries and 2 executors of 8 slots. */
@@ -78,7 +70,7 @@
         controls: 1,
         targets: [describeExecutor('tally'), describeExecutor('tally')],
         proxied: true,
-        leases: shortLeases,
+        leases: steadyLeases,
         ...changes,
       }),
     );
