--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['build/*/test/**/*.test.js'],
+  files: ['build/packages/*/test/**/*.test.js', 'build/platform/test/**/*.test.js'],
   timeout: '90s',
   concurrency: 4,
   workerThreads: false,
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -335,7 +335,9 @@
   private adjustSlots(): void {
     const service = this.findService();
     if (service === undefined) return;
-    const slots = countSlots(this.info.capacity, [service.demand]);
+    const slots = countSlots(this.options.settings.role.capacity, [
+      service.demand,
+    ]);
     if (slots === this.slots) return;
     this.slots = slots;
     this.sessions.reopenAll('the number of slots has changed');
@@ -363,7 +365,7 @@
     const service = this.findService();
     if (service === undefined) return {kind: 'shut', reason: 'wrong-service'};
     if (this.watch.isDown) return {kind: 'shut', reason: 'target-down'};
-    const slots = countSlots(this.info.capacity, [
+    const slots = countSlots(this.options.settings.role.capacity, [
       service.demand,
       ...this.intake.listDemands(),
     ]);
--- a/packages/agent/test/stand.ts
+++ b/packages/agent/test/stand.ts
@@ -55,6 +55,7 @@
     ],
     teams: [],
     regions: [],
+    queues: [],
     limits: {
       maxTasksPerJob: 100,
       maxBodyBytes: 1e6,
--- a/packages/cli/src/config-apply.ts
+++ b/packages/cli/src/config-apply.ts
@@ -147,6 +147,15 @@
         ? exitCode.ok
         : exitCode.unknown;
     }
+    case 'overtaken':
+      printResult(
+        console,
+        options,
+        {...result, changeId},
+        ({version}) =>
+          `overtaken: the document's version is not higher than the one in force, which is version ${version} here`,
+      );
+      return exitCode.conflict;
     case 'conflict':
       printResult(
         console,
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+export {stopOnBrokenInvariants} from './role.js';
+export {watchStopSignals} from './signals.js';
--- a/packages/cli/test/process.test.ts
+++ b/packages/cli/test/process.test.ts
@@ -26,7 +26,7 @@
   );
   const child = spawn(
     process.execPath,
-    ['build/cli/src/main.js', 'control', '--settings', settings],
+    ['build/packages/cli/src/main.js', 'control', '--settings', settings],
     {stdio: ['ignore', 'ignore', 'pipe']},
   );
   t.teardown(() => {
--- a/packages/control/src/service.ts
+++ b/packages/control/src/service.ts
@@ -101,6 +101,8 @@
       parts.office.regions.take(report);
       return {kind: 'done', value: {}};
     },
+    'control.readConfig': () =>
+      leader.read(({configuration}) => configuration.current),
     'control.configStatus': () => describeConfiguration(parts),
   } satisfies Handlers;
 }
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,413 @@
+import {
+  type Address,
+  type Clock,
+  computeDeadline,
+  type Configuration,
+  type Instant,
+  type JobId,
+  monotonicClock,
+  RecentMap,
+  type QueueConfig,
+  type QueuedJob,
+  type ServiceName,
+  type TargetId,
+} from '#model';
+import {
+  cancelJob,
+  computeDueMs,
+  endRun,
+  estimateChainMs,
+  type JobState,
+  openJob,
+} from '#jobs';
+import {judgeBacklog, type RoomTarget} from '#policy';
+import type {
+  FollowJobResult,
+  Handlers,
+  ReportedEnd,
+  RunTicket,
+} from '#protocol';
+import type {View} from '#membership';
+import type {Logger} from '#telemetry';
+import {type ActiveJob, type JobOutcome} from './active-job.js';
+import {ClaimTable} from './claims.js';
+import {Fellows} from './fellows.js';
+import type {OutstandingRun} from './link.js';
+import {type OwnershipOptions, settleOwnership} from './ownership.js';
+import {Placer} from './placer.js';
+import {RunnerFleet} from './runner-fleet.js';
+
+export interface DispatcherOptions {
+  readonly id: string;
+  /** Differs at each start and grows. */
+  readonly life: number;
+  readonly failureDomain: string;
+  /** Where it listens for other dispatchers; undefined for one without others. */
+  readonly address?: Address;
+  readonly log: Logger;
+  readonly clock?: Clock;
+}
+
+/** A queued job and its caller's patience. */
+export interface JobSubmission {
+  readonly job: QueuedJob;
+  readonly queue: QueueConfig;
+  /** When the caller leaves. */
+  readonly leavesAt: Instant;
+}
+
+/** How long a caller waits when nothing could take its job, in ms. */
+const noTargetRetryMs = 500;
+/** Ended jobs whose callers may ask again, as they do within seconds. */
+const maxRemembered = 8192;
+
+/** Owns callers' queued jobs and places their tasks on the targets' room. */
+export class Dispatcher implements AsyncDisposable {
+  private readonly clock: Clock;
+  private readonly fleet: RunnerFleet;
+  private readonly placer: Placer;
+  private readonly jobs = new Map<JobId, ActiveJob>();
+  /** Outcomes of jobs that ended here. */
+  private readonly finished = new RecentMap<JobId, JobOutcome>(maxRemembered);
+  /** Jobs that were given up here. */
+  private readonly given = new RecentMap<JobId, true>(maxRemembered);
+  private readonly claims = new ClaimTable();
+  private readonly fellows = new Fellows();
+  private dispatchers: readonly Address[] = [];
+  private readonly ownership: OwnershipOptions;
+  private isScheduled = false;
+
+  constructor(private readonly options: DispatcherOptions) {
+    this.clock = options.clock ?? monotonicClock;
+    this.ownership = {
+      address: options.address,
+      claims: this.claims,
+      fellows: this.fellows,
+      log: options.log,
+      listDispatchers: () => this.dispatchers,
+      clear: (job, deadline) => this.fleet.clear(job, deadline),
+    };
+    this.fleet = new RunnerFleet({
+      clock: this.clock,
+      log: options.log,
+      dispatcher: options.id,
+      life: options.life,
+      failureDomain: options.failureDomain,
+      onEnd: (target, run, end) => this.recordEnd(target, run, end),
+      onLoad: () => this.schedulePlacing(),
+    });
+    this.placer = new Placer(this.fleet);
+  }
+
+  /** Jobs accepted and not answered. */
+  get jobCount(): number {
+    return [...this.jobs.values()].filter(({isAnswered}) => !isAnswered).length;
+  }
+
+  /** Counts the accepted jobs of a queue of which no task was placed. */
+  countWaiting(queue: string): number {
+    let waiting = 0;
+    for (const job of this.jobs.values()) {
+      if (job.queue.name === queue && !job.hasRun && !job.isAnswered) waiting++;
+    }
+    return waiting;
+  }
+
+  /** True when some target could take work. */
+  get isConnected(): boolean {
+    return this.fleet.isConnected;
+  }
+
+  /** Follows the targets that control knows. */
+  follow(view: View): void {
+    this.dispatchers = [...view.entries.values()].map(({address}) => address);
+    this.fleet.follow(view);
+  }
+
+  /** Runs a job to its end. Resolves at the latest when its caller leaves. */
+  async submit(submission: JobSubmission): Promise<JobOutcome> {
+    const {job, leavesAt} = submission;
+    const here = await this.findHere(job.id);
+    if (here !== undefined) return here;
+    const refusal = this.judge(submission, this.clock.now());
+    if (refusal !== undefined) return refusal;
+    const standing = await settleOwnership(this.ownership, job.id, leavesAt);
+    switch (standing.kind) {
+      case 'completed':
+      case 'failed':
+        return standing;
+      case 'uncertain':
+        return {kind: 'expired'};
+      case 'own':
+        return (await this.findHere(job.id)) ?? this.run(submission);
+    }
+  }
+
+  /** What other dispatchers ask of this one. */
+  createHandlers(): Handlers {
+    return {
+      'dispatcher.claim': ({job, claimant, replaces}) => ({
+        owner: this.claims.note(job, claimant, replaces),
+      }),
+      'dispatcher.follow': ({job, remainingMs}) =>
+        this.answerFollower(
+          job,
+          computeDeadline(this.clock.now(), remainingMs),
+        ),
+    };
+  }
+
+  /** Gives a job up whose caller has gone. */
+  giveUp(id: JobId): void {
+    const job = this.jobs.get(id);
+    if (job !== undefined && !job.isAnswered) {
+      this.close(job, {kind: 'expired'});
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.fleet[Symbol.asyncDispose]();
+    await this.fellows[Symbol.asyncDispose]();
+  }
+
+  /** Joins a job that is in hand, or finds how it ended; waits out one that is being given up. */
+  private async findHere(id: JobId): Promise<JobOutcome | undefined> {
+    const known = this.jobs.get(id);
+    if (known === undefined) return this.finished.get(id);
+    if (!known.isAnswered) {
+      return new Promise(resolve => known.waiters.push(resolve));
+    }
+    await new Promise<void>(resolve => known.closers.push(resolve));
+    return this.finished.get(id);
+  }
+
+  private async answerFollower(
+    id: JobId,
+    deadline: Instant,
+  ): Promise<FollowJobResult> {
+    const isKnown = this.jobs.has(id) || this.given.has(id);
+    const outcome = await Promise.race([
+      this.findHere(id),
+      sleepUntil(deadline, this.clock),
+    ]);
+    if (outcome?.kind === 'completed' || outcome?.kind === 'failed') {
+      return {kind: outcome.kind};
+    }
+    if (!isKnown) return {kind: 'unknown'};
+    const known = this.jobs.get(id);
+    if (known !== undefined) {
+      this.giveUp(id);
+      await new Promise<void>(resolve => known.closers.push(resolve));
+    }
+    return {kind: 'closed'};
+  }
+
+  private run({job, queue, leavesAt}: JobSubmission): Promise<JobOutcome> {
+    const now = this.clock.now();
+    return new Promise(resolve => {
+      const active: ActiveJob = {
+        state: openJob(job, queue.maxAttempts),
+        queue,
+        acceptedAt: now,
+        dueAt: now + computeDueMs(job, queue.objective),
+        leavesAt,
+        chainMs: estimateChainMs(job),
+        tickets: new Map(),
+        hasRun: false,
+        isAnswered: false,
+        closers: [],
+        waiters: [resolve],
+        expiry: undefined,
+      };
+      active.expiry = setTimeout(
+        () => this.expire(active),
+        Math.max(1, leavesAt - now),
+      );
+      this.jobs.set(job.id, active);
+      this.schedulePlacing();
+    });
+  }
+
+  private judge(
+    {job, queue, leavesAt}: JobSubmission,
+    now: Instant,
+  ): JobOutcome | undefined {
+    const targets = this.fleet.listTargets(queue.service);
+    if (targets.length === 0) {
+      return {
+        kind: 'refused',
+        retryAfterMs: noTargetRetryMs,
+        detail: `no target of service "${queue.service}" can be reached`,
+      };
+    }
+    const verdict = judgeBacklog(
+      {
+        chainMs: estimateChainMs(job),
+        dueAt: now + computeDueMs(job, queue.objective),
+        leavesAt,
+      },
+      this.measureBacklog(queue.service, targets),
+      now,
+    );
+    if (verdict.kind === 'admit') return undefined;
+    return {
+      kind: 'refused',
+      retryAfterMs: verdict.retryAfterMs,
+      detail: 'the targets cannot come to it before its caller leaves',
+    };
+  }
+
+  private measureBacklog(
+    service: ServiceName,
+    targets: readonly RoomTarget[],
+  ): {readonly workCoreMs: number; readonly rate: number} {
+    let workCoreMs = 0;
+    for (const {state, queue} of this.jobs.values()) {
+      if (queue.service === service) workCoreMs += measureWaiting(state);
+    }
+    const rate = targets.reduce(
+      (sum, {room, slowness}) => sum + room.cpuMillis / slowness,
+      0,
+    );
+    return {workCoreMs, rate};
+  }
+
+  private schedulePlacing(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.placeWaiting();
+    });
+  }
+
+  private placeWaiting(): void {
+    const impossible = this.placer.placeAll(
+      this.jobs.values(),
+      this.clock.now(),
+    );
+    for (const job of impossible) this.close(job, {kind: 'failed'});
+  }
+
+  private recordEnd(
+    target: TargetId,
+    run: OutstandingRun,
+    end: ReportedEnd,
+  ): void {
+    const job = this.jobs.get(run.ref.job);
+    if (job === undefined) return;
+    job.tickets.delete(run.ticket);
+    job.state = endRun(job.state, run.ref, end);
+    if (job.isAnswered) {
+      this.forgetEnded(job);
+      return;
+    }
+    if (end !== 'succeeded') {
+      const {ref} = run;
+      this.options.log.info(
+        {event: 'run-ended', target, ...ref, end},
+        'a run did not succeed',
+      );
+    }
+    switch (job.state.phase) {
+      case 'completed':
+        this.close(job, {kind: 'completed'});
+        return;
+      case 'failed':
+        this.close(job, {kind: 'failed'});
+        return;
+      case 'open':
+      case 'cancelled':
+        this.schedulePlacing();
+    }
+  }
+
+  private expire(job: ActiveJob): void {
+    this.close(
+      job,
+      job.hasRun
+        ? {kind: 'expired'}
+        : {
+            kind: 'refused',
+            retryAfterMs: noTargetRetryMs,
+            detail: 'no room was found before the caller leaves',
+          },
+    );
+  }
+
+  private close(job: ActiveJob, outcome: JobOutcome): void {
+    clearTimeout(job.expiry);
+    job.isAnswered = true;
+    job.state = cancelJob(job.state);
+    if (outcome.kind === 'completed' || outcome.kind === 'failed') {
+      this.finished.set(job.state.job.id, outcome);
+    } else {
+      this.given.set(job.state.job.id, true);
+    }
+    const byTarget = new Map<TargetId, RunTicket[]>();
+    for (const [ticket, target] of job.tickets) {
+      const tickets = byTarget.get(target) ?? [];
+      tickets.push(ticket);
+      byTarget.set(target, tickets);
+    }
+    for (const [target, tickets] of byTarget) {
+      this.fleet.find(target)?.withdraw(tickets);
+    }
+    if (outcome.kind !== 'completed') {
+      this.options.log.info(
+        {
+          event: 'job-ended',
+          job: job.state.job.id,
+          queue: job.queue.name,
+          outcome: outcome.kind,
+          ageMs: Math.round(this.clock.now() - job.acceptedAt),
+        },
+        'a job did not complete',
+      );
+    }
+    for (const resolve of job.waiters) resolve(outcome);
+    this.forgetEnded(job);
+  }
+
+  /** Forgets an answered job once nothing of it runs any more. */
+  private forgetEnded(job: ActiveJob): void {
+    if (job.tickets.size > 0) return;
+    this.jobs.delete(job.state.job.id);
+    for (const close of job.closers) close();
+  }
+}
+
+/** Finds the queue that a request names: its host, and the longest path that the request's begins with. */
+export function findQueue(
+  {queues}: Configuration,
+  host: string,
+  path: string,
+): QueueConfig | undefined {
+  let found: QueueConfig | undefined;
+  for (const queue of queues) {
+    if (queue.host !== host || !path.startsWith(queue.path)) continue;
+    if (found === undefined || queue.path.length > found.path.length) {
+      found = queue;
+    }
+  }
+  return found;
+}
+
+function sleepUntil(deadline: Instant, clock: Clock): Promise<undefined> {
+  const ms = Math.max(0, deadline - clock.now());
+  return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
+}
+
+/** Sums up the work of a job's tasks that wait for a target, in thousandths of a core times ms. */
+function measureWaiting(state: JobState): number {
+  let work = 0;
+  for (const [step, tasks] of state.steps.entries()) {
+    const {demand, estimateMs} = state.job.steps[step]!;
+    for (const {kind} of tasks) {
+      if (kind === 'ready' || kind === 'blocked') {
+        work += demand.cpuMillis * estimateMs;
+      }
+    }
+  }
+  return work;
+}
--- /dev/null
+++ b/packages/dispatch/src/link.ts
@@ -0,0 +1,283 @@
+import {
+  type Clock,
+  type Instant,
+  type JobId,
+  type RoomDemand,
+  type RunRef,
+  type TargetId,
+  type TargetInfo,
+} from '#model';
+import {
+  dialPeer,
+  type Liveness,
+  type Peer,
+  type ReportedEnd,
+  type RunBatch,
+  type RunEndRow,
+  type RunTicket,
+  type TargetLoad,
+} from '#protocol';
+import type {RoomTarget} from '#policy';
+import {executorLeaseMs, permissionMs} from '#runner';
+import type {Logger} from '#telemetry';
+
+/** A run that a target was told of and that is not known to be over. */
+export interface OutstandingRun {
+  readonly ticket: RunTicket;
+  readonly ref: RunRef;
+  readonly demand: RoomDemand;
+}
+
+export interface LinkOwner {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly dispatcher: string;
+  readonly life: number;
+  readonly failureDomain: string;
+  /** A run is over; nothing of it is left at the target. */
+  readonly onEnd: (
+    target: TargetId,
+    run: OutstandingRun,
+    end: ReportedEnd,
+  ) => void;
+  /** Room or readiness has changed. */
+  readonly onLoad: () => void;
+}
+
+/** Between hosts of a site: silence of a second is a fault. */
+const liveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
+const dialTimeoutMs = 600;
+const attachTimeoutMs = 600;
+const firstPauseMs = 30;
+const maxPauseMs = 1000;
+/** Added to what two hosts' clocks may drift apart over a lease, and to a stop, in ms. */
+const marginMs = 130;
+/** After the last permission, a target's runs are over: stopped by its runner or lapsed at its executor. */
+const lossMs = permissionMs + executorLeaseMs + marginMs;
+
+/** A dispatcher's connection to the runner of one target, and its runs there. */
+export class RunnerLink implements AsyncDisposable {
+  private readonly outstanding = new Map<RunTicket, OutstandingRun>();
+  private peer: Peer | undefined;
+  private load: TargetLoad | undefined;
+  private own: RoomDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  /** When this end last let the target's runs go on. */
+  private permittedAt: Instant = -Infinity;
+  private stopped = false;
+  private wake: () => void = () => {};
+  private lossTimer: NodeJS.Timeout | undefined;
+  private readonly loop: Promise<void>;
+
+  constructor(
+    private info: TargetInfo,
+    private readonly owner: LinkOwner,
+  ) {
+    this.loop = this.keepConnected();
+  }
+
+  get target(): TargetId {
+    return this.info.target;
+  }
+
+  get service(): string {
+    return this.info.service;
+  }
+
+  /** True when runs may be placed here. */
+  get isOpen(): boolean {
+    return (
+      this.peer?.isOpen === true &&
+      this.load?.open === true &&
+      !this.info.leaving
+    );
+  }
+
+  /** True when nothing at the target is left to hear of. */
+  get isIdle(): boolean {
+    return this.outstanding.size === 0;
+  }
+
+  /** Follows what control says of the target. */
+  update(info: TargetInfo): void {
+    this.info = info;
+    this.owner.onLoad();
+  }
+
+  /** Describes the target for placement. */
+  describe(): RoomTarget | undefined {
+    const {capacity, place} = this.info;
+    const {load, own} = this;
+    if (capacity.kind !== 'room' || load === undefined) return undefined;
+    return {
+      target: this.target,
+      room: capacity,
+      used: {
+        cpuMillis: load.cpuMillis + own.cpuMillis,
+        memoryMb: load.memoryMb + own.memoryMb,
+        accelerators: load.accelerators + own.accelerators,
+      },
+      slowness: load.slowness,
+      failing: load.failing,
+      isNear: place.failureDomain === this.owner.failureDomain,
+    };
+  }
+
+  /** Tells the target to run tasks. They count as placed from now on. */
+  place(batch: RunBatch, runs: ReadonlyMap<RunTicket, OutstandingRun>): void {
+    for (const [ticket, run] of runs) {
+      this.outstanding.set(ticket, run);
+      this.own = changeDemand(this.own, run.demand, 1);
+    }
+    this.peer!.notify('runner.place', {batches: [batch]});
+  }
+
+  /** Asks the target to end runs; their ends are told as any others. */
+  withdraw(tickets: readonly RunTicket[]): void {
+    if (tickets.length > 0) this.peer?.notify('runner.withdraw', {tickets});
+  }
+
+  /** Ends what other dispatchers run of a job; false when the target does not say so in time. */
+  async clear(job: JobId, deadline: Instant): Promise<boolean> {
+    const reply = await this.peer?.request('runner.clear', {job}, deadline);
+    return reply?.isRight() === true;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped = true;
+    clearTimeout(this.lossTimer);
+    this.wake();
+    await this.peer?.[Symbol.asyncDispose]();
+    await this.loop;
+  }
+
+  private async keepConnected(): Promise<void> {
+    let pauseMs = firstPauseMs;
+    while (!this.stopped) {
+      const peer = await this.connect();
+      if (peer !== undefined) {
+        pauseMs = firstPauseMs;
+        const cause = await peer.closed;
+        this.owner.log.info(
+          {event: 'runner-lost', target: this.target, cause},
+          'the connection to a runner has ended',
+        );
+        this.scheduleLoss();
+        this.owner.onLoad();
+      }
+      if (this.stopped) return;
+      await this.pause(pauseMs);
+      pauseMs = Math.min(maxPauseMs, pauseMs * 2);
+    }
+  }
+
+  private async connect(): Promise<Peer | undefined> {
+    const {clock, dispatcher, life} = this.owner;
+    const dialled = await dialPeer(
+      this.info.address,
+      {
+        'dispatcher.renew': (_, peer) => this.grantPermission(peer),
+        'dispatcher.report': ({ends, load}, peer) => {
+          if (peer === this.peer) this.take(ends, load);
+        },
+      },
+      clock.now() + dialTimeoutMs,
+      liveness,
+    );
+    const peer = dialled.toMaybe().extract();
+    if (peer === undefined || this.stopped) {
+      peer?.close('closed by this end');
+      return undefined;
+    }
+    this.peer = peer;
+    const attached = await peer.request(
+      'runner.attach',
+      {dispatcher, life, tickets: [...this.outstanding.keys()]},
+      clock.now() + attachTimeoutMs,
+    );
+    return attached.caseOf({
+      Left: failure => {
+        peer.close(`attaching failed: ${failure.kind}`);
+        return undefined;
+      },
+      Right: ({ended, load}) => {
+        clearTimeout(this.lossTimer);
+        this.lossTimer = undefined;
+        this.take(ended, load);
+        this.owner.log.info(
+          {event: 'runner-attached', target: this.target, load},
+          'attached to a runner',
+        );
+        return peer;
+      },
+    });
+  }
+
+  private grantPermission(peer: Peer): Record<string, never> {
+    if (peer !== this.peer) throw new Error('this connection was replaced');
+    this.permittedAt = this.owner.clock.now();
+    return {};
+  }
+
+  private take(ends: readonly RunEndRow[], load: TargetLoad): void {
+    this.load = load;
+    for (const [ticket, end] of ends) this.finish(ticket, end);
+    this.owner.onLoad();
+  }
+
+  private finish(ticket: RunTicket, end: ReportedEnd): void {
+    const run = this.outstanding.get(ticket);
+    if (run === undefined) return;
+    this.outstanding.delete(ticket);
+    this.own = changeDemand(this.own, run.demand, -1);
+    this.owner.onEnd(this.target, run, end);
+  }
+
+  /** Without a connection no run is permitted any more; after a while none is left. */
+  private scheduleLoss(): void {
+    if (this.outstanding.size === 0 || this.lossTimer !== undefined) return;
+    const now = this.owner.clock.now();
+    const dueMs = Math.max(0, this.permittedAt + lossMs - now);
+    this.lossTimer = setTimeout(() => {
+      this.lossTimer = undefined;
+      this.loseAll('its runner was out of reach for longer than its leases');
+    }, dueMs);
+  }
+
+  private loseAll(detail: string): void {
+    if (this.outstanding.size === 0) return;
+    this.owner.log.warn(
+      {
+        event: 'runs-lost',
+        target: this.target,
+        runs: this.outstanding.size,
+        detail,
+      },
+      'runs are over without an end',
+    );
+    for (const ticket of [...this.outstanding.keys()]) {
+      this.finish(ticket, 'lapsed');
+    }
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = setTimeout(resolve, ms);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
+
+function changeDemand(
+  own: RoomDemand,
+  by: RoomDemand,
+  sign: 1 | -1,
+): RoomDemand {
+  return {
+    cpuMillis: own.cpuMillis + sign * by.cpuMillis,
+    memoryMb: own.memoryMb + sign * by.memoryMb,
+    accelerators: own.accelerators + sign * by.accelerators,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/ownership.ts
@@ -0,0 +1,96 @@
+import {type Address, type Instant, type JobId, monotonicClock} from '#model';
+import type {Logger} from '#telemetry';
+import {type ClaimTable, rankRegistrars} from './claims.js';
+import type {Fellows} from './fellows.js';
+
+export interface OwnershipOptions {
+  /** Where this dispatcher listens; undefined for one without others. */
+  readonly address: Address | undefined;
+  readonly claims: ClaimTable;
+  readonly fellows: Fellows;
+  readonly log: Logger;
+  /** Where all dispatchers listen, this one included. */
+  readonly listDispatchers: () => readonly Address[];
+  /** Ends what others run of a job wherever a target can be reached; false when one cannot. */
+  readonly clear: (job: JobId, deadline: Instant) => Promise<boolean>;
+}
+
+export type Standing =
+  /** This dispatcher may run the job. */
+  | {readonly kind: 'own'}
+  /** It has ended elsewhere. */
+  | {readonly kind: 'completed'}
+  | {readonly kind: 'failed'}
+  /** Something of it may run where it cannot be stopped. */
+  | {readonly kind: 'uncertain'};
+
+/** A registrar that does not answer within this is passed over, in ms. */
+const claimTimeoutMs = 120;
+const clearTimeoutMs = 700;
+/** Owners that a claim may pass through before it is given up. */
+const maxOwners = 3;
+
+/**
+ * Makes sure that one dispatcher at a time runs a job, also when its caller submits it to another
+ * one: the job's registrar knows the owner, the owner is asked, and where it cannot be, the targets are.
+ */
+export async function settleOwnership(
+  options: OwnershipOptions,
+  job: JobId,
+  deadline: Instant,
+): Promise<Standing> {
+  const {address, fellows, log} = options;
+  if (address === undefined) return {kind: 'own'};
+  let replaces: Address | undefined;
+  for (let turn = 0; turn < maxOwners; turn++) {
+    const owner = await findOwner(options, job, replaces);
+    if (owner === undefined || owner === address) return {kind: 'own'};
+    const standing = await fellows.follow(owner, job, deadline);
+    log.info(
+      {event: 'job-elsewhere', job, owner, standing: standing?.kind ?? 'none'},
+      'a job was submitted to another dispatcher before',
+    );
+    switch (standing?.kind) {
+      case 'completed':
+      case 'failed':
+        return standing;
+      case 'closed':
+        break;
+      case 'unknown':
+      case undefined:
+        if (!(await clearOthers(options, job, deadline))) {
+          return {kind: 'uncertain'};
+        }
+    }
+    replaces = owner;
+  }
+  return {kind: 'uncertain'};
+}
+
+function clearOthers(
+  {clear}: OwnershipOptions,
+  job: JobId,
+  deadline: Instant,
+): Promise<boolean> {
+  const limit = Math.min(deadline, monotonicClock.now() + clearTimeoutMs);
+  return clear(job, limit);
+}
+
+/** Asks the job's registrar, or the next one in its order. */
+async function findOwner(
+  {address, claims, fellows, listDispatchers}: OwnershipOptions,
+  job: JobId,
+  replaces: Address | undefined,
+): Promise<Address | undefined> {
+  const claimant = address!;
+  for (const registrar of rankRegistrars(job, listDispatchers())) {
+    if (registrar === claimant) return claims.note(job, claimant, replaces);
+    const owner = await fellows.askOwner(
+      registrar,
+      {job, claimant, ...(replaces !== undefined && {replaces})},
+      monotonicClock.now() + claimTimeoutMs,
+    );
+    if (owner !== undefined) return owner;
+  }
+  return claims.note(job, claimant, replaces);
+}
--- /dev/null
+++ b/packages/dispatch/src/placer.ts
@@ -0,0 +1,143 @@
+import type {Instant, ServiceName, TargetId} from '#model';
+import {listReady, nameRun, placeTask, type TaskPosition} from '#jobs';
+import {chooseTarget, type RoomTarget} from '#policy';
+import type {RunTicket} from '#protocol';
+import {type ActiveJob, rankJob} from './active-job.js';
+import type {OutstandingRun} from './link.js';
+import type {RunnerFleet} from './runner-fleet.js';
+
+type Pool = Map<TargetId, RoomTarget>;
+
+interface PlacedRuns {
+  readonly target: TargetId;
+  readonly step: number;
+  readonly runs: Map<RunTicket, OutstandingRun>;
+}
+
+/** Sends ready tasks to targets with room for them, the most urgent job's first. */
+export class Placer {
+  private nextTicket: RunTicket = 1;
+
+  constructor(private readonly fleet: RunnerFleet) {}
+
+  /** Places what can be placed; returns the jobs of which a task can never be held by any target. */
+  placeAll(jobs: Iterable<ActiveJob>, now: Instant): readonly ActiveJob[] {
+    const waiting = [...jobs]
+      .filter(({state}) => listReady(state).length > 0)
+      .map(job => ({job, rank: rankJob(job, now)}))
+      .sort((a, b) => a.rank - b.rank);
+    const pools = new Map<ServiceName, Pool>();
+    const impossible: ActiveJob[] = [];
+    for (const {job, rank} of waiting) {
+      const pool = this.openPool(pools, job.queue.service);
+      if (!this.placeJob(job, rank, pool, now)) impossible.push(job);
+    }
+    return impossible;
+  }
+
+  private openPool(pools: Map<ServiceName, Pool>, service: ServiceName): Pool {
+    const known = pools.get(service);
+    if (known !== undefined) return known;
+    const targets = this.fleet.listTargets(service);
+    const pool = new Map(targets.map(target => [target.target, target]));
+    pools.set(service, pool);
+    return pool;
+  }
+
+  /** False when a task fits no target even when it is empty. */
+  private placeJob(
+    job: ActiveJob,
+    rank: number,
+    pool: Pool,
+    now: Instant,
+  ): boolean {
+    const placed: [TaskPosition, TargetId][] = [];
+    for (const pos of listReady(job.state)) {
+      const step = job.state.job.steps[pos.step]!;
+      const task = job.state.steps[pos.step]![pos.index]!;
+      const choice = chooseTarget(
+        {
+          ...step,
+          dueAt: job.dueAt,
+          ...(task.kind === 'ready' && {avoid: task.avoid}),
+        },
+        [...pool.values()],
+        now,
+      );
+      if (choice.kind === 'impossible') return false;
+      if (choice.kind === 'wait') continue;
+      const target = pool.get(choice.target)!;
+      pool.set(choice.target, reserveRoom(target, step.demand));
+      placed.push([pos, choice.target]);
+    }
+    this.sendRuns(job, rank, placed);
+    return true;
+  }
+
+  private sendRuns(
+    job: ActiveJob,
+    rank: number,
+    placed: readonly (readonly [TaskPosition, TargetId])[],
+  ): void {
+    const batches = new Map<string, PlacedRuns>();
+    for (const [pos, target] of placed) {
+      const run = this.openRun(job, pos, target);
+      const key = `${target} ${pos.step}`;
+      const batch = batches.get(key) ?? {
+        target,
+        step: pos.step,
+        runs: new Map(),
+      };
+      batch.runs.set(run.ticket, run);
+      batches.set(key, batch);
+    }
+    for (const batch of batches.values()) this.sendBatch(job, rank, batch);
+  }
+
+  private openRun(
+    job: ActiveJob,
+    pos: TaskPosition,
+    target: TargetId,
+  ): OutstandingRun {
+    const ref = nameRun(job.state, pos);
+    job.state = placeTask(job.state, pos, target);
+    const ticket = this.nextTicket++;
+    job.tickets.set(ticket, target);
+    const {demand} = job.state.job.steps[pos.step]!;
+    return {ticket, ref, demand};
+  }
+
+  private sendBatch(
+    job: ActiveJob,
+    rank: number,
+    {target, step, runs}: PlacedRuns,
+  ): void {
+    job.hasRun = true;
+    const {id, payload, steps} = job.state.job;
+    const {demand, estimateMs} = steps[step]!;
+    this.fleet.find(target)!.place(
+      {
+        job: id,
+        payload,
+        step,
+        demand,
+        estimateMs,
+        rank,
+        runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
+      },
+      runs,
+    );
+  }
+}
+
+function reserveRoom(target: RoomTarget, more: RoomTarget['used']): RoomTarget {
+  const {used} = target;
+  return {
+    ...target,
+    used: {
+      cpuMillis: used.cpuMillis + more.cpuMillis,
+      memoryMb: used.memoryMb + more.memoryMb,
+      accelerators: used.accelerators + more.accelerators,
+    },
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -0,0 +1,69 @@
+import type {Instant, JobId, ServiceName, TargetId, TargetInfo} from '#model';
+import type {View} from '#membership';
+import type {RoomTarget} from '#policy';
+import {type LinkOwner, RunnerLink} from './link.js';
+
+/** The connections to the runners of all targets that control knows. */
+export class RunnerFleet implements AsyncDisposable {
+  private readonly links = new Map<TargetId, RunnerLink>();
+
+  constructor(private readonly owner: LinkOwner) {}
+
+  /** True when some target could take work. */
+  get isConnected(): boolean {
+    return [...this.links.values()].some(link => link.isOpen);
+  }
+
+  find(target: TargetId): RunnerLink | undefined {
+    return this.links.get(target);
+  }
+
+  /** Follows the targets that control knows. A link with runs outlasts its target's place in the view. */
+  follow(view: View): void {
+    const known = new Set<TargetId>();
+    for (const info of view.targets.list()) {
+      if (info.capacity.kind !== 'room') continue;
+      known.add(info.target);
+      this.putTarget(info);
+    }
+    for (const [target, link] of this.links) {
+      if (known.has(target) || !link.isIdle) continue;
+      this.links.delete(target);
+      void link[Symbol.asyncDispose]();
+    }
+  }
+
+  /** Describes the targets of a service that take runs. */
+  listTargets(service: ServiceName): readonly RoomTarget[] {
+    const targets: RoomTarget[] = [];
+    for (const link of this.links.values()) {
+      if (link.service !== service || !link.isOpen) continue;
+      const target = link.describe();
+      if (target !== undefined) targets.push(target);
+    }
+    return targets;
+  }
+
+  /** Ends what other dispatchers run of a job; false when a target does not say so in time. */
+  async clear(job: JobId, deadline: Instant): Promise<boolean> {
+    const cleared = await Promise.all(
+      [...this.links.values()].map(link => link.clear(job, deadline)),
+    );
+    return cleared.every(done => done);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(
+      [...this.links.values()].map(link => link[Symbol.asyncDispose]()),
+    );
+  }
+
+  private putTarget(info: TargetInfo): void {
+    const known = this.links.get(info.target);
+    if (known !== undefined) {
+      known.update(info);
+      return;
+    }
+    this.links.set(info.target, new RunnerLink(info, this.owner));
+  }
+}
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -173,6 +173,7 @@
   }
 
   private putTarget(target: TargetInfo): void {
+    if (target.capacity.kind === 'room') return;
     const known = this.links.get(target.target);
     if (known !== undefined && known.target.address === target.address) {
       known.update(target);
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -139,7 +139,9 @@
 
   /** What the service's targets can hold. */
   listCapacities(): readonly Capacity[] {
-    return [...this.links.values()].map(({target}) => target.capacity);
+    return [...this.links.values()]
+      .map(({target}) => target.capacity)
+      .filter(capacity => capacity.kind !== 'room');
   }
 
   /** Describes the work in hand, as admission needs it for one team. */
--- a/packages/entry/test/builders.ts
+++ b/packages/entry/test/builders.ts
@@ -35,6 +35,7 @@
     ],
     teams,
     regions: [],
+    queues: [],
     limits: {
       maxTasksPerJob: 1000,
       maxBodyBytes: 1e6,
--- a/packages/entry/test/forwarder.test.ts
+++ b/packages/entry/test/forwarder.test.ts
@@ -23,6 +23,7 @@
   const quota = {tasksPerSecond: 1, burstTasks: 1, weight: 1};
   return {
     services: [],
+    queues: [],
     limits: {maxQueuedTasks} as Configuration['limits'],
     teams: homeRegion === undefined ? [] : [{name: team, homeRegion, ...quota}],
     regions: regions.map(name => ({name, entries: [`${name}:1`, `${name}:2`]})),
--- /dev/null
+++ b/packages/jobs/src/chain.ts
@@ -0,0 +1,19 @@
+import type {CompletionObjective, QueuedJob} from '#model';
+
+/** Estimates the longest chain of work in a job, from its callers' estimates, in ms. */
+export function estimateChainMs({steps}: QueuedJob): number {
+  const ends: number[] = [];
+  for (const step of steps) {
+    const begin = Math.max(0, ...step.after.map(before => ends[before] ?? 0));
+    ends.push(begin + step.estimateMs);
+  }
+  return Math.max(0, ...ends);
+}
+
+/** Computes how long after its submission a job is due, in ms. */
+export function computeDueMs(
+  job: QueuedJob,
+  {stretch, slackMs}: CompletionObjective,
+): number {
+  return stretch * estimateChainMs(job) + slackMs;
+}
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,19 @@
+export type {
+  JobPhase,
+  JobState,
+  RunEnd,
+  TaskPosition,
+  TaskState,
+} from './job.js';
+export {
+  cancelJob,
+  endRun,
+  listPlaced,
+  listReady,
+  nameRun,
+  openJob,
+  placeTask,
+} from './job.js';
+
+export {computeDueMs, estimateChainMs} from './chain.js';
+export {findJobFault} from './check.js';
--- a/packages/membership/src/configure.ts
+++ b/packages/membership/src/configure.ts
@@ -127,9 +127,17 @@
 
 function judgeChange(
   {current, history, homes}: ConfigurationState,
-  {expectedVersion}: ApplyConfigParams,
+  {expectedVersion, source}: ApplyConfigParams,
   changed: Homes,
 ): ApplyConfigResult {
+  const originVersion = source.origin?.version;
+  if (originVersion !== undefined) {
+    const known = current.source.origin?.version ?? 0;
+    if (originVersion <= known) {
+      return {kind: 'overtaken', version: current.version};
+    }
+    return {kind: 'accepted', version: current.version + 1};
+  }
   if (expectedVersion === current.version) {
     const errors = judgeHomes(homes, changed);
     if (errors.length > 0) return {kind: 'invalid', errors};
@@ -158,7 +166,14 @@
     a < b ? -1 : 1,
   );
   return createHash('sha256')
-    .update(JSON.stringify([expectedVersion, source.base, overlays]))
+    .update(
+      JSON.stringify([
+        expectedVersion,
+        source.base,
+        overlays,
+        ...(source.origin === undefined ? [] : [source.origin]),
+      ]),
+    )
     .digest('hex')
     .slice(0, 32);
 }
--- a/packages/model/src/configuration.ts
+++ b/packages/model/src/configuration.ts
@@ -5,6 +5,7 @@
   SiteName,
   TeamName,
 } from './id.js';
+import type {QueueConfig} from './queue.js';
 
 /** Which score weighs more when a service's tasks are placed. */
 export type Objective =
@@ -80,15 +81,26 @@
   readonly teams: readonly TeamConfig[];
   /** Empty: one control group admits every team's jobs. */
   readonly regions: readonly RegionConfig[];
+  readonly queues: readonly QueueConfig[];
   readonly limits: Limits;
 }
 
+/** The document of an operator's own system from which the texts were derived. */
+export interface ConfigurationOrigin {
+  /** Numbered by that system: the highest one is in force. */
+  readonly version: number;
+  /** As it was received, to be read back. */
+  readonly document: string;
+}
+
 /** The texts that operators write, as they were accepted. */
 export interface ConfigurationSource {
   /** TOML of the whole service. */
   readonly base: string;
   /** TOML overlays by site; each states only differences. */
   readonly overlays: Readonly<Record<SiteName, string>>;
+  /** Set where another system keeps the configuration. */
+  readonly origin?: ConfigurationOrigin;
 }
 
 /** An accepted configuration. Versions grow by one and are never reused. */
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -33,6 +33,7 @@
 
 export type {
   Configuration,
+  ConfigurationOrigin,
   ConfigurationSource,
   Limits,
   Objective,
@@ -50,11 +51,24 @@
   EndedEpoch,
   EntryInfo,
   Place,
+  Room,
   TargetInfo,
 } from './target.js';
 
+export {RecentMap} from './recent-map.js';
+
 export type {Submission} from './submission.js';
 
+export type {
+  CompletionObjective,
+  JobStep,
+  QueueConfig,
+  QueuedJob,
+  QueueName,
+  RoomDemand,
+  RunRef,
+} from './queue.js';
+
 export {
   assertInvariant,
   BrokenInvariant,
--- a/packages/model/src/target.ts
+++ b/packages/model/src/target.ts
@@ -31,6 +31,15 @@
       readonly accelerators: number;
     };
 
+/** A target that runs tasks of any size side by side while they fit. */
+export interface Room {
+  readonly kind: 'room';
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  readonly accelerators: number;
+  readonly labels: readonly string[];
+}
+
 /** A target as its agent announces it. */
 export interface TargetInfo {
   readonly target: TargetId;
@@ -40,7 +49,7 @@
   /** Where the agent listens for entries. */
   readonly address: Address;
   readonly place: Place;
-  readonly capacity: Capacity;
+  readonly capacity: Capacity | Room;
   readonly leaving: boolean;
 }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -52,6 +52,16 @@
 } from './placement.js';
 export {choosePolicy, createPlacement, resolvePolicy} from './placement.js';
 
+export type {
+  PlacementChoice,
+  PlacingTask,
+  RoomTarget,
+} from './room-placement.js';
+export {chooseTarget, isHoldable} from './room-placement.js';
+
+export type {ArrivingJob, BacklogVerdict, PoolBacklog} from './backlog.js';
+export {estimateBacklogMs, judgeBacklog} from './backlog.js';
+
 export type {GrantLimits, GrantMode, SlotGrants, SlotHolder} from './grants.js';
 export {
   connectHolder,
--- /dev/null
+++ b/packages/policy/src/room-placement.ts
@@ -0,0 +1,109 @@
+import type {Instant, Room, RoomDemand, TargetId} from '#model';
+
+/** A target as one dispatcher sees it. */
+export interface RoomTarget {
+  readonly target: TargetId;
+  readonly room: Room;
+  /** What is in use or promised, by this dispatcher and the others. */
+  readonly used: RoomDemand;
+  /** Run time over callers' estimates. */
+  readonly slowness: number;
+  /** Share of recent runs that failed, from 0 to 1. */
+  readonly failing: number;
+  /** In the dispatcher's own failure domain. */
+  readonly isNear: boolean;
+}
+
+/** A ready task that looks for a target. */
+export interface PlacingTask {
+  readonly demand: RoomDemand;
+  readonly estimateMs: number;
+  /** When its job is due. */
+  readonly dueAt: Instant;
+  readonly requiredLabel?: string;
+  readonly dataRack?: string;
+  /** Where the run before ended badly. */
+  readonly avoid?: TargetId;
+}
+
+export type PlacementChoice =
+  | {readonly kind: 'place'; readonly target: TargetId}
+  /** Nothing fits, or waiting for a faster target pays. */
+  | {readonly kind: 'wait'}
+  /** No target of the service could ever hold it. */
+  | {readonly kind: 'impossible'};
+
+/** A target in another failure domain must be faster by this to be taken, in ms: messages there cost more. */
+const distanceMs = 12;
+/** A target that fails more than this of its runs gets none while another one has room. */
+const maxFailing = 0.5;
+/** How much longer work takes away from its data. */
+const awayFactor = 1.5;
+/** The more a target fails, the slower it counts. */
+const failingWeight = 4;
+
+/** Tells whether an empty target could hold the task. */
+export function isHoldable(
+  {room}: Pick<RoomTarget, 'room'>,
+  {demand, requiredLabel}: Pick<PlacingTask, 'demand' | 'requiredLabel'>,
+): boolean {
+  return (
+    demand.cpuMillis <= room.cpuMillis &&
+    demand.memoryMb <= room.memoryMb &&
+    demand.accelerators <= room.accelerators &&
+    (requiredLabel === undefined || room.labels.includes(requiredLabel))
+  );
+}
+
+/**
+ * Chooses where a task runs soonest to its end. Load pattern: targets of unequal speed, of which the
+ * fast ones fill first. A slow target that would miss the due time is passed over while a fast one,
+ * once free, would still keep it.
+ */
+export function chooseTarget(
+  task: PlacingTask,
+  targets: readonly RoomTarget[],
+  now: Instant,
+): PlacementChoice {
+  const holding = targets.filter(target => isHoldable(target, task));
+  if (holding.length === 0) {
+    return targets.length === 0 ? {kind: 'wait'} : {kind: 'impossible'};
+  }
+  const sound = holding.filter(({failing}) => failing <= maxFailing);
+  const usable = sound.length > 0 ? sound : holding;
+  let best: {readonly target: TargetId; readonly cost: number} | undefined;
+  let fastest = Infinity;
+  for (const target of usable) {
+    const runMs = estimateRunMs(task, target);
+    fastest = Math.min(fastest, runMs);
+    if (!isRoomFor(target, task.demand)) continue;
+    if (target.target === task.avoid && usable.length > 1) continue;
+    const cost =
+      runMs * (1 + failingWeight * target.failing) +
+      (target.isNear ? 0 : distanceMs);
+    if (best === undefined || cost < best.cost) {
+      best = {target: target.target, cost};
+    }
+  }
+  if (best === undefined) return {kind: 'wait'};
+  const missesDue = now + best.cost > task.dueAt;
+  const fastKeepsDue = now + fastest <= task.dueAt;
+  if (missesDue && fastKeepsDue) return {kind: 'wait'};
+  return {kind: 'place', target: best.target};
+}
+
+function isRoomFor({room, used}: RoomTarget, demand: RoomDemand): boolean {
+  return (
+    used.cpuMillis + demand.cpuMillis <= room.cpuMillis &&
+    used.memoryMb + demand.memoryMb <= room.memoryMb &&
+    used.accelerators + demand.accelerators <= room.accelerators
+  );
+}
+
+function estimateRunMs(
+  {estimateMs, dataRack}: PlacingTask,
+  {slowness, room}: RoomTarget,
+): number {
+  const isAway = dataRack !== undefined && !room.labels.includes(dataRack);
+  return estimateMs * slowness * (isAway ? awayFactor : 1);
+}
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -10,6 +10,7 @@
   optional,
   record,
   string,
+  tuple,
   unknown,
 } from 'purify-ts/Codec';
 import type {MethodName, ParamsOf} from './methods.js';
@@ -55,6 +56,13 @@
     memoryMb: number,
     accelerators: count,
   }),
+  Codec.interface({
+    kind: exactly('room'),
+    cpuMillis: count,
+    memoryMb: count,
+    accelerators: count,
+    labels: array(string),
+  }),
 ]);
 const target = Codec.interface({
   target: string,
@@ -79,6 +87,7 @@
 const source = Codec.interface({
   base: string,
   overlays: record(string, string),
+  origin: optional(Codec.interface({version: count, document: string})),
 });
 const versionedSource = Codec.interface({
   version: count,
@@ -169,6 +178,36 @@
     changes: array(viewChange),
   }),
 ]);
+const roomDemand = Codec.interface({
+  cpuMillis: span,
+  memoryMb: span,
+  accelerators: span,
+});
+const runBatch = Codec.interface({
+  job: string,
+  payload: string,
+  step: count,
+  demand: roomDemand,
+  estimateMs: span,
+  rank: number,
+  runs: array(tuple([count, count, count])),
+});
+const reportedEnd = exactly(
+  'succeeded',
+  'failed',
+  'stopped',
+  'lapsed',
+  'not-run',
+  'stalled',
+);
+const targetLoad = Codec.interface({
+  open: boolean,
+  cpuMillis: span,
+  memoryMb: span,
+  accelerators: span,
+  slowness: span,
+  failing: span,
+});
 const slots = Codec.interface({slots: count});
 const tasks = Codec.interface({tasks: array(Codec.interface(taskRef))});
 const job = Codec.interface({job: string, forwarded: optional(boolean)});
@@ -264,6 +303,7 @@
       lagging: array(string),
     }),
   ),
+  'control.readConfig': toCheck(nothing),
   'control.configStatus': toCheck(nothing),
   'control.changeMembers': toCheck(
     Codec.interface({
@@ -272,6 +312,29 @@
       address: optional(string),
     }),
   ),
+  'runner.attach': toCheck(
+    Codec.interface({dispatcher: string, life: count, tickets: array(count)}),
+  ),
+  'runner.clear': toCheck(Codec.interface({job: string})),
+  'runner.place': toCheck(Codec.interface({batches: array(runBatch)})),
+  'runner.withdraw': toCheck(Codec.interface({tickets: array(count)})),
+  'dispatcher.claim': toCheck(
+    Codec.interface({
+      job: string,
+      claimant: string,
+      replaces: optional(string),
+    }),
+  ),
+  'dispatcher.follow': toCheck(
+    Codec.interface({job: string, remainingMs: span}),
+  ),
+  'dispatcher.renew': toCheck(nothing),
+  'dispatcher.report': toCheck(
+    Codec.interface({
+      ends: array(tuple([count, reportedEnd, span])),
+      load: targetLoad,
+    }),
+  ),
   'control.status': toCheck(nothing),
   'control.replicate': toCheck(
     Codec.interface({from: string, message: unknown}),
--- a/packages/protocol/src/configuration-messages.ts
+++ b/packages/protocol/src/configuration-messages.ts
@@ -8,7 +8,7 @@
 export interface ApplyConfigParams {
   /** Chosen by the operator's tool; a resend carries the same one. */
   readonly changeId: string;
-  /** The version that the change builds on. */
+  /** The version that the change builds on; not looked at when the source has an origin. */
   readonly expectedVersion: number;
   readonly author: string;
   readonly source: ConfigurationSource;
@@ -25,6 +25,8 @@
       readonly winner: string;
       readonly winnerChangeId: string;
     }
+  /** The origin's version in force is as high as the change's, which is obsolete. */
+  | {readonly kind: 'overtaken'; readonly version: number}
   | {readonly kind: 'invalid'; readonly errors: readonly string[]}
   /** The origin could not be asked through this group: the change may have been accepted or not. */
   | {readonly kind: 'unknown'; readonly detail: string};
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -5,3 +5,5 @@
 export type * from './view-messages.js';
 export type * from './configuration-messages.js';
 export type * from './replica-messages.js';
+export type * from './dispatcher-messages.js';
+export type * from './runner-messages.js';
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -7,7 +7,12 @@
   ApplyConfigResult,
   AttachParams,
   AttachResult,
+  AttachRunnerParams,
+  AttachRunnerResult,
   ChangeMembersParams,
+  ClaimJobParams,
+  ClaimJobResult,
+  ClearJobParams,
   CloseEntryParams,
   ConfigStatus,
   ControlReply,
@@ -18,6 +23,8 @@
   EpochJobsParams,
   FenceParams,
   FenceResult,
+  FollowJobParams,
+  FollowJobResult,
   GrantParams,
   HelloParams,
   HelloResult,
@@ -29,6 +36,7 @@
   LookupResult,
   OpenEntryParams,
   QueryResult,
+  PlaceRunsParams,
   RecallParams,
   RegionReport,
   ReleaseParams,
@@ -37,14 +45,18 @@
   RenewTargetParams,
   ReplicateParams,
   ReportParams,
+  ReportRunsParams,
   ReserveParams,
   StartParams,
   TasksParams,
   ViewUpdate,
   WatchParams,
   WithdrawParams,
+  WithdrawRunsParams,
 } from './messages.js';
 
+import type {VersionedSource} from '#model';
+
 /** Nothing: the parameters or the result of a method that needs none. */
 export type Nothing = Readonly<Record<string, never>>;
 
@@ -101,12 +113,24 @@
     params: RegionReport;
     result: ControlReply<Nothing>;
   };
+  /** The configuration in force, as of no earlier than the question. */
+  'control.readConfig': {
+    params: Nothing;
+    result: ControlReply<VersionedSource>;
+  };
   'control.configStatus': {params: Nothing; result: ControlReply<ConfigStatus>};
   'control.changeMembers': {
     params: ChangeMembersParams;
     result: ControlReply<Nothing>;
   };
   'control.status': {params: Nothing; result: ControlStatus};
+  'runner.attach': {params: AttachRunnerParams; result: AttachRunnerResult};
+  /** Answered once nothing of the job runs for others. */
+  'runner.clear': {params: ClearJobParams; result: Nothing};
+  'dispatcher.claim': {params: ClaimJobParams; result: ClaimJobResult};
+  'dispatcher.follow': {params: FollowJobParams; result: FollowJobResult};
+  /** Asked by the runner: the answer permits the dispatcher's runs for another while. */
+  'dispatcher.renew': {params: Nothing; result: Nothing};
   /** Served by both ends: its result proves that all that was sent before has arrived. */
   'peer.sync': {params: Nothing; result: Nothing};
 }
@@ -121,6 +145,9 @@
   'entry.grant': GrantParams;
   'entry.recall': RecallParams;
   'entry.report': ReportParams;
+  'runner.place': PlaceRunsParams;
+  'runner.withdraw': WithdrawRunsParams;
+  'dispatcher.report': ReportRunsParams;
   'control.replicate': ReplicateParams;
   'watcher.update': ViewUpdate;
 }
--- /dev/null
+++ b/packages/runner/src/index.ts
@@ -0,0 +1,18 @@
+export type {RunnerOptions} from './runner.js';
+export {Runner} from './runner.js';
+
+export type {
+  EndedRow,
+  EndKind,
+  ExecutorInfo,
+  ExecutorPort,
+  ExecutorReport,
+  LeaseRequest,
+  RunningRow,
+  StartOrder,
+  StartOutcome,
+  StartRefusal,
+} from './executor.js';
+
+export {executorLeaseMs} from './lease.js';
+export {permissionMs} from './session.js';
--- /dev/null
+++ b/packages/runner/src/lease.ts
@@ -0,0 +1,114 @@
+import type {Clock, Instant} from '#model';
+import type {Either} from 'purify-ts';
+import type {ExecutorPort, ExecutorReport} from './executor.js';
+
+/** How long the executor keeps its runs without a renewal, in ms; within the platform's one second. */
+export const executorLeaseMs = 600;
+/** An executor's clock may run this much slower than the runner's. */
+const maxClockDrift = 0.03;
+/** The answer to a renewal waits this long for an end, in ms: three renewals fit a lease. */
+const waitMs = 180;
+/** Before another renewal after one that was not answered, in ms. */
+const retryPauseMs = 50;
+
+export interface LeaseOwner {
+  readonly clock: Clock;
+  readonly port: ExecutorPort;
+  readonly getFence: () => number;
+  readonly getAcknowledged: () => number;
+  /** True while there is something to hold or to hear of. */
+  readonly isNeeded: () => boolean;
+  /** True when the runs may be held for longer. */
+  readonly canProlong: () => boolean;
+  /** Takes a report; `askedAt` is when the question left. */
+  readonly receive: (report: ExecutorReport, askedAt: Instant) => void;
+  /** Everything at the executor has surely lapsed. */
+  readonly lapse: (detail: string) => void;
+}
+
+/** Keeps the executor's lease and listens for ends, one question at a time. */
+export class LeaseLoop implements AsyncDisposable {
+  private expiresAt: Instant = 0;
+  private silentSince: Instant | undefined;
+  private wake: () => void = () => {};
+  private stopped = false;
+  private readonly loop: Promise<void>;
+
+  constructor(private readonly owner: LeaseOwner) {
+    this.loop = this.run();
+  }
+
+  /** Notes that an order with a lease was sent: the executor may keep its runs until then. */
+  noteOrder(sentAt: Instant): void {
+    const latest = sentAt + executorLeaseMs * (1 + maxClockDrift);
+    this.expiresAt = Math.max(this.expiresAt, latest);
+  }
+
+  /** True while the executor answers. */
+  get isAnswered(): boolean {
+    return this.silentSince === undefined;
+  }
+
+  /** When everything that was sent has lapsed, unless more is sent. */
+  get expiry(): Instant {
+    return this.expiresAt;
+  }
+
+  /** Looks again whether the loop is needed. */
+  wakeUp(): void {
+    this.wake();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopped = true;
+    this.wake();
+    await this.loop;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      if (!this.owner.isNeeded()) {
+        await this.pause(undefined);
+        continue;
+      }
+      const askedAt = this.owner.clock.now();
+      const prolongs = this.isAnswered && this.owner.canProlong();
+      if (prolongs) this.noteOrder(askedAt);
+      const answer = await this.owner.port.renewLease({
+        fence: this.owner.getFence(),
+        ...(prolongs && {leaseMs: executorLeaseMs}),
+        acknowledged: this.owner.getAcknowledged(),
+        waitMs: this.isAnswered ? waitMs : 0,
+      });
+      if (this.stopped) return;
+      await this.judge(answer, askedAt);
+    }
+  }
+
+  private async judge(
+    answer: Either<string, ExecutorReport>,
+    askedAt: Instant,
+  ): Promise<void> {
+    const report = answer.extract();
+    if (typeof report !== 'string') {
+      this.silentSince = undefined;
+      this.owner.receive(report, askedAt);
+      return;
+    }
+    const now = this.owner.clock.now();
+    this.silentSince ??= askedAt;
+    if (now >= this.expiresAt) this.owner.lapse(report);
+    await this.pause(retryPauseMs);
+  }
+
+  /** Waits for a nudge, or for this long. */
+  private pause(ms: number | undefined): Promise<void> {
+    return new Promise(resolve => {
+      const timer = ms === undefined ? undefined : setTimeout(resolve, ms);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+}
--- /dev/null
+++ b/packages/runner/src/reconcile.ts
@@ -0,0 +1,87 @@
+import type {Instant, RunRef} from '#model';
+import type {ReportedEnd} from '#protocol';
+import type {EndedRow, ExecutorReport} from './executor.js';
+import {updateProgress} from './progress.js';
+import type {Run} from './run.js';
+
+/** The runs that a report is compared with. */
+export interface KnownRuns {
+  readonly find: (ref: RunRef) => Run | undefined;
+  readonly list: () => readonly Run[];
+}
+
+export interface ReportMoment {
+  /** When the question left: the report is no older. */
+  readonly askedAt: Instant;
+  readonly now: Instant;
+  /** When everything that was sent to the executor has lapsed. */
+  readonly leaseExpiry: Instant;
+  /** Run time over callers' estimates at this executor. */
+  readonly slowness: number;
+}
+
+/** What a report of the executor means for the runs known here. */
+export interface Reconciliation {
+  /** Runs that are over, and how. */
+  readonly ends: readonly (readonly [Run, ReportedEnd])[];
+  /** Runs at the executor that nobody here knows. */
+  readonly strays: readonly RunRef[];
+  readonly stalled: readonly Run[];
+}
+
+/** Compares the executor's lists with the known runs and notes their progress. */
+export function compareReport(
+  known: KnownRuns,
+  {ended, running}: ExecutorReport,
+  moment: ReportMoment,
+): Reconciliation {
+  const ends = new Map<Run, ReportedEnd>();
+  for (const row of ended) {
+    const run = known.find(row.ref);
+    if (run !== undefined) ends.set(run, interpretEnd(run, row));
+  }
+  const present = new Set<Run>();
+  const strays: RunRef[] = [];
+  const stalled: Run[] = [];
+  for (const {ref, percent} of running) {
+    const run = known.find(ref);
+    if (run === undefined || run.phase.kind === 'waiting') {
+      strays.push(ref);
+      continue;
+    }
+    present.add(run);
+    if (run.phase.kind === 'starting') run.startedAt ??= run.phase.sentAt;
+    if (updateProgress(run, percent, moment.slowness, moment.now)) {
+      stalled.push(run);
+    }
+  }
+  for (const run of known.list()) {
+    if (present.has(run) || ends.has(run)) continue;
+    const end = judgeAbsent(run, moment);
+    if (end !== undefined) ends.set(run, end);
+  }
+  return {ends: [...ends], strays, stalled};
+}
+
+function interpretEnd({phase}: Run, {end}: EndedRow): ReportedEnd {
+  return phase.kind === 'stopping' && end === 'stopped' ? phase.end : end;
+}
+
+/** A run that a report of later than its last answer does not list is not there. */
+function judgeAbsent(
+  {phase}: Run,
+  {askedAt, leaseExpiry}: ReportMoment,
+): ReportedEnd | undefined {
+  switch (phase.kind) {
+    case 'waiting':
+    case 'starting':
+      return undefined;
+    case 'running':
+      return phase.confirmedAt < askedAt ? 'lapsed' : undefined;
+    case 'stopping': {
+      const {stoppedAt, end} = phase;
+      const isVoid = stoppedAt !== undefined && stoppedAt < askedAt;
+      return isVoid || leaseExpiry < askedAt ? end : undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/runner/src/run-table.ts
@@ -0,0 +1,74 @@
+import type {JobId, RoomDemand, RunRef} from '#model';
+import type {ReportedEnd} from '#protocol';
+import {addDemand, nothing, subtractDemand} from './occupancy.js';
+import {formatRun, type Run} from './run.js';
+import type {Session} from './session.js';
+
+/** The accepted runs, whose they are and what they hold. */
+export class RunTable {
+  private readonly runs = new Map<string, Run>();
+  private readonly owners = new Map<Run, Session>();
+  private usedDemand: RoomDemand = nothing;
+  private acceptedDemand: RoomDemand = nothing;
+
+  /** Runs accepted and not over. */
+  get size(): number {
+    return this.runs.size;
+  }
+
+  /** What runs at the executor, or may. */
+  get used(): RoomDemand {
+    return this.usedDemand;
+  }
+
+  /** What all accepted runs hold or wait for. */
+  get accepted(): RoomDemand {
+    return this.acceptedDemand;
+  }
+
+  find(ref: RunRef): Run | undefined {
+    return this.runs.get(formatRun(ref));
+  }
+
+  findOwner(run: Run): Session | undefined {
+    return this.owners.get(run);
+  }
+
+  list(): readonly Run[] {
+    return [...this.runs.values()];
+  }
+
+  /** Lists the runs of a job that are not a session's. */
+  listOthers(job: JobId, own: Session): readonly Run[] {
+    return this.list().filter(
+      run => run.ref.job === job && this.owners.get(run) !== own,
+    );
+  }
+
+  add(run: Run, session: Session): void {
+    this.runs.set(formatRun(run.ref), run);
+    this.owners.set(run, session);
+    session.add(run);
+    this.acceptedDemand = addDemand(this.acceptedDemand, run.demand);
+  }
+
+  /** A waiting run is about to be sent to the executor. */
+  noteStart(run: Run): void {
+    this.usedDemand = addDemand(this.usedDemand, run.demand);
+  }
+
+  /** Removes a run that is over, and notes its end for its dispatcher; false when it was removed before. */
+  remove(run: Run, end: ReportedEnd, runMs: number): boolean {
+    const session = this.owners.get(run);
+    if (session === undefined) return false;
+    if (run.phase.kind !== 'waiting') {
+      this.usedDemand = subtractDemand(this.usedDemand, run.demand);
+    }
+    this.acceptedDemand = subtractDemand(this.acceptedDemand, run.demand);
+    this.owners.delete(run);
+    this.runs.delete(formatRun(run.ref));
+    session.remove(run);
+    session.addEnd(run.ticket, end, runMs);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/runner/src/run.ts
@@ -0,0 +1,54 @@
+import type {Instant, RoomDemand, RunRef} from '#model';
+import type {ReportedEnd, RunBatch, RunTicket} from '#protocol';
+
+/** Where a run stands at the runner. */
+export type RunPhase =
+  /** Accepted; nothing was sent to the executor. */
+  | {readonly kind: 'waiting'}
+  | {readonly kind: 'starting'; readonly sentAt: Instant}
+  | {readonly kind: 'running'; readonly confirmedAt: Instant}
+  /** It is to end; the executor may or may not have it. */
+  | {
+      readonly kind: 'stopping';
+      /** Told to the dispatcher once the run is surely over. */
+      readonly end: ReportedEnd;
+      /** The executor has answered the stop. */
+      readonly stoppedAt?: Instant;
+    };
+
+/** One run of a task, from its acceptance until its end is told. */
+export interface Run {
+  readonly ticket: RunTicket;
+  readonly ref: RunRef;
+  readonly payload: string;
+  readonly demand: RoomDemand;
+  readonly estimateMs: number;
+  readonly rank: number;
+  phase: RunPhase;
+  /** When the executor took it. */
+  startedAt?: Instant;
+  /** The last progress seen, and when it changed. */
+  percent: number;
+  progressedAt: Instant;
+}
+
+/** Names a run among all of its executor. */
+export function formatRun({job, step, index, run}: RunRef): string {
+  return `${job}.${step}.${index}#${run}`;
+}
+
+/** Opens the runs of a batch, none of which was sent to the executor. */
+export function openRuns(batch: RunBatch, now: Instant): readonly Run[] {
+  const {job, step, payload, demand, estimateMs, rank, runs} = batch;
+  return runs.map(([ticket, index, run]) => ({
+    ticket,
+    ref: {job, step, index, run},
+    payload,
+    demand,
+    estimateMs,
+    rank,
+    phase: {kind: 'waiting'},
+    percent: 0,
+    progressedAt: now,
+  }));
+}
--- /dev/null
+++ b/packages/runner/src/runner.ts
@@ -0,0 +1,446 @@
+import {type Clock, type Instant, monotonicClock} from '#model';
+import type {
+  AttachRunnerParams,
+  AttachRunnerResult,
+  Handlers,
+  Peer,
+  ReportedEnd,
+  RunBatch,
+  RunTicket,
+  TargetLoad,
+} from '#protocol';
+import type {Logger} from '#telemetry';
+import {Backlog} from './backlog.js';
+import {Bars} from './bars.js';
+import type {
+  ExecutorInfo,
+  ExecutorPort,
+  ExecutorReport,
+  StartOutcome,
+} from './executor.js';
+import {LeaseLoop} from './lease.js';
+import {isFitting, subtractDemand} from './occupancy.js';
+import {Orders} from './orders.js';
+import {compareReport} from './reconcile.js';
+import {formatRun, openRuns, type Run} from './run.js';
+import {RunTable} from './run-table.js';
+import type {ClockReading, Session} from './session.js';
+import {SessionTable} from './session-table.js';
+import {
+  decreaseFailing,
+  freshRecord,
+  recordFailure,
+  recordSuccess,
+  type TrackRecord,
+} from './track-record.js';
+
+export interface RunnerOptions {
+  readonly log: Logger;
+  readonly port: ExecutorPort;
+  readonly clock?: Clock;
+  /** Reads the time of day in ms since 1970. */
+  readonly readWall?: () => number;
+}
+
+/** Between two looks at permissions, stalled runs and unanswered orders, in ms. */
+const tickMs = 50;
+/** Reports gather for this long, in ms. */
+const reportDelayMs = 4;
+
+/** Runs dispatchers' tasks on one executor: the last word on what starts there. */
+export class Runner implements AsyncDisposable {
+  private readonly clock: Clock;
+  private readonly readWall: () => number;
+  private readonly sessions: SessionTable;
+  private readonly runs = new RunTable();
+  private readonly backlog = new Backlog();
+  private readonly bars = new Bars();
+  private readonly orders: Orders;
+  private readonly lease: LeaseLoop;
+  private readonly ticker: NodeJS.Timeout;
+  private executor: ExecutorInfo | undefined;
+  private record: TrackRecord = freshRecord;
+  private acknowledged = 0;
+  private announcedAck = 0;
+  /** False until the executor runs nothing that this process does not know. */
+  private adopted = false;
+  private draining = false;
+  private reporting = false;
+  private idleWaiters: (() => void)[] = [];
+
+  constructor(private readonly options: RunnerOptions) {
+    this.clock = options.clock ?? monotonicClock;
+    this.readWall = options.readWall ?? Date.now;
+    this.sessions = new SessionTable(
+      () => this.readClocks(),
+      run => this.stop(run, 'stopped'),
+    );
+    this.orders = new Orders({
+      port: options.port,
+      clock: this.clock,
+      log: options.log,
+      firstFence: Math.floor(this.readWall()),
+      canStart: run =>
+        this.runs.findOwner(run)?.isCurrent(this.readClocks()) === true,
+      onOrder: sentAt => this.lease.noteOrder(sentAt),
+      onStart: (run, outcome) => this.judgeStart(run, outcome),
+      onStopped: () => this.lease.wakeUp(),
+    });
+    this.lease = new LeaseLoop({
+      clock: this.clock,
+      port: options.port,
+      getFence: () => this.orders.fence,
+      getAcknowledged: () => {
+        this.announcedAck = this.acknowledged;
+        return this.acknowledged;
+      },
+      isNeeded: () => this.isLeaseNeeded,
+      canProlong: () => this.adopted && this.sessions.isCurrent(),
+      receive: (report, askedAt) => this.receiveReport(report, askedAt),
+      lapse: detail => this.endLapsed(detail),
+    });
+    this.ticker = setInterval(() => this.tick(), tickMs);
+  }
+
+  /** The executor as it last announced itself. */
+  get info(): ExecutorInfo | undefined {
+    return this.executor;
+  }
+
+  /** Runs accepted and not over. */
+  get runCount(): number {
+    return this.runs.size;
+  }
+
+  /** Takes the executor's announcement of itself. An earlier incarnation's changes nothing. */
+  announce(info: ExecutorInfo): void {
+    const known = this.executor;
+    if (known !== undefined && info.incarnation < known.incarnation) return;
+    const isNew = info.incarnation !== known?.incarnation;
+    this.executor = info;
+    if (isNew) this.beginLife(info);
+    else if (info.draining && !known.draining) this.returnWaiting();
+    this.scheduleReport();
+    this.lease.wakeUp();
+  }
+
+  /** The executor has said that it ends. */
+  withdraw(incarnation: number): void {
+    if (this.executor?.incarnation !== incarnation) return;
+    this.executor = {...this.executor, draining: true};
+    this.returnWaiting();
+    this.scheduleReport();
+  }
+
+  /** What dispatchers ask of this end of their connections. */
+  createHandlers(): Handlers {
+    return {
+      'runner.attach': (params, peer) => this.attach(params, peer),
+      'runner.place': ({batches}, peer) => this.place(batches, peer),
+      'runner.withdraw': ({tickets}, peer) => this.withdrawRuns(tickets, peer),
+      'runner.clear': ({job}, peer) => this.clearJob(job, peer),
+    };
+  }
+
+  /** Refuses new runs, gives back those that wait and resolves once the others are over. */
+  drain(): Promise<void> {
+    this.draining = true;
+    this.returnWaiting();
+    this.scheduleReport();
+    if (this.isIdle) return Promise.resolve();
+    return new Promise(resolve => this.idleWaiters.push(resolve));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.ticker);
+    await this.lease[Symbol.asyncDispose]();
+    await this.options.port[Symbol.asyncDispose]();
+  }
+
+  private get isIdle(): boolean {
+    return this.runs.size === 0 && this.announcedAck === this.acknowledged;
+  }
+
+  private get isOpen(): boolean {
+    return (
+      this.executor !== undefined &&
+      !this.executor.draining &&
+      !this.draining &&
+      this.adopted &&
+      this.lease.isAnswered
+    );
+  }
+
+  private get isLeaseNeeded(): boolean {
+    if (this.executor === undefined) return false;
+    return (
+      !this.adopted ||
+      !this.lease.isAnswered ||
+      this.announcedAck !== this.acknowledged ||
+      this.runs.size > this.backlog.size
+    );
+  }
+
+  private readClocks(): ClockReading {
+    return {monotonic: this.clock.now(), wall: this.readWall()};
+  }
+
+  private describeLoad({demand}: Session): TargetLoad {
+    return {
+      open: this.isOpen,
+      ...subtractDemand(this.runs.accepted, demand),
+      ...this.record,
+    };
+  }
+
+  private beginLife({target, incarnation}: ExecutorInfo): void {
+    this.options.log.info(
+      {event: 'executor-life', target, incarnation, runs: this.runs.size},
+      'a new life of the executor: it runs nothing of before',
+    );
+    for (const run of this.runs.list()) {
+      if (run.phase.kind !== 'waiting') this.endRun(run, 'lapsed');
+    }
+    this.record = freshRecord;
+    this.acknowledged = 0;
+    this.announcedAck = 0;
+    this.adopted = false;
+  }
+
+  private attach(
+    {dispatcher, life, tickets}: AttachRunnerParams,
+    peer: Peer,
+  ): AttachRunnerResult {
+    const info = this.executor;
+    if (info === undefined) throw new Error('no executor has announced itself');
+    if (!this.adopted) throw new Error('the executor has not answered yet');
+    const session = this.sessions.attach(dispatcher, life, tickets, peer);
+    this.options.log.info(
+      {event: 'dispatcher-attached', dispatcher, life, runs: session.runs.size},
+      'a dispatcher has attached',
+    );
+    return {
+      target: info.target,
+      incarnation: info.incarnation,
+      service: info.service,
+      ended: session.listEnded(tickets),
+      load: this.describeLoad(session),
+    };
+  }
+
+  private place(batches: readonly RunBatch[], peer: Peer): void {
+    const session = this.sessions.find(peer);
+    if (session === undefined) return;
+    const now = this.clock.now();
+    if (session.runs.size === 0) session.advanceRenewal(now);
+    for (const batch of batches) {
+      for (const run of openRuns(batch, now)) this.accept(session, run);
+    }
+    this.startWaiting();
+    this.scheduleReport();
+  }
+
+  private accept(session: Session, run: Run): void {
+    if (
+      this.bars.isBarred(run.ref.job, session.dispatcher) ||
+      !this.isOpen ||
+      this.runs.find(run.ref) !== undefined
+    ) {
+      session.addEnd(run.ticket, 'not-run', 0);
+      return;
+    }
+    this.runs.add(run, session);
+    this.backlog.add(run);
+  }
+
+  private startWaiting(): void {
+    const {executor} = this;
+    if (executor === undefined || !this.isOpen) return;
+    const now = this.readClocks();
+    for (;;) {
+      const run = this.backlog.takeFirst(
+        each =>
+          isFitting(executor.room, this.runs.used, each.demand) &&
+          this.runs.findOwner(each)!.isCurrent(now),
+      );
+      if (run === undefined) return;
+      this.runs.noteStart(run);
+      run.phase = {kind: 'starting', sentAt: now.monotonic};
+      this.orders.start(run);
+    }
+  }
+
+  private judgeStart(run: Run, outcome: StartOutcome): void {
+    if (this.runs.findOwner(run) === undefined) return;
+    this.lease.wakeUp();
+    switch (outcome.kind) {
+      case 'started':
+        if (run.phase.kind !== 'starting') return;
+        run.startedAt = run.phase.sentAt;
+        run.progressedAt = this.clock.now();
+        run.phase = {kind: 'running', confirmedAt: this.clock.now()};
+        return;
+      case 'refused':
+        this.options.log.warn(
+          {
+            event: 'start-refused',
+            run: formatRun(run.ref),
+            reason: outcome.reason,
+          },
+          'the executor did not begin the run',
+        );
+        if (outcome.reason === 'unhealthy') {
+          this.record = recordFailure(this.record);
+        }
+        this.endRun(run, 'not-run');
+        return;
+      case 'unanswered':
+        this.options.log.warn(
+          {
+            event: 'start-unanswered',
+            run: formatRun(run.ref),
+            detail: outcome.detail,
+          },
+          'the run may or may not have begun; it is stopped',
+        );
+        this.record = recordFailure(this.record);
+        this.stop(run, 'not-run');
+        return;
+    }
+  }
+
+  private withdrawRuns(tickets: readonly RunTicket[], peer: Peer): void {
+    const session = this.sessions.find(peer);
+    for (const ticket of tickets) {
+      const run = session?.runs.get(ticket);
+      if (run !== undefined) this.stop(run, 'stopped');
+    }
+  }
+
+  /** Stops what others run of a job; answers once nothing of it is left. */
+  private async clearJob(
+    job: string,
+    peer: Peer,
+  ): Promise<Record<string, never>> {
+    const own = this.sessions.find(peer);
+    if (own === undefined) throw new Error('this dispatcher is not attached');
+    this.bars.set(job, own.dispatcher);
+    for (const run of this.runs.listOthers(job, own)) this.stop(run, 'stopped');
+    while (this.runs.listOthers(job, own).length > 0 || !this.adopted) {
+      await new Promise(resolve => setTimeout(resolve, tickMs));
+      if (!peer.isOpen) throw new Error('the dispatcher has gone');
+    }
+    return {};
+  }
+
+  /** Ends a run: at once while it waits, otherwise when the executor has it no more. */
+  private stop(run: Run, end: ReportedEnd): void {
+    if (run.phase.kind === 'stopping') return;
+    if (run.phase.kind === 'waiting') {
+      this.backlog.remove(run);
+      this.endRun(run, end);
+      return;
+    }
+    run.phase = {kind: 'stopping', end};
+    this.orders.stop(run);
+  }
+
+  private receiveReport(report: ExecutorReport, askedAt: Instant): void {
+    const info = this.executor;
+    if (info === undefined || report.incarnation !== info.incarnation) return;
+    for (const {number} of report.ended) {
+      this.acknowledged = Math.max(this.acknowledged, number);
+    }
+    const {ends, strays, stalled} = compareReport(this.runs, report, {
+      askedAt,
+      now: this.clock.now(),
+      leaseExpiry: this.lease.expiry,
+      slowness: this.record.slowness,
+    });
+    for (const [run, end] of ends) this.endRun(run, end);
+    for (const ref of strays) this.orders.stopStray(ref);
+    for (const run of stalled) this.stopStalled(run);
+    if (!this.adopted && strays.length === 0) {
+      this.adopted = true;
+      const {target} = info;
+      this.options.log.info({event: 'executor-adopted', target}, 'no strays');
+    }
+    this.startWaiting();
+    this.scheduleReport();
+    this.wakeIdle();
+  }
+
+  private stopStalled(run: Run): void {
+    const {percent, progressedAt} = run;
+    const stillMs = Math.round(this.clock.now() - progressedAt);
+    this.options.log.warn(
+      {event: 'run-stalled', run: formatRun(run.ref), percent, stillMs},
+      'the run makes no progress; it is stopped',
+    );
+    this.record = recordFailure(this.record);
+    this.stop(run, 'stalled');
+  }
+
+  private endLapsed(detail: string): void {
+    const held = this.runs.list().filter(({phase}) => phase.kind !== 'waiting');
+    const lost = {event: 'executor-lost', detail, runs: held.length};
+    if (this.adopted) this.options.log.warn(lost, 'its lease has run out');
+    this.adopted = false;
+    for (const run of held) this.endRun(run, 'lapsed');
+    this.returnWaiting();
+  }
+
+  private returnWaiting(): void {
+    for (const run of this.backlog.takeAll()) this.endRun(run, 'not-run');
+  }
+
+  private endRun(run: Run, end: ReportedEnd): void {
+    if (run.phase.kind === 'waiting') this.backlog.remove(run);
+    const runMs =
+      run.startedAt === undefined ? 0 : this.clock.now() - run.startedAt;
+    if (!this.runs.remove(run, end, runMs)) return;
+    if (end === 'succeeded') {
+      this.record = recordSuccess(this.record, runMs, run.estimateMs);
+    }
+    if (end === 'failed') this.record = recordFailure(this.record);
+    this.scheduleReport();
+  }
+
+  private tick(): void {
+    for (const session of this.sessions.renew()) this.expire(session);
+    this.record = decreaseFailing(this.record);
+    this.startWaiting();
+    this.lease.wakeUp();
+    this.scheduleReport();
+  }
+
+  private expire(session: Session): void {
+    const open = [...session.runs.values()].filter(
+      ({phase}) => phase.kind !== 'stopping',
+    );
+    if (open.length === 0) return;
+    this.options.log.warn(
+      {
+        event: 'dispatcher-silent',
+        dispatcher: session.dispatcher,
+        runs: open.length,
+      },
+      'a dispatcher does not renew its permission; its runs are stopped',
+    );
+    for (const run of open) this.stop(run, 'stopped');
+  }
+
+  private scheduleReport(): void {
+    if (this.reporting) return;
+    this.reporting = true;
+    setTimeout(() => {
+      this.reporting = false;
+      this.sessions.report(session => this.describeLoad(session));
+    }, reportDelayMs);
+  }
+
+  private wakeIdle(): void {
+    if (!this.isIdle) return;
+    for (const wake of this.idleWaiters.splice(0)) wake();
+  }
+}
--- /dev/null
+++ b/packages/runner/src/session-table.ts
@@ -0,0 +1,86 @@
+import type {Instant} from '#model';
+import type {Peer, RunTicket, TargetLoad} from '#protocol';
+import type {Run} from './run.js';
+import {type ClockReading, Session} from './session.js';
+
+/** The dispatchers that have runs here, or may send some. */
+export class SessionTable {
+  private readonly sessions = new Map<string, Session>();
+
+  constructor(
+    private readonly readClocks: () => ClockReading,
+    /** Stops a run that its dispatcher does not want any more. */
+    private readonly stop: (run: Run) => void,
+  ) {}
+
+  /**
+   * Opens a dispatcher's session, or resumes it over a new connection with the runs that it
+   * counts on. Throws when a later life of the dispatcher has attached.
+   */
+  attach(
+    dispatcher: string,
+    life: number,
+    tickets: readonly RunTicket[],
+    peer: Peer,
+  ): Session {
+    const now = this.readClocks().monotonic;
+    const known = this.sessions.get(dispatcher);
+    if (known !== undefined && known.life > life) {
+      throw new Error(`a later life of dispatcher "${dispatcher}" is attached`);
+    }
+    if (known !== undefined && known.life < life) this.stopAll(known);
+    const resumed = known?.life === life ? known : undefined;
+    const session = resumed ?? new Session(dispatcher, life, peer, now);
+    this.sessions.set(dispatcher, session);
+    if (resumed === undefined) return session;
+    resumed.resume(peer, now);
+    const wanted = new Set(tickets);
+    for (const run of [...resumed.runs.values()]) {
+      if (!wanted.has(run.ticket)) this.stop(run);
+    }
+    return resumed;
+  }
+
+  /** Finds the session that is bound to a connection. */
+  find(peer: Peer): Session | undefined {
+    for (const session of this.sessions.values()) {
+      if (session.peer === peer) return session;
+    }
+    return undefined;
+  }
+
+  /** True while every dispatcher with runs here permits them. */
+  isCurrent(): boolean {
+    const now = this.readClocks();
+    for (const session of this.sessions.values()) {
+      if (session.runs.size > 0 && !session.isCurrent(now)) return false;
+    }
+    return true;
+  }
+
+  /** Asks for permissions that are due; returns the sessions whose permission has run out. */
+  renew(): readonly Session[] {
+    const expired: Session[] = [];
+    for (const [name, session] of this.sessions) {
+      if (session.runs.size === 0) {
+        if (!session.peer.isOpen) this.sessions.delete(name);
+        continue;
+      }
+      session.renew(this.readClocks);
+      if (!session.isPermitted(this.readClocks())) expired.push(session);
+    }
+    return expired;
+  }
+
+  /** Tells each dispatcher its ends and the load by the others. */
+  report(describe: (session: Session) => TargetLoad): void {
+    const now: Instant = this.readClocks().monotonic;
+    for (const session of this.sessions.values()) {
+      session.report(describe(session), now);
+    }
+  }
+
+  private stopAll(session: Session): void {
+    for (const run of [...session.runs.values()]) this.stop(run);
+  }
+}
--- /dev/null
+++ b/packages/runner/src/session.ts
@@ -0,0 +1,145 @@
+import type {Instant} from '#model';
+import type {RoomDemand} from '#model';
+import type {
+  Peer,
+  ReportedEnd,
+  RunEndRow,
+  RunTicket,
+  TargetLoad,
+} from '#protocol';
+import {addDemand, nothing, subtractDemand} from './occupancy.js';
+import type {Run} from './run.js';
+
+/** How long a dispatcher's answer permits its runs, counted from the question, in ms. */
+export const permissionMs = 700;
+/** A permission is asked for anew this often while runs depend on it, in ms. */
+export const renewalIntervalMs = 200;
+
+/** A load that has changed is told at most this often, unless ends are told with it, in ms. */
+const loadIntervalMs = 100;
+/** Ends kept for a dispatcher that may have missed their report. */
+const maxRecentEnds = 512;
+
+/** A process's two clocks: one stands still while the host is suspended, the other may jump. */
+export interface ClockReading {
+  readonly monotonic: Instant;
+  /** Ms since 1970. */
+  readonly wall: number;
+}
+
+/** One dispatcher's runs here, and how long they are permitted. */
+export class Session {
+  readonly runs = new Map<RunTicket, Run>();
+  /** What its runs hold or wait for. */
+  demand: RoomDemand = nothing;
+  private ends: RunEndRow[] = [];
+  /** The latest ends, told or not, by ticket. */
+  private readonly recent = new Map<RunTicket, RunEndRow>();
+  private renewing = false;
+  private askedAt: ClockReading = {monotonic: -Infinity, wall: -Infinity};
+  private nextRenewal: Instant;
+  private toldAt: Instant = -Infinity;
+  private toldLoad: TargetLoad | undefined;
+
+  constructor(
+    readonly dispatcher: string,
+    readonly life: number,
+    public peer: Peer,
+    now: Instant,
+  ) {
+    this.nextRenewal = now;
+  }
+
+  /** Goes on over a new connection; a question on the old one does not count any more. */
+  resume(peer: Peer, now: Instant): void {
+    this.peer = peer;
+    this.renewing = false;
+    this.nextRenewal = now;
+    this.toldLoad = undefined;
+  }
+
+  /** True until the permission has run out by the monotonic clock. */
+  isPermitted(now: ClockReading): boolean {
+    return now.monotonic < this.askedAt.monotonic + permissionMs;
+  }
+
+  /**
+   * True when both clocks agree that the permission holds. A host that was suspended, or whose
+   * time of day jumped, must ask again before it starts or prolongs anything.
+   */
+  isCurrent(now: ClockReading): boolean {
+    const wallMs = now.wall - this.askedAt.wall;
+    return this.isPermitted(now) && wallMs >= 0 && wallMs < permissionMs;
+  }
+
+  /** Asks the dispatcher for another permission when one is due. */
+  renew(read: () => ClockReading): void {
+    const now = read();
+    if (this.renewing || now.monotonic < this.nextRenewal) return;
+    const {peer} = this;
+    this.renewing = true;
+    this.nextRenewal = now.monotonic + renewalIntervalMs;
+    const deadline = now.monotonic + permissionMs;
+    void peer.request('dispatcher.renew', {}, deadline).then(answer => {
+      if (this.peer !== peer) return;
+      this.renewing = false;
+      if (answer.isRight()) this.askedAt = now;
+    });
+  }
+
+  /** Asks for a permission with the next look, whatever the interval. */
+  advanceRenewal(now: Instant): void {
+    this.nextRenewal = Math.min(this.nextRenewal, now);
+  }
+
+  /** Takes over a run that was accepted for the dispatcher. */
+  add(run: Run): void {
+    this.runs.set(run.ticket, run);
+    this.demand = addDemand(this.demand, run.demand);
+  }
+
+  /** Gives up a run that is over. */
+  remove(run: Run): void {
+    this.runs.delete(run.ticket);
+    this.demand = subtractDemand(this.demand, run.demand);
+  }
+
+  /** Notes an end to be told with the next report. */
+  addEnd(ticket: RunTicket, end: ReportedEnd, runMs: number): void {
+    const row: RunEndRow = [ticket, end, Math.max(0, Math.round(runMs))];
+    this.ends.push(row);
+    this.recent.set(ticket, row);
+    if (this.recent.size <= maxRecentEnds) return;
+    for (const oldest of this.recent.keys()) {
+      this.recent.delete(oldest);
+      return;
+    }
+  }
+
+  /** Finds how runs ended that are over; one that never came counts as not run. */
+  listEnded(tickets: readonly RunTicket[]): readonly RunEndRow[] {
+    return tickets
+      .filter(ticket => !this.runs.has(ticket))
+      .map(ticket => this.recent.get(ticket) ?? [ticket, 'not-run', 0]);
+  }
+
+  /** Sends the ends that have gathered, or a load that differs enough from the one told. */
+  report(load: TargetLoad, now: Instant): void {
+    if (this.ends.length === 0 && !this.isNews(load, now)) return;
+    this.peer.notify('dispatcher.report', {ends: this.ends, load});
+    this.ends = [];
+    this.toldLoad = load;
+    this.toldAt = now;
+  }
+
+  private isNews(load: TargetLoad, now: Instant): boolean {
+    const told = this.toldLoad;
+    if (told?.open !== load.open) return true;
+    if (now - this.toldAt < loadIntervalMs) return false;
+    return (
+      told.cpuMillis !== load.cpuMillis ||
+      told.memoryMb !== load.memoryMb ||
+      told.accelerators !== load.accelerators
+    );
+  }
+}
--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -4,6 +4,7 @@
   Configuration,
   ConfigurationSource,
   PlacementPolicy,
+  QueueConfig,
   ServiceConfig,
   SiteName,
   TeamConfig,
@@ -22,6 +23,7 @@
 import {
   configurationShape,
   processTables,
+  type queueTable,
   type serviceTable,
   type teamTable,
 } from './layout.js';
@@ -101,12 +103,16 @@
   const errors: SettingsError[] = [];
   const whole = completeTable(table, configurationShape, '', origin, errors);
   if (errors.length > 0) return Left(errors);
-  const homeless = findHomeless(whole, origin);
-  if (homeless.length > 0) return Left(homeless);
+  const conflicts = [
+    ...findHomeless(whole, origin),
+    ...findQueueConflicts(whole, origin),
+  ];
+  if (conflicts.length > 0) return Left(conflicts);
   return Right({
     services: whole.services.map(({name, value}) => toService(name, value)),
     teams: whole.teams.map(({name, value}) => toTeam(name, value)),
     regions: whole.regions.map(({name, value: {entries}}) => ({name, entries})),
+    queues: whole.queues.map(({name, value}) => toQueue(name, value)),
     limits: {
       maxTasksPerJob: whole.limits.max_tasks_per_job,
       maxBodyBytes: whole.limits.max_body_bytes,
@@ -138,6 +144,53 @@
     });
 }
 
+/** Finds the queues of services that are not described, and those that no request could name apart. */
+function findQueueConflicts(
+  {queues, services}: ValueOf<typeof configurationShape>,
+  origin: string,
+): readonly SettingsError[] {
+  const known = new Set(services.map(({name}) => name));
+  const taken = new Map<string, string>();
+  const errors: SettingsError[] = [];
+  const refuse = (key: string, expected: string, found: unknown) =>
+    errors.push({
+      kind: 'wrong-value',
+      origin,
+      key,
+      expected,
+      found: describeValue(found),
+    });
+  for (const {name, value: queue} of queues) {
+    if (!known.has(queue.service)) {
+      refuse(`queues.${name}.service`, 'a described service', queue.service);
+    }
+    const address = `${queue.host} ${queue.path}`;
+    const other = taken.get(address);
+    if (other !== undefined) {
+      refuse(
+        `queues.${name}.path`,
+        `another host or path than those of queue "${other}"`,
+        queue.path,
+      );
+    }
+    taken.set(address, name);
+  }
+  return errors;
+}
+
+function toQueue(name: string, queue: ValueOf<typeof queueTable>): QueueConfig {
+  return {
+    name,
+    service: queue.service,
+    host: queue.host,
+    path: queue.path,
+    priority: queue.priority,
+    maxAttempts: queue.max_attempts,
+    timeoutMs: queue.timeout_ms,
+    objective: {stretch: queue.stretch, slackMs: queue.slack_ms},
+  };
+}
+
 function toService(
   name: string,
   service: ValueOf<typeof serviceTable>,
--- a/packages/settings/src/kind.ts
+++ b/packages/settings/src/kind.ts
@@ -124,6 +124,16 @@
     (isIP(input) !== 0 || /^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$/.test(input)),
 );
 
+export const hostName: Kind<string> = declareKind(
+  'the name of a host as callers state it',
+  input => typeof input === 'string' && /^[^\s/]{1,255}$/.test(input),
+);
+
+export const urlPath: Kind<string> = declareKind(
+  'a path that begins with "/"',
+  input => typeof input === 'string' && /^\/\S*$/.test(input),
+);
+
 export const httpUrl: Kind<string> = declareKind(
   'a base URL such as "http://127.0.0.1:8080"',
   input =>
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -7,11 +7,13 @@
   dialAddress,
   dialAddresses,
   host,
+  hostName,
   httpUrl,
   listenAddress,
   metricPrefix,
   name,
   path,
+  urlPath,
 } from './kind.js';
 import {
   allowKey,
@@ -135,6 +137,17 @@
   weight: fillKey(boundPositive(1_000_000), 1),
 });
 
+export const queueTable = requireTable({
+  service: requireKey(name),
+  host: requireKey(hostName),
+  path: requireKey(urlPath),
+  priority: fillKey(boundCount(0, 1000), 0),
+  max_attempts: fillKey(boundCount(1, 1000, 'runs'), 3),
+  timeout_ms: requireKey(boundCount(1, dayMs, 'ms')),
+  stretch: fillKey(boundPositive(1000), 1.5),
+  slack_ms: fillKey(boundCount(0, dayMs, 'ms'), 100),
+});
+
 export const regionTable = requireTable({
   entries: keepInBase(requireKey(dialAddresses)),
 });
@@ -145,6 +158,7 @@
   services: nameTables(serviceTable),
   teams: nameTables(teamTable),
   regions: nameTables(regionTable),
+  queues: nameTables(queueTable),
 };
 
 /** What a configuration text may hold. */
--- a/packages/settings/test/configuration.test.ts
+++ b/packages/settings/test/configuration.test.ts
@@ -27,6 +27,7 @@
     services: [],
     teams: [],
     regions: [],
+    queues: [],
     limits: {
       maxTasksPerJob: 1000,
       maxBodyBytes: 4 * 1024 * 1024,
--- a/packages/storage/src/lock.ts
+++ b/packages/storage/src/lock.ts
@@ -88,13 +88,18 @@
 }
 
 async function isAlive({pid, life}: Holder): Promise<boolean> {
+  let isOthers = false;
   try {
     process.kill(pid, 0);
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code === 'ESRCH') return false;
+    isOthers = true;
   }
   const present = await readLife(pid);
-  return present === '' || present === life;
+  if (present !== '') return present === life;
+  // The system shows this process but not that one, which is no other user's: it is gone.
+  const showsProcesses = (await readLife(process.pid)) !== '';
+  return isOthers || !showsProcesses;
 }
 
 /** Reads the boot and the start time of a process; empty where the system doesn't tell. */
--- a/scripts/measure-renewals.js
+++ b/scripts/measure-renewals.js
@@ -155,7 +155,7 @@
   spawn(
     process.execPath,
     [
-      'build/cli/src/main.js',
+      'build/packages/cli/src/main.js',
       'control',
       '--settings',
       writeSettings(folder, id, addresses),
--- a/scripts/site.js
+++ b/scripts/site.js
@@ -6,4 +6,4 @@
 if (!existsSync('dist/wasabiring')) {
   execFileSync('npm', ['run', '--silent', 'build'], {stdio: ['ignore', 2, 2]});
 }
-await import('../build/bench/src/site-main.js');
+await import('../build/packages/bench/src/site-main.js');
