--- a/packages/control/src/replicated.ts
+++ b/packages/control/src/replicated.ts
@@ -4,7 +4,7 @@
 import {createMembers, type Members} from '#consensus';
 import type {Command, CommandResult} from '#membership';
 import type {ControlRole, ProcessSettings} from '#settings';
-import {describeStoreError, ReplicaHost} from '#storage';
+import {describeStoreError, type Disk, ReplicaHost} from '#storage';
 import type {Clock} from '#model';
 import type {StartReplica} from './control.js';
 import {isUnused, judgeNewDisk} from './newcomer.js';
@@ -14,6 +14,7 @@
   {id, role, controls}: ProcessSettings<ControlRole>,
   clock: Clock,
   cancel?: AbortSignal,
+  disk?: Disk,
 ): StartReplica {
   return async ({address, machine, send, askStatus, fail}) => {
     if (await isUnused(role.data)) {
@@ -37,6 +38,7 @@
       fail: error => fail(describeStoreError(error)),
       clock,
       seed: crc32(id),
+      ...(disk && {disk}),
     });
     return started.mapLeft(describeStoreError);
   };
--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -1,6 +1,6 @@
 import {mkdir, open, readdir, readFile, rename, rm} from 'node:fs/promises';
 import {dirname, resolve} from 'node:path';
-import type {Either} from 'purify-ts';
+import {type Either, Right} from 'purify-ts';
 import type {StoreError} from './error.js';
 import {lockFolder} from './lock.js';
 
@@ -84,3 +84,9 @@
     written += bytesWritten;
   }
 }
+
+/** For a folder that one process at a time is given by its surroundings, and that may show no other process. */
+export const unlockedDisk: Disk = {
+  ...nodeDisk,
+  lock: () => Promise.resolve(Right({[Symbol.asyncDispose]: async () => {}})),
+};
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -16,7 +16,7 @@
 export {Store} from './store.js';
 
 export type {Disk, DiskFile} from './disk.js';
-export {nodeDisk} from './disk.js';
+export {nodeDisk, unlockedDisk} from './disk.js';
 
 export type {
   CommitFigures,
--- a/packages/storage/src/lock.ts
+++ b/packages/storage/src/lock.ts
@@ -88,18 +88,13 @@
 }
 
 async function isAlive({pid, life}: Holder): Promise<boolean> {
-  let isOthers = false;
   try {
     process.kill(pid, 0);
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code === 'ESRCH') return false;
-    isOthers = true;
   }
   const present = await readLife(pid);
-  if (present !== '') return present === life;
-  // The system shows this process but not that one, which is no other user's: it is gone.
-  const showsProcesses = (await readLife(process.pid)) !== '';
-  return isOthers || !showsProcesses;
+  return present === '' || present === life;
 }
 
 /** Reads the boot and the start time of a process; empty where the system doesn't tell. */
