--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -11,11 +11,14 @@
   checkMessage,
   type MemberChange,
   type Message,
+  type ReplicaStatus,
 } from '#consensus';
 import {
   type ChangeMembersParams,
   type ControlReply,
   type ControlStatus,
+  type EnrolParams,
+  type EnrolResult,
   type Handlers,
   type Liveness,
   type Nothing,
@@ -28,6 +31,7 @@
 } from '#protocol';
 import type {ControlRole, ProcessSettings} from '#settings';
 import type {Runtime} from '#telemetry';
+import {planEnrolment} from './enrolment.js';
 import {describeHomes} from './homes.js';
 import {Leader} from './leader.js';
 import {Links} from './links.js';
@@ -65,6 +69,8 @@
   ) => void;
   /** Asks another replica how it stands; nothing when it does not answer soon. */
   readonly askStatus: (address: Address) => Promise<ControlStatus | undefined>;
+  /** Called after each change of role, term, leader or members. */
+  readonly observe?: (status: ReplicaStatus) => void;
   /** Called once when the disk has failed. */
   readonly fail: (detail: string) => void;
 }
@@ -195,6 +201,17 @@
       machine: this.machine,
       send: (to, address, message) => this.links.send(to, address, message),
       askStatus: address => this.askStatus(address),
+      observe: ({role, term, leader, members}) =>
+        runtime.log.info(
+          {
+            event: 'replica-role',
+            replicaRole: role,
+            term,
+            leader: leader ?? null,
+            voters: members.filter(({voter}) => voter).map(({id}) => id),
+          },
+          'the role, the term, the leader or the members have changed',
+        ),
       fail: detail => this.fail(detail),
     });
     return started.map(replica => {
@@ -273,7 +290,8 @@
     this.leader.tick();
     this.upstream?.tick();
     const {members, leader} = this.replica.describeStatus();
-    this.links.keepOnly(new Set(members.map(({address}) => address)));
+    const others = members.filter(({id}) => id !== this.options.settings.id);
+    this.links.keepOnly(new Set(others.map(({address}) => address)));
     const now = this.options.runtime.clock.now();
     if (leader !== undefined) this.leaderSeen = now;
     if (this.isOutOfTouch) this.watchers.closeAll('no leader is known here');
@@ -300,6 +318,7 @@
       }),
       'control.watch': (params, peer) => this.watch(peer, params),
       'control.changeMembers': params => this.changeMembers(params),
+      'control.enrol': params => this.admitReplica(params),
       'control.status': () => this.describeStatus(),
       'control.replicate': (params, peer) => this.links.accept(params, peer),
     };
@@ -331,6 +350,24 @@
     return this.watchers.add(peer, params);
   }
 
+  /** Takes the next step, if one is left, to make a replica a voter in its predecessor's place. */
+  private async admitReplica({
+    member,
+    address,
+  }: EnrolParams): Promise<ControlReply<EnrolResult>> {
+    if (!this.leader.leads) return this.leader.redirect();
+    const {members} = this.replica.describeStatus();
+    const change = planEnrolment(members, member, address);
+    if (change === undefined) return {kind: 'done', value: {votes: true}};
+    const outcome = await this.replica.changeMembers(change);
+    this.options.runtime.log.info(
+      {event: 'enrolment', change, outcome},
+      'a replica is taking its place in the group',
+    );
+    if (outcome.kind === 'not-leader') return this.leader.redirect();
+    return {kind: 'done', value: {votes: false}};
+  }
+
   private async changeMembers(
     params: ChangeMembersParams,
   ): Promise<ControlReply<Nothing>> {
--- a/packages/control/src/links.ts
+++ b/packages/control/src/links.ts
@@ -64,8 +64,9 @@
     return reply?.toMaybe().extract();
   }
 
-  /** Closes the connections to addresses that are no member's any more. */
+  /** Connects to the members, so that the first message finds a connection, and closes all other connections. */
   keepOnly(addresses: ReadonlySet<Address>): void {
+    for (const address of addresses) this.open(address);
     for (const [address, {peer}] of this.links) {
       if (addresses.has(address)) continue;
       peer?.close('no longer a member');
--- a/packages/control/src/replicated.ts
+++ b/packages/control/src/replicated.ts
@@ -16,7 +16,7 @@
   cancel?: AbortSignal,
   disk?: Disk,
 ): StartReplica {
-  return async ({address, machine, send, askStatus, fail}) => {
+  return async ({address, machine, send, askStatus, observe, fail}) => {
     if (await isUnused(role.data)) {
       const listed = role.members.map(member => member.address);
       const addresses = [...new Set([...listed, ...controls])];
@@ -35,6 +35,7 @@
       ...(role.join ? {} : {bootstrap: listFirstMembers(id, role, address)}),
       machine,
       send,
+      observe,
       fail: error => fail(describeStoreError(error)),
       clock,
       seed: crc32(id),
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -96,7 +96,7 @@
       onEnd: (target, run, end) => this.recordEnd(target, run, end),
       onLoad: () => this.schedulePlacing(),
     });
-    this.placer = new Placer(this.fleet);
+    this.placer = new Placer(this.fleet, options.log);
   }
 
   /** Jobs accepted and not answered. */
@@ -224,6 +224,17 @@
         Math.max(1, leavesAt - now),
       );
       this.jobs.set(job.id, active);
+      this.options.log.debug(
+        {
+          event: 'job-accepted',
+          job: job.id,
+          queue: queue.name,
+          dueMs: Math.round(active.dueAt - now),
+          patienceMs: Math.round(leavesAt - now),
+          jobs: this.jobs.size,
+        },
+        'accepted a job',
+      );
       this.schedulePlacing();
     });
   }
@@ -302,13 +313,11 @@
       this.forgetEnded(job);
       return;
     }
-    if (end !== 'succeeded') {
-      const {ref} = run;
-      this.options.log.info(
-        {event: 'run-ended', target, ...ref, end},
-        'a run did not succeed',
-      );
-    }
+    const level = end === 'succeeded' ? 'debug' : 'info';
+    this.options.log[level](
+      {event: 'run-ended', target, ...run.ref, end},
+      'a run is over',
+    );
     switch (job.state.phase) {
       case 'completed':
         this.close(job, {kind: 'completed'});
@@ -353,18 +362,17 @@
     for (const [target, tickets] of byTarget) {
       this.fleet.find(target)?.withdraw(tickets);
     }
-    if (outcome.kind !== 'completed') {
-      this.options.log.info(
-        {
-          event: 'job-ended',
-          job: job.state.job.id,
-          queue: job.queue.name,
-          outcome: outcome.kind,
-          ageMs: Math.round(this.clock.now() - job.acceptedAt),
-        },
-        'a job did not complete',
-      );
-    }
+    const level = outcome.kind === 'completed' ? 'debug' : 'info';
+    this.options.log[level](
+      {
+        event: 'job-ended',
+        job: job.state.job.id,
+        queue: job.queue.name,
+        outcome: outcome.kind,
+        ageMs: Math.round(this.clock.now() - job.acceptedAt),
+      },
+      'a job is over',
+    );
     for (const resolve of job.waiters) resolve(outcome);
     this.forgetEnded(job);
   }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -3,6 +3,7 @@
 import {chooseTarget, type RoomTarget} from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, rankJob} from './active-job.js';
+import type {Logger} from '#telemetry';
 import type {OutstandingRun} from './link.js';
 import type {RunnerFleet} from './runner-fleet.js';
 
@@ -18,7 +19,10 @@
 export class Placer {
   private nextTicket: RunTicket = 1;
 
-  constructor(private readonly fleet: RunnerFleet) {}
+  constructor(
+    private readonly fleet: RunnerFleet,
+    private readonly log: Logger,
+  ) {}
 
   /** Places what can be placed; returns the jobs of which a task can never be held by any target. */
   placeAll(jobs: Iterable<ActiveJob>, now: Instant): readonly ActiveJob[] {
@@ -115,6 +119,10 @@
     job.hasRun = true;
     const {id, payload, steps} = job.state.job;
     const {demand, estimateMs} = steps[step]!;
+    this.log.debug(
+      {event: 'runs-placed', job: id, step, target, runs: runs.size, rank},
+      'told a target to run tasks',
+    );
     this.fleet.find(target)!.place(
       {
         job: id,
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -335,6 +335,7 @@
       load: targetLoad,
     }),
   ),
+  'control.enrol': toCheck(Codec.interface({member: string, address: string})),
   'control.status': toCheck(nothing),
   'control.replicate': toCheck(
     Codec.interface({from: string, message: unknown}),
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -19,6 +19,8 @@
   ControlStatus,
   DemandParams,
   DrainParams,
+  EnrolParams,
+  EnrolResult,
   EpochJob,
   EpochJobsParams,
   FenceParams,
@@ -123,6 +125,7 @@
     params: ChangeMembersParams;
     result: ControlReply<Nothing>;
   };
+  'control.enrol': {params: EnrolParams; result: ControlReply<EnrolResult>};
   'control.status': {params: Nothing; result: ControlStatus};
   'runner.attach': {params: AttachRunnerParams; result: AttachRunnerResult};
   /** Answered once nothing of the job runs for others. */
--- a/packages/protocol/src/replica-messages.ts
+++ b/packages/protocol/src/replica-messages.ts
@@ -1,4 +1,4 @@
-import type {Address, EntryInfo, TargetInfo} from '#model';
+import type {Address, ControlId, EntryInfo, TargetInfo} from '#model';
 
 /** What a control replica that does not lead answers. */
 export interface NotLeader {
@@ -46,3 +46,14 @@
   /** Every replica that ever had log entries on its disk. None may start again on an empty one. */
   readonly acknowledged: readonly string[];
 }
+
+/** A replica on a new disk asks to take the place of whichever was at its address. */
+export interface EnrolParams {
+  readonly member: ControlId;
+  readonly address: Address;
+}
+
+export interface EnrolResult {
+  /** True once the replica votes; until then it asks again. */
+  readonly votes: boolean;
+}
--- a/packages/runner/src/lease.ts
+++ b/packages/runner/src/lease.ts
@@ -2,14 +2,16 @@
 import type {Either} from 'purify-ts';
 import type {ExecutorPort, ExecutorReport} from './executor.js';
 
-/** How long the executor keeps its runs without a renewal, in ms; within the platform's one second. */
-export const executorLeaseMs = 600;
+/** How long the executor keeps its runs without a renewal, in ms: three renewals may go unanswered. */
+export const executorLeaseMs = 800;
 /** An executor's clock may run this much slower than the runner's. */
 const maxClockDrift = 0.03;
-/** The answer to a renewal waits this long for an end, in ms: three renewals fit a lease. */
-const waitMs = 180;
+/** The answer to a renewal waits this long for an end, in ms: a fifth of the lease. */
+const waitMs = 150;
+/** An executor that has been silent for this long gets no new runs and no longer leases, in ms. */
+const trustMs = 400;
 /** Before another renewal after one that was not answered, in ms. */
-const retryPauseMs = 50;
+const retryPauseMs = 10;
 
 export interface LeaseOwner {
   readonly clock: Clock;
@@ -18,6 +20,8 @@
   readonly getAcknowledged: () => number;
   /** True while there is something to hold or to hear of. */
   readonly isNeeded: () => boolean;
+  /** False while an answer is awaited before anything else may happen. */
+  readonly isSettled: () => boolean;
   /** True when the runs may be held for longer. */
   readonly canProlong: () => boolean;
   /** Takes a report; `askedAt` is when the question left. */
@@ -49,6 +53,13 @@
     return this.silentSince === undefined;
   }
 
+  /** True while the executor answers, or has failed to for a moment only. */
+  get isTrusted(): boolean {
+    const {silentSince} = this;
+    if (silentSince === undefined) return true;
+    return this.owner.clock.now() - silentSince < trustMs;
+  }
+
   /** When everything that was sent has lapsed, unless more is sent. */
   get expiry(): Instant {
     return this.expiresAt;
@@ -72,13 +83,13 @@
         continue;
       }
       const askedAt = this.owner.clock.now();
-      const prolongs = this.isAnswered && this.owner.canProlong();
+      const prolongs = this.isTrusted && this.owner.canProlong();
       if (prolongs) this.noteOrder(askedAt);
       const answer = await this.owner.port.renewLease({
         fence: this.owner.getFence(),
         ...(prolongs && {leaseMs: executorLeaseMs}),
         acknowledged: this.owner.getAcknowledged(),
-        waitMs: this.isAnswered ? waitMs : 0,
+        waitMs: this.isAnswered && this.owner.isSettled() ? waitMs : 0,
       });
       if (this.stopped) return;
       await this.judge(answer, askedAt);
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -18,11 +18,12 @@
   ExecutorReport,
   StartOutcome,
 } from './executor.js';
+import {logFailedStart, logSilence, logStall, logStart} from './events.js';
 import {LeaseLoop} from './lease.js';
 import {isFitting, subtractDemand} from './occupancy.js';
 import {Orders} from './orders.js';
 import {compareReport} from './reconcile.js';
-import {formatRun, openRuns, type Run} from './run.js';
+import {openRuns, type Run} from './run.js';
 import {RunTable} from './run-table.js';
 import type {ClockReading, Session} from './session.js';
 import {SessionTable} from './session-table.js';
@@ -74,6 +75,7 @@
     this.sessions = new SessionTable(
       () => this.readClocks(),
       run => this.stop(run, 'stopped'),
+      () => this.startWaiting(),
     );
     this.orders = new Orders({
       port: options.port,
@@ -84,7 +86,7 @@
         this.runs.findOwner(run)?.isCurrent(this.readClocks()) === true,
       onOrder: sentAt => this.lease.noteOrder(sentAt),
       onStart: (run, outcome) => this.judgeStart(run, outcome),
-      onStopped: () => this.lease.wakeUp(),
+      onStopped: () => void this.look(),
     });
     this.lease = new LeaseLoop({
       clock: this.clock,
@@ -95,6 +97,7 @@
         return this.acknowledged;
       },
       isNeeded: () => this.isLeaseNeeded,
+      isSettled: () => this.adopted,
       canProlong: () => this.adopted && this.sessions.isCurrent(),
       receive: (report, askedAt) => this.receiveReport(report, askedAt),
       lapse: detail => this.endLapsed(detail),
@@ -167,7 +170,7 @@
       !this.executor.draining &&
       !this.draining &&
       this.adopted &&
-      this.lease.isAnswered
+      this.lease.isTrusted
     );
   }
 
@@ -232,7 +235,7 @@
     const session = this.sessions.find(peer);
     if (session === undefined) return;
     const now = this.clock.now();
-    if (session.runs.size === 0) session.advanceRenewal(now);
+    this.sessions.ensureCurrent(session);
     for (const batch of batches) {
       for (const run of openRuns(batch, now)) this.accept(session, run);
     }
@@ -279,30 +282,17 @@
         run.startedAt = run.phase.sentAt;
         run.progressedAt = this.clock.now();
         run.phase = {kind: 'running', confirmedAt: this.clock.now()};
+        logStart(this.options.log, run);
         return;
       case 'refused':
-        this.options.log.warn(
-          {
-            event: 'start-refused',
-            run: formatRun(run.ref),
-            reason: outcome.reason,
-          },
-          'the executor did not begin the run',
-        );
+        logFailedStart(this.options.log, run, outcome.reason);
         if (outcome.reason === 'unhealthy') {
           this.record = recordFailure(this.record);
         }
         this.endRun(run, 'not-run');
         return;
       case 'unanswered':
-        this.options.log.warn(
-          {
-            event: 'start-unanswered',
-            run: formatRun(run.ref),
-            detail: outcome.detail,
-          },
-          'the run may or may not have begun; it is stopped',
-        );
+        logFailedStart(this.options.log, run, outcome.detail);
         this.record = recordFailure(this.record);
         this.stop(run, 'not-run');
         return;
@@ -370,13 +360,21 @@
     this.wakeIdle();
   }
 
+  /** Asks for the lists at once: a renewal under way may wait long for an end. */
+  private async look(): Promise<void> {
+    const askedAt = this.clock.now();
+    const answer = await this.options.port.renewLease({
+      fence: this.orders.fence,
+      acknowledged: this.announcedAck,
+      waitMs: 0,
+    });
+    answer.ifRight(report => this.receiveReport(report, askedAt));
+    this.lease.wakeUp();
+  }
+
   private stopStalled(run: Run): void {
-    const {percent, progressedAt} = run;
-    const stillMs = Math.round(this.clock.now() - progressedAt);
-    this.options.log.warn(
-      {event: 'run-stalled', run: formatRun(run.ref), percent, stillMs},
-      'the run makes no progress; it is stopped',
-    );
+    const stillMs = Math.round(this.clock.now() - run.progressedAt);
+    logStall(this.options.log, run, stillMs);
     this.record = recordFailure(this.record);
     this.stop(run, 'stalled');
   }
@@ -416,17 +414,10 @@
 
   private expire(session: Session): void {
     const open = [...session.runs.values()].filter(
-      ({phase}) => phase.kind !== 'stopping',
+      ({phase}) => phase.kind === 'starting' || phase.kind === 'running',
     );
     if (open.length === 0) return;
-    this.options.log.warn(
-      {
-        event: 'dispatcher-silent',
-        dispatcher: session.dispatcher,
-        runs: open.length,
-      },
-      'a dispatcher does not renew its permission; its runs are stopped',
-    );
+    logSilence(this.options.log, session.dispatcher, open.length);
     for (const run of open) this.stop(run, 'stopped');
   }
 
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -11,6 +11,8 @@
     private readonly readClocks: () => ClockReading,
     /** Stops a run that its dispatcher does not want any more. */
     private readonly stop: (run: Run) => void,
+    /** A dispatcher has permitted its runs for another while. */
+    private readonly onGranted: () => void,
   ) {}
 
   /**
@@ -41,6 +43,12 @@
     return resumed;
   }
 
+  /** Asks a dispatcher for its permission now, unless it holds. */
+  ensureCurrent(session: Session): void {
+    const now = this.readClocks();
+    if (!session.isCurrent(now)) session.renew(now, this.onGranted);
+  }
+
   /** Finds the session that is bound to a connection. */
   find(peer: Peer): Session | undefined {
     for (const session of this.sessions.values()) {
@@ -66,8 +74,9 @@
         if (!session.peer.isOpen) this.sessions.delete(name);
         continue;
       }
-      session.renew(this.readClocks);
-      if (!session.isPermitted(this.readClocks())) expired.push(session);
+      const now = this.readClocks();
+      session.renew(now, this.onGranted);
+      if (!session.isPermitted(now)) expired.push(session);
     }
     return expired;
   }
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -16,7 +16,7 @@
 export const renewalIntervalMs = 200;
 
 /** A load that has changed is told at most this often, unless ends are told with it, in ms. */
-const loadIntervalMs = 100;
+const loadIntervalMs = 20;
 /** Ends kept for a dispatcher that may have missed their report. */
 const maxRecentEnds = 512;
 
@@ -72,10 +72,10 @@
     return this.isPermitted(now) && wallMs >= 0 && wallMs < permissionMs;
   }
 
-  /** Asks the dispatcher for another permission when one is due. */
-  renew(read: () => ClockReading): void {
-    const now = read();
-    if (this.renewing || now.monotonic < this.nextRenewal) return;
+  /** Asks the dispatcher for another permission when one is due; tells when it is granted. */
+  renew(now: ClockReading, onGranted: () => void): void {
+    const isDue = now.monotonic >= this.nextRenewal || !this.isCurrent(now);
+    if (this.renewing || !isDue) return;
     const {peer} = this;
     this.renewing = true;
     this.nextRenewal = now.monotonic + renewalIntervalMs;
@@ -83,15 +83,12 @@
     void peer.request('dispatcher.renew', {}, deadline).then(answer => {
       if (this.peer !== peer) return;
       this.renewing = false;
-      if (answer.isRight()) this.askedAt = now;
+      if (answer.isLeft()) return;
+      this.askedAt = now;
+      onGranted();
     });
   }
 
-  /** Asks for a permission with the next look, whatever the interval. */
-  advanceRenewal(now: Instant): void {
-    this.nextRenewal = Math.min(this.nextRenewal, now);
-  }
-
   /** Takes over a run that was accepted for the dispatcher. */
   add(run: Run): void {
     this.runs.set(run.ticket, run);
