--- a/packages/dispatch/test/dispatcher.test.ts
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {PersistentMap} from '#membership';
 import {startRunner, sleep, waitUntil} from '../../runner/test/stand.js';
 import {buildJob, buildView, startDispatcher} from './stand.js';
 
@@ -15,6 +16,7 @@
   const executors = runners.map(({executor}) => executor);
   return {
     executors,
+    view,
     a: entries[0]!,
     b: entries[1]!,
     countStarts: () =>
@@ -109,3 +111,20 @@
   const outcome = await site.a.submit(buildJob('job', 1), 200);
   t.is(outcome.kind, 'expired');
 });
+
+test('runs are not given up when control tells of a life that the runner has told of before', async t => {
+  await using site = await startSite();
+  const outcome = site.a.submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  const targets = [...site.view.targets.list()].map(
+    info => [info.target, {...info, incarnation: 2}] as const,
+  );
+  site.a.dispatcher.follow({
+    ...site.view,
+    targets: PersistentMap.collect(targets),
+  });
+  await sleep(100);
+  t.is(site.countStarts(), 2);
+  site.endAll('succeeded');
+  t.deepEqual(await outcome, {kind: 'completed'});
+});
