Ask again when a change of members meets a leader just elected

A leader whose first entry is not committed refuses every change, and the refusal was told to the operator as final; under load the leader had changed between two steps of the test. Ruled out: the test's own limits, which were not reached. The client now asks again until its deadline; the new test fails before (rejected, not-ready).

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -384,6 +384,8 @@
         if (this.isInForce(change, outcome.reason)) {
           return {kind: 'done', value: {}};
         }
+        // A leader that has just been elected is ready within a round trip: the client asks again.
+        if (outcome.reason === 'not-ready') return this.leader.redirect();
         throw new Error(
           `${params.change} of "${params.member}" is refused: ${outcome.reason}`,
         );
