Begin a run only when enough of its dispatcher's permission is left

Ruled out: lost connections; the connections stayed up and the next question was answered within milliseconds. Change: a permission that is due is asked for when a run arrives, and a run begins only with 250 ms of it left. Test: 'a run that comes when little of the permission is left is begun under the next one' fails without the change.

--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -83,7 +83,7 @@
       log: options.log,
       firstFence: Math.floor(this.readWall()),
       canStart: run =>
-        this.runs.findOwner(run)?.isCurrent(this.readClocks()) === true,
+        this.runs.findOwner(run)?.canStart(this.readClocks()) === true,
       onOrder: sentAt => this.lease.noteOrder(sentAt),
       onStart: (run, outcome) => this.judgeStart(run, outcome),
       onStopped: () => void this.look(),
@@ -265,7 +265,7 @@
       const run = this.backlog.takeFirst(
         each =>
           isFitting(executor.room, this.runs.used, each.demand) &&
-          this.runs.findOwner(each)!.isCurrent(now),
+          this.runs.findOwner(each)!.canStart(now),
       );
       if (run === undefined) return;
       this.runs.noteStart(run);
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -43,10 +43,9 @@
     return resumed;
   }
 
-  /** Asks a dispatcher for its permission now, unless it holds. */
+  /** Asks a dispatcher for its permission now, if it is due. */
   ensureCurrent(session: Session): void {
-    const now = this.readClocks();
-    if (!session.isCurrent(now)) session.renew(now, this.onGranted);
+    session.renew(this.readClocks(), this.onGranted);
   }
 
   /** Finds the session that is bound to a connection. */
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -15,6 +15,8 @@
 /** A permission is asked for anew this often while runs depend on it, in ms. */
 export const renewalIntervalMs = 200;
 
+/** A start needs this much of the permission left, in ms: time for a renewal on a busy host. */
+const startMarginMs = 250;
 /** A load that has changed is told at most this often, unless ends are told with it, in ms. */
 const loadIntervalMs = 20;
 /** Ends kept for a dispatcher that may have missed their report. */
@@ -72,9 +74,15 @@
     return this.isPermitted(now) && wallMs >= 0 && wallMs < permissionMs;
   }
 
+  /** True when a run begun now will be held until the next permission is due. */
+  canStart(now: ClockReading): boolean {
+    const monotonic = now.monotonic + startMarginMs;
+    return this.isCurrent(now) && this.isPermitted({...now, monotonic});
+  }
+
   /** Asks the dispatcher for another permission when one is due; tells when it is granted. */
   renew(now: ClockReading, onGranted: () => void): void {
-    const isDue = now.monotonic >= this.nextRenewal || !this.isCurrent(now);
+    const isDue = now.monotonic >= this.nextRenewal || !this.canStart(now);
     if (this.renewing || !isDue) return;
     const {peer} = this;
     this.renewing = true;
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {permissionMs} from '#runner';
 import {formatTask, sleep, startRunner, waitUntil} from './stand.js';
 
 test('a run is started once room is there, and its end is told', async t => {
@@ -29,6 +30,23 @@
   t.is(stand.executor.running.size, 1);
 });
 
+test('a run that comes when little of the permission is left is begun under the next one', async t => {
+  await using stand = await startRunner();
+  const dispatcher = await stand.attach('d');
+  dispatcher.place(1);
+  await waitUntil(() => stand.executor.starts.length === 1);
+  const permittedAt = performance.now();
+  stand.executor.end(stand.executor.starts[0]!, 'succeeded');
+  await waitUntil(() => dispatcher.ends.length === 1);
+  dispatcher.answersAfterMs = 200;
+  await sleep(permittedAt + permissionMs - 80 - performance.now());
+  dispatcher.place(2, 1);
+  await waitUntil(() => stand.executor.starts.length === 2);
+  await sleep(300);
+  t.is(stand.executor.running.size, 1);
+  t.is(dispatcher.ends.length, 1);
+});
+
 test('the runs of a dispatcher that falls silent are stopped', async t => {
   await using stand = await startRunner();
   const silent = await stand.attach('silent');
--- a/packages/runner/test/stand.ts
+++ b/packages/runner/test/stand.ts
@@ -107,6 +107,8 @@
   readonly ends: RunEndRow[];
   /** False while it leaves questions for its permission unanswered. */
   permits: boolean;
+  /** How long it takes to answer them, in ms. */
+  answersAfterMs: number;
   readonly place: (ticket: number, index?: number, run?: number) => void;
 }
 
@@ -140,14 +142,17 @@
     tickets: readonly number[] = [],
   ): Promise<FakeDispatcher> => {
     const ends: RunEndRow[] = [];
-    const fake = {ends, permits: true} as {
+    const fake = {ends, permits: true, answersAfterMs: 0} as {
       -readonly [K in keyof FakeDispatcher]: FakeDispatcher[K];
     };
     const dialled = await dialPeer(
       listener.address,
       {
-        'dispatcher.renew': () =>
-          fake.permits ? {} : new Promise<Record<string, never>>(() => {}),
+        'dispatcher.renew': async () => {
+          if (!fake.permits) await new Promise(() => {});
+          await sleep(fake.answersAfterMs);
+          return {};
+        },
         'dispatcher.report': report => void ends.push(...report.ends),
       },
       performance.now() + 1000,
