Let one run wait at a full target and give more back at once

Cause: entries place on loads up to 20 ms old and send several runs to the same room; each then waited there for tens of ms while other targets were idle. Change: a runner accepts one run beyond its room and gives others back at once; a dispatcher sends a run ahead only where no target has room; a target that is nearly full tells its load every 5 ms instead of 20. The reports of a runner stand in a file of their own. Ruled out: the number of orders at a time (the first and last start of a batch lie 1 to 2 ms apart).

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -313,7 +313,8 @@
       this.forgetEnded(job);
       return;
     }
-    const level = end === 'succeeded' ? 'debug' : 'info';
+    const isUsual = end === 'succeeded' || end === 'not-run';
+    const level = isUsual ? 'debug' : 'info';
     this.options.log[level](
       {event: 'run-ended', target, ...run.ref, end},
       'a run is over',
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -59,6 +59,15 @@
 } from './room-placement.js';
 export {chooseTarget, isHoldable} from './room-placement.js';
 
+export type {RoomSize} from './room.js';
+export {
+  canWaitAhead,
+  emptyDemand,
+  isFitting,
+  subtractDemand,
+  sumDemand,
+} from './room.js';
+
 export type {ArrivingJob, BacklogVerdict, PoolBacklog} from './backlog.js';
 export {estimateBacklogMs, judgeBacklog} from './backlog.js';
 
--- a/packages/policy/src/room-placement.ts
+++ b/packages/policy/src/room-placement.ts
@@ -1,4 +1,5 @@
 import type {Instant, Room, RoomDemand, TargetId} from '#model';
+import {canWaitAhead, isFitting} from './room.js';
 
 /** A target as one dispatcher sees it. */
 export interface RoomTarget {
@@ -58,7 +59,8 @@
 /**
  * Chooses where a task runs soonest to its end. Load pattern: targets of unequal speed, of which the
  * fast ones fill first. A slow target that would miss the due time is passed over while a fast one,
- * once free, would still keep it.
+ * once free, would still keep it. Where no target has room, the task may wait at one that has no
+ * other waiting.
  */
 export function chooseTarget(
   task: PlacingTask,
@@ -71,33 +73,42 @@
   }
   const sound = holding.filter(({failing}) => failing <= maxFailing);
   const usable = sound.length > 0 ? sound : holding;
-  let best: {readonly target: TargetId; readonly cost: number} | undefined;
-  let fastest = Infinity;
-  for (const target of usable) {
-    const runMs = estimateRunMs(task, target);
-    fastest = Math.min(fastest, runMs);
-    if (!isRoomFor(target, task.demand)) continue;
-    if (target.target === task.avoid && usable.length > 1) continue;
-    const cost =
-      runMs * (1 + failingWeight * target.failing) +
-      (target.isNear ? 0 : distanceMs);
-    if (best === undefined || cost < best.cost) {
-      best = {target: target.target, cost};
-    }
-  }
+  const best =
+    findCheapest(task, usable, ({room, used}) =>
+      isFitting(room, used, task.demand),
+    ) ?? findCheapest(task, usable, ({room, used}) => canWaitAhead(room, used));
   if (best === undefined) return {kind: 'wait'};
+  const fastest = Math.min(...usable.map(each => estimateRunMs(task, each)));
   const missesDue = now + best.cost > task.dueAt;
   const fastKeepsDue = now + fastest <= task.dueAt;
   if (missesDue && fastKeepsDue) return {kind: 'wait'};
   return {kind: 'place', target: best.target};
 }
 
-function isRoomFor({room, used}: RoomTarget, demand: RoomDemand): boolean {
-  return (
-    used.cpuMillis + demand.cpuMillis <= room.cpuMillis &&
-    used.memoryMb + demand.memoryMb <= room.memoryMb &&
-    used.accelerators + demand.accelerators <= room.accelerators
-  );
+interface PricedTarget {
+  readonly target: TargetId;
+  /** The time to the task's end there, in ms, with what counts against the target. */
+  readonly cost: number;
+}
+
+/** Finds the cheapest of the targets that are open to a task; undefined when none is. */
+function findCheapest(
+  task: PlacingTask,
+  targets: readonly RoomTarget[],
+  isOpen: (target: RoomTarget) => boolean,
+): PricedTarget | undefined {
+  let best: PricedTarget | undefined;
+  for (const target of targets) {
+    if (!isOpen(target)) continue;
+    if (target.target === task.avoid && targets.length > 1) continue;
+    const cost =
+      estimateRunMs(task, target) * (1 + failingWeight * target.failing) +
+      (target.isNear ? 0 : distanceMs);
+    if (best === undefined || cost < best.cost) {
+      best = {target: target.target, cost};
+    }
+  }
+  return best;
 }
 
 function estimateRunMs(
--- a/packages/policy/test/room-placement.test.ts
+++ b/packages/policy/test/room-placement.test.ts
@@ -88,8 +88,24 @@
   });
 });
 
-test('what no target could ever hold is told from what has no room now', t => {
+test('a task waits at a full target only where no other waits and none has room', t => {
   const full = buildTarget('full', {used: {...none, cpuMillis: 15_000}});
+  const slowFull = {...full, target: 'slow', slowness: 1.2};
+  const free = buildTarget('free', {slowness: 1.5});
+  t.deepEqual(chooseTarget(task, [slowFull, full], 0), {
+    kind: 'place',
+    target: 'full',
+  });
+  t.deepEqual(chooseTarget(task, [full, free], 0), {
+    kind: 'place',
+    target: 'free',
+  });
+  const taken = buildTarget('taken', {used: {...none, cpuMillis: 16_600}});
+  t.deepEqual(chooseTarget(task, [taken], 0), {kind: 'wait'});
+});
+
+test('what no target could ever hold is told from what has no room now', t => {
+  const full = buildTarget('full', {used: {...none, cpuMillis: 16_600}});
   t.deepEqual(chooseTarget(task, [full], 0), {kind: 'wait'});
   t.deepEqual(chooseTarget(task, [], 0), {kind: 'wait'});
   const huge = {...task, demand: {...task.demand, cpuMillis: 17_000}};
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -1,6 +1,6 @@
 import type {JobId, RoomDemand, RunRef} from '#model';
+import {emptyDemand, subtractDemand, sumDemand} from '#policy';
 import type {ReportedEnd} from '#protocol';
-import {addDemand, nothing, subtractDemand} from './occupancy.js';
 import {formatRun, type Run} from './run.js';
 import type {Session} from './session.js';
 
@@ -8,8 +8,8 @@
 export class RunTable {
   private readonly runs = new Map<string, Run>();
   private readonly owners = new Map<Run, Session>();
-  private usedDemand: RoomDemand = nothing;
-  private acceptedDemand: RoomDemand = nothing;
+  private usedDemand: RoomDemand = emptyDemand;
+  private acceptedDemand: RoomDemand = emptyDemand;
 
   /** Runs accepted and not over. */
   get size(): number {
@@ -49,12 +49,12 @@
     this.runs.set(formatRun(run.ref), run);
     this.owners.set(run, session);
     session.add(run);
-    this.acceptedDemand = addDemand(this.acceptedDemand, run.demand);
+    this.acceptedDemand = sumDemand(this.acceptedDemand, run.demand);
   }
 
   /** A waiting run is about to be sent to the executor. */
   noteStart(run: Run): void {
-    this.usedDemand = addDemand(this.usedDemand, run.demand);
+    this.usedDemand = sumDemand(this.usedDemand, run.demand);
   }
 
   /** Removes a run that is over, and notes its end for its dispatcher; false when it was removed before. */
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -1,4 +1,5 @@
 import {type Clock, type Instant, monotonicClock} from '#model';
+import {canWaitAhead, isFitting, subtractDemand} from '#policy';
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
@@ -20,9 +21,9 @@
 } from './executor.js';
 import {logFailedStart, logSilence, logStall, logStart} from './events.js';
 import {LeaseLoop} from './lease.js';
-import {isFitting, subtractDemand} from './occupancy.js';
 import {Orders} from './orders.js';
 import {compareReport} from './reconcile.js';
+import {Reporter} from './reporter.js';
 import {openRuns, type Run} from './run.js';
 import {RunTable} from './run-table.js';
 import type {ClockReading, Session} from './session.js';
@@ -45,8 +46,6 @@
 
 /** Between two looks at permissions, stalled runs and unanswered orders, in ms. */
 const tickMs = 50;
-/** Reports gather for this long, in ms. */
-const reportDelayMs = 4;
 
 /** Runs dispatchers' tasks on one executor: the last word on what starts there. */
 export class Runner implements AsyncDisposable {
@@ -58,6 +57,7 @@
   private readonly bars = new Bars();
   private readonly orders: Orders;
   private readonly lease: LeaseLoop;
+  private readonly reporter: Reporter;
   private readonly ticker: NodeJS.Timeout;
   private executor: ExecutorInfo | undefined;
   private record: TrackRecord = freshRecord;
@@ -66,7 +66,6 @@
   /** False until the executor runs nothing that this process does not know. */
   private adopted = false;
   private draining = false;
-  private reporting = false;
   private idleWaiters: (() => void)[] = [];
 
   constructor(private readonly options: RunnerOptions) {
@@ -77,6 +76,11 @@
       run => this.stop(run, 'stopped'),
       () => this.startWaiting(),
     );
+    this.reporter = new Reporter({
+      sessions: this.sessions,
+      describeLoad: session => this.describeLoad(session),
+      isTight: () => this.isTight,
+    });
     this.orders = new Orders({
       port: options.port,
       clock: this.clock,
@@ -123,7 +127,7 @@
     this.executor = info;
     if (isNew) this.beginLife(info);
     else if (info.draining && !known.draining) this.returnWaiting();
-    this.scheduleReport();
+    this.reporter.schedule();
     this.lease.wakeUp();
   }
 
@@ -132,7 +136,7 @@
     if (this.executor?.incarnation !== incarnation) return;
     this.executor = {...this.executor, draining: true};
     this.returnWaiting();
-    this.scheduleReport();
+    this.reporter.schedule();
   }
 
   /** What dispatchers ask of this end of their connections. */
@@ -149,13 +153,14 @@
   drain(): Promise<void> {
     this.draining = true;
     this.returnWaiting();
-    this.scheduleReport();
+    this.reporter.schedule();
     if (this.isIdle) return Promise.resolve();
     return new Promise(resolve => this.idleWaiters.push(resolve));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.ticker);
+    this.reporter[Symbol.dispose]();
     this.orders[Symbol.dispose]();
     await this.lease[Symbol.asyncDispose]();
     await this.options.port[Symbol.asyncDispose]();
@@ -185,6 +190,14 @@
     );
   }
 
+  /** True when little more than one run's room is left, or less. */
+  private get isTight(): boolean {
+    const {executor, runs} = this;
+    if (executor === undefined || runs.size === 0) return false;
+    const {cpuMillis} = runs.accepted;
+    return cpuMillis * (runs.size + 2) >= executor.room.cpuMillis * runs.size;
+  }
+
   private readClocks(): ClockReading {
     return {monotonic: this.clock.now(), wall: this.readWall()};
   }
@@ -241,14 +254,15 @@
       for (const run of openRuns(batch, now)) this.accept(session, run);
     }
     this.startWaiting();
-    this.scheduleReport();
+    this.reporter.schedule();
   }
 
   private accept(session: Session, run: Run): void {
     if (
       this.bars.isBarred(run.ref.job, session.dispatcher) ||
       !this.isOpen ||
-      this.runs.find(run.ref) !== undefined
+      this.runs.find(run.ref) !== undefined ||
+      !canWaitAhead(this.executor!.room, this.runs.accepted)
     ) {
       session.addEnd(run.ticket, 'not-run', 0);
       return;
@@ -357,7 +371,7 @@
       this.options.log.info({event: 'executor-adopted', target}, 'no strays');
     }
     this.startWaiting();
-    this.scheduleReport();
+    this.reporter.schedule();
     this.wakeIdle();
   }
 
@@ -402,7 +416,7 @@
       this.record = recordSuccess(this.record, runMs, run.estimateMs);
     }
     if (end === 'failed') this.record = recordFailure(this.record);
-    this.scheduleReport();
+    this.reporter.schedule();
   }
 
   private tick(): void {
@@ -410,7 +424,7 @@
     this.record = decreaseFailing(this.record);
     this.startWaiting();
     this.lease.wakeUp();
-    this.scheduleReport();
+    this.reporter.schedule();
   }
 
   private expire(session: Session): void {
@@ -422,15 +436,6 @@
     for (const run of open) this.stop(run, 'stopped');
   }
 
-  private scheduleReport(): void {
-    if (this.reporting) return;
-    this.reporting = true;
-    setTimeout(() => {
-      this.reporting = false;
-      this.sessions.report(session => this.describeLoad(session));
-    }, reportDelayMs);
-  }
-
   private wakeIdle(): void {
     if (!this.isIdle) return;
     for (const wake of this.idleWaiters.splice(0)) wake();
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -80,12 +80,21 @@
     return expired;
   }
 
-  /** Tells each dispatcher its ends and the load by the others. */
-  report(describe: (session: Session) => TargetLoad): void {
+  /**
+   * Tells each dispatcher its ends and the load by the others. Returns for how long changes must
+   * wait that are not told yet, in ms.
+   */
+  report(
+    describe: (session: Session) => TargetLoad,
+    isTight: boolean,
+  ): number | undefined {
     const now: Instant = this.readClocks().monotonic;
+    const waits: number[] = [];
     for (const session of this.sessions.values()) {
-      session.report(describe(session), now);
+      const waitMs = session.report(describe(session), isTight, now);
+      if (waitMs !== undefined) waits.push(waitMs);
     }
+    return waits.length === 0 ? undefined : Math.min(...waits);
   }
 
   private stopAll(session: Session): void {
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -1,5 +1,5 @@
-import type {Instant} from '#model';
-import type {RoomDemand} from '#model';
+import type {Instant, RoomDemand} from '#model';
+import {emptyDemand, subtractDemand, sumDemand} from '#policy';
 import type {
   Peer,
   ReportedEnd,
@@ -7,7 +7,6 @@
   RunTicket,
   TargetLoad,
 } from '#protocol';
-import {addDemand, nothing, subtractDemand} from './occupancy.js';
 import type {Run} from './run.js';
 
 /** How long a dispatcher's answer permits its runs, counted from the question, in ms. */
@@ -19,6 +18,8 @@
 const startMarginMs = 250;
 /** A load that has changed is told at most this often, unless ends are told with it, in ms. */
 const loadIntervalMs = 20;
+/** The same while the target is nearly full, when a stale load sends runs to where they must wait. */
+const tightIntervalMs = 5;
 /** Ends kept for a dispatcher that may have missed their report. */
 const maxRecentEnds = 512;
 
@@ -33,7 +34,7 @@
 export class Session {
   readonly runs = new Map<RunTicket, Run>();
   /** What its runs hold or wait for. */
-  demand: RoomDemand = nothing;
+  demand: RoomDemand = emptyDemand;
   private ends: RunEndRow[] = [];
   /** The latest ends, told or not, by ticket. */
   private readonly recent = new Map<RunTicket, RunEndRow>();
@@ -100,7 +101,7 @@
   /** Takes over a run that was accepted for the dispatcher. */
   add(run: Run): void {
     this.runs.set(run.ticket, run);
-    this.demand = addDemand(this.demand, run.demand);
+    this.demand = sumDemand(this.demand, run.demand);
   }
 
   /** Gives up a run that is over. */
@@ -128,20 +129,28 @@
       .map(ticket => this.recent.get(ticket) ?? [ticket, 'not-run', 0]);
   }
 
-  /** Sends the ends that have gathered, or a load that differs enough from the one told. */
-  report(load: TargetLoad, now: Instant): void {
-    if (this.ends.length === 0 && !this.isNews(load, now)) return;
+  /**
+   * Sends the ends that have gathered, or a load that differs from the one told. Returns for how
+   * long a change must wait that is not told yet, in ms.
+   */
+  report(load: TargetLoad, isTight: boolean, now: Instant): number | undefined {
+    if (this.ends.length === 0) {
+      if (!this.isNews(load)) return undefined;
+      const intervalMs = isTight ? tightIntervalMs : loadIntervalMs;
+      const waitMs = this.toldAt + intervalMs - now;
+      if (this.toldLoad?.open === load.open && waitMs > 0) return waitMs;
+    }
     this.peer.notify('dispatcher.report', {ends: this.ends, load});
     this.ends = [];
     this.toldLoad = load;
     this.toldAt = now;
+    return undefined;
   }
 
-  private isNews(load: TargetLoad, now: Instant): boolean {
+  private isNews(load: TargetLoad): boolean {
     const told = this.toldLoad;
-    if (told?.open !== load.open) return true;
-    if (now - this.toldAt < loadIntervalMs) return false;
     return (
+      told?.open !== load.open ||
       told.cpuMillis !== load.cpuMillis ||
       told.memoryMb !== load.memoryMb ||
       told.accelerators !== load.accelerators
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -16,6 +16,22 @@
   t.deepEqual(dispatcher.ends[0]!.slice(0, 2), [1, 'succeeded']);
 });
 
+test('one run waits at a full executor; more are given back at once', async t => {
+  await using stand = await startRunner();
+  const dispatcher = await stand.attach('d');
+  for (let i = 0; i < 7; i++) dispatcher.place(i + 1, i);
+  await waitUntil(() => dispatcher.ends.length === 2);
+  t.deepEqual(
+    dispatcher.ends.map(([ticket, end]) => [ticket, end]),
+    [
+      [6, 'not-run'],
+      [7, 'not-run'],
+    ],
+  );
+  await waitUntil(() => stand.executor.starts.length === 4);
+  t.is(stand.runner.runCount, 5);
+});
+
 test('a dispatcher that was idle for longer than its permission has its next run begun, not stopped', async t => {
   await using stand = await startRunner();
   const dispatcher = await stand.attach('d');
