Stand for election sooner: 400 ms without a leader, and at most 600 ms after a start

Ruled out: the start of the processes (0.15 to 0.4 s after power) and the attaching of runners (10 to 100 ms after the election). Change: an election timeout of 400 ms with heartbeats every 100 ms, and a first deadline within half a timeout after votes may be given. Left as it is: a replica that restarts still counts its start as the last contact with a leader, as its promise may be that young.

--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -54,7 +54,7 @@
     this.durableIndex = this.log.lastIndex;
     // A restart forgets the last contact with a leader, so it counts as one.
     this.contactAt = now;
-    this.deferElection(now);
+    this.deferFirstElection(now);
   }
 
   get term(): number {
@@ -80,6 +80,17 @@
       : this.role.kind;
   }
 
+  /**
+   * Sets the election deadline after a start, up to half a timeout after votes may be given: where
+   * all replicas have just started, nobody leads and callers wait.
+   */
+  private deferFirstElection(now: Instant): void {
+    const {random, timing} = this.options;
+    const timeoutMs = timing.electionTimeoutMs;
+    const spreadMs = uniformInt(random, 0, Math.floor(timeoutMs / 2));
+    this.electionDeadline = now + timeoutMs + spreadMs;
+  }
+
   /** Sets the election deadline anew: one to two timeouts from now. */
   deferElection(now: Instant): void {
     const {random, timing} = this.options;
--- a/packages/consensus/src/options.ts
+++ b/packages/consensus/src/options.ts
@@ -29,10 +29,11 @@
   readonly random: RandomGenerator;
 }
 
+/** Heartbeats cost some 30 bytes; three of them may be lost or late before an election. */
 export const defaultTiming: ReplicaTiming = {
-  heartbeatIntervalMs: 150,
-  electionTimeoutMs: 600,
-  clockMarginMs: 50,
+  heartbeatIntervalMs: 100,
+  electionTimeoutMs: 400,
+  clockMarginMs: 30,
 };
 
 export const defaultBounds: ReplicaBounds = {
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -1,5 +1,13 @@
 import test from 'ava';
-import {checkMessage, type Message} from '#consensus';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+  checkMessage,
+  createFirstEntry,
+  createMembers,
+  defaultBounds,
+  type Message,
+  Replica,
+} from '#consensus';
 import {makeBlank, Stand, timing} from './stand.js';
 
 const {electionTimeoutMs, clockMarginMs} = timing;
@@ -48,6 +56,19 @@
   t.like(stand.sent[0], {kind: 'append-accepted', matchIndex: 2});
 });
 
+test('after a start an election is stood for within one and a half timeouts', t => {
+  const members = createMembers(['a', 'b', 'c'].map(id => ({id, address: id})));
+  for (let seed = 0; seed < 50; seed++) {
+    const {wakeAt} = new Replica(
+      {id: 'a', timing, bounds: defaultBounds, random: xoroshiro128plus(seed)},
+      {hardState: {term: 0}, entries: [createFirstEntry(members)]},
+      0,
+    );
+    t.true(wakeAt >= electionTimeoutMs);
+    t.true(wakeAt <= 1.5 * electionTimeoutMs);
+  }
+});
+
 test('one vote is given in a term', t => {
   const stand = new Stand();
   stand.now = electionTimeoutMs;
