--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -1,7 +1,15 @@
-import type {Instant, QueueConfig, TargetId} from '#model';
+import type {Instant, QueueConfig, QueuedJob, TargetId} from '#model';
 import {type JobState, estimateChainMs, listReady} from '#jobs';
 import type {RunTicket} from '#protocol';
 
+/** A queued job and its caller's patience. */
+export interface JobSubmission {
+  readonly job: QueuedJob;
+  readonly queue: QueueConfig;
+  /** When the caller leaves. */
+  readonly leavesAt: Instant;
+}
+
 /** What became of a submitted job. */
 export type JobOutcome =
   | {readonly kind: 'completed'}
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,19 +8,9 @@
   monotonicClock,
   RecentMap,
   type QueueConfig,
-  type QueuedJob,
-  type ServiceName,
   type TargetId,
 } from '#model';
-import {
-  cancelJob,
-  computeDueMs,
-  endRun,
-  estimateChainMs,
-  type JobState,
-  openJob,
-} from '#jobs';
-import {judgeBacklog, type RoomTarget} from '#policy';
+import {cancelJob, computeDueMs, endRun, estimateChainMs, openJob} from '#jobs';
 import type {
   FollowJobResult,
   Handlers,
@@ -29,9 +19,10 @@
 } from '#protocol';
 import type {View} from '#membership';
 import type {Logger} from '#telemetry';
-import {type ActiveJob, type JobOutcome} from './active-job.js';
+import type {ActiveJob, JobOutcome, JobSubmission} from './active-job.js';
 import {ClaimTable} from './claims.js';
 import {Fellows} from './fellows.js';
+import {Intake, noTargetRetryMs} from './intake.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, settleOwnership} from './ownership.js';
 import {Placer} from './placer.js';
@@ -48,16 +39,6 @@
   readonly clock?: Clock;
 }
 
-/** A queued job and its caller's patience. */
-export interface JobSubmission {
-  readonly job: QueuedJob;
-  readonly queue: QueueConfig;
-  /** When the caller leaves. */
-  readonly leavesAt: Instant;
-}
-
-/** How long a caller waits when nothing could take its job, in ms. */
-const noTargetRetryMs = 500;
 /** Ended jobs whose callers may ask again, as they do within seconds. */
 const maxRemembered = 8192;
 
@@ -66,6 +47,7 @@
   private readonly clock: Clock;
   private readonly fleet: RunnerFleet;
   private readonly placer: Placer;
+  private readonly intake: Intake;
   private readonly jobs = new Map<JobId, ActiveJob>();
   /** Outcomes of jobs that ended here. */
   private readonly finished = new RecentMap<JobId, JobOutcome>(maxRemembered);
@@ -97,6 +79,7 @@
       onLoad: () => this.schedulePlacing(),
     });
     this.placer = new Placer(this.fleet, options.log);
+    this.intake = new Intake(this.fleet, options.log);
   }
 
   /** Jobs accepted and not answered. */
@@ -129,7 +112,11 @@
     const {job, leavesAt} = submission;
     const here = await this.findHere(job.id);
     if (here !== undefined) return here;
-    const refusal = this.judge(submission, this.clock.now());
+    const refusal = this.intake.judge(
+      submission,
+      this.jobs.values(),
+      this.clock.now(),
+    );
     if (refusal !== undefined) return refusal;
     const standing = await settleOwnership(this.ownership, job.id, leavesAt);
     switch (standing.kind) {
@@ -239,50 +226,6 @@
     });
   }
 
-  private judge(
-    {job, queue, leavesAt}: JobSubmission,
-    now: Instant,
-  ): JobOutcome | undefined {
-    const targets = this.fleet.listTargets(queue.service);
-    if (targets.length === 0) {
-      return {
-        kind: 'refused',
-        retryAfterMs: noTargetRetryMs,
-        detail: `no target of service "${queue.service}" can be reached`,
-      };
-    }
-    const verdict = judgeBacklog(
-      {
-        chainMs: estimateChainMs(job),
-        dueAt: now + computeDueMs(job, queue.objective),
-        leavesAt,
-      },
-      this.measureBacklog(queue.service, targets),
-      now,
-    );
-    if (verdict.kind === 'admit') return undefined;
-    return {
-      kind: 'refused',
-      retryAfterMs: verdict.retryAfterMs,
-      detail: 'the targets cannot come to it before its caller leaves',
-    };
-  }
-
-  private measureBacklog(
-    service: ServiceName,
-    targets: readonly RoomTarget[],
-  ): {readonly workCoreMs: number; readonly rate: number} {
-    let workCoreMs = 0;
-    for (const {state, queue} of this.jobs.values()) {
-      if (queue.service === service) workCoreMs += measureWaiting(state);
-    }
-    const rate = targets.reduce(
-      (sum, {room, slowness}) => sum + room.cpuMillis / slowness,
-      0,
-    );
-    return {workCoreMs, rate};
-  }
-
   private schedulePlacing(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
@@ -406,17 +349,3 @@
   const ms = Math.max(0, deadline - clock.now());
   return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
 }
-
-/** Sums up the work of a job's tasks that wait for a target, in thousandths of a core times ms. */
-function measureWaiting(state: JobState): number {
-  let work = 0;
-  for (const [step, tasks] of state.steps.entries()) {
-    const {demand, estimateMs} = state.job.steps[step]!;
-    for (const {kind} of tasks) {
-      if (kind === 'ready' || kind === 'blocked') {
-        work += demand.cpuMillis * estimateMs;
-      }
-    }
-  }
-  return work;
-}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,3 @@
-export type {JobOutcome} from './active-job.js';
-export type {DispatcherOptions, JobSubmission} from './dispatcher.js';
+export type {JobOutcome, JobSubmission} from './active-job.js';
+export type {DispatcherOptions} from './dispatcher.js';
 export {Dispatcher, findQueue} from './dispatcher.js';
--- /dev/null
+++ b/packages/dispatch/src/intake.ts
@@ -0,0 +1,113 @@
+import type {Instant, ServiceName} from '#model';
+import {computeDueMs, estimateChainMs, type JobState} from '#jobs';
+import {
+  estimateBacklogMs,
+  judgeBacklog,
+  type PoolBacklog,
+  type RoomTarget,
+} from '#policy';
+import type {Logger} from '#telemetry';
+import type {ActiveJob, JobOutcome, JobSubmission} from './active-job.js';
+import type {RunnerFleet} from './runner-fleet.js';
+
+type Refusal = Extract<JobOutcome, {kind: 'refused'}>;
+
+/** How long a caller waits when nothing could take its job, in ms. */
+export const noTargetRetryMs = 500;
+
+/** Decides which jobs a dispatcher takes. */
+export class Intake {
+  constructor(
+    private readonly fleet: RunnerFleet,
+    private readonly log: Logger,
+  ) {}
+
+  /** Refuses a job that cannot be run before its caller leaves; undefined when it is taken. */
+  judge(
+    submission: JobSubmission,
+    jobs: Iterable<ActiveJob>,
+    now: Instant,
+  ): Refusal | undefined {
+    const {job, queue, leavesAt} = submission;
+    const targets = this.fleet.listTargets(queue.service);
+    if (targets.length === 0) {
+      return this.judgeWithoutTargets(submission);
+    }
+    const chainMs = estimateChainMs(job);
+    const backlog = measureBacklog(queue.service, targets, jobs);
+    const verdict = judgeBacklog(
+      {chainMs, dueAt: now + computeDueMs(job, queue.objective), leavesAt},
+      backlog,
+      now,
+    );
+    if (verdict.kind === 'admit') return undefined;
+    this.log.info(
+      {
+        event: 'job-refused',
+        job: job.id,
+        queue: queue.name,
+        cause: 'backlog',
+        backlogMs: Math.round(estimateBacklogMs(backlog)),
+        chainMs,
+        patienceMs: Math.round(leavesAt - now),
+        targets: targets.length,
+        retryAfterMs: verdict.retryAfterMs,
+      },
+      'refused a job: the targets cannot come to it in time',
+    );
+    return {
+      kind: 'refused',
+      retryAfterMs: verdict.retryAfterMs,
+      detail: 'the targets cannot come to it before its caller leaves',
+    };
+  }
+
+  private judgeWithoutTargets({
+    job,
+    queue,
+  }: JobSubmission): Refusal | undefined {
+    if (this.fleet.isReturning(queue.service)) return undefined;
+    const detail = `no target of service "${queue.service}" can be reached`;
+    this.log.warn(
+      {
+        event: 'job-refused',
+        job: job.id,
+        queue: queue.name,
+        cause: 'no-target',
+        retryAfterMs: noTargetRetryMs,
+      },
+      'refused a job: no target of its service can be reached',
+    );
+    return {kind: 'refused', retryAfterMs: noTargetRetryMs, detail};
+  }
+}
+
+function measureBacklog(
+  service: ServiceName,
+  targets: readonly RoomTarget[],
+  jobs: Iterable<ActiveJob>,
+): PoolBacklog {
+  let workCoreMs = 0;
+  for (const {state, queue} of jobs) {
+    if (queue.service === service) workCoreMs += measureWaiting(state);
+  }
+  const rate = targets.reduce(
+    (sum, {room, slowness}) => sum + room.cpuMillis / slowness,
+    0,
+  );
+  return {workCoreMs, rate};
+}
+
+/** Sums up the work of a job's tasks that wait for a target, in thousandths of a core times ms. */
+function measureWaiting(state: JobState): number {
+  let work = 0;
+  for (const [step, tasks] of state.steps.entries()) {
+    const {demand, estimateMs} = state.job.steps[step]!;
+    for (const {kind} of tasks) {
+      if (kind === 'ready' || kind === 'blocked') {
+        work += demand.cpuMillis * estimateMs;
+      }
+    }
+  }
+  return work;
+}
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -50,6 +50,8 @@
 const attachTimeoutMs = 600;
 const firstPauseMs = 30;
 const maxPauseMs = 1000;
+/** A target out of touch for longer than this is not waited for, in ms: a reset connection is opened anew within a tenth of it. */
+const returnLimitMs = 1000;
 /** Added to what two hosts' clocks may drift apart over a lease, and to a stop, in ms. */
 const marginMs = 130;
 /** After the last permission, a target's runs are over: stopped by its runner or lapsed at its executor. */
@@ -63,6 +65,8 @@
   private own: RoomDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
   /** When this end last let the target's runs go on. */
   private permittedAt: Instant = -Infinity;
+  /** Since when it is out of touch; undefined while it is connected. */
+  private missingSince: Instant | undefined;
   private stopped = false;
   private wake: () => void = () => {};
   private lossTimer: NodeJS.Timeout | undefined;
@@ -72,6 +76,7 @@
     private info: TargetInfo,
     private readonly owner: LinkOwner,
   ) {
+    this.missingSince = owner.clock.now();
     this.loop = this.keepConnected();
   }
 
@@ -92,6 +97,13 @@
     );
   }
 
+  /** True for a moment after the target came into view or went out of touch: it may be back at once. */
+  get isReturning(): boolean {
+    const {missingSince, owner, info} = this;
+    if (missingSince === undefined || info.leaving) return false;
+    return owner.clock.now() < missingSince + returnLimitMs;
+  }
+
   /** True when nothing at the target is left to hear of. */
   get isIdle(): boolean {
     return this.outstanding.size === 0;
@@ -161,6 +173,7 @@
           {event: 'runner-lost', target: this.target, cause},
           'the connection to a runner has ended',
         );
+        this.missingSince = this.owner.clock.now();
         this.scheduleLoss();
         this.owner.onLoad();
       }
@@ -202,6 +215,7 @@
       Right: ({ended, load}) => {
         clearTimeout(this.lossTimer);
         this.lossTimer = undefined;
+        this.missingSince = undefined;
         this.take(ended, load);
         this.owner.log.info(
           {event: 'runner-attached', target: this.target, load},
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -44,6 +44,13 @@
     return targets;
   }
 
+  /** True when a target of a service is out of touch for a moment only. */
+  isReturning(service: ServiceName): boolean {
+    return [...this.links.values()].some(
+      link => link.service === service && link.isReturning,
+    );
+  }
+
   /** Ends what other dispatchers run of a job; false when a target does not say so in time. */
   async clear(job: JobId, deadline: Instant): Promise<boolean> {
     const cleared = await Promise.all(
--- a/packages/dispatch/test/dispatcher.test.ts
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -105,6 +105,22 @@
   t.deepEqual(await again, {kind: 'completed'});
 });
 
+test('a job that comes while the targets are being connected to waits for them', async t => {
+  await using site = await startSite();
+  await using late = await startDispatcher('c');
+  late.dispatcher.follow(site.view);
+  t.false(late.dispatcher.isConnected);
+  const outcome = late.submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  site.endAll('succeeded');
+  t.deepEqual(await outcome, {kind: 'completed'});
+});
+
+test('a job whose service has no targets is refused at once', async t => {
+  await using alone = await startDispatcher('c');
+  t.is((await alone.submit(buildJob('job', 1))).kind, 'refused');
+});
+
 test('a job waits no longer than its caller, and is not said not to have run when an order is out', async t => {
   await using site = await startSite();
   for (const executor of site.executors) executor.isSilent = true;
