Learn a target's speed from the progress of its runs, and take runs from one that turns slow

Cause: a target's speed was learnt from runs that had ended. Hanging runs were stopped after 0.7 s. Change: each report's progress gives the speed (a sample each second of run time); a speed that is off by more than half counts at once, and an idle target comes back to its usual speed within seconds. A dispatcher ends a run whose target has become 1.8 times slower when its job would be late there and in time at a target with room. A run without progress for 0.25 s is stopped. Ruled out: a shorter memory of ended runs, which estimates off by half do not allow. Tests: track-record.test (the pattern of ten runs whose target turns seven times slower), rescue.test, 'runs of a target that turns slow'.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,6 +26,7 @@
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, settleOwnership} from './ownership.js';
 import {Placer} from './placer.js';
+import {Rescuer} from './rescuer.js';
 import {RunnerFleet} from './runner-fleet.js';
 
 export interface DispatcherOptions {
@@ -47,6 +48,7 @@
   private readonly clock: Clock;
   private readonly fleet: RunnerFleet;
   private readonly placer: Placer;
+  private readonly rescuer: Rescuer;
   private readonly intake: Intake;
   private readonly jobs = new Map<JobId, ActiveJob>();
   /** Outcomes of jobs that ended here. */
@@ -79,6 +81,11 @@
       onLoad: () => this.schedulePlacing(),
     });
     this.placer = new Placer(this.fleet, options.log);
+    this.rescuer = new Rescuer(
+      this.fleet,
+      id => this.jobs.get(id),
+      options.log,
+    );
     this.intake = new Intake(this.fleet, options.log);
   }
 
@@ -236,10 +243,9 @@
   }
 
   private placeWaiting(): void {
-    const impossible = this.placer.placeAll(
-      this.jobs.values(),
-      this.clock.now(),
-    );
+    const now = this.clock.now();
+    const impossible = this.placer.placeAll(this.jobs.values(), now);
+    this.rescuer.look(now);
     for (const job of impossible) this.close(job, {kind: 'failed'});
   }
 
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -26,6 +26,11 @@
   readonly ticket: RunTicket;
   readonly ref: RunRef;
   readonly demand: RoomDemand;
+  readonly placedAt: Instant;
+  /** The target's slowness when the run was placed there. */
+  readonly slownessThen: number;
+  /** Set once it is to end so that another target can run its task. */
+  isMoving: boolean;
 }
 
 export interface LinkOwner {
@@ -109,6 +114,16 @@
     return this.outstanding.size === 0;
   }
 
+  /** Lists the runs that are not known to be over. */
+  listRuns(): readonly OutstandingRun[] {
+    return [...this.outstanding.values()];
+  }
+
+  /** The target's run time over callers' estimates, as it was last told. */
+  get slowness(): number {
+    return this.load?.slowness ?? 1;
+  }
+
   /** Follows what control says of the target. */
   update(info: TargetInfo): void {
     this.info = info;
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -1,6 +1,6 @@
 import type {Instant, ServiceName, TargetId} from '#model';
 import {listReady, nameRun, placeTask, type TaskPosition} from '#jobs';
-import {chooseTarget, type RoomTarget} from '#policy';
+import {chooseTarget, type RoomTarget, sumDemand} from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, rankJob} from './active-job.js';
 import type {Logger} from '#telemetry';
@@ -74,7 +74,7 @@
       pool.set(choice.target, reserveRoom(target, step.demand));
       placed.push([pos, choice.target]);
     }
-    this.sendRuns(job, rank, placed);
+    this.sendRuns(job, rank, placed, now);
     return true;
   }
 
@@ -82,10 +82,11 @@
     job: ActiveJob,
     rank: number,
     placed: readonly (readonly [TaskPosition, TargetId])[],
+    now: Instant,
   ): void {
     const batches = new Map<string, PlacedRuns>();
     for (const [pos, target] of placed) {
-      const run = this.openRun(job, pos, target);
+      const run = this.openRun(job, pos, target, now);
       const key = `${target} ${pos.step}`;
       const batch = batches.get(key) ?? {
         target,
@@ -102,13 +103,21 @@
     job: ActiveJob,
     pos: TaskPosition,
     target: TargetId,
+    now: Instant,
   ): OutstandingRun {
     const ref = nameRun(job.state, pos);
     job.state = placeTask(job.state, pos, target);
     const ticket = this.nextTicket++;
     job.tickets.set(ticket, target);
     const {demand} = job.state.job.steps[pos.step]!;
-    return {ticket, ref, demand};
+    return {
+      ticket,
+      ref,
+      demand,
+      placedAt: now,
+      slownessThen: this.fleet.find(target)!.slowness,
+      isMoving: false,
+    };
   }
 
   private sendBatch(
@@ -139,13 +148,5 @@
 }
 
 function reserveRoom(target: RoomTarget, more: RoomTarget['used']): RoomTarget {
-  const {used} = target;
-  return {
-    ...target,
-    used: {
-      cpuMillis: used.cpuMillis + more.cpuMillis,
-      memoryMb: used.memoryMb + more.memoryMb,
-      accelerators: used.accelerators + more.accelerators,
-    },
-  };
+  return {...target, used: sumDemand(target.used, more)};
 }
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -44,6 +44,15 @@
     return targets;
   }
 
+  /** Lists the connected targets that are slower than when some run was placed there. */
+  listSlowed(): readonly RunnerLink[] {
+    return [...this.links.values()].filter(
+      link =>
+        link.isOpen &&
+        link.listRuns().some(({slownessThen}) => slownessThen < link.slowness),
+    );
+  }
+
   /** True when a target of a service is out of touch for a moment only. */
   isReturning(service: ServiceName): boolean {
     return [...this.links.values()].some(
--- a/packages/dispatch/test/dispatcher.test.ts
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {PersistentMap} from '#membership';
 import {startRunner, sleep, waitUntil} from '../../runner/test/stand.js';
-import {buildJob, buildView, startDispatcher} from './stand.js';
+import {buildJob, buildLongJob, buildView, startDispatcher} from './stand.js';
 
 async function startSite() {
   const runners = [await startRunner(), await startRunner()];
@@ -144,3 +144,22 @@
   site.endAll('succeeded');
   t.deepEqual(await outcome, {kind: 'completed'});
 });
+
+test('runs of a target that turns slow are begun anew where their job is in time', async t => {
+  await using site = await startSite();
+  const outcome = site.a.submit(buildLongJob('job', 2), 8000);
+  await waitUntil(() => site.countStarts() === 2);
+  const slow = site.executors.find(({starts}) => starts.length > 0)!;
+  const other = site.executors.find(executor => executor !== slow)!;
+  slow.percent = 2;
+  await waitUntil(() => other.starts.length === 2);
+  t.deepEqual(
+    other.starts.map(({index, run}) => [index, run]),
+    [
+      [0, 2],
+      [1, 2],
+    ],
+  );
+  site.endAll('succeeded');
+  t.deepEqual(await outcome, {kind: 'completed'});
+});
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -32,6 +32,12 @@
   };
 }
 
+/** Builds a job whose tasks take long against the time that they need to be begun. */
+export function buildLongJob(id: string, count: number): QueuedJob {
+  const job = buildJob(id, count);
+  return {...job, steps: job.steps.map(step => ({...step, estimateMs: 4000}))};
+}
+
 /** Builds a view of targets at runners' addresses and of dispatchers. */
 export function buildView(
   runners: readonly string[],
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -55,9 +55,13 @@
 export type {
   PlacementChoice,
   PlacingTask,
+  PricedTarget,
   RoomTarget,
 } from './room-placement.js';
-export {chooseTarget, isHoldable} from './room-placement.js';
+export {chooseTarget, findRoom, isHoldable} from './room-placement.js';
+
+export type {MovableRun} from './rescue.js';
+export {estimateEnd, shouldMove} from './rescue.js';
 
 export type {RoomSize} from './room.js';
 export {
--- a/packages/policy/src/room-placement.ts
+++ b/packages/policy/src/room-placement.ts
@@ -74,9 +74,8 @@
   const sound = holding.filter(({failing}) => failing <= maxFailing);
   const usable = sound.length > 0 ? sound : holding;
   const best =
-    findCheapest(task, usable, ({room, used}) =>
-      isFitting(room, used, task.demand),
-    ) ?? findCheapest(task, usable, ({room, used}) => canWaitAhead(room, used));
+    findFree(task, usable) ??
+    findCheapest(task, usable, ({room, used}) => canWaitAhead(room, used));
   if (best === undefined) return {kind: 'wait'};
   const fastest = Math.min(...usable.map(each => estimateRunMs(task, each)));
   const missesDue = now + best.cost > task.dueAt;
@@ -85,12 +84,33 @@
   return {kind: 'place', target: best.target};
 }
 
-interface PricedTarget {
+/** A target and what a task costs there. */
+export interface PricedTarget {
   readonly target: TargetId;
   /** The time to the task's end there, in ms, with what counts against the target. */
   readonly cost: number;
 }
 
+/** Finds the sound target with room now where a task ends soonest; undefined when none has room. */
+export function findRoom(
+  task: PlacingTask,
+  targets: readonly RoomTarget[],
+): PricedTarget | undefined {
+  const sound = targets.filter(
+    target => isHoldable(target, task) && target.failing <= maxFailing,
+  );
+  return findFree(task, sound);
+}
+
+function findFree(
+  task: PlacingTask,
+  targets: readonly RoomTarget[],
+): PricedTarget | undefined {
+  return findCheapest(task, targets, ({room, used}) =>
+    isFitting(room, used, task.demand),
+  );
+}
+
 /** Finds the cheapest of the targets that are open to a task; undefined when none is. */
 function findCheapest(
   task: PlacingTask,
--- /dev/null
+++ b/packages/policy/test/rescue.test.ts
@@ -0,0 +1,31 @@
+import test from 'ava';
+import {estimateEnd, type MovableRun, shouldMove} from '#policy';
+
+const run: MovableRun = {
+  estimateMs: 300,
+  placedAt: 0,
+  slownessThen: 1,
+  dueAt: 540,
+  leavesAt: 1500,
+};
+
+test('a run ends after what it has left, at the speed of now', t => {
+  t.is(estimateEnd(run, 7, 100), 100 + 200 * 7);
+  t.is(estimateEnd(run, 7, 400), 400 + 0.3 * 300 * 7);
+});
+
+test('a run on a target that has turned slow is moved where it is in time', t => {
+  t.true(shouldMove(run, 7, 360, 100));
+});
+
+test('a run stays where moving would not keep its job in time', t => {
+  t.false(shouldMove(run, 7, 500, 100));
+  t.false(shouldMove({...run, dueAt: 5000, leavesAt: 6000}, 7, 360, 100));
+  t.false(shouldMove(run, 1.2, 360, 100));
+});
+
+test('a late run is moved when its caller would leave before its end', t => {
+  const late = {...run, dueAt: 50};
+  t.true(shouldMove(late, 20, 800, 200));
+  t.false(shouldMove(late, 20, 1400, 200));
+});
--- a/packages/runner/src/reconcile.ts
+++ b/packages/runner/src/reconcile.ts
@@ -1,8 +1,9 @@
 import type {Instant, RunRef} from '#model';
 import type {ReportedEnd} from '#protocol';
 import type {EndedRow, ExecutorReport} from './executor.js';
-import {updateProgress} from './progress.js';
-import type {Run} from './run.js';
+import {completeProgress, isStalled, updateProgress} from './progress.js';
+import {markStarted, type Run} from './run.js';
+import type {ObservedWork} from './track-record.js';
 
 /** The runs that a report is compared with. */
 export interface KnownRuns {
@@ -16,8 +17,8 @@
   readonly now: Instant;
   /** When everything that was sent to the executor has lapsed. */
   readonly leaseExpiry: Instant;
-  /** Run time over callers' estimates at this executor. */
-  readonly slowness: number;
+  /** The executor's usual run time over callers' estimates. */
+  readonly usualSlowness: number;
 }
 
 /** What a report of the executor means for the runs known here. */
@@ -27,6 +28,8 @@
   /** Runs at the executor that nobody here knows. */
   readonly strays: readonly RunRef[];
   readonly stalled: readonly Run[];
+  /** Work that the runs have done since the last report. */
+  readonly work: readonly ObservedWork[];
 }
 
 /** Compares the executor's lists with the known runs and notes their progress. */
@@ -35,10 +38,15 @@
   {ended, running}: ExecutorReport,
   moment: ReportMoment,
 ): Reconciliation {
+  const {now, usualSlowness} = moment;
   const ends = new Map<Run, ReportedEnd>();
+  const work: ObservedWork[] = [];
   for (const row of ended) {
     const run = known.find(row.ref);
-    if (run !== undefined) ends.set(run, interpretEnd(run, row));
+    if (run === undefined) continue;
+    const end = interpretEnd(run, row);
+    if (end === 'succeeded') work.push(completeProgress(run, now));
+    ends.set(run, end);
   }
   const present = new Set<Run>();
   const strays: RunRef[] = [];
@@ -50,17 +58,16 @@
       continue;
     }
     present.add(run);
-    if (run.phase.kind === 'starting') run.startedAt ??= run.phase.sentAt;
-    if (updateProgress(run, percent, moment.slowness, moment.now)) {
-      stalled.push(run);
-    }
+    if (run.phase.kind === 'starting') markStarted(run, run.phase.sentAt);
+    work.push(updateProgress(run, percent, now));
+    if (isStalled(run, usualSlowness, now)) stalled.push(run);
   }
   for (const run of known.list()) {
     if (present.has(run) || ends.has(run)) continue;
     const end = judgeAbsent(run, moment);
     if (end !== undefined) ends.set(run, end);
   }
-  return {ends: [...ends], strays, stalled};
+  return {ends: [...ends], strays, stalled, work};
 }
 
 function interpretEnd({phase}: Run, {end}: EndedRow): ReportedEnd {
--- a/packages/runner/src/run.ts
+++ b/packages/runner/src/run.ts
@@ -30,6 +30,8 @@
   /** The last progress seen, and when it changed. */
   percent: number;
   progressedAt: Instant;
+  /** Up to when its progress is known. */
+  measuredAt: Instant;
 }
 
 /** Names a run among all of its executor. */
@@ -50,5 +52,13 @@
     phase: {kind: 'waiting'},
     percent: 0,
     progressedAt: now,
+    measuredAt: now,
   }));
 }
+
+/** Notes when the executor took a run; the first time counts. */
+export function markStarted(run: Run, at: Instant): void {
+  if (run.startedAt !== undefined) return;
+  run.startedAt = at;
+  run.measuredAt = at;
+}
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -24,15 +24,17 @@
 import {Orders} from './orders.js';
 import {compareReport} from './reconcile.js';
 import {Reporter} from './reporter.js';
-import {openRuns, type Run} from './run.js';
+import {markStarted, openRuns, type Run} from './run.js';
 import {RunTable} from './run-table.js';
 import type {ClockReading, Session} from './session.js';
 import {SessionTable} from './session-table.js';
 import {
   decreaseFailing,
   freshRecord,
+  observeWork,
   recordFailure,
   recordSuccess,
+  recoverSpeed,
   type TrackRecord,
 } from './track-record.js';
 
@@ -206,7 +208,8 @@
     return {
       open: this.isOpen,
       ...subtractDemand(this.runs.accepted, demand),
-      ...this.record,
+      slowness: this.record.slowness,
+      failing: this.record.failing,
     };
   }
 
@@ -294,7 +297,7 @@
     switch (outcome.kind) {
       case 'started':
         if (run.phase.kind !== 'starting') return;
-        run.startedAt = run.phase.sentAt;
+        markStarted(run, run.phase.sentAt);
         run.progressedAt = this.clock.now();
         run.phase = {kind: 'running', confirmedAt: this.clock.now()};
         logStart(this.options.log, run);
@@ -356,12 +359,13 @@
     for (const {number} of report.ended) {
       this.acknowledged = Math.max(this.acknowledged, number);
     }
-    const {ends, strays, stalled} = compareReport(this.runs, report, {
+    const {ends, strays, stalled, work} = compareReport(this.runs, report, {
       askedAt,
       now: this.clock.now(),
       leaseExpiry: this.lease.expiry,
-      slowness: this.record.slowness,
+      usualSlowness: this.record.usualSlowness,
     });
+    this.record = work.reduce(observeWork, this.record);
     for (const [run, end] of ends) this.endRun(run, end);
     for (const ref of strays) this.orders.stopStray(ref);
     for (const run of stalled) this.stopStalled(run);
@@ -413,7 +417,7 @@
       run.startedAt === undefined ? 0 : this.clock.now() - run.startedAt;
     if (!this.runs.remove(run, end, runMs)) return;
     if (end === 'succeeded') {
-      this.record = recordSuccess(this.record, runMs, run.estimateMs);
+      this.record = recordSuccess(this.record);
     }
     if (end === 'failed') this.record = recordFailure(this.record);
     this.reporter.schedule();
@@ -422,6 +426,7 @@
   private tick(): void {
     for (const session of this.sessions.renew()) this.expire(session);
     this.record = decreaseFailing(this.record);
+    if (this.runs.size === 0) this.record = recoverSpeed(this.record);
     this.startWaiting();
     this.lease.wakeUp();
     this.reporter.schedule();
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -20,6 +20,9 @@
 const loadIntervalMs = 20;
 /** The same while the target is nearly full, when a stale load sends runs to where they must wait. */
 const tightIntervalMs = 5;
+/** A speed that has changed by this share is told, even when the load has not changed. */
+const notableSpeedChange = 0.25;
+const notableFailingChange = 0.1;
 /** Ends kept for a dispatcher that may have missed their report. */
 const maxRecentEnds = 512;
 
@@ -149,8 +152,12 @@
 
   private isNews(load: TargetLoad): boolean {
     const told = this.toldLoad;
+    if (told === undefined) return true;
+    const speedChange = Math.abs(load.slowness - told.slowness);
     return (
-      told?.open !== load.open ||
+      told.open !== load.open ||
+      speedChange > notableSpeedChange * told.slowness ||
+      Math.abs(load.failing - told.failing) > notableFailingChange ||
       told.cpuMillis !== load.cpuMillis ||
       told.memoryMb !== load.memoryMb ||
       told.accelerators !== load.accelerators
--- a/packages/runner/test/stand.ts
+++ b/packages/runner/test/stand.ts
@@ -22,6 +22,8 @@
   readonly late: StartOrder[] = [];
   /** Runs of one task that were there at the same time. */
   doubles = 0;
+  /** The progress that all runs report. */
+  percent = 1;
   isSilent = false;
   leavesStarts = false;
   private readonly stopped = new Set<string>();
@@ -69,7 +71,10 @@
     this.ended = this.ended.filter(({number}) => number > acknowledged);
     return Right({
       incarnation,
-      running: [...this.running.values()].map(ref => ({ref, percent: 1})),
+      running: [...this.running.values()].map(ref => ({
+        ref,
+        percent: this.percent,
+      })),
       ended: [...this.ended],
     });
   }
