Let urgent work go before other dispatchers' at a full target, and refuse what is of no use

Cause: (1) entries order their own jobs only; a free place went to whichever entry heard of it first, and ranks were told in ms of each entry's own clock, so that an entry that had restarted came before all others. A job of which nothing has run is refused when its answer cannot come within three times its due time, after what waits at targets was taken back.

--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -1,11 +1,14 @@
 import type {Instant, QueueConfig, QueuedJob, TargetId} from '#model';
 import {type JobState, estimateChainMs, listReady} from '#jobs';
+import {rankWork} from '#policy';
 import type {RunTicket} from '#protocol';
 
 /** A queued job and its caller's patience. */
 export interface JobSubmission {
   readonly job: QueuedJob;
   readonly queue: QueueConfig;
+  /** When the caller handed it in. */
+  readonly arrivedAt: Instant;
   /** When the caller leaves. */
   readonly leavesAt: Instant;
 }
@@ -27,13 +30,18 @@
 export interface ActiveJob {
   state: JobState;
   readonly queue: QueueConfig;
-  readonly acceptedAt: Instant;
+  readonly arrivedAt: Instant;
   readonly dueAt: Instant;
+  /** When its answer is of no use any more. */
+  readonly uselessAt: Instant;
   readonly leavesAt: Instant;
   readonly chainMs: number;
   /** Tickets of runs that are not known to be over. */
   readonly tickets: Map<RunTicket, TargetId>;
+  /** Set once a run of it may have begun that is over, here or at another dispatcher. */
   hasRun: boolean;
+  /** Set while nothing of it is to be placed. */
+  isHeldBack: boolean;
   /** Set once its callers were answered; runs may still be ending. */
   isAnswered: boolean;
   /** Called when it was answered and nothing of it runs any more. */
@@ -43,16 +51,18 @@
   expiry: NodeJS.Timeout | undefined;
 }
 
-/** Jobs that cannot be in time any more come after all that can. */
-const lateRank = 1e12;
+/** True when no run of a job has begun, nor can one begin that was placed already. */
+export function isUntouched({hasRun, tickets}: ActiveJob): boolean {
+  return !hasRun && tickets.size === 0;
+}
 
-/** Ranks jobs for room: the one that must start soonest to be in time goes first. */
+/** Ranks a job for room: by the last moment at which what is left of it can be begun. */
 export function rankJob(
-  {state, dueAt, chainMs}: ActiveJob,
+  {state, queue, dueAt, chainMs}: ActiveJob,
   now: Instant,
 ): number {
   const latestStart = dueAt - Math.min(chainMs, estimateRestMs(state));
-  return latestStart >= now ? latestStart : lateRank + dueAt;
+  return rankWork({latestStart, priority: queue.priority}, now);
 }
 
 function estimateRestMs(state: JobState): number {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,7 +10,14 @@
   type QueueConfig,
   type TargetId,
 } from '#model';
-import {cancelJob, computeDueMs, endRun, estimateChainMs, openJob} from '#jobs';
+import {
+  cancelJob,
+  computeDueMs,
+  computeUsefulMs,
+  endRun,
+  estimateChainMs,
+  openJob,
+} from '#jobs';
 import type {
   FollowJobResult,
   Handlers,
@@ -19,10 +26,15 @@
 } from '#protocol';
 import type {View} from '#membership';
 import type {Logger} from '#telemetry';
-import type {ActiveJob, JobOutcome, JobSubmission} from './active-job.js';
+import {
+  type ActiveJob,
+  isUntouched,
+  type JobOutcome,
+  type JobSubmission,
+} from './active-job.js';
 import {ClaimTable} from './claims.js';
 import {Fellows} from './fellows.js';
-import {Intake, noTargetRetryMs} from './intake.js';
+import {Intake} from './intake.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, settleOwnership} from './ownership.js';
 import {Placer} from './placer.js';
@@ -40,6 +52,8 @@
   readonly clock?: Clock;
 }
 
+/** A target has given back by then what waits there, in ms. */
+const withdrawalMs = 60;
 /** Ended jobs whose callers may ask again, as they do within seconds. */
 const maxRemembered = 8192;
 
@@ -98,7 +112,8 @@
   countWaiting(queue: string): number {
     let waiting = 0;
     for (const job of this.jobs.values()) {
-      if (job.queue.name === queue && !job.hasRun && !job.isAnswered) waiting++;
+      const isWaiting = isUntouched(job) && !job.isAnswered;
+      if (job.queue.name === queue && isWaiting) waiting++;
     }
     return waiting;
   }
@@ -133,7 +148,10 @@
       case 'uncertain':
         return {kind: 'expired'};
       case 'own':
-        return (await this.findHere(job.id)) ?? this.run(submission);
+        return (
+          (await this.findHere(job.id)) ??
+          this.run(submission, standing.isFirst)
+        );
     }
   }
 
@@ -160,6 +178,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    for (const {expiry} of this.jobs.values()) clearTimeout(expiry);
     await this.fleet[Symbol.asyncDispose]();
     await this.fellows[Symbol.asyncDispose]();
   }
@@ -196,27 +215,31 @@
     return {kind: 'closed'};
   }
 
-  private run({job, queue, leavesAt}: JobSubmission): Promise<JobOutcome> {
+  private run(
+    {job, queue, arrivedAt, leavesAt}: JobSubmission,
+    isFirst: boolean,
+  ): Promise<JobOutcome> {
     const now = this.clock.now();
+    const {objective} = queue;
+    const uselessAt = arrivedAt + computeUsefulMs(job, objective);
     return new Promise(resolve => {
       const active: ActiveJob = {
         state: openJob(job, queue.maxAttempts),
         queue,
-        acceptedAt: now,
-        dueAt: now + computeDueMs(job, queue.objective),
+        arrivedAt,
+        dueAt: arrivedAt + computeDueMs(job, objective),
+        uselessAt: Math.min(leavesAt, uselessAt),
         leavesAt,
         chainMs: estimateChainMs(job),
         tickets: new Map(),
-        hasRun: false,
+        hasRun: !isFirst,
+        isHeldBack: false,
         isAnswered: false,
         closers: [],
         waiters: [resolve],
         expiry: undefined,
       };
-      active.expiry = setTimeout(
-        () => this.expire(active),
-        Math.max(1, leavesAt - now),
-      );
+      this.armExpiry(active, active.uselessAt - active.chainMs);
       this.jobs.set(job.id, active);
       this.options.log.debug(
         {
@@ -258,6 +281,7 @@
     if (job === undefined) return;
     job.tickets.delete(run.ticket);
     job.state = endRun(job.state, run.ref, end);
+    if (end !== 'not-run') job.hasRun = true;
     if (job.isAnswered) {
       this.forgetEnded(job);
       return;
@@ -281,17 +305,54 @@
     }
   }
 
+  private armExpiry(job: ActiveJob, at: Instant): void {
+    const waitMs = Math.max(1, at - this.clock.now());
+    job.expiry = setTimeout(() => this.expire(job), waitMs);
+  }
+
+  /**
+   * Refuses a job whose answer cannot be of use any more and of which nothing has run. What waits
+   * for room at targets is taken back first; a job that runs goes on until its caller leaves.
+   */
   private expire(job: ActiveJob): void {
-    this.close(
-      job,
-      job.hasRun
-        ? {kind: 'expired'}
-        : {
-            kind: 'refused',
-            retryAfterMs: noTargetRetryMs,
-            detail: 'no room was found before the caller leaves',
-          },
-    );
+    if (this.clock.now() >= job.leavesAt && !isUntouched(job)) {
+      this.close(job, {kind: 'expired'});
+      return;
+    }
+    if (isUntouched(job)) {
+      this.refuseUseless(job);
+      return;
+    }
+    if (job.hasRun || job.isHeldBack) {
+      job.isHeldBack = false;
+      this.armExpiry(job, job.leavesAt);
+      this.schedulePlacing();
+      return;
+    }
+    job.isHeldBack = true;
+    this.withdrawRuns(job, true);
+    this.armExpiry(job, this.clock.now() + withdrawalMs);
+  }
+
+  private refuseUseless(job: ActiveJob): void {
+    const {service} = job.queue;
+    this.close(job, {
+      kind: 'refused',
+      retryAfterMs: this.intake.estimateRetryMs(service, this.jobs.values()),
+      detail: 'no room was found while its answer was of use',
+    });
+  }
+
+  private withdrawRuns(job: ActiveJob, waitingOnly: boolean): void {
+    const byTarget = new Map<TargetId, RunTicket[]>();
+    for (const [ticket, target] of job.tickets) {
+      const tickets = byTarget.get(target) ?? [];
+      tickets.push(ticket);
+      byTarget.set(target, tickets);
+    }
+    for (const [target, tickets] of byTarget) {
+      this.fleet.find(target)?.withdraw(tickets, waitingOnly);
+    }
   }
 
   private close(job: ActiveJob, outcome: JobOutcome): void {
@@ -303,15 +364,7 @@
     } else {
       this.given.set(job.state.job.id, true);
     }
-    const byTarget = new Map<TargetId, RunTicket[]>();
-    for (const [ticket, target] of job.tickets) {
-      const tickets = byTarget.get(target) ?? [];
-      tickets.push(ticket);
-      byTarget.set(target, tickets);
-    }
-    for (const [target, tickets] of byTarget) {
-      this.fleet.find(target)?.withdraw(tickets);
-    }
+    this.withdrawRuns(job, false);
     const level = outcome.kind === 'completed' ? 'debug' : 'info';
     this.options.log[level](
       {
@@ -319,7 +372,7 @@
         job: job.state.job.id,
         queue: job.queue.name,
         outcome: outcome.kind,
-        ageMs: Math.round(this.clock.now() - job.acceptedAt),
+        ageMs: Math.round(this.clock.now() - job.arrivedAt),
       },
       'a job is over',
     );
--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -1,5 +1,10 @@
 import type {Instant, ServiceName} from '#model';
-import {computeDueMs, estimateChainMs, type JobState} from '#jobs';
+import {
+  computeDueMs,
+  computeUsefulMs,
+  estimateChainMs,
+  type JobState,
+} from '#jobs';
 import {
   estimateBacklogMs,
   judgeBacklog,
@@ -13,7 +18,8 @@
 type Refusal = Extract<JobOutcome, {kind: 'refused'}>;
 
 /** How long a caller waits when nothing could take its job, in ms. */
-export const noTargetRetryMs = 500;
+const noTargetRetryMs = 500;
+const maxRetryMs = 5000;
 
 /** Decides which jobs a dispatcher takes. */
 export class Intake {
@@ -28,15 +34,20 @@
     jobs: Iterable<ActiveJob>,
     now: Instant,
   ): Refusal | undefined {
-    const {job, queue, leavesAt} = submission;
+    const {job, queue, arrivedAt, leavesAt} = submission;
     const targets = this.fleet.listTargets(queue.service);
     if (targets.length === 0) {
       return this.judgeWithoutTargets(submission);
     }
     const chainMs = estimateChainMs(job);
+    const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
     const backlog = measureBacklog(queue.service, targets, jobs);
     const verdict = judgeBacklog(
-      {chainMs, dueAt: now + computeDueMs(job, queue.objective), leavesAt},
+      {
+        chainMs,
+        dueAt: arrivedAt + computeDueMs(job, queue.objective),
+        leavesAt: Math.min(leavesAt, uselessAt),
+      },
       backlog,
       now,
     );
@@ -62,6 +73,13 @@
     };
   }
 
+  /** Estimates when the targets will have done what waits now, in ms. */
+  estimateRetryMs(service: ServiceName, jobs: Iterable<ActiveJob>): number {
+    const targets = this.fleet.listTargets(service);
+    const backlogMs = estimateBacklogMs(measureBacklog(service, targets, jobs));
+    return Math.min(maxRetryMs, Math.max(noTargetRetryMs, backlogMs));
+  }
+
   private judgeWithoutTargets({
     job,
     queue,
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -67,6 +67,8 @@
   private readonly outstanding = new Map<RunTicket, OutstandingRun>();
   private peer: Peer | undefined;
   private load: TargetLoad | undefined;
+  /** When the load was told. */
+  private toldAt: Instant = 0;
   private own: RoomDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
   /** When this end last let the target's runs go on. */
   private permittedAt: Instant = -Infinity;
@@ -146,6 +148,9 @@
       slowness: load.slowness,
       failing: load.failing,
       isNear: place.failureDomain === this.owner.failureDomain,
+      ...(load.waitingRankMs !== undefined && {
+        waitingRank: this.toldAt + load.waitingRankMs,
+      }),
     };
   }
 
@@ -158,9 +163,10 @@
     this.peer!.notify('runner.place', {batches: [batch]});
   }
 
-  /** Asks the target to end runs; their ends are told as any others. */
-  withdraw(tickets: readonly RunTicket[]): void {
-    if (tickets.length > 0) this.peer?.notify('runner.withdraw', {tickets});
+  /** Asks the target to end runs, or those that have not begun; their ends are told as any others. */
+  withdraw(tickets: readonly RunTicket[], waitingOnly = false): void {
+    if (tickets.length === 0) return;
+    this.peer?.notify('runner.withdraw', {tickets, waitingOnly});
   }
 
   /** Ends what other dispatchers run of a job; false when the target does not say so in time. */
@@ -249,6 +255,7 @@
 
   private take(ends: readonly RunEndRow[], load: TargetLoad): void {
     this.load = load;
+    this.toldAt = this.owner.clock.now();
     for (const [ticket, end] of ends) this.finish(ticket, end);
     this.owner.onLoad();
   }
--- a/packages/dispatch/src/ownership.ts
+++ b/packages/dispatch/src/ownership.ts
@@ -16,8 +16,8 @@
 }
 
 export type Standing =
-  /** This dispatcher may run the job. */
-  | {readonly kind: 'own'}
+  /** This dispatcher may run the job; `isFirst` unless another one had it before. */
+  | {readonly kind: 'own'; readonly isFirst: boolean}
   /** It has ended elsewhere. */
   | {readonly kind: 'completed'}
   | {readonly kind: 'failed'}
@@ -40,11 +40,13 @@
   deadline: Instant,
 ): Promise<Standing> {
   const {address, fellows, log} = options;
-  if (address === undefined) return {kind: 'own'};
+  if (address === undefined) return {kind: 'own', isFirst: true};
   let replaces: Address | undefined;
   for (let turn = 0; turn < maxOwners; turn++) {
     const owner = await findOwner(options, job, replaces);
-    if (owner === undefined || owner === address) return {kind: 'own'};
+    if (owner === undefined || owner === address) {
+      return {kind: 'own', isFirst: replaces === undefined};
+    }
     const standing = await fellows.follow(owner, job, deadline);
     log.info(
       {event: 'job-elsewhere', job, owner, standing: standing?.kind ?? 'none'},
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -1,6 +1,6 @@
 import type {Instant, ServiceName, TargetId} from '#model';
 import {listReady, nameRun, placeTask, type TaskPosition} from '#jobs';
-import {chooseTarget, type RoomTarget, sumDemand} from '#policy';
+import {chooseTarget, reserveRoom, type RoomTarget} from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, rankJob} from './active-job.js';
 import type {Logger} from '#telemetry';
@@ -27,7 +27,9 @@
   /** Places what can be placed; returns the jobs of which a task can never be held by any target. */
   placeAll(jobs: Iterable<ActiveJob>, now: Instant): readonly ActiveJob[] {
     const waiting = [...jobs]
-      .filter(({state}) => listReady(state).length > 0)
+      .filter(
+        ({state, isHeldBack}) => !isHeldBack && listReady(state).length > 0,
+      )
       .map(job => ({job, rank: rankJob(job, now)}))
       .sort((a, b) => a.rank - b.rank);
     const pools = new Map<ServiceName, Pool>();
@@ -62,6 +64,7 @@
       const choice = chooseTarget(
         {
           ...step,
+          rank,
           dueAt: job.dueAt,
           ...(task.kind === 'ready' && {avoid: task.avoid}),
         },
@@ -71,7 +74,7 @@
       if (choice.kind === 'impossible') return false;
       if (choice.kind === 'wait') continue;
       const target = pool.get(choice.target)!;
-      pool.set(choice.target, reserveRoom(target, step.demand));
+      pool.set(choice.target, reserveRoom(target, {...step, rank}));
       placed.push([pos, choice.target]);
     }
     this.sendRuns(job, rank, placed, now);
@@ -96,7 +99,8 @@
       batch.runs.set(run.ticket, run);
       batches.set(key, batch);
     }
-    for (const batch of batches.values()) this.sendBatch(job, rank, batch);
+    for (const batch of batches.values())
+      this.sendBatch(job, rank - now, batch);
   }
 
   private openRun(
@@ -122,14 +126,13 @@
 
   private sendBatch(
     job: ActiveJob,
-    rank: number,
+    rankMs: number,
     {target, step, runs}: PlacedRuns,
   ): void {
-    job.hasRun = true;
     const {id, payload, steps} = job.state.job;
     const {demand, estimateMs} = steps[step]!;
     this.log.debug(
-      {event: 'runs-placed', job: id, step, target, runs: runs.size, rank},
+      {event: 'runs-placed', job: id, step, target, runs: runs.size, rankMs},
       'told a target to run tasks',
     );
     this.fleet.find(target)!.place(
@@ -139,14 +142,10 @@
         step,
         demand,
         estimateMs,
-        rank,
+        rankMs,
         runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
       },
       runs,
     );
   }
 }
-
-function reserveRoom(target: RoomTarget, more: RoomTarget['used']): RoomTarget {
-  return {...target, used: sumDemand(target.used, more)};
-}
--- a/packages/dispatch/src/rescuer.ts
+++ b/packages/dispatch/src/rescuer.ts
@@ -2,13 +2,13 @@
 import {
   findRoom,
   type MovableRun,
+  reserveRoom,
   type RoomTarget,
   shouldMove,
-  sumDemand,
 } from '#policy';
 import type {RunTicket} from '#protocol';
 import type {Logger} from '#telemetry';
-import type {ActiveJob} from './active-job.js';
+import {type ActiveJob, rankJob} from './active-job.js';
 import type {OutstandingRun, RunnerLink} from './link.js';
 import type {RunnerFleet} from './runner-fleet.js';
 
@@ -80,7 +80,8 @@
     const others = [...pool.values()].filter(
       ({target}) => target !== link.target,
     );
-    const place = findRoom({...step, dueAt: job.dueAt}, others);
+    const rank = rankJob(job, now);
+    const place = findRoom({...step, rank, dueAt: job.dueAt}, others);
     if (place === undefined) return false;
     const movable: MovableRun = {
       estimateMs: step.estimateMs,
@@ -91,10 +92,7 @@
     };
     if (!shouldMove(movable, link.slowness, place.cost, now)) return false;
     const target = pool.get(place.target)!;
-    pool.set(place.target, {
-      ...target,
-      used: sumDemand(target.used, step.demand),
-    });
+    pool.set(place.target, reserveRoom(target, {...step, rank}));
     return true;
   }
 }
--- a/packages/dispatch/test/dispatcher.test.ts
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -163,3 +163,21 @@
   site.endAll('succeeded');
   t.deepEqual(await outcome, {kind: 'completed'});
 });
+
+test('a job of which nothing has run is refused once its answer would be of no use', async t => {
+  await using site = await startSite();
+  void site.a.submit(buildLongJob('first', 8), 60_000);
+  await waitUntil(() => site.countStarts() === 8);
+  const began = performance.now();
+  const outcome = await site.a.submit(buildJob('second', 16), 60_000);
+  t.is(outcome.kind, 'refused');
+  t.true(performance.now() - began < 5000);
+  t.is(site.countStarts(), 8);
+});
+
+test('a job of which a task runs is not said not to have run', async t => {
+  await using site = await startSite();
+  const outcome = site.a.submit(buildJob('job', 9), 900);
+  await waitUntil(() => site.countStarts() === 8);
+  t.deepEqual(await outcome, {kind: 'expired'});
+});
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -96,6 +96,7 @@
       dispatcher.submit({
         job,
         queue,
+        arrivedAt: performance.now(),
         leavesAt: performance.now() + patienceMs,
       }),
     async [Symbol.asyncDispose]() {
--- a/packages/jobs/src/chain.ts
+++ b/packages/jobs/src/chain.ts
@@ -17,3 +17,14 @@
 ): number {
   return stretch * estimateChainMs(job) + slackMs;
 }
+
+/** An answer is of use until this many times the time in which it is due: objectives count it as late until then. */
+const usefulFactor = 3;
+
+/** Computes for how long after its submission a job's answer is of use, in ms. */
+export function computeUsefulMs(
+  job: QueuedJob,
+  objective: CompletionObjective,
+): number {
+  return usefulFactor * computeDueMs(job, objective);
+}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -15,5 +15,5 @@
   placeTask,
 } from './job.js';
 
-export {computeDueMs, estimateChainMs} from './chain.js';
+export {computeDueMs, computeUsefulMs, estimateChainMs} from './chain.js';
 export {findJobFault} from './check.js';
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -43,6 +43,8 @@
   | 'lapsed'
   /** The target never began it. */
   | 'not-run'
+  /** Its start was not answered; whether it began is not known, and it was stopped. */
+  | 'unanswered'
   /** It made no progress and was stopped. */
   | 'stalled';
 
@@ -105,6 +107,7 @@
     case 'lapsed':
       return setTask(state, ref, {kind: 'ready', run: run + 1, failures});
     case 'not-run':
+    case 'unanswered':
     case 'stalled':
       return setTask(state, ref, {
         kind: 'ready',
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -58,7 +58,12 @@
   PricedTarget,
   RoomTarget,
 } from './room-placement.js';
-export {chooseTarget, findRoom, isHoldable} from './room-placement.js';
+export {
+  chooseTarget,
+  findRoom,
+  isHoldable,
+  reserveRoom,
+} from './room-placement.js';
 
 export type {MovableRun} from './rescue.js';
 export {estimateEnd, shouldMove} from './rescue.js';
@@ -72,6 +77,9 @@
   sumDemand,
 } from './room.js';
 
+export type {WaitingWork} from './rank.js';
+export {isBefore, rankWork} from './rank.js';
+
 export type {ArrivingJob, BacklogVerdict, PoolBacklog} from './backlog.js';
 export {estimateBacklogMs, judgeBacklog} from './backlog.js';
 
--- a/packages/policy/src/room-placement.ts
+++ b/packages/policy/src/room-placement.ts
@@ -1,5 +1,6 @@
 import type {Instant, Room, RoomDemand, TargetId} from '#model';
-import {canWaitAhead, isFitting} from './room.js';
+import {isBefore} from './rank.js';
+import {canWaitAhead, isFitting, sumDemand} from './room.js';
 
 /** A target as one dispatcher sees it. */
 export interface RoomTarget {
@@ -13,12 +14,16 @@
   readonly failing: number;
   /** In the dispatcher's own failure domain. */
   readonly isNear: boolean;
+  /** The highest rank of what waits there for room; unset while nothing is known to wait. */
+  readonly waitingRank?: number;
 }
 
 /** A ready task that looks for a target. */
 export interface PlacingTask {
   readonly demand: RoomDemand;
   readonly estimateMs: number;
+  /** The lowest goes first. */
+  readonly rank: number;
   /** When its job is due. */
   readonly dueAt: Instant;
   readonly requiredLabel?: string;
@@ -75,7 +80,7 @@
   const usable = sound.length > 0 ? sound : holding;
   const best =
     findFree(task, usable) ??
-    findCheapest(task, usable, ({room, used}) => canWaitAhead(room, used));
+    findCheapest(task, usable, target => isOpenAhead(target, task));
   if (best === undefined) return {kind: 'wait'};
   const fastest = Math.min(...usable.map(each => estimateRunMs(task, each)));
   const missesDue = now + best.cost > task.dueAt;
@@ -84,6 +89,28 @@
   return {kind: 'place', target: best.target};
 }
 
+/** True when a task may wait at a full target: no other waits there, or one that comes after it. */
+function isOpenAhead(
+  {room, used, waitingRank}: RoomTarget,
+  {rank}: PlacingTask,
+): boolean {
+  if (canWaitAhead(room, used)) return true;
+  return waitingRank !== undefined && isBefore(rank, waitingRank);
+}
+
+/** Takes room at a target for a task that is placed there, or its place among what waits. */
+export function reserveRoom(
+  target: RoomTarget,
+  {demand, rank}: Pick<PlacingTask, 'demand' | 'rank'>,
+): RoomTarget {
+  const {room, used} = target;
+  return {
+    ...target,
+    used: sumDemand(used, demand),
+    ...(!isFitting(room, used, demand) && {waitingRank: rank}),
+  };
+}
+
 /** A target and what a task costs there. */
 export interface PricedTarget {
   readonly target: TargetId;
--- a/packages/policy/test/room-placement.test.ts
+++ b/packages/policy/test/room-placement.test.ts
@@ -27,6 +27,7 @@
 const task = {
   demand: {cpuMillis: 1600, memoryMb: 64, accelerators: 0},
   estimateMs: 100,
+  rank: 900,
   dueAt: 1000,
 };
 
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -189,7 +189,7 @@
   step: count,
   demand: roomDemand,
   estimateMs: span,
-  rank: number,
+  rankMs: number,
   runs: array(tuple([count, count, count])),
 });
 const reportedEnd = exactly(
@@ -198,6 +198,7 @@
   'stopped',
   'lapsed',
   'not-run',
+  'unanswered',
   'stalled',
 );
 const targetLoad = Codec.interface({
@@ -207,6 +208,7 @@
   accelerators: span,
   slowness: span,
   failing: span,
+  waitingRankMs: optional(number),
 });
 const slots = Codec.interface({slots: count});
 const tasks = Codec.interface({tasks: array(Codec.interface(taskRef))});
@@ -317,7 +319,9 @@
   ),
   'runner.clear': toCheck(Codec.interface({job: string})),
   'runner.place': toCheck(Codec.interface({batches: array(runBatch)})),
-  'runner.withdraw': toCheck(Codec.interface({tickets: array(count)})),
+  'runner.withdraw': toCheck(
+    Codec.interface({tickets: array(count), waitingOnly: optional(boolean)}),
+  ),
   'dispatcher.claim': toCheck(
     Codec.interface({
       job: string,
--- a/packages/protocol/src/runner-messages.ts
+++ b/packages/protocol/src/runner-messages.ts
@@ -31,6 +31,8 @@
   readonly slowness: number;
   /** Share of recent runs that failed, from 0 to 1. */
   readonly failing: number;
+  /** The highest rank of a run that waits for room, in ms from now; unset while none waits. */
+  readonly waitingRankMs?: number;
 }
 
 /** Tasks of one step of one job. */
@@ -40,8 +42,8 @@
   readonly step: number;
   readonly demand: RoomDemand;
   readonly estimateMs: number;
-  /** Where several wait for room, the lowest goes first. */
-  readonly rank: number;
+  /** Where several wait for room, the lowest goes first. In ms from now, so that dispatchers' clocks do not matter. */
+  readonly rankMs: number;
   /** Ticket, index and run number. */
   readonly runs: readonly (readonly [RunTicket, number, number])[];
 }
@@ -52,10 +54,18 @@
 
 export interface WithdrawRunsParams {
   readonly tickets: readonly RunTicket[];
+  /** Leaves alone what may have begun. */
+  readonly waitingOnly?: boolean;
 }
 
 export type ReportedEnd =
-  'succeeded' | 'failed' | 'stopped' | 'lapsed' | 'not-run' | 'stalled';
+  | 'succeeded'
+  | 'failed'
+  | 'stopped'
+  | 'lapsed'
+  | 'not-run'
+  | 'unanswered'
+  | 'stalled';
 
 /** Ticket, how the run ended, and its run time in ms. */
 export type RunEndRow = readonly [RunTicket, ReportedEnd, number];
--- a/packages/runner/src/backlog.ts
+++ b/packages/runner/src/backlog.ts
@@ -14,6 +14,11 @@
     this.runs.splice(at, 0, run);
   }
 
+  /** The run that comes last; undefined when none waits. */
+  get last(): Run | undefined {
+    return this.runs.at(-1);
+  }
+
   /** Takes out the first run that fits; undefined when none does. */
   takeFirst(isFitting: (run: Run) => boolean): Run | undefined {
     const at = this.runs.findIndex(isFitting);
--- a/packages/runner/src/events.ts
+++ b/packages/runner/src/events.ts
@@ -1,4 +1,5 @@
 import type {Logger} from '#telemetry';
+import type {ExecutorInfo} from './executor.js';
 import {formatRun, type Run} from './run.js';
 
 /** The executor has begun a run. */
@@ -34,3 +35,20 @@
     'a dispatcher does not renew its permission; its runs are stopped',
   );
 }
+
+/** An executor has announced a new life of itself. */
+export function logLife(
+  log: Logger,
+  {target, incarnation}: ExecutorInfo,
+  runs: number,
+): void {
+  log.info(
+    {event: 'executor-life', target, incarnation, runs},
+    'a new life of the executor: it runs nothing of before',
+  );
+}
+
+/** The executor's lease has run out while it did not answer. */
+export function logLapse(log: Logger, detail: string, runs: number): void {
+  log.warn({event: 'executor-lost', detail, runs}, 'its lease has run out');
+}
--- a/packages/runner/src/lease.ts
+++ b/packages/runner/src/lease.ts
@@ -17,7 +17,10 @@
   readonly clock: Clock;
   readonly port: ExecutorPort;
   readonly getFence: () => number;
+  /** Up to which end a renewal acknowledges. */
   readonly getAcknowledged: () => number;
+  /** Up to which end renewals have acknowledged in this life of the executor. */
+  readonly getAnnounced: () => number;
   /** True while there is something to hold or to hear of. */
   readonly isNeeded: () => boolean;
   /** False while an answer is awaited before anything else may happen. */
@@ -70,6 +73,18 @@
     this.wake();
   }
 
+  /** Asks for the lists at once: a renewal under way may wait long for an end. */
+  async look(): Promise<void> {
+    const askedAt = this.owner.clock.now();
+    const answer = await this.owner.port.renewLease({
+      fence: this.owner.getFence(),
+      acknowledged: this.owner.getAnnounced(),
+      waitMs: 0,
+    });
+    answer.ifRight(report => this.owner.receive(report, askedAt));
+    this.wake();
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopped = true;
     this.wake();
--- a/packages/runner/src/run.ts
+++ b/packages/runner/src/run.ts
@@ -41,14 +41,14 @@
 
 /** Opens the runs of a batch, none of which was sent to the executor. */
 export function openRuns(batch: RunBatch, now: Instant): readonly Run[] {
-  const {job, step, payload, demand, estimateMs, rank, runs} = batch;
+  const {job, step, payload, demand, estimateMs, rankMs, runs} = batch;
   return runs.map(([ticket, index, run]) => ({
     ticket,
     ref: {job, step, index, run},
     payload,
     demand,
     estimateMs,
-    rank,
+    rank: now + rankMs,
     phase: {kind: 'waiting'},
     percent: 0,
     progressedAt: now,
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Instant, monotonicClock} from '#model';
-import {canWaitAhead, isFitting, subtractDemand} from '#policy';
+import {canWaitAhead, isBefore, isFitting} from '#policy';
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
@@ -7,8 +7,8 @@
   Peer,
   ReportedEnd,
   RunBatch,
-  RunTicket,
   TargetLoad,
+  WithdrawRunsParams,
 } from '#protocol';
 import type {Logger} from '#telemetry';
 import {Backlog} from './backlog.js';
@@ -19,8 +19,16 @@
   ExecutorReport,
   StartOutcome,
 } from './executor.js';
-import {logFailedStart, logSilence, logStall, logStart} from './events.js';
+import {
+  logFailedStart,
+  logLapse,
+  logLife,
+  logSilence,
+  logStall,
+  logStart,
+} from './events.js';
 import {LeaseLoop} from './lease.js';
+import {describeLoad, isTight} from './load.js';
 import {Orders} from './orders.js';
 import {compareReport} from './reconcile.js';
 import {Reporter} from './reporter.js';
@@ -81,7 +89,7 @@
     this.reporter = new Reporter({
       sessions: this.sessions,
       describeLoad: session => this.describeLoad(session),
-      isTight: () => this.isTight,
+      isTight: () => isTight(this.executor!.room, this.runs),
     });
     this.orders = new Orders({
       port: options.port,
@@ -92,7 +100,7 @@
         this.runs.findOwner(run)?.canStart(this.readClocks()) === true,
       onOrder: sentAt => this.lease.noteOrder(sentAt),
       onStart: (run, outcome) => this.judgeStart(run, outcome),
-      onStopped: () => void this.look(),
+      onStopped: () => void this.lease.look(),
     });
     this.lease = new LeaseLoop({
       clock: this.clock,
@@ -102,6 +110,7 @@
         this.announcedAck = this.acknowledged;
         return this.acknowledged;
       },
+      getAnnounced: () => this.announcedAck,
       isNeeded: () => this.isLeaseNeeded,
       isSettled: () => this.adopted,
       canProlong: () => this.adopted && this.sessions.isCurrent(),
@@ -146,7 +155,7 @@
     return {
       'runner.attach': (params, peer) => this.attach(params, peer),
       'runner.place': ({batches}, peer) => this.place(batches, peer),
-      'runner.withdraw': ({tickets}, peer) => this.withdrawRuns(tickets, peer),
+      'runner.withdraw': (params, peer) => this.withdrawRuns(params, peer),
       'runner.clear': ({job}, peer) => this.clearJob(job, peer),
     };
   }
@@ -192,32 +201,18 @@
     );
   }
 
-  /** True when little more than one run's room is left, or less. */
-  private get isTight(): boolean {
-    const {executor, runs} = this;
-    if (executor === undefined || runs.size === 0) return false;
-    const {cpuMillis} = runs.accepted;
-    return cpuMillis * (runs.size + 2) >= executor.room.cpuMillis * runs.size;
-  }
-
   private readClocks(): ClockReading {
     return {monotonic: this.clock.now(), wall: this.readWall()};
   }
 
   private describeLoad({demand}: Session): TargetLoad {
-    return {
-      open: this.isOpen,
-      ...subtractDemand(this.runs.accepted, demand),
-      slowness: this.record.slowness,
-      failing: this.record.failing,
-    };
+    const {isOpen, runs, backlog, record} = this;
+    const sources = {isOpen, runs, backlog, record};
+    return describeLoad(sources, demand, this.clock.now());
   }
 
-  private beginLife({target, incarnation}: ExecutorInfo): void {
-    this.options.log.info(
-      {event: 'executor-life', target, incarnation, runs: this.runs.size},
-      'a new life of the executor: it runs nothing of before',
-    );
+  private beginLife(info: ExecutorInfo): void {
+    logLife(this.options.log, info, this.runs.size);
     for (const run of this.runs.list()) {
       if (run.phase.kind !== 'waiting') this.endRun(run, 'lapsed');
     }
@@ -265,7 +260,7 @@
       this.bars.isBarred(run.ref.job, session.dispatcher) ||
       !this.isOpen ||
       this.runs.find(run.ref) !== undefined ||
-      !canWaitAhead(this.executor!.room, this.runs.accepted)
+      !this.makeWay(run)
     ) {
       session.addEnd(run.ticket, 'not-run', 0);
       return;
@@ -274,6 +269,15 @@
     this.backlog.add(run);
   }
 
+  /** Makes sure that a run may wait here: one that comes after it is given back for it. */
+  private makeWay(run: Run): boolean {
+    if (canWaitAhead(this.executor!.room, this.runs.accepted)) return true;
+    const {last} = this.backlog;
+    if (last === undefined || !isBefore(run.rank, last.rank)) return false;
+    this.endRun(last, 'not-run');
+    return true;
+  }
+
   private startWaiting(): void {
     const {executor} = this;
     if (executor === undefined || !this.isOpen) return;
@@ -312,16 +316,21 @@
       case 'unanswered':
         logFailedStart(this.options.log, run, outcome.detail);
         this.record = recordFailure(this.record);
-        this.stop(run, 'not-run');
+        this.stop(run, 'unanswered');
         return;
     }
   }
 
-  private withdrawRuns(tickets: readonly RunTicket[], peer: Peer): void {
+  private withdrawRuns(
+    {tickets, waitingOnly}: WithdrawRunsParams,
+    peer: Peer,
+  ): void {
     const session = this.sessions.find(peer);
     for (const ticket of tickets) {
       const run = session?.runs.get(ticket);
-      if (run !== undefined) this.stop(run, 'stopped');
+      if (run === undefined) continue;
+      if (waitingOnly && run.phase.kind !== 'waiting') continue;
+      this.stop(run, 'stopped');
     }
   }
 
@@ -345,8 +354,7 @@
   private stop(run: Run, end: ReportedEnd): void {
     if (run.phase.kind === 'stopping') return;
     if (run.phase.kind === 'waiting') {
-      this.backlog.remove(run);
-      this.endRun(run, end);
+      this.endRun(run, 'not-run');
       return;
     }
     run.phase = {kind: 'stopping', end};
@@ -379,18 +387,6 @@
     this.wakeIdle();
   }
 
-  /** Asks for the lists at once: a renewal under way may wait long for an end. */
-  private async look(): Promise<void> {
-    const askedAt = this.clock.now();
-    const answer = await this.options.port.renewLease({
-      fence: this.orders.fence,
-      acknowledged: this.announcedAck,
-      waitMs: 0,
-    });
-    answer.ifRight(report => this.receiveReport(report, askedAt));
-    this.lease.wakeUp();
-  }
-
   private stopStalled(run: Run): void {
     const stillMs = Math.round(this.clock.now() - run.progressedAt);
     logStall(this.options.log, run, stillMs);
@@ -400,8 +396,7 @@
 
   private endLapsed(detail: string): void {
     const held = this.runs.list().filter(({phase}) => phase.kind !== 'waiting');
-    const lost = {event: 'executor-lost', detail, runs: held.length};
-    if (this.adopted) this.options.log.warn(lost, 'its lease has run out');
+    if (this.adopted) logLapse(this.options.log, detail, held.length);
     this.adopted = false;
     for (const run of held) this.endRun(run, 'lapsed');
     this.returnWaiting();
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -41,6 +41,7 @@
   private ends: RunEndRow[] = [];
   /** The latest ends, told or not, by ticket. */
   private readonly recent = new Map<RunTicket, RunEndRow>();
+  private isResumed = false;
   private renewing = false;
   private askedAt: ClockReading = {monotonic: -Infinity, wall: -Infinity};
   private nextRenewal: Instant;
@@ -59,6 +60,7 @@
   /** Goes on over a new connection; a question on the old one does not count any more. */
   resume(peer: Peer, now: Instant): void {
     this.peer = peer;
+    this.isResumed = true;
     this.renewing = false;
     this.nextRenewal = now;
     this.toldLoad = undefined;
@@ -125,11 +127,15 @@
     }
   }
 
-  /** Finds how runs ended that are over; one that never came counts as not run. */
+  /**
+   * Finds how runs ended that are over. One that never came is not run, or lapsed where the runner
+   * knows nothing of the time before this session.
+   */
   listEnded(tickets: readonly RunTicket[]): readonly RunEndRow[] {
+    const end = this.isResumed ? 'not-run' : 'lapsed';
     return tickets
       .filter(ticket => !this.runs.has(ticket))
-      .map(ticket => this.recent.get(ticket) ?? [ticket, 'not-run', 0]);
+      .map(ticket => this.recent.get(ticket) ?? [ticket, end, 0]);
   }
 
   /**
