--- a/packages/runner/src/load.ts
+++ b/packages/runner/src/load.ts
@@ -29,10 +29,11 @@
   };
 }
 
-/** True when the room of two more runs like those that are there is not left. */
+/** True when the room of two more runs like those that are there is not left; unset before an executor is known. */
 export function isTight(
-  room: RoomSize,
+  room: RoomSize | undefined,
   {accepted, size}: Pick<RunTable, 'accepted' | 'size'>,
 ): boolean {
-  return size > 0 && accepted.cpuMillis * (size + 2) >= room.cpuMillis * size;
+  if (room === undefined || size === 0) return false;
+  return accepted.cpuMillis * (size + 2) >= room.cpuMillis * size;
 }
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -89,7 +89,7 @@
     this.reporter = new Reporter({
       sessions: this.sessions,
       describeLoad: session => this.describeLoad(session),
-      isTight: () => isTight(this.executor!.room, this.runs),
+      isTight: () => isTight(this.executor?.room, this.runs),
     });
     this.orders = new Orders({
       port: options.port,
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -1,6 +1,13 @@
 import test from 'ava';
-import {permissionMs} from '#runner';
-import {formatTask, sleep, startRunner, waitUntil} from './stand.js';
+import {permissionMs, Runner} from '#runner';
+import {openLog} from '#telemetry';
+import {
+  FakeExecutor,
+  formatTask,
+  sleep,
+  startRunner,
+  waitUntil,
+} from './stand.js';
 
 test('a run is started once room is there, and its end is told', async t => {
   await using stand = await startRunner();
@@ -16,6 +23,16 @@
   t.deepEqual(dispatcher.ends[0]!.slice(0, 2), [1, 'succeeded']);
 });
 
+test('a runner without an executor goes on', async t => {
+  const executor = new FakeExecutor();
+  await using runner = new Runner({
+    log: openLog('silent', 'agent', 'r'),
+    port: executor,
+  });
+  await sleep(150);
+  t.is(runner.info, undefined);
+});
+
 test('one run waits at a full executor; more are given back at once', async t => {
   await using stand = await startRunner();
   const dispatcher = await stand.attach('d');
