Serve metrics as text, and tell a request's story from logs

Metrics of a role on the platform go to a registry of prom-client, served on the port of the settings (9464/metrics in the deploy file): queued jobs by queue and outcome with response times, refusals by cause, runs by end, runs at the executor. 'wasabiring explain REQUEST [FILES]' prints the lines of all processes that name a request, with what happened around them, and says what is missing.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 import {addConfigCommands} from './config-commands.js';
 import {type Console} from './console.js';
 import {addDrainCommand} from './drain-command.js';
+import {addExplainCommand} from './explain-command.js';
 import {addJobCommands} from './job-commands.js';
 import {addMemberCommands} from './member-commands.js';
 import {runRole} from './role.js';
@@ -58,6 +59,7 @@
   addStatusCommand(program, context);
   addDrainCommand(program, context);
   addMemberCommands(program, context);
+  addExplainCommand(program, context);
   return program;
 }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -25,7 +25,7 @@
   RunTicket,
 } from '#protocol';
 import type {View} from '#membership';
-import type {Logger} from '#telemetry';
+import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import {
   type ActiveJob,
   isUntouched,
@@ -49,6 +49,7 @@
   /** Where it listens for other dispatchers; undefined for one without others. */
   readonly address?: Address;
   readonly log: Logger;
+  readonly metrics?: Metrics;
   readonly clock?: Clock;
 }
 
@@ -74,9 +75,11 @@
   private dispatchers: readonly Address[] = [];
   private readonly ownership: OwnershipOptions;
   private isScheduled = false;
+  private readonly metrics: Metrics;
 
   constructor(private readonly options: DispatcherOptions) {
     this.clock = options.clock ?? monotonicClock;
+    this.metrics = options.metrics ?? silentMetrics;
     this.ownership = {
       address: options.address,
       claims: this.claims,
@@ -100,7 +103,7 @@
       id => this.jobs.get(id),
       options.log,
     );
-    this.intake = new Intake(this.fleet, options.log);
+    this.intake = new Intake(this.fleet, options.log, this.metrics);
   }
 
   /** Jobs accepted and not answered. */
@@ -282,6 +285,7 @@
     job.tickets.delete(run.ticket);
     job.state = endRun(job.state, run.ref, end);
     if (end !== 'not-run') job.hasRun = true;
+    this.metrics.increment('queued.runs', 1, {queue: job.queue.name, end});
     if (job.isAnswered) {
       this.forgetEnded(job);
       return;
@@ -376,10 +380,19 @@
       },
       'a job is over',
     );
+    this.measureEnd(job, outcome);
     for (const resolve of job.waiters) resolve(outcome);
     this.forgetEnded(job);
   }
 
+  private measureEnd(job: ActiveJob, {kind: outcome}: JobOutcome): void {
+    const queue = job.queue.name;
+    const ageMs = this.clock.now() - job.arrivedAt;
+    this.metrics.increment('queued.jobs', 1, {queue, outcome});
+    this.metrics.timing('queued.job.response', ageMs, {queue, outcome});
+    this.metrics.gauge('queued.jobs.open', this.jobs.size);
+  }
+
   /** Forgets an answered job once nothing of it runs any more. */
   private forgetEnded(job: ActiveJob): void {
     if (job.tickets.size > 0) return;
--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -1,4 +1,4 @@
-import type {Instant, ServiceName} from '#model';
+import type {Instant, QueueConfig, ServiceName} from '#model';
 import {
   computeDueMs,
   computeUsefulMs,
@@ -11,7 +11,7 @@
   type PoolBacklog,
   type RoomTarget,
 } from '#policy';
-import type {Logger} from '#telemetry';
+import type {Logger, Metrics} from '#telemetry';
 import type {ActiveJob, JobOutcome, JobSubmission} from './active-job.js';
 import type {RunnerFleet} from './runner-fleet.js';
 
@@ -26,6 +26,7 @@
   constructor(
     private readonly fleet: RunnerFleet,
     private readonly log: Logger,
+    private readonly metrics: Metrics,
   ) {}
 
   /** Refuses a job that cannot be run before its caller leaves; undefined when it is taken. */
@@ -52,6 +53,7 @@
       now,
     );
     if (verdict.kind === 'admit') return undefined;
+    this.countRefusal(queue, 'backlog');
     this.log.info(
       {
         event: 'job-refused',
@@ -80,11 +82,16 @@
     return Math.min(maxRetryMs, Math.max(noTargetRetryMs, backlogMs));
   }
 
+  private countRefusal({name}: QueueConfig, cause: string): void {
+    this.metrics.increment('queued.refusals', 1, {queue: name, cause});
+  }
+
   private judgeWithoutTargets({
     job,
     queue,
   }: JobSubmission): Refusal | undefined {
     if (this.fleet.isReturning(queue.service)) return undefined;
+    this.countRefusal(queue, 'no-target');
     const detail = `no target of service "${queue.service}" can be reached`;
     this.log.warn(
       {
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -10,7 +10,7 @@
   TargetLoad,
   WithdrawRunsParams,
 } from '#protocol';
-import type {Logger} from '#telemetry';
+import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import {Backlog} from './backlog.js';
 import {Bars} from './bars.js';
 import type {
@@ -49,6 +49,7 @@
 export interface RunnerOptions {
   readonly log: Logger;
   readonly port: ExecutorPort;
+  readonly metrics?: Metrics;
   readonly clock?: Clock;
   /** Reads the time of day in ms since 1970. */
   readonly readWall?: () => number;
@@ -411,6 +412,9 @@
     const runMs =
       run.startedAt === undefined ? 0 : this.clock.now() - run.startedAt;
     if (!this.runs.remove(run, end, runMs)) return;
+    const {metrics = silentMetrics} = this.options;
+    metrics.increment('runner.runs', 1, {end});
+    if (runMs > 0) metrics.timing('runner.run', runMs, {end});
     if (end === 'succeeded') {
       this.record = recordSuccess(this.record);
     }
