Dial anew after 300 ms instead of waiting for a host that has no power

The opening packet is lost then, and sent again after a second only. Change: one limit for connections within a region, 300 ms, in the protocol package, for clients of control, agents, control's own links, runners and other dispatchers (1000, 1000, 1000, 600 and 300 ms before).

--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -1,6 +1,12 @@
 import {type Clock, computeDeadline, type TargetInfo} from '#model';
 import type {VersionedSource, Address} from '#model';
-import {dialPeer, type Liveness, type Peer, type ViewUpdate} from '#protocol';
+import {
+  dialPeer,
+  dialTimeoutMs,
+  type Liveness,
+  type Peer,
+  type ViewUpdate,
+} from '#protocol';
 import type {LeaseSettings} from '#settings';
 import type {Logger} from '#telemetry';
 
@@ -25,7 +31,6 @@
 const renewalLiveness: Liveness = {probeAfterMs: 3000, silenceLimitMs: 6000};
 /** Two renewals may be lost before a lease is. */
 const renewalsPerLease = 3;
-const dialTimeoutMs = 1000;
 const requestTimeoutMs = 2000;
 const firstBackoffMs = 20;
 const maxBackoffMs = 1000;
--- a/packages/control/src/links.ts
+++ b/packages/control/src/links.ts
@@ -3,12 +3,12 @@
 import {
   type ControlStatus,
   dialPeer,
+  dialTimeoutMs,
   type Liveness,
   type Peer,
   type ReplicateParams,
 } from '#protocol';
 
-const dialTimeoutMs = 1000;
 const redialPauseMs = 100;
 
 /** Replicas talk all the time, so that silence shows early. */
--- a/packages/dispatch/src/fellows.ts
+++ b/packages/dispatch/src/fellows.ts
@@ -7,13 +7,13 @@
 import {
   type ClaimJobParams,
   dialPeer,
+  dialTimeoutMs,
   type FollowJobResult,
   type Liveness,
   type Peer,
 } from '#protocol';
 
 const liveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
-const dialTimeoutMs = 300;
 /** A dispatcher that could not be reached is left alone for this long, in ms. */
 const avoidMs = 700;
 
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -9,6 +9,7 @@
 } from '#model';
 import {
   dialPeer,
+  dialTimeoutMs,
   type Liveness,
   type Peer,
   type ReportedEnd,
@@ -52,7 +53,6 @@
 
 /** Between hosts of a site: silence of a second is a fault. */
 const liveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
-const dialTimeoutMs = 600;
 const attachTimeoutMs = 600;
 const firstPauseMs = 30;
 const maxPauseMs = 1000;
--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -9,6 +9,7 @@
 } from '#model';
 import {
   dialPeer,
+  dialTimeoutMs,
   type Liveness,
   type NotLeader,
   type ParamsOf,
@@ -57,7 +58,6 @@
   changes: readonly ViewChange[] | undefined,
 ) => void;
 
-const dialTimeoutMs = 1000;
 const attemptTimeoutMs = 2000;
 /** A request with less time left is not sent: it could only become uncertain. */
 const minAttemptMs = 5;
--- a/packages/protocol/src/endpoint.ts
+++ b/packages/protocol/src/endpoint.ts
@@ -8,6 +8,12 @@
 /** Every dialled socket reads into it; each chunk is taken in before the next one is read. */
 const readBuffer = Buffer.allocUnsafeSlow(readBufferBytes);
 
+/**
+ * How long a connection within a region may take to open, in ms. It takes one round trip; the system
+ * sends a lost opening packet again after a second, so that dialling anew is quicker.
+ */
+export const dialTimeoutMs = 300;
+
 /** Connects to a peer by the deadline, or says why it could not. */
 export async function dialPeer(
   address: Address,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -16,4 +16,4 @@
 export type {Handlers, Liveness, RpcFailure} from './peer.js';
 export {defaultLiveness, idleLiveness, Peer} from './peer.js';
 export {parseAddress} from '#model';
-export {dialPeer, PeerListener} from './endpoint.js';
+export {dialPeer, dialTimeoutMs, PeerListener} from './endpoint.js';
