--- a/packages/bench/src/proxy.ts
+++ b/packages/bench/src/proxy.ts
@@ -46,17 +46,18 @@
     listener.on('connection', client => this.accept(client));
   }
 
-  /** Listens on a port of loopback, 0 for a free one, in front of `target`. */
+  /** Listens on a port of a loopback host, 0 for a free one, in front of `target`. */
   static async listen(
     port: number,
     target: Address,
     identify: Identify = () => undefined,
+    ownHost = '127.0.0.1',
   ): Promise<FaultProxy> {
     const [host, targetPort] = target.split(':');
     const listener = createServer({allowHalfOpen: true});
     await new Promise<void>((resolve, reject) => {
       listener.once('error', reject);
-      listener.listen(port, '127.0.0.1', resolve);
+      listener.listen(port, ownHost, resolve);
     });
     return new FaultProxy(
       listener,
@@ -66,7 +67,8 @@
   }
 
   get address(): Address {
-    return `127.0.0.1:${(this.listener.address() as AddressInfo).port}`;
+    const {address, port} = this.listener.address() as AddressInfo;
+    return `${address}:${port}`;
   }
 
   /** How many connections are open through it. */
--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -1,5 +1,5 @@
 import type {Instant, QueueConfig, QueuedJob, TargetId} from '#model';
-import {type JobState, estimateChainMs, listReady} from '#jobs';
+import {estimateChainMs, hasReady, type JobState} from '#jobs';
 import {rankWork} from '#policy';
 import type {RunTicket} from '#protocol';
 
@@ -73,6 +73,5 @@
 
 function estimateRestMs(state: JobState): number {
   if (state.job.steps.length > 1) return estimateChainMs(state.job);
-  const ready = listReady(state);
-  return ready.length === 0 ? 0 : state.job.steps[0]!.estimateMs;
+  return hasReady(state) ? state.job.steps[0]!.estimateMs : 0;
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -1,5 +1,11 @@
 import type {Instant, ServiceName, TargetId} from '#model';
-import {listReady, nameRun, placeTask, type TaskPosition} from '#jobs';
+import {
+  hasReady,
+  listReady,
+  nameRun,
+  placeTask,
+  type TaskPosition,
+} from '#jobs';
 import {chooseTarget, reserveRoom, type RoomTarget} from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, rankJob} from './active-job.js';
@@ -27,9 +33,7 @@
   /** Places what can be placed; returns the jobs of which a task can never be held by any target. */
   placeAll(jobs: Iterable<ActiveJob>, now: Instant): readonly ActiveJob[] {
     const waiting = [...jobs]
-      .filter(
-        ({state, isHeldBack}) => !isHeldBack && listReady(state).length > 0,
-      )
+      .filter(({state, isHeldBack}) => !isHeldBack && hasReady(state))
       .map(job => ({job, rank: rankJob(job, now)}))
       .sort((a, b) => a.rank - b.rank);
     const pools = new Map<ServiceName, Pool>();
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -1,6 +1,6 @@
 import type {Instant, JobId, ServiceName, TargetId, TargetInfo} from '#model';
 import type {View} from '#membership';
-import type {RoomTarget} from '#policy';
+import {isSlowed, type RoomTarget} from '#policy';
 import {type LinkOwner, RunnerLink} from './link.js';
 
 /** The connections to the runners of all targets that control knows. */
@@ -44,12 +44,14 @@
     return targets;
   }
 
-  /** Lists the connected targets that are slower than when some run was placed there. */
+  /** Lists the connected targets that have become much slower since some run was placed there. */
   listSlowed(): readonly RunnerLink[] {
     return [...this.links.values()].filter(
       link =>
         link.isOpen &&
-        link.listRuns().some(({slownessThen}) => slownessThen < link.slowness),
+        link
+          .listRuns()
+          .some(({slownessThen}) => isSlowed(slownessThen, link.slowness)),
     );
   }
 
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -8,6 +8,7 @@
 export {
   cancelJob,
   endRun,
+  hasReady,
   listPlaced,
   listReady,
   nameRun,
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -130,6 +130,14 @@
   return state.phase === 'open' ? listTasks(state, 'ready') : [];
 }
 
+/** True when a task may be placed now. */
+export function hasReady({phase, steps}: JobState): boolean {
+  return (
+    phase === 'open' &&
+    steps.some(tasks => tasks.some(({kind}) => kind === 'ready'))
+  );
+}
+
 /** Lists the tasks of which a run may exist. */
 export function listPlaced(state: JobState): readonly TaskPosition[] {
   return listTasks(state, 'placed');
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -66,7 +66,7 @@
 } from './room-placement.js';
 
 export type {MovableRun} from './rescue.js';
-export {estimateEnd, shouldMove} from './rescue.js';
+export {estimateEnd, isSlowed, shouldMove} from './rescue.js';
 
 export type {RoomSize} from './room.js';
 export {
--- a/packages/policy/src/rescue.ts
+++ b/packages/policy/src/rescue.ts
@@ -19,6 +19,11 @@
 /** Ending a run and beginning it elsewhere takes this long, in ms: a stop, a report and a start. */
 const moveMs = 30;
 
+/** True when a target has become so much slower that its runs are worth a look. */
+export function isSlowed(slownessThen: number, slownessNow: number): boolean {
+  return slownessNow >= slownessThen * minSlowdown;
+}
+
 /** Estimates when a run ends where it is, after its target has become slower. */
 export function estimateEnd(
   {estimateMs, placedAt, slownessThen}: MovableRun,
@@ -41,7 +46,7 @@
   elsewhereMs: number,
   now: Instant,
 ): boolean {
-  if (slownessNow < run.slownessThen * minSlowdown) return false;
+  if (!isSlowed(run.slownessThen, slownessNow)) return false;
   const endsAt = estimateEnd(run, slownessNow, now);
   const movedEndsAt = now + moveMs + elsewhereMs;
   return [run.dueAt, run.leavesAt].some(
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -1,7 +1,7 @@
 import type {Instant} from '#model';
 import type {Peer, RunTicket, TargetLoad} from '#protocol';
 import type {Run} from './run.js';
-import {type ClockReading, Session} from './session.js';
+import {chooseLoadInterval, type ClockReading, Session} from './session.js';
 
 /** The dispatchers that have runs here, or may send some. */
 export class SessionTable {
@@ -89,9 +89,10 @@
     isTight: boolean,
   ): number | undefined {
     const now: Instant = this.readClocks().monotonic;
+    const intervalMs = chooseLoadInterval(isTight, this.sessions.size);
     const waits: number[] = [];
     for (const session of this.sessions.values()) {
-      const waitMs = session.report(describe(session), isTight, now);
+      const waitMs = session.report(describe(session), intervalMs, now);
       if (waitMs !== undefined) waits.push(waitMs);
     }
     return waits.length === 0 ? undefined : Math.min(...waits);
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -18,8 +18,8 @@
 const startMarginMs = 250;
 /** A load that has changed is told at most this often, unless ends are told with it, in ms. */
 const loadIntervalMs = 20;
-/** The same while the target is nearly full, when a stale load sends runs to where they must wait. */
-const tightIntervalMs = 5;
+/** The same for each dispatcher while the target is nearly full, when a stale load sends runs to where they must wait. */
+const tightIntervalMs = 2.5;
 /** A speed that has changed by this share is told, even when the load has not changed. */
 const notableSpeedChange = 0.25;
 const notableFailingChange = 0.1;
@@ -33,6 +33,15 @@
   readonly wall: number;
 }
 
+/** Chooses how often a changed load is told to each of so many dispatchers, in ms: together they take a bounded share of the host. */
+export function chooseLoadInterval(
+  isTight: boolean,
+  dispatchers: number,
+): number {
+  if (!isTight) return loadIntervalMs;
+  return Math.min(loadIntervalMs, tightIntervalMs * dispatchers);
+}
+
 /** One dispatcher's runs here, and how long they are permitted. */
 export class Session {
   readonly runs = new Map<RunTicket, Run>();
@@ -142,10 +151,13 @@
    * Sends the ends that have gathered, or a load that differs from the one told. Returns for how
    * long a change must wait that is not told yet, in ms.
    */
-  report(load: TargetLoad, isTight: boolean, now: Instant): number | undefined {
+  report(
+    load: TargetLoad,
+    intervalMs: number,
+    now: Instant,
+  ): number | undefined {
     if (this.ends.length === 0) {
       if (!this.isNews(load)) return undefined;
-      const intervalMs = isTight ? tightIntervalMs : loadIntervalMs;
       const waitMs = this.toldAt + intervalMs - now;
       if (this.toldLoad?.open === load.open && waitMs > 0) return waitMs;
     }
