--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -62,7 +62,7 @@
 /** A request with less time left is not sent: it could only become uncertain. */
 const minAttemptMs = 5;
 const firstPauseMs = 20;
-const maxPauseMs = 200;
+const maxPauseMs = 100;
 /** Redirections that a request follows without a pause. */
 const maxRedirects = 2;
 
