--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -37,9 +37,8 @@
   ): Refusal | undefined {
     const {job, queue, arrivedAt, leavesAt} = submission;
     const targets = this.fleet.listTargets(queue.service);
-    if (targets.length === 0) {
-      return this.judgeWithoutTargets(submission);
-    }
+    if (this.fleet.isReturning(queue.service)) return undefined;
+    if (targets.length === 0) return this.judgeWithoutTargets(submission);
     const chainMs = estimateChainMs(job);
     const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
     const backlog = measureBacklog(queue.service, targets, jobs);
@@ -90,7 +89,6 @@
     job,
     queue,
   }: JobSubmission): Refusal | undefined {
-    if (this.fleet.isReturning(queue.service)) return undefined;
     this.countRefusal(queue, 'no-target');
     const detail = `no target of service "${queue.service}" can be reached`;
     this.log.warn(
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -18,7 +18,7 @@
   type RunTicket,
   type TargetLoad,
 } from '#protocol';
-import type {RoomTarget} from '#policy';
+import {type RoomTarget, startMs} from '#policy';
 import {executorLeaseMs, permissionMs} from '#runner';
 import type {Logger} from '#telemetry';
 
@@ -68,6 +68,9 @@
   private readonly outstanding = new Map<RunTicket, OutstandingRun>();
   private peer: Peer | undefined;
   private load: TargetLoad | undefined;
+  /** Runs that the agent had to begin after the latest placing, and when that was. */
+  private startsAhead = 0;
+  private placedAt: Instant = -Infinity;
   /** When the load was told. */
   private toldAt: Instant = 0;
   private own: RoomDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
@@ -127,6 +130,12 @@
     return this.load?.slowness ?? 1;
   }
 
+  /** Estimates how many of the runs placed here the agent has still to begin. */
+  private countStartsAhead(): number {
+    const begun = (this.owner.clock.now() - this.placedAt) / startMs;
+    return Math.max(0, this.startsAhead - begun);
+  }
+
   /** Follows what control says of the target. */
   update(info: TargetInfo): void {
     this.info = info;
@@ -148,6 +157,7 @@
       },
       slowness: load.slowness,
       failing: load.failing,
+      startsAhead: this.countStartsAhead(),
       isNear: place.failureDomain === this.owner.failureDomain,
       ...(load.waitingRankMs !== undefined && {
         waitingRank: this.toldAt + load.waitingRankMs,
@@ -157,6 +167,8 @@
 
   /** Tells the target to run tasks. They count as placed from now on. */
   place(batch: RunBatch, runs: ReadonlyMap<RunTicket, OutstandingRun>): void {
+    this.startsAhead = this.countStartsAhead() + runs.size;
+    this.placedAt = this.owner.clock.now();
     for (const [ticket, run] of runs) {
       this.outstanding.set(ticket, run);
       this.own = changeDemand(this.own, run.demand, 1);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -63,6 +63,7 @@
   findRoom,
   isHoldable,
   reserveRoom,
+  startMs,
 } from './room-placement.js';
 
 export type {MovableRun} from './rescue.js';
--- a/packages/policy/src/room-placement.ts
+++ b/packages/policy/src/room-placement.ts
@@ -14,6 +14,8 @@
   readonly failing: number;
   /** In the dispatcher's own failure domain. */
   readonly isNear: boolean;
+  /** Runs that were sent there and that its agent has hardly begun yet: it begins one after the other. */
+  readonly startsAhead: number;
   /** The highest rank of what waits there for room; unset while nothing is known to wait. */
   readonly waitingRank?: number;
 }
@@ -43,6 +45,8 @@
 const distanceMs = 12;
 /** A target that fails more than this of its runs gets none while another one has room. */
 const maxFailing = 0.5;
+/** What an agent with a third of a core takes to begin one run, in ms. */
+export const startMs = 5;
 /** How much longer work takes away from its data. */
 const awayFactor = 1.5;
 /** The more a target fails, the slower it counts. */
@@ -63,7 +67,8 @@
 
 /**
  * Chooses where a task runs soonest to its end. Load pattern: targets of unequal speed, of which the
- * fast ones fill first. A slow target that would miss the due time is passed over while a fast one,
+ * fast ones fill first, and jobs of many short tasks, which are spread so that their starts do not
+ * queue at one agent. A slow target that would miss the due time is passed over while a fast one,
  * once free, would still keep it. Where no target has room, the task may wait at one that has no
  * other waiting.
  */
@@ -103,10 +108,11 @@
   target: RoomTarget,
   {demand, rank}: Pick<PlacingTask, 'demand' | 'rank'>,
 ): RoomTarget {
-  const {room, used} = target;
+  const {room, used, startsAhead} = target;
   return {
     ...target,
     used: sumDemand(used, demand),
+    startsAhead: startsAhead + 1,
     ...(!isFitting(room, used, demand) && {waitingRank: rank}),
   };
 }
@@ -150,6 +156,7 @@
     if (target.target === task.avoid && targets.length > 1) continue;
     const cost =
       estimateRunMs(task, target) * (1 + failingWeight * target.failing) +
+      target.startsAhead * startMs +
       (target.isNear ? 0 : distanceMs);
     if (best === undefined || cost < best.cost) {
       best = {target: target.target, cost};
--- a/packages/policy/test/room-placement.test.ts
+++ b/packages/policy/test/room-placement.test.ts
@@ -1,5 +1,10 @@
 import test from 'ava';
-import {chooseTarget, judgeBacklog, type RoomTarget} from '#policy';
+import {
+  chooseTarget,
+  judgeBacklog,
+  reserveRoom,
+  type RoomTarget,
+} from '#policy';
 
 const none = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
 
@@ -20,6 +25,7 @@
     slowness: 1,
     failing: 0,
     isNear: true,
+    startsAhead: 0,
     ...changes,
   };
 }
@@ -124,3 +130,19 @@
     retryAfterMs: 200,
   });
 });
+
+test('a job of many short tasks is spread over targets, so that their starts do not queue at one', t => {
+  let targets = ['a', 'b', 'c'].map(name => buildTarget(name));
+  targets.push(buildTarget('far', {isNear: false, slowness: 0.9}));
+  const counts = new Map<string, number>();
+  for (let i = 0; i < 8; i++) {
+    const choice = chooseTarget(task, targets, 0);
+    if (choice.kind !== 'place') return t.fail();
+    counts.set(choice.target, (counts.get(choice.target) ?? 0) + 1);
+    targets = targets.map(each =>
+      each.target === choice.target ? reserveRoom(each, task) : each,
+    );
+  }
+  t.is(counts.size, 4);
+  t.true(Math.max(...counts.values()) <= 3);
+});
