Give each further run of a task twice the time without progress

Cause: read in the code, not seen in a run: progress comes in hundredths, and a task that takes two hundred times its caller's estimate shows none for longer than the quarter of a second after which a run counts as standing still; it would be stopped and begun again for ever. Test: progress.test.

--- a/packages/runner/src/progress.ts
+++ b/packages/runner/src/progress.ts
@@ -31,13 +31,21 @@
   return updateProgress(run, whole, now);
 }
 
-/** True when a run has made no progress for too long, at the target's usual slowness. */
+/** A task that was stopped this often gets no longer time any more. */
+const maxDoublings = 8;
+
+/**
+ * True when a run has made no progress for too long, at the target's usual slowness. Each further run
+ * of a task gets twice the time: it may take far longer than its caller estimated.
+ */
 export function isStalled(
-  {phase, estimateMs, progressedAt}: Run,
+  {phase, ref, estimateMs, progressedAt}: Run,
   slowness: number,
   now: Instant,
 ): boolean {
   if (phase.kind !== 'running') return false;
   const usualMs = estimateMs * Math.max(1, slowness);
-  return now - progressedAt >= Math.max(minStallMs, stallShare * usualMs);
+  const patience = 2 ** Math.min(maxDoublings, ref.run - 1);
+  const limitMs = Math.max(minStallMs, stallShare * usualMs);
+  return now - progressedAt >= patience * limitMs;
 }
