Give runs that were given up no permission on a connection that is attaching

An agent was paused for 1.5 s; its dispatcher attached to it anew, and while that was under way gave up the runs there for over, at the end of their leases, and began them elsewhere. The agent woke, took the question to attach with the old list of runs, kept them, asked for permission on the new connection and got it: the old run began 65 ms after the new one. Ruled out: late orders (the executor at hand answered), the executor's lease (no order had been sent before), the pause itself (permissions had run out). Change: a dispatcher permits, and places, only on a connection on which both ends agree about the runs, and closes one that is still attaching when it gives runs up. Placing before that was possible too; such runs were ignored by the runner and never told of.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -66,7 +66,10 @@
 /** A dispatcher's connection to the runner of one target, and its runs there. */
 export class RunnerLink implements AsyncDisposable {
   private readonly outstanding = new Map<RunTicket, OutstandingRun>();
+  /** The latest connection, which may still be attaching. */
   private peer: Peer | undefined;
+  /** The connection on which both ends agree about the runs. */
+  private attached: Peer | undefined;
   private load: TargetLoad | undefined;
   /** Runs that the agent had to begin after the latest placing, and when that was. */
   private startsAhead = 0;
@@ -102,7 +105,7 @@
   /** True when runs may be placed here. */
   get isOpen(): boolean {
     return (
-      this.peer?.isOpen === true &&
+      this.attached?.isOpen === true &&
       this.load?.open === true &&
       !this.info.leaving
     );
@@ -173,7 +176,7 @@
       this.outstanding.set(ticket, run);
       this.own = changeDemand(this.own, run.demand, 1);
     }
-    this.peer!.notify('runner.place', {batches: [batch]});
+    this.attached!.notify('runner.place', {batches: [batch]});
   }
 
   /** Asks the target to end runs, or those that have not begun; their ends are told as any others. */
@@ -236,6 +239,7 @@
       return undefined;
     }
     this.peer = peer;
+    this.attached = undefined;
     const attached = await peer.request(
       'runner.attach',
       {dispatcher, life, tickets: [...this.outstanding.keys()]},
@@ -250,6 +254,7 @@
         clearTimeout(this.lossTimer);
         this.lossTimer = undefined;
         this.missingSince = undefined;
+        this.attached = peer;
         this.take(ended, load);
         this.owner.log.info(
           {event: 'runner-attached', target: this.target, load},
@@ -261,7 +266,7 @@
   }
 
   private grantPermission(peer: Peer): Record<string, never> {
-    if (peer !== this.peer) throw new Error('this connection was replaced');
+    if (peer !== this.attached) throw new Error('not attached here');
     this.permittedAt = this.owner.clock.now();
     return {};
   }
@@ -303,6 +308,8 @@
       },
       'runs are over without an end',
     );
+    // The runner may have kept them on a connection that is attaching: it must get no permission there.
+    if (this.peer !== this.attached) this.peer?.close(detail);
     for (const ticket of [...this.outstanding.keys()]) {
       this.finish(ticket, 'lapsed', 0);
     }
