State how a run ends once, in the model

The same union stood in jobs and in protocol. Types only: the compiled sources are the same byte for byte. The tests of dispatch share one builder of targets.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -6,8 +6,9 @@
   type Instant,
   type JobId,
   monotonicClock,
-  RecentMap,
   type QueueConfig,
+  RecentMap,
+  type RunEnd,
   type TargetId,
 } from '#model';
 import {
@@ -18,12 +19,7 @@
   estimateChainMs,
   openJob,
 } from '#jobs';
-import type {
-  FollowJobResult,
-  Handlers,
-  ReportedEnd,
-  RunTicket,
-} from '#protocol';
+import type {FollowJobResult, Handlers, RunTicket} from '#protocol';
 import type {View} from '#membership';
 import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import {
@@ -283,7 +279,7 @@
   private recordEnd(
     target: TargetId,
     run: OutstandingRun,
-    end: ReportedEnd,
+    end: RunEnd,
     runMs: number,
   ): void {
     const job = this.jobs.get(run.ref.job);
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -3,6 +3,7 @@
   type Instant,
   type JobId,
   type RoomDemand,
+  type RunEnd,
   type RunRef,
   type TargetId,
   type TargetInfo,
@@ -12,7 +13,6 @@
   dialTimeoutMs,
   type Liveness,
   type Peer,
-  type ReportedEnd,
   type RunBatch,
   type RunEndRow,
   type RunTicket,
@@ -44,7 +44,7 @@
   readonly onEnd: (
     target: TargetId,
     run: OutstandingRun,
-    end: ReportedEnd,
+    end: RunEnd,
     runMs: number,
   ) => void;
   /** Room or readiness has changed. */
@@ -278,7 +278,7 @@
     this.owner.onLoad();
   }
 
-  private finish(ticket: RunTicket, end: ReportedEnd, runMs: number): void {
+  private finish(ticket: RunTicket, end: RunEnd, runMs: number): void {
     const run = this.outstanding.get(ticket);
     if (run === undefined) return;
     this.outstanding.delete(ticket);
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -1,13 +1,9 @@
 import test from 'ava';
-import {monotonicClock, type TargetInfo} from '#model';
-import {
-  type Handlers,
-  type Peer,
-  PeerListener,
-  type ReportedEnd,
-} from '#protocol';
+import {monotonicClock, type RunEnd} from '#model';
+import {type Handlers, type Peer, PeerListener} from '#protocol';
 import {openLog} from '#telemetry';
 import {RunnerLink} from '../src/link.js';
+import {buildTarget} from './stand.js';
 
 const load = {
   open: true,
@@ -20,26 +16,8 @@
 
 const demand = {cpuMillis: 1000, memoryMb: 1, accelerators: 0};
 
-function describeTarget(address: string): TargetInfo {
-  return {
-    target: 'target',
-    incarnation: 1,
-    service: 'tally',
-    address,
-    place: {site: 's', region: 'r', failureDomain: 'f', rack: 'none'},
-    capacity: {
-      kind: 'room',
-      cpuMillis: 4000,
-      memoryMb: 4096,
-      accelerators: 0,
-      labels: [],
-    },
-    leaving: false,
-  };
-}
-
 test('runs that were given up while the runner was being attached to get no permission there', async t => {
-  const ends: ReportedEnd[] = [];
+  const ends: RunEnd[] = [];
   const attached: Peer[] = [];
   const renew = (peer: Peer) =>
     peer.request('dispatcher.renew', {}, monotonicClock.now() + 300);
@@ -63,7 +41,7 @@
   await using listener = (
     await PeerListener.listen('127.0.0.1:0', handlers)
   ).unsafeCoerce();
-  await using link = new RunnerLink(describeTarget(listener.address), {
+  await using link = new RunnerLink(buildTarget('target', listener.address), {
     clock: monotonicClock,
     log: openLog('silent', 'entry', 'e'),
     dispatcher: 'd',
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -38,14 +38,12 @@
   return {...job, steps: job.steps.map(step => ({...step, estimateMs: 4000}))};
 }
 
-/** Builds a view of targets at runners' addresses and of dispatchers. */
-export function buildView(
-  runners: readonly string[],
-  dispatchers: readonly string[],
-): View {
-  const place = {site: 's', region: 'r', failureDomain: 'f', rack: 'none'};
-  const targets = runners.map((address, i): TargetInfo => ({
-    target: `target-${i}`,
+const place = {site: 's', region: 'r', failureDomain: 'f', rack: 'none'};
+
+/** Builds a target with room for four tasks, whose runner listens at an address. */
+export function buildTarget(target: string, address: string): TargetInfo {
+  return {
+    target,
     incarnation: 1,
     service: 'tally',
     address,
@@ -58,7 +56,17 @@
       labels: [],
     },
     leaving: false,
-  }));
+  };
+}
+
+/** Builds a view of targets at runners' addresses and of dispatchers. */
+export function buildView(
+  runners: readonly string[],
+  dispatchers: readonly string[],
+): View {
+  const targets = runners.map((address, i) =>
+    buildTarget(`target-${i}`, address),
+  );
   return {
     ...emptyView,
     revision: 1,
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,10 +1,4 @@
-export type {
-  JobPhase,
-  JobState,
-  RunEnd,
-  TaskPosition,
-  TaskState,
-} from './job.js';
+export type {JobPhase, JobState, TaskPosition, TaskState} from './job.js';
 export {
   cancelJob,
   endRun,
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,4 +1,4 @@
-import type {QueuedJob, RunRef, TargetId} from '#model';
+import type {QueuedJob, RunEnd, RunRef, TargetId} from '#model';
 import {assertInvariant, failUnreachable} from '#model';
 
 /** Where one task of a job stands. */
@@ -32,22 +32,6 @@
   readonly steps: readonly (readonly TaskState[])[];
 }
 
-/** How a run ended. Each but `succeeded` proves that nothing of it runs any more. */
-export type RunEnd =
-  | 'succeeded'
-  /** By the task's own fault or the target's: it spends an attempt. */
-  | 'failed'
-  /** Ended by an order. */
-  | 'stopped'
-  /** Its lease ran out, or its target went away. */
-  | 'lapsed'
-  /** The target never began it. */
-  | 'not-run'
-  /** Its start was not answered; whether it began is not known, and it was stopped. */
-  | 'unanswered'
-  /** It made no progress and was stopped. */
-  | 'stalled';
-
 /** A task's position in its job. */
 export interface TaskPosition {
   readonly step: number;
--- a/packages/jobs/test/job.test.ts
+++ b/packages/jobs/test/job.test.ts
@@ -1,3 +1,4 @@
+import type {RunEnd} from '#model';
 import test from 'ava';
 import {
   cancelJob,
@@ -10,7 +11,6 @@
   openJob,
   placeTask,
   type JobState,
-  type RunEnd,
 } from '#jobs';
 import {buildJob, buildStep} from './builders.js';
 
--- a/packages/jobs/test/model.test.ts
+++ b/packages/jobs/test/model.test.ts
@@ -8,9 +8,8 @@
   nameRun,
   openJob,
   placeTask,
-  type RunEnd,
 } from '#jobs';
-import type {RunRef} from '#model';
+import type {RunEnd, RunRef} from '#model';
 import {buildJob, buildStep} from './builders.js';
 
 const runs = 2000;
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -66,6 +66,7 @@
   QueuedJob,
   QueueName,
   RoomDemand,
+  RunEnd,
   RunRef,
 } from './queue.js';
 
--- a/packages/model/src/queue.ts
+++ b/packages/model/src/queue.ts
@@ -66,3 +66,19 @@
   /** Counts from 1 and grows with each run of the task. */
   readonly run: number;
 }
+
+/** How a run ended. Each but `succeeded` proves that nothing of it runs any more. */
+export type RunEnd =
+  | 'succeeded'
+  /** By the task's own fault or the target's: it spends an attempt. */
+  | 'failed'
+  /** Ended by an order. */
+  | 'stopped'
+  /** Its lease ran out, or its target went away. */
+  | 'lapsed'
+  /** The target never began it. */
+  | 'not-run'
+  /** Its start was not answered; whether it began is not known, and it was stopped. */
+  | 'unanswered'
+  /** It made no progress and was stopped. */
+  | 'stalled';
--- a/packages/protocol/src/runner-messages.ts
+++ b/packages/protocol/src/runner-messages.ts
@@ -1,4 +1,4 @@
-import type {RoomDemand, ServiceName, TargetId} from '#model';
+import type {RoomDemand, RunEnd, ServiceName, TargetId} from '#model';
 
 /** Names a run within one session of a dispatcher and a runner. Chosen by the dispatcher, never reused. */
 export type RunTicket = number;
@@ -58,17 +58,8 @@
   readonly waitingOnly?: boolean;
 }
 
-export type ReportedEnd =
-  | 'succeeded'
-  | 'failed'
-  | 'stopped'
-  | 'lapsed'
-  | 'not-run'
-  | 'unanswered'
-  | 'stalled';
-
 /** Ticket, how the run ended, and its run time in ms. */
-export type RunEndRow = readonly [RunTicket, ReportedEnd, number];
+export type RunEndRow = readonly [RunTicket, RunEnd, number];
 
 export interface ReportRunsParams {
   readonly ends: readonly RunEndRow[];
--- a/packages/runner/src/reconcile.ts
+++ b/packages/runner/src/reconcile.ts
@@ -1,5 +1,4 @@
-import type {Instant, RunRef} from '#model';
-import type {ReportedEnd} from '#protocol';
+import type {Instant, RunEnd, RunRef} from '#model';
 import type {EndedRow, ExecutorReport} from './executor.js';
 import {completeProgress, isStalled, updateProgress} from './progress.js';
 import {markStarted, type Run} from './run.js';
@@ -24,7 +23,7 @@
 /** What a report of the executor means for the runs known here. */
 export interface Reconciliation {
   /** Runs that are over, and how. */
-  readonly ends: readonly (readonly [Run, ReportedEnd])[];
+  readonly ends: readonly (readonly [Run, RunEnd])[];
   /** Runs at the executor that nobody here knows. */
   readonly strays: readonly RunRef[];
   readonly stalled: readonly Run[];
@@ -39,7 +38,7 @@
   moment: ReportMoment,
 ): Reconciliation {
   const {now, usualSlowness} = moment;
-  const ends = new Map<Run, ReportedEnd>();
+  const ends = new Map<Run, RunEnd>();
   const work: ObservedWork[] = [];
   for (const row of ended) {
     const run = known.find(row.ref);
@@ -70,7 +69,7 @@
   return {ends: [...ends], strays, stalled, work};
 }
 
-function interpretEnd({phase}: Run, {end}: EndedRow): ReportedEnd {
+function interpretEnd({phase}: Run, {end}: EndedRow): RunEnd {
   return phase.kind === 'stopping' && end === 'stopped' ? phase.end : end;
 }
 
@@ -78,7 +77,7 @@
 function judgeAbsent(
   {phase}: Run,
   {askedAt, leaseExpiry}: ReportMoment,
-): ReportedEnd | undefined {
+): RunEnd | undefined {
   switch (phase.kind) {
     case 'waiting':
     case 'starting':
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -1,6 +1,5 @@
-import type {JobId, RoomDemand, RunRef} from '#model';
+import type {JobId, RoomDemand, RunEnd, RunRef} from '#model';
 import {emptyDemand, subtractDemand, sumDemand} from '#policy';
-import type {ReportedEnd} from '#protocol';
 import {formatRun, type Run} from './run.js';
 import type {Session} from './session.js';
 
@@ -58,7 +57,7 @@
   }
 
   /** Removes a run that is over, and notes its end for its dispatcher; false when it was removed before. */
-  remove(run: Run, end: ReportedEnd, runMs: number): boolean {
+  remove(run: Run, end: RunEnd, runMs: number): boolean {
     const session = this.owners.get(run);
     if (session === undefined) return false;
     if (run.phase.kind !== 'waiting') {
--- a/packages/runner/src/run.ts
+++ b/packages/runner/src/run.ts
@@ -1,5 +1,5 @@
-import type {Instant, RoomDemand, RunRef} from '#model';
-import type {ReportedEnd, RunBatch, RunTicket} from '#protocol';
+import type {Instant, RoomDemand, RunEnd, RunRef} from '#model';
+import type {RunBatch, RunTicket} from '#protocol';
 
 /** Where a run stands at the runner. */
 export type RunPhase =
@@ -11,7 +11,7 @@
   | {
       readonly kind: 'stopping';
       /** Told to the dispatcher once the run is surely over. */
-      readonly end: ReportedEnd;
+      readonly end: RunEnd;
       /** The executor has answered the stop. */
       readonly stoppedAt?: Instant;
     };
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -1,11 +1,10 @@
-import {type Clock, type Instant, monotonicClock} from '#model';
+import {type Clock, type Instant, monotonicClock, type RunEnd} from '#model';
 import {canWaitAhead, isBefore, isFitting} from '#policy';
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
   Handlers,
   Peer,
-  ReportedEnd,
   RunBatch,
   TargetLoad,
   WithdrawRunsParams,
@@ -352,7 +351,7 @@
   }
 
   /** Ends a run: at once while it waits, otherwise when the executor has it no more. */
-  private stop(run: Run, end: ReportedEnd): void {
+  private stop(run: Run, end: RunEnd): void {
     if (run.phase.kind === 'stopping') return;
     if (run.phase.kind === 'waiting') {
       this.endRun(run, 'not-run');
@@ -407,7 +406,7 @@
     for (const run of this.backlog.takeAll()) this.endRun(run, 'not-run');
   }
 
-  private endRun(run: Run, end: ReportedEnd): void {
+  private endRun(run: Run, end: RunEnd): void {
     if (run.phase.kind === 'waiting') this.backlog.remove(run);
     const runMs =
       run.startedAt === undefined ? 0 : this.clock.now() - run.startedAt;
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -1,12 +1,6 @@
-import type {Instant, RoomDemand} from '#model';
+import type {Instant, RoomDemand, RunEnd} from '#model';
 import {emptyDemand, subtractDemand, sumDemand} from '#policy';
-import type {
-  Peer,
-  ReportedEnd,
-  RunEndRow,
-  RunTicket,
-  TargetLoad,
-} from '#protocol';
+import type {Peer, RunEndRow, RunTicket, TargetLoad} from '#protocol';
 import type {Run} from './run.js';
 
 /** How long a dispatcher's answer permits its runs, counted from the question, in ms. */
@@ -128,7 +122,7 @@
   }
 
   /** Notes an end to be told with the next report. */
-  addEnd(ticket: RunTicket, end: ReportedEnd, runMs: number): void {
+  addEnd(ticket: RunTicket, end: RunEnd, runMs: number): void {
     const row: RunEndRow = [ticket, end, Math.max(0, Math.round(runMs))];
     this.ends.push(row);
     this.recent.set(ticket, row);
