Offer a worker only after a report taken since the agent started

Cause: a worker's usage report lags, and an empty one carries no age. Ruled out: the worker's count of slots (released before the answer) and requests of the killed agent still under way (all had started).

Change: the report carries its age; the worker counts as free only after a report without strangers taken since the agent opened it.

--- a/packages/agent/src/usage.ts
+++ b/packages/agent/src/usage.ts
@@ -1,6 +1,7 @@
 import {array, Codec, type GetType, number, string} from 'purify-ts/Codec';
 
 const usageReport = Codec.interface({
+  ageMs: number,
   tasks: array(
     Codec.interface({
       job: string,
@@ -16,11 +17,10 @@
 /** What a worker reports of one task, and how long ago that was so. */
 export type TaskUsage = Readonly<GetType<typeof usageReport>['tasks'][number]>;
 
+/** What a worker held when it took its report, and how long ago that was. */
+export type UsageReport = Readonly<GetType<typeof usageReport>>;
+
 /** Reads a worker's usage report; undefined when it is malformed. */
-export function parseUsage(body: unknown): readonly TaskUsage[] | undefined {
-  return usageReport
-    .decode(body)
-    .map(({tasks}) => tasks)
-    .toMaybe()
-    .extract();
+export function parseUsage(body: unknown): UsageReport | undefined {
+  return usageReport.decode(body).toMaybe().extract();
 }
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -16,7 +16,7 @@
   type RunRequest,
   type Target,
 } from './target.js';
-import {parseUsage, type TaskUsage} from './usage.js';
+import {parseUsage, type UsageReport} from './usage.js';
 
 export interface WorkerOptions {
   readonly url: string;
@@ -55,9 +55,11 @@
   private readonly pool: Pool;
   private readonly held = new Map<string, HeldTask>();
   private readonly guard: NodeJS.Timeout;
+  private readonly openedAt: Instant;
   private guarding = false;
 
   constructor(private readonly options: WorkerOptions) {
+    this.openedAt = options.clock.now();
     this.pool = openPool(options.url, maxConnections, options.answerTimeoutMs);
     this.guard = setInterval(
       () => void this.guardTasks(),
@@ -91,10 +93,14 @@
   }
 
   async checkHealth(): Promise<boolean> {
-    const usage = await this.fetchUsage();
-    if (usage === undefined) return false;
-    const strangers = usage.map(formatTask).filter(key => !this.held.has(key));
-    if (this.held.size > 0 || strangers.length === 0) return true;
+    const askedAt = this.options.clock.now();
+    const report = await this.fetchUsage();
+    if (report === undefined) return false;
+    if (this.held.size > 0) return true;
+    const strangers = report.tasks.map(formatTask);
+    // An older report may lack what an earlier life of this agent started last.
+    const isOlder = askedAt - report.ageMs < this.openedAt;
+    if (strangers.length === 0) return !isOlder;
     this.options.log.warn(
       {event: 'strangers', tasks: strangers.length},
       'the worker still runs tasks of an earlier life of this agent',
@@ -136,7 +142,7 @@
     try {
       this.renewLeases();
       const now = this.options.clock.now();
-      for (const usage of (await this.fetchUsage()) ?? []) {
+      for (const usage of (await this.fetchUsage())?.tasks ?? []) {
         const task = this.held.get(formatTask(usage));
         if (task === undefined) continue;
         const {ageMs, ...used} = usage;
@@ -199,7 +205,7 @@
     }
   }
 
-  private async fetchUsage(): Promise<readonly TaskUsage[] | undefined> {
+  private async fetchUsage(): Promise<UsageReport | undefined> {
     const outcome = await sendRequest(this.pool, {
       method: 'GET',
       path: '/usage',
--- a/packages/agent/test/worker.test.ts
+++ b/packages/agent/test/worker.test.ts
@@ -19,8 +19,16 @@
   maxTaskMs: 60_000,
 };
 
-/** A worker whose task runs until it is stopped, and that reports the usages one by one. */
-async function openWorker(usages: Usage[], strangers: string[] = []) {
+/**
+ * A worker whose task runs until it is stopped, and that reports the usages one
+ * by one, the first `blankReports` reports as taken a minute ago, before any task.
+ */
+async function openWorker(
+  usages: Usage[],
+  strangers: string[] = [],
+  blankReports = 0,
+) {
+  let blanksLeft = blankReports;
   const running: ServerResponse[] = [];
   const tasks = new Set(strangers);
   const target = await new FakeTarget((_, response, {method, url}) => {
@@ -37,12 +45,16 @@
       return;
     }
     if (url !== '/usage') return void response.end('{}');
+    if (blanksLeft > 0) {
+      blanksLeft -= 1;
+      return void response.end('{"ageMs":60000,"tasks":[]}');
+    }
     const usage = usages.length > 1 ? usages.shift() : usages[0];
     const report = [...tasks].map(key => {
       const [job, task] = key.split('.');
       return {job, task: Number(task), accelerators: 0, ...usage};
     });
-    response.end(JSON.stringify({tasks: report}));
+    response.end(JSON.stringify({ageMs: 0, tasks: report}));
   }).open();
   let aheadMs = 0;
   const worker = new Worker({
@@ -138,3 +150,14 @@
   t.true(await stand.worker.checkHealth());
   await stand.close();
 });
+
+test('a report from before the agent started does not show the worker free', async t => {
+  const stand = await openWorker([modest], ['old.1'], 2);
+  t.false(await stand.worker.checkHealth());
+  t.false(await stand.worker.checkHealth());
+  t.is(stand.count('DELETE /tasks/old.1'), 0);
+  t.false(await stand.worker.checkHealth());
+  t.is(stand.count('DELETE /tasks/old.1'), 1);
+  t.true(await stand.worker.checkHealth());
+  await stand.close();
+});
--- a/packages/bench/src/worker.ts
+++ b/packages/bench/src/worker.ts
@@ -233,7 +233,7 @@
   }
 
   private describeUsage(): object {
-    const ageMs = Math.round(performance.now() - this.report.takenAt);
-    return {tasks: this.report.tasks.map(task => ({...task, ageMs}))};
+    const ageMs = Math.ceil(performance.now() - this.report.takenAt);
+    return {ageMs, tasks: this.report.tasks.map(task => ({...task, ageMs}))};
   }
 }
--- a/packages/telemetry/src/exposition.ts
+++ b/packages/telemetry/src/exposition.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import {type Address, parseAddress} from '#model';
@@ -93,7 +94,11 @@
 
 /** Serves a registry's text over HTTP at one path. */
 export class MetricsServer implements AsyncDisposable {
-  private constructor(private readonly server: Server) {}
+  private constructor(
+    private readonly server: Server,
+    /** Where it listens, with the port that the system chose for port 0. */
+    readonly address: Address,
+  ) {}
 
   /** Listens at an address; fails with the system's error. */
   static async listen(
@@ -115,9 +120,10 @@
     });
     return new Promise(resolve => {
       server.once('error', error => resolve(Left(String(error))));
-      server.listen(parsed.port, parsed.host, () =>
-        resolve(Right(new MetricsServer(server))),
-      );
+      server.listen(parsed.port, parsed.host, () => {
+        const {port} = server.address() as AddressInfo;
+        resolve(Right(new MetricsServer(server, `${parsed.host}:${port}`)));
+      });
     });
   }
 
--- a/packages/telemetry/test/exposition.test.ts
+++ b/packages/telemetry/test/exposition.test.ts
@@ -7,11 +7,10 @@
   registry.increment('jobs', 2, {queue: 'counts', outcome: 'completed'});
   registry.gauge('jobs.open', 3);
   registry.timing('job.response', 40, {queue: 'counts'});
-  const address = '127.0.0.1:39471';
   await using server = (
-    await MetricsServer.listen(address, '/metrics', registry)
+    await MetricsServer.listen('127.0.0.1:0', '/metrics', registry)
   ).unsafeCoerce();
-  t.truthy(server);
+  const {address} = server;
   const {body} = await request(`http://${address}/metrics`);
   const text = await body.text();
   t.regex(
@@ -40,11 +39,9 @@
 
 test('an address that is taken is told', async t => {
   const registry = new MetricsRegistry({});
-  const address = '127.0.0.1:39472';
   await using first = (
-    await MetricsServer.listen(address, '/', registry)
+    await MetricsServer.listen('127.0.0.1:0', '/', registry)
   ).unsafeCoerce();
-  t.truthy(first);
-  const second = await MetricsServer.listen(address, '/', registry);
+  const second = await MetricsServer.listen(first.address, '/', registry);
   t.true(second.isLeft());
 });
