Withdraw runs again once a runner is attached

Cause, read in the code: a dispatcher that withdrew runs while its connection to the runner was attaching told it on that connection, where the runner knows no runs yet, and the notice was lost; the run went on to its end.

Change: what is withdrawn is kept until the run is over and is asked again on the connection that is attached. A test with a runner that attaches late failed before (nothing withdrawn) and passes now.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -71,6 +71,8 @@
   /** The connection on which both ends agree about the runs. */
   private attached: Peer | undefined;
   private load: TargetLoad | undefined;
+  /** Runs that are to end, and whether only those that have not begun. */
+  private readonly unwanted = new Map<RunTicket, boolean>();
   /** Runs that the agent had to begin after the latest placing, and when that was. */
   private startsAhead = 0;
   private placedAt: Instant = -Infinity;
@@ -179,10 +181,15 @@
     this.attached!.notify('runner.place', {batches: [batch]});
   }
 
-  /** Asks the target to end runs, or those that have not begun; their ends are told as any others. */
+  /**
+   * Asks the target to end runs, or those that have not begun; their ends are told as any others.
+   * Out of touch, it is asked as soon as it is attached again: it knows no runs on a connection that
+   * is attaching.
+   */
   withdraw(tickets: readonly RunTicket[], waitingOnly = false): void {
     if (tickets.length === 0) return;
-    this.peer?.notify('runner.withdraw', {tickets, waitingOnly});
+    for (const ticket of tickets) this.unwanted.set(ticket, waitingOnly);
+    this.attached?.notify('runner.withdraw', {tickets, waitingOnly});
   }
 
   /** Ends what other dispatchers run of a job; false when the target does not say so in time. */
@@ -256,6 +263,7 @@
         this.missingSince = undefined;
         this.attached = peer;
         this.take(ended, load);
+        this.withdrawAgain(peer);
         this.owner.log.info(
           {event: 'runner-attached', target: this.target, load},
           'attached to a runner',
@@ -265,6 +273,16 @@
     });
   }
 
+  private withdrawAgain(peer: Peer): void {
+    for (const waitingOnly of [true, false]) {
+      const tickets = [...this.unwanted]
+        .filter(([, isWaitingOnly]) => isWaitingOnly === waitingOnly)
+        .map(([ticket]) => ticket);
+      if (tickets.length === 0) continue;
+      peer.notify('runner.withdraw', {tickets, waitingOnly});
+    }
+  }
+
   private grantPermission(peer: Peer): Record<string, never> {
     if (peer !== this.attached) throw new Error('not attached here');
     this.permittedAt = this.owner.clock.now();
@@ -282,6 +300,7 @@
     const run = this.outstanding.get(ticket);
     if (run === undefined) return;
     this.outstanding.delete(ticket);
+    this.unwanted.delete(ticket);
     this.own = changeDemand(this.own, run.demand, -1);
     this.owner.onEnd(this.target, run, end, runMs);
   }
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 import {monotonicClock, type RunEnd} from '#model';
-import {type Handlers, type Peer, PeerListener} from '#protocol';
+import {
+  type Handlers,
+  type Peer,
+  PeerListener,
+  type RunBatch,
+  type RunTicket,
+} from '#protocol';
 import {openLog} from '#telemetry';
 import {RunnerLink} from '../src/link.js';
 import {buildTarget} from './stand.js';
@@ -16,6 +22,52 @@
 
 const demand = {cpuMillis: 1000, memoryMb: 1, accelerators: 0};
 
+/** A run of a job of one task, and the batch that places it. */
+function buildRun() {
+  const run = {
+    ticket: 1,
+    ref: {job: 'job', step: 0, index: 0, run: 1},
+    demand,
+    placedAt: monotonicClock.now(),
+    slownessThen: 1,
+    isMoving: false,
+  };
+  const batch: RunBatch = {
+    job: 'job',
+    payload: '',
+    step: 0,
+    demand,
+    estimateMs: 100,
+    rankMs: 0,
+    runs: [[1, 0, 1]],
+  };
+  return {batch, runs: new Map([[1, run]])};
+}
+
+function openLink(address: string, ends: RunEnd[] = []): RunnerLink {
+  return new RunnerLink(buildTarget('target', address), {
+    clock: monotonicClock,
+    log: openLog('silent', 'entry', 'e'),
+    dispatcher: 'd',
+    life: 1,
+    failureDomain: 'f',
+    onEnd: (_target, _run, end) => void ends.push(end),
+    onLoad: () => {},
+  });
+}
+
+async function waitUntil(holds: () => boolean): Promise<void> {
+  while (!holds()) await new Promise(resolve => setTimeout(resolve, 2));
+}
+
+const welcome = {
+  target: 'target',
+  incarnation: 1,
+  service: 'tally',
+  ended: [],
+  load,
+};
+
 test('runs that were given up while the runner was being attached to get no permission there', async t => {
   const ends: RunEnd[] = [];
   const attached: Peer[] = [];
@@ -25,57 +77,57 @@
   const handlers: Handlers = {
     'runner.attach': async (_, peer) => {
       attached.push(peer);
-      while (attached.length > 1 && ends.length === 0) {
-        await new Promise(resolve => setTimeout(resolve, 5));
-      }
-      return {
-        target: 'target',
-        incarnation: 1,
-        service: 'tally',
-        ended: [],
-        load,
-      };
+      await waitUntil(() => attached.length === 1 || ends.length > 0);
+      return welcome;
     },
     'runner.place': () => {},
   };
   await using listener = (
     await PeerListener.listen('127.0.0.1:0', handlers)
   ).unsafeCoerce();
-  await using link = new RunnerLink(buildTarget('target', listener.address), {
-    clock: monotonicClock,
-    log: openLog('silent', 'entry', 'e'),
-    dispatcher: 'd',
-    life: 1,
-    failureDomain: 'f',
-    onEnd: (_target, _run, end) => void ends.push(end),
-    onLoad: () => {},
-  });
-  while (!link.isOpen) await new Promise(resolve => setTimeout(resolve, 5));
+  await using link = openLink(listener.address, ends);
+  await waitUntil(() => link.isOpen);
   t.true((await renew(attached[0]!)).isRight());
-  const run = {
-    ticket: 1,
-    ref: {job: 'job', step: 0, index: 0, run: 1},
-    demand,
-    placedAt: monotonicClock.now(),
-    slownessThen: 1,
-    isMoving: false,
-  };
-  link.place(
-    {
-      job: 'job',
-      payload: '',
-      step: 0,
-      demand,
-      estimateMs: 100,
-      rankMs: 0,
-      runs: [[1, 0, 1]],
-    },
-    new Map([[1, run]]),
-  );
+  const {batch, runs} = buildRun();
+  link.place(batch, runs);
   attached[0]!.close('test');
-  while (ends.length === 0)
-    await new Promise(resolve => setTimeout(resolve, 1));
+  await waitUntil(() => ends.length > 0);
   t.deepEqual(ends, ['lapsed']);
   const answers = await Promise.all(attached.slice(1).map(renew));
   t.true(answers.every(answer => answer.isLeft()));
 });
+
+test('a withdrawal that meets a connection still attaching is made again once it is attached', async t => {
+  const attached: Peer[] = [];
+  const known = new Set<Peer>();
+  const withdrawn: RunTicket[] = [];
+  let isWithdrawn = false;
+  // Knows the runs of a connection once that is attached, as the runner does.
+  const handlers: Handlers = {
+    'runner.attach': async (_, peer) => {
+      attached.push(peer);
+      await waitUntil(() => attached.length === 1 || isWithdrawn);
+      known.add(peer);
+      return welcome;
+    },
+    'runner.place': () => {},
+    'runner.withdraw': ({tickets}, peer) => {
+      if (known.has(peer)) withdrawn.push(...tickets);
+    },
+  };
+  await using listener = (
+    await PeerListener.listen('127.0.0.1:0', handlers)
+  ).unsafeCoerce();
+  await using link = openLink(listener.address);
+  await waitUntil(() => link.isOpen);
+  const {batch, runs} = buildRun();
+  link.place(batch, runs);
+  attached[0]!.close('test');
+  await waitUntil(() => attached.length === 2);
+  link.withdraw([1]);
+  await new Promise(resolve => setTimeout(resolve, 20));
+  isWithdrawn = true;
+  await waitUntil(() => link.isOpen);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.deepEqual(withdrawn, [1]);
+});
--- a/packages/policy/test/rank.test.ts
+++ b/packages/policy/test/rank.test.ts
@@ -53,8 +53,8 @@
   };
 }
 
-/** Plays a burst of a fifth more jobs than the slots can do; the lowest rank goes first. */
-function playBurst(rank: Rank): readonly Job[] {
+/** Runs a burst of a fifth more jobs than the slots can do; the lowest rank goes first. */
+function runBurst(rank: Rank): readonly Job[] {
   const jobs: Job[] = [];
   const running: {readonly job: Job; readonly endsAt: number}[] = [];
   let starts = 0;
@@ -125,8 +125,8 @@
 }
 
 test('in a burst beyond the pool more jobs are in time and fewer are begun for nothing', t => {
-  const before = judgeBurst(playBurst(rankByLatestStart));
-  const after = judgeBurst(playBurst(rankWork));
+  const before = judgeBurst(runBurst(rankByLatestStart));
+  const after = judgeBurst(runBurst(rankWork));
   t.log({before, after});
   t.true(after.inTime > before.inTime);
   t.true(after.wasted < before.wasted);
