Take uneven tasks for a seventh longer than expected, not two fifths

Cause: tasks of a job differ by some 15 per cent there, so that the margin gave up jobs that were still in time.

--- a/packages/policy/src/rank.ts
+++ b/packages/policy/src/rank.ts
@@ -15,11 +15,9 @@
 /** Untouched work that cannot be in time any more comes after all that can; beyond any time of a process in ms. */
 const lateOffset = 1e12;
 /** Work may take this much longer than is expected: uneven tasks of a job end with the longest one. */
-const unevenness = 1.4;
+const unevenness = 1.15;
 /** A start and the report of an end take this long, in ms: two messages between hosts and one to the executor each. */
 const orderMs = 12;
-/** Begun jobs come before untouched ones that must start this much sooner, in ms: the time of a short task. */
-const begunMs = 200;
 /** A queue comes before one of the next lower priority that must start this much sooner, in ms. */
 const priorityStepMs = 50;
 
@@ -36,8 +34,7 @@
 ): number {
   const latestStart = dueAt - restMs * unevenness - orderMs;
   const rank = latestStart + priority * priorityStepMs;
-  if (isBegun) return rank - begunMs;
-  return latestStart < now ? lateOffset + rank : rank;
+  return latestStart < now && !isBegun ? lateOffset + rank : rank;
 }
 
 /** Work is preferred to other work that waits at a target only when it ranks before it by this, in ms: giving it back costs messages. */
