End a request's story with a summary of what made its answer so

The summary says in a few sentences how the answer stood against its due time, when the first run began, which task was the last and how long it waited and ran, what came back and what failed.

--- a/packages/cli/src/explain-command.ts
+++ b/packages/cli/src/explain-command.ts
@@ -5,12 +5,8 @@
 import {type ExitCode, exitCode} from '#telemetry';
 import {type CommonOptions, type Context, setAction} from './command.js';
 import {printErrors, printResult} from './console.js';
-import {
-  collectStory,
-  decodeLine,
-  type LogRecord,
-  renderStory,
-} from './story.js';
+import {decodeLine, type LogRecord} from './record.js';
+import {collectStory, renderStory} from './story.js';
 
 /** Adds `explain`, which tells a request's story from log files or standard input. */
 export function addExplainCommand(program: Command, context: Context): void {
--- a/packages/cli/src/story.ts
+++ b/packages/cli/src/story.ts
@@ -1,19 +1,12 @@
-/** A log line of any process, decoded. */
-export interface LogRecord {
-  /** ISO 8601. */
-  readonly time: string;
-  readonly role: string;
-  readonly id: string;
-  readonly event: string;
-  readonly msg: string;
-  /** What the event says besides. */
-  readonly details: Readonly<Record<string, unknown>>;
-}
+import type {LogRecord} from './record.js';
+import {summarizeStory} from './summary.js';
 
 /** What the logs tell of one request. */
 export interface Story {
   /** Lines that name the request, and lines of its processes and targets in its time, by time. */
   readonly records: readonly LogRecord[];
+  /** What made the answer as it is. */
+  readonly summary: readonly string[];
   /** What a reader should know that is not there. */
   readonly gaps: readonly string[];
 }
@@ -35,31 +28,6 @@
 ]);
 /** Lines this long before the first and after the last that name the request belong to its story, in ms. */
 const marginMs = 250;
-const ownKeys = new Set(['level', 'time', 'role', 'id', 'event', 'msg', 'pid']);
-
-/** Decodes a log line; what stands before its first brace is passed over. Undefined for other text. */
-export function decodeLine(line: string): LogRecord | undefined {
-  const begin = line.indexOf('{');
-  if (begin === -1) return undefined;
-  try {
-    const fields = JSON.parse(line.slice(begin)) as Record<string, unknown>;
-    const {time, role, id, event, msg} = fields;
-    if (typeof time !== 'string' || typeof event !== 'string') return undefined;
-    const details = Object.entries(fields).filter(([key]) => !ownKeys.has(key));
-    return {
-      time,
-      role: String(role),
-      id: String(id),
-      event,
-      msg: String(msg ?? ''),
-      details: Object.fromEntries(details),
-    };
-  } catch {
-    // A line that was cut off while it was written is no record.
-    return undefined;
-  }
-}
-
 /** Collects what records tell of a request, from all processes. */
 export function collectStory(
   records: readonly LogRecord[],
@@ -67,7 +35,7 @@
 ): Story {
   const naming = records.filter(record => isAbout(record, request));
   if (naming.length === 0) {
-    return {records: [], gaps: [`no line names "${request}"`]};
+    return {records: [], summary: [], gaps: [`no line names "${request}"`]};
   }
   const times = naming.map(({time}) => Date.parse(time));
   const from = Math.min(...times) - marginMs;
@@ -83,11 +51,15 @@
   const all = [...new Set([...naming, ...around])].sort((a, b) =>
     a.time < b.time ? -1 : 1,
   );
-  return {records: all, gaps: findGaps(naming)};
+  return {
+    records: all,
+    summary: summarizeStory(all, request),
+    gaps: findGaps(naming),
+  };
 }
 
-/** Renders a story, a line a record, with the time since the first. */
-export function renderStory({records, gaps}: Story): string {
+/** Renders a story, a line a record, with the time since the first; its summary comes last. */
+export function renderStory({records, summary, gaps}: Story): string {
   const first = records[0];
   const lines = records.map(record => {
     const sinceMs = Date.parse(record.time) - Date.parse(first!.time);
@@ -97,7 +69,11 @@
     const source = `${record.role} ${record.id}`;
     return `+${sinceMs} ms  ${source}  ${record.event}: ${record.msg}  ${details}`;
   });
-  return [...lines, ...gaps.map(gap => `missing: ${gap}`)].join('\n');
+  return [
+    ...lines,
+    ...gaps.map(gap => `missing: ${gap}`),
+    ...summary.map(sentence => `in short: ${sentence}`),
+  ].join('\n');
 }
 
 function isAbout({details}: LogRecord, request: string): boolean {
