--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -98,9 +98,9 @@
     if (report === undefined) return false;
     if (this.held.size > 0) return true;
     const strangers = report.tasks.map(formatTask);
-    // An older report may lack what an earlier life of this agent started last.
-    const isOlder = askedAt - report.ageMs < this.openedAt;
-    if (strangers.length === 0) return !isOlder;
+    // It may lack what an earlier life of this agent started last.
+    const isFromBefore = askedAt - report.ageMs < this.openedAt;
+    if (strangers.length === 0) return !isFromBefore;
     this.options.log.warn(
       {event: 'strangers', tasks: strangers.length},
       'the worker still runs tasks of an earlier life of this agent',
@@ -213,7 +213,14 @@
       maxBytes: maxResultBytes,
     });
     if (outcome.kind !== 'answered' || outcome.status !== 200) return undefined;
-    return parseUsage(parseObject(outcome.body));
+    const report = parseUsage(parseObject(outcome.body));
+    if (report === undefined) {
+      this.options.log.warn(
+        {event: 'usage-unreadable'},
+        'the worker reports its usage in a form that is not known',
+      );
+    }
+    return report;
   }
 
   /** Commands a task. Best effort: its lease ends it when nothing else does. */
