--- a/packages/cli/src/summary.ts
+++ b/packages/cli/src/summary.ts
@@ -68,10 +68,11 @@
   const ended = own.find(({event}) => event === 'job-ended');
   if (ended === undefined) return 'accepted, no end is told';
   const tookMs = Date.parse(ended.time) - acceptedAt;
+  const answer = `${String(ended.details.outcome)} ${tookMs} ms after its acceptance`;
+  if (Number.isNaN(dueMs)) return answer;
   const lateMs = tookMs - dueMs;
   const timing = lateMs > 0 ? `late by ${lateMs} ms` : 'in time';
-  const outcome = String(ended.details.outcome);
-  return `${outcome} ${tookMs} ms after its acceptance, due after ${dueMs} ms: ${timing}`;
+  return `${answer}, due after ${dueMs} ms: ${timing}`;
 }
 
 function describeBegin(begun: readonly number[], acceptedAt: number): string {
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -36,9 +36,10 @@
   );
   const {code, out} = await run(['explain', job, entry, agent]);
   t.is(code, 0);
-  const events = out
-    .trim()
-    .split('\n')
+  const lines = out.trim().split('\n');
+  const summary = lines.filter(line => line.startsWith('in short: '));
+  const events = lines
+    .slice(0, -summary.length)
     .map(line => /^\+(\d+) ms {2}\S+ \S+ {2}([\w-]+)/.exec(line)!.slice(1));
   t.deepEqual(events, [
     ['0', 'job-accepted'],
@@ -47,6 +48,10 @@
     ['300', 'executor-lost'],
     ['900', 'job-ended'],
   ]);
+  t.deepEqual(summary, [
+    'in short: completed 900 ms after its acceptance, due after 200 ms: late by 700 ms',
+    'in short: its first run began after 4 ms',
+  ]);
 });
 
 test('what is missing is said, and lines that are cut off are passed over', async t => {
