--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -120,6 +120,12 @@
     return waiting;
   }
 
+  /** Counts what is in hand and what targets have told, for the log. */
+  describe(): Readonly<Record<string, number>> {
+    const {jobCount, fleet} = this;
+    return {jobs: jobCount, ...fleet.countMessages()};
+  }
+
   /** True when some target could take work. */
   get isConnected(): boolean {
     return this.fleet.isConnected;
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -65,6 +65,9 @@
 
 /** A dispatcher's connection to the runner of one target, and its runs there. */
 export class RunnerLink implements AsyncDisposable {
+  /** Reports taken, and the ends in them. */
+  reportCount = 0;
+  endCount = 0;
   private readonly outstanding = new Map<RunTicket, OutstandingRun>();
   /** The latest connection, which may still be attaching. */
   private peer: Peer | undefined;
@@ -292,6 +295,8 @@
   private take(ends: readonly RunEndRow[], load: TargetLoad): void {
     this.load = load;
     this.toldAt = this.owner.clock.now();
+    this.reportCount++;
+    this.endCount += ends.length;
     for (const [ticket, end, runMs] of ends) this.finish(ticket, end, runMs);
     this.owner.onLoad();
   }
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -33,6 +33,17 @@
     }
   }
 
+  /** Counts what targets have reported since the start: messages, and the ends in them. */
+  countMessages(): {readonly reports: number; readonly ends: number} {
+    let reports = 0;
+    let ends = 0;
+    for (const link of this.links.values()) {
+      reports += link.reportCount;
+      ends += link.endCount;
+    }
+    return {reports, ends};
+  }
+
   /** Describes the targets of a service that take runs. */
   listTargets(service: ServiceName): readonly RoomTarget[] {
     const targets: RoomTarget[] = [];
--- a/packages/telemetry/src/loop-lag.ts
+++ b/packages/telemetry/src/loop-lag.ts
@@ -1,20 +1,33 @@
-import {monotonicClock} from '#model';
+import {type Clock, type Instant, monotonicClock} from '#model';
 
-/** Between two looks at the event loop, in ms. */
-const lookMs = 100;
+/** Between two looks at the event loop, in ms: what is noticed of an overload is as old as this at least. */
+const lookMs = 50;
 /** Weight of the latest look: a second or so counts. */
-const weight = 0.15;
+const weight = 0.08;
+/** Longer delays count as this long in the mean, in ms: a host that stood still is no overload. */
+const maxCountedMs = 200;
 /** A process whose timers are this late on the mean cannot keep up, in ms: a tenth of it is usual under load. */
 const overloadMs = 60;
 
-/** Watches how late this process's timers are: a host that has turned slow, or more work than it can do. */
+/** How late the event loop was since the last summary, in ms. */
+export interface LagSummary {
+  readonly meanMs: number;
+  readonly maxMs: number;
+}
+
+/**
+ * Watches how late this process's timers are: a host that has turned slow, or more work than it can
+ * do. What arrives waits about as long before it is read.
+ */
 export class LoopLag implements Disposable {
   private meanMs = 0;
-  private lookedAt = monotonicClock.now();
-  private readonly timer: NodeJS.Timeout;
+  private dueAt: Instant;
+  private maxMs = 0;
+  private timer: NodeJS.Timeout;
 
-  constructor() {
-    this.timer = setInterval(() => this.look(), lookMs);
+  constructor(private readonly clock: Clock = monotonicClock) {
+    this.dueAt = clock.now() + lookMs;
+    this.timer = setTimeout(() => this.look(), lookMs);
   }
 
   /** True while the process cannot keep up. */
@@ -22,14 +35,25 @@
     return this.meanMs > overloadMs;
   }
 
+  /** Tells how late the loop was on the mean of the last second or so, and at the most since the last summary. */
+  summarize(): LagSummary {
+    const summary = {meanMs: this.meanMs, maxMs: this.maxMs};
+    this.maxMs = 0;
+    return summary;
+  }
+
   [Symbol.dispose](): void {
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
   }
 
-  private look(): void {
-    const now = monotonicClock.now();
-    const lagMs = Math.max(0, now - this.lookedAt - lookMs);
-    this.lookedAt = now;
-    this.meanMs += weight * (Math.min(lagMs, lookMs * 2) - this.meanMs);
+  /** Notes how late the loop is now, and when the next look is due. */
+  look(): void {
+    const now = this.clock.now();
+    const lagMs = Math.max(0, now - this.dueAt);
+    this.maxMs = Math.max(this.maxMs, lagMs);
+    this.meanMs += weight * (Math.min(lagMs, maxCountedMs) - this.meanMs);
+    this.dueAt = now + lookMs;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => this.look(), lookMs);
   }
 }
