Tell a target's load only where it decides something; ask for permissions with reports

Each target told each dispatcher every start and end, and asked for permissions and signs of life by calls of their own, also when nothing ran.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -19,7 +19,7 @@
   type TargetLoad,
 } from '#protocol';
 import {type RoomTarget, startMs} from '#policy';
-import {executorLeaseMs, permissionMs} from '#runner';
+import {executorLeaseMs, idleReportMs, permissionMs} from '#runner';
 import type {Logger} from '#telemetry';
 
 /** A run that a target was told of and that is not known to be over. */
@@ -51,8 +51,15 @@
   readonly onLoad: () => void;
 }
 
-/** Between hosts of a site: silence of a second is a fault. */
-const liveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
+/** Between hosts of a site, while runs are awaited: silence of a second is a fault. */
+const busyLiveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
+/** The same while none are: two reports of an idle target may be missed. */
+const idleLiveness: Liveness = {
+  probeAfterMs: 2.5 * idleReportMs,
+  silenceLimitMs: 3 * idleReportMs,
+};
+/** A target that was to report and did not gets no runs, in ms of silence. */
+const maxSilenceMs = 1.5 * idleReportMs;
 const attachTimeoutMs = 600;
 const firstPauseMs = 30;
 const maxPauseMs = 1000;
@@ -109,10 +116,12 @@
 
   /** True when runs may be placed here. */
   get isOpen(): boolean {
+    const {attached, load, info} = this;
     return (
-      this.attached?.isOpen === true &&
-      this.load?.open === true &&
-      !this.info.leaving
+      attached?.isOpen === true &&
+      attached.silentMs < maxSilenceMs &&
+      load?.open === true &&
+      !info.leaving
     );
   }
 
@@ -182,6 +191,7 @@
       this.own = changeDemand(this.own, run.demand, 1);
     }
     this.attached!.notify('runner.place', {batches: [batch]});
+    this.attached!.setLiveness(busyLiveness);
   }
 
   /**
@@ -235,13 +245,13 @@
     const dialled = await dialPeer(
       this.info.address,
       {
-        'dispatcher.renew': (_, peer) => this.grantPermission(peer),
-        'dispatcher.report': ({ends, load}, peer) => {
+        'dispatcher.report': ({ends, load, question}, peer) => {
+          if (question !== undefined) this.grantPermission(question, peer);
           if (peer === this.peer) this.take(ends, load);
         },
       },
       clock.now() + dialTimeoutMs,
-      liveness,
+      busyLiveness,
     );
     const peer = dialled.toMaybe().extract();
     if (peer === undefined || this.stopped) {
@@ -286,10 +296,11 @@
     }
   }
 
-  private grantPermission(peer: Peer): Record<string, never> {
-    if (peer !== this.attached) throw new Error('not attached here');
+  /** A question on a connection that is still attaching gets no answer: the runner asks again. */
+  private grantPermission(question: number, peer: Peer): void {
+    if (peer !== this.attached) return;
     this.permittedAt = this.owner.clock.now();
-    return {};
+    peer.notify('runner.permit', {question});
   }
 
   private take(ends: readonly RunEndRow[], load: TargetLoad): void {
@@ -298,6 +309,7 @@
     this.reportCount++;
     this.endCount += ends.length;
     for (const [ticket, end, runMs] of ends) this.finish(ticket, end, runMs);
+    if (this.isIdle) this.attached?.setLiveness(idleLiveness);
     this.owner.onLoad();
   }
 
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -71,8 +71,9 @@
 test('runs that were given up while the runner was being attached to get no permission there', async t => {
   const ends: RunEnd[] = [];
   const attached: Peer[] = [];
-  const renew = (peer: Peer) =>
-    peer.request('dispatcher.renew', {}, monotonicClock.now() + 300);
+  const permitted: Peer[] = [];
+  const ask = (peer: Peer) =>
+    peer.notify('dispatcher.report', {ends: [], load, question: 1});
   // Keeps each attaching after the first one waiting until the runs are given up, as a paused runner does.
   const handlers: Handlers = {
     'runner.attach': async (_, peer) => {
@@ -81,20 +82,23 @@
       return welcome;
     },
     'runner.place': () => {},
+    'runner.permit': (_, peer) => void permitted.push(peer),
   };
   await using listener = (
     await PeerListener.listen('127.0.0.1:0', handlers)
   ).unsafeCoerce();
   await using link = openLink(listener.address, ends);
   await waitUntil(() => link.isOpen);
-  t.true((await renew(attached[0]!)).isRight());
+  ask(attached[0]!);
+  await waitUntil(() => permitted.length === 1);
   const {batch, runs} = buildRun();
   link.place(batch, runs);
   attached[0]!.close('test');
   await waitUntil(() => ends.length > 0);
   t.deepEqual(ends, ['lapsed']);
-  const answers = await Promise.all(attached.slice(1).map(renew));
-  t.true(answers.every(answer => answer.isLeft()));
+  for (const peer of attached.slice(1)) ask(peer);
+  await new Promise(resolve => setTimeout(resolve, 300));
+  t.deepEqual(permitted, [attached[0]]);
 });
 
 test('a withdrawal that meets a connection still attaching is made again once it is attached', async t => {
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -322,6 +322,7 @@
   'runner.withdraw': toCheck(
     Codec.interface({tickets: array(count), waitingOnly: optional(boolean)}),
   ),
+  'runner.permit': toCheck(Codec.interface({question: count})),
   'dispatcher.claim': toCheck(
     Codec.interface({
       job: string,
@@ -332,11 +333,11 @@
   'dispatcher.follow': toCheck(
     Codec.interface({job: string, remainingMs: span}),
   ),
-  'dispatcher.renew': toCheck(nothing),
   'dispatcher.report': toCheck(
     Codec.interface({
       ends: array(tuple([count, reportedEnd, span])),
       load: targetLoad,
+      question: optional(count),
     }),
   ),
   'control.enrol': toCheck(Codec.interface({member: string, address: string})),
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -38,6 +38,7 @@
   LookupResult,
   OpenEntryParams,
   QueryResult,
+  PermitRunsParams,
   PlaceRunsParams,
   RecallParams,
   RegionReport,
@@ -133,7 +134,6 @@
   'dispatcher.claim': {params: ClaimJobParams; result: ClaimJobResult};
   'dispatcher.follow': {params: FollowJobParams; result: FollowJobResult};
   /** Asked by the runner: the answer permits the dispatcher's runs for another while. */
-  'dispatcher.renew': {params: Nothing; result: Nothing};
   /** Served by both ends: its result proves that all that was sent before has arrived. */
   'peer.sync': {params: Nothing; result: Nothing};
 }
@@ -150,6 +150,7 @@
   'entry.report': ReportParams;
   'runner.place': PlaceRunsParams;
   'runner.withdraw': WithdrawRunsParams;
+  'runner.permit': PermitRunsParams;
   'dispatcher.report': ReportRunsParams;
   'control.replicate': ReplicateParams;
   'watcher.update': ViewUpdate;
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -129,6 +129,11 @@
     return this.socket.writableLength;
   }
 
+  /** For how long nothing was received, in ms. */
+  get silentMs(): number {
+    return monotonicClock.now() - this.lastReceived;
+  }
+
   /** `host:port` of the other end, for logs. */
   get remoteAddress(): string {
     return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
--- a/packages/protocol/src/runner-messages.ts
+++ b/packages/protocol/src/runner-messages.ts
@@ -64,6 +64,13 @@
 export interface ReportRunsParams {
   readonly ends: readonly RunEndRow[];
   readonly load: TargetLoad;
+  /** Asks for the dispatcher's permission to run its runs for longer; each is numbered. */
+  readonly question?: number;
+}
+
+/** Permits a dispatcher's runs for a known time, counted from when the question was asked. */
+export interface PermitRunsParams {
+  readonly question: number;
 }
 
 /** Asks that nothing of a job runs here for any dispatcher but the asking one. */
--- a/packages/runner/src/index.ts
+++ b/packages/runner/src/index.ts
@@ -15,4 +15,4 @@
 } from './executor.js';
 
 export {executorLeaseMs} from './lease.js';
-export {permissionMs} from './session.js';
+export {idleReportMs, permissionMs} from './session.js';
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -1,4 +1,5 @@
 import type {TargetLoad} from '#protocol';
+import type {FreeRoom} from './load.js';
 import type {Session} from './session.js';
 import type {SessionTable} from './session-table.js';
 
@@ -6,8 +7,7 @@
   readonly sessions: SessionTable;
   /** Describes the target's load as a session's dispatcher is to see it. */
   readonly describeLoad: (session: Session) => TargetLoad;
-  /** True when little room is left, so that a stale load misleads. */
-  readonly isTight: () => boolean;
+  readonly computeFreeRoom: () => FreeRoom;
 }
 
 /** Reports gather for this long, in ms: ends of one answer of the executor come together. */
@@ -26,17 +26,18 @@
     this.gathering ??= setTimeout(() => this.report(), gatherMs);
   }
 
-  [Symbol.dispose](): void {
-    clearTimeout(this.gathering);
-    clearTimeout(this.holding);
-  }
-
-  private report(): void {
+  /** Reports what has gathered. */
+  report(): void {
     this[Symbol.dispose]();
     this.gathering = undefined;
-    const {sessions, describeLoad, isTight} = this.options;
-    const waitMs = sessions.report(describeLoad, isTight());
+    const {sessions, describeLoad, computeFreeRoom} = this.options;
+    const waitMs = sessions.report(describeLoad, computeFreeRoom());
     if (waitMs === undefined) return;
     this.holding = setTimeout(() => this.report(), waitMs);
   }
+
+  [Symbol.dispose](): void {
+    clearTimeout(this.gathering);
+    clearTimeout(this.holding);
+  }
 }
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -27,7 +27,7 @@
   logStart,
 } from './events.js';
 import {LeaseLoop} from './lease.js';
-import {describeLoad, isTight} from './load.js';
+import {computeFreeRoom, describeLoad} from './load.js';
 import {Orders} from './orders.js';
 import {compareReport} from './reconcile.js';
 import {Reporter} from './reporter.js';
@@ -89,7 +89,7 @@
     this.reporter = new Reporter({
       sessions: this.sessions,
       describeLoad: session => this.describeLoad(session),
-      isTight: () => isTight(this.executor?.room, this.runs),
+      computeFreeRoom: () => computeFreeRoom(this.executor?.room, this.runs),
     });
     this.orders = new Orders({
       port: options.port,
@@ -156,6 +156,8 @@
       'runner.attach': (params, peer) => this.attach(params, peer),
       'runner.place': ({batches}, peer) => this.place(batches, peer),
       'runner.withdraw': (params, peer) => this.withdrawRuns(params, peer),
+      'runner.permit': ({question}, peer) =>
+        this.sessions.grant(question, peer),
       'runner.clear': ({job}, peer) => this.clearJob(job, peer),
     };
   }
@@ -207,8 +209,8 @@
 
   private describeLoad({demand}: Session): TargetLoad {
     const {isOpen, runs, backlog, record} = this;
-    const sources = {isOpen, runs, backlog, record};
-    return describeLoad(sources, demand, this.clock.now());
+    const now = this.clock.now();
+    return describeLoad({isOpen, runs, backlog, record}, demand, now);
   }
 
   private beginLife(info: ExecutorInfo): void {
@@ -247,12 +249,12 @@
     const session = this.sessions.find(peer);
     if (session === undefined) return;
     const now = this.clock.now();
-    this.sessions.ensureCurrent(session);
     for (const batch of batches) {
       for (const run of openRuns(batch, now)) this.accept(session, run);
     }
     this.startWaiting();
-    this.reporter.schedule();
+    if (this.sessions.ensureCurrent(session)) this.reporter.report();
+    else this.reporter.schedule();
   }
 
   private accept(session: Session, run: Run): void {
@@ -414,9 +416,7 @@
     const {metrics = silentMetrics} = this.options;
     metrics.increment('runner.runs', 1, {end});
     if (runMs > 0) metrics.timing('runner.run', runMs, {end});
-    if (end === 'succeeded') {
-      this.record = recordSuccess(this.record);
-    }
+    if (end === 'succeeded') this.record = recordSuccess(this.record);
     if (end === 'failed') this.record = recordFailure(this.record);
     this.reporter.schedule();
   }
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -1,5 +1,6 @@
 import type {Instant} from '#model';
 import type {Peer, RunTicket, TargetLoad} from '#protocol';
+import type {FreeRoom} from './load.js';
 import type {Run} from './run.js';
 import {chooseLoadInterval, type ClockReading, Session} from './session.js';
 
@@ -43,9 +44,15 @@
     return resumed;
   }
 
-  /** Asks a dispatcher for its permission now, if it is due. */
-  ensureCurrent(session: Session): void {
-    session.renew(this.readClocks(), this.onGranted);
+  /** Asks a dispatcher for its permission if runs may not begin without; true when it is asked. */
+  ensureCurrent(session: Session): boolean {
+    const now = this.readClocks();
+    return !session.canStart(now) && session.ask(now);
+  }
+
+  /** Takes a dispatcher's answer to a question for its permission. */
+  grant(question: number, peer: Peer): void {
+    if (this.find(peer)?.grant(question) === true) this.onGranted();
   }
 
   /** Finds the session that is bound to a connection. */
@@ -65,17 +72,19 @@
     return true;
   }
 
-  /** Asks for permissions that are due; returns the sessions whose permission has run out. */
+  /** Asks for permissions that are due; returns the sessions with runs whose permission has run out. */
   renew(): readonly Session[] {
     const expired: Session[] = [];
+    const now = this.readClocks();
     for (const [name, session] of this.sessions) {
-      if (session.runs.size === 0) {
-        if (!session.peer.isOpen) this.sessions.delete(name);
+      if (session.runs.size === 0 && !session.peer.isOpen) {
+        this.sessions.delete(name);
         continue;
       }
-      const now = this.readClocks();
-      session.renew(now, this.onGranted);
-      if (!session.isPermitted(now)) expired.push(session);
+      session.ask(now);
+      if (session.runs.size > 0 && !session.isPermitted(now)) {
+        expired.push(session);
+      }
     }
     return expired;
   }
@@ -86,13 +95,14 @@
    */
   report(
     describe: (session: Session) => TargetLoad,
-    isTight: boolean,
+    free: FreeRoom,
   ): number | undefined {
     const now: Instant = this.readClocks().monotonic;
-    const intervalMs = chooseLoadInterval(isTight, this.sessions.size);
+    const intervalMs = chooseLoadInterval(free.isTight, this.sessions.size);
     const waits: number[] = [];
     for (const session of this.sessions.values()) {
-      const waitMs = session.report(describe(session), intervalMs, now);
+      const load = describe(session);
+      const waitMs = session.report(load, free, intervalMs, now);
       if (waitMs !== undefined) waits.push(waitMs);
     }
     return waits.length === 0 ? undefined : Math.min(...waits);
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -1,6 +1,7 @@
 import type {Instant, RoomDemand, RunEnd} from '#model';
-import {emptyDemand, subtractDemand, sumDemand} from '#policy';
+import {emptyDemand, type RoomSize, subtractDemand, sumDemand} from '#policy';
 import type {Peer, RunEndRow, RunTicket, TargetLoad} from '#protocol';
+import {isLoadNews} from './load.js';
 import type {Run} from './run.js';
 
 /** How long a dispatcher's answer permits its runs, counted from the question, in ms. */
@@ -8,15 +9,17 @@
 /** A permission is asked for anew this often while runs depend on it, in ms. */
 export const renewalIntervalMs = 300;
 
+/** A question without an answer is followed by another one after this, in ms: a busy dispatcher answers later. */
+const askAgainMs = 100;
+/** A dispatcher without runs here hears of the target this often, and answers, so that each end knows the other alive; in ms. */
+export const idleReportMs = 800;
+
 /** A start needs this much of the permission left, in ms: time for a renewal on a busy host. */
 const startMarginMs = 250;
 /** Loads that have changed are told so often in all, unless ends are told with them, in ms: what a message costs both ends, times the dispatchers. */
 const loadIntervalMs = 7;
 /** The same while the target is nearly full, when a stale load sends runs to where they must wait. */
 const tightIntervalMs = 2.5;
-/** A speed that has changed by this share is told, even when the load has not changed. */
-const notableSpeedChange = 0.25;
-const notableFailingChange = 0.1;
 /** Ends kept for a dispatcher that may have missed their report. */
 const maxRecentEnds = 512;
 
@@ -48,9 +51,17 @@
   /** The latest ends, told or not, by ticket. */
   private readonly recent = new Map<RunTicket, RunEndRow>();
   private isResumed = false;
-  private renewing = false;
-  private askedAt: ClockReading = {monotonic: -Infinity, wall: -Infinity};
-  private nextRenewal: Instant;
+  /** When the question of the latest permission was asked. */
+  private permittedFrom: ClockReading = {
+    monotonic: -Infinity,
+    wall: -Infinity,
+  };
+  /** Questions that may still be answered, and when they were asked. */
+  private readonly asked = new Map<number, ClockReading>();
+  private lastQuestion = 0;
+  /** Set until it is told. */
+  private newQuestion: number | undefined;
+  private nextQuestionAt: Instant;
   private toldAt: Instant = -Infinity;
   private toldLoad: TargetLoad | undefined;
 
@@ -60,21 +71,22 @@
     public peer: Peer,
     now: Instant,
   ) {
-    this.nextRenewal = now;
+    this.nextQuestionAt = now;
   }
 
   /** Goes on over a new connection; a question on the old one does not count any more. */
   resume(peer: Peer, now: Instant): void {
     this.peer = peer;
     this.isResumed = true;
-    this.renewing = false;
-    this.nextRenewal = now;
+    this.asked.clear();
+    this.newQuestion = undefined;
+    this.nextQuestionAt = now;
     this.toldLoad = undefined;
   }
 
   /** True until the permission has run out by the monotonic clock. */
   isPermitted(now: ClockReading): boolean {
-    return now.monotonic < this.askedAt.monotonic + permissionMs;
+    return now.monotonic < this.permittedFrom.monotonic + permissionMs;
   }
 
   /**
@@ -82,7 +94,7 @@
    * time of day jumped, must ask again before it starts or prolongs anything.
    */
   isCurrent(now: ClockReading): boolean {
-    const wallMs = now.wall - this.askedAt.wall;
+    const wallMs = now.wall - this.permittedFrom.wall;
     return this.isPermitted(now) && wallMs >= 0 && wallMs < permissionMs;
   }
 
@@ -92,21 +104,33 @@
     return this.isCurrent(now) && this.isPermitted({...now, monotonic});
   }
 
-  /** Asks the dispatcher for another permission when one is due; tells when it is granted. */
-  renew(now: ClockReading, onGranted: () => void): void {
-    const isDue = now.monotonic >= this.nextRenewal || !this.canStart(now);
-    if (this.renewing || !isDue) return;
-    const {peer} = this;
-    this.renewing = true;
-    this.nextRenewal = now.monotonic + renewalIntervalMs;
-    const deadline = now.monotonic + permissionMs;
-    void peer.request('dispatcher.renew', {}, deadline).then(answer => {
-      if (this.peer !== peer) return;
-      this.renewing = false;
-      if (answer.isLeft()) return;
-      this.askedAt = now;
-      onGranted();
-    });
+  /** Asks the dispatcher for another permission with the next report when one is due; true when one is asked for. */
+  ask(now: ClockReading): boolean {
+    const isDue =
+      now.monotonic >= this.nextQuestionAt ||
+      (this.runs.size > 0 && this.asked.size === 0 && !this.canStart(now));
+    if (!isDue) return false;
+    for (const [question, {monotonic}] of this.asked) {
+      if (monotonic + permissionMs <= now.monotonic)
+        this.asked.delete(question);
+    }
+    this.newQuestion = ++this.lastQuestion;
+    this.asked.set(this.newQuestion, now);
+    this.nextQuestionAt = now.monotonic + askAgainMs;
+    return true;
+  }
+
+  /** Takes the dispatcher's answer to a question; false for one that does not count any more. */
+  grant(question: number): boolean {
+    const askedAt = this.asked.get(question);
+    if (askedAt === undefined) return false;
+    for (const earlier of this.asked.keys()) {
+      if (earlier <= question) this.asked.delete(earlier);
+    }
+    this.permittedFrom = askedAt;
+    const intervalMs = this.runs.size > 0 ? renewalIntervalMs : idleReportMs;
+    this.nextQuestionAt = askedAt.monotonic + intervalMs;
+    return true;
   }
 
   /** Takes over a run that was accepted for the dispatcher. */
@@ -145,37 +169,30 @@
   }
 
   /**
-   * Sends the ends that have gathered, or a load that differs from the one told. Returns for how
-   * long a change must wait that is not told yet, in ms.
+   * Sends the ends that have gathered, a question, or a load that is news. Returns for how long a
+   * change must wait that is not told yet, in ms.
    */
   report(
     load: TargetLoad,
+    freeRoom: RoomSize,
     intervalMs: number,
     now: Instant,
   ): number | undefined {
-    if (this.ends.length === 0) {
-      if (!this.isNews(load)) return undefined;
+    const {toldLoad, newQuestion} = this;
+    if (this.ends.length === 0 && newQuestion === undefined) {
+      if (!isLoadNews(toldLoad, load, freeRoom)) return undefined;
       const waitMs = this.toldAt + intervalMs - now;
-      if (this.toldLoad?.open === load.open && waitMs > 0) return waitMs;
+      if (toldLoad?.open === load.open && waitMs > 0) return waitMs;
     }
-    this.peer.notify('dispatcher.report', {ends: this.ends, load});
+    this.peer.notify('dispatcher.report', {
+      ends: this.ends,
+      load,
+      ...(newQuestion !== undefined && {question: newQuestion}),
+    });
     this.ends = [];
+    this.newQuestion = undefined;
     this.toldLoad = load;
     this.toldAt = now;
     return undefined;
   }
-
-  private isNews(load: TargetLoad): boolean {
-    const told = this.toldLoad;
-    if (told === undefined) return true;
-    const speedChange = Math.abs(load.slowness - told.slowness);
-    return (
-      told.open !== load.open ||
-      speedChange > notableSpeedChange * told.slowness ||
-      Math.abs(load.failing - told.failing) > notableFailingChange ||
-      told.cpuMillis !== load.cpuMillis ||
-      told.memoryMb !== load.memoryMb ||
-      told.accelerators !== load.accelerators
-    );
-  }
 }
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -80,6 +80,18 @@
   t.is(dispatcher.ends.length, 1);
 });
 
+test('the runs of a dispatcher that answers later than it is asked anew go on', async t => {
+  await using stand = await startRunner();
+  const {executor} = stand;
+  const dispatcher = await stand.attach('d');
+  dispatcher.answersAfterMs = 300;
+  dispatcher.place(1);
+  await waitUntil(() => executor.starts.length === 1);
+  await sleep(3 * permissionMs);
+  t.is(executor.running.size, 1);
+  t.deepEqual(dispatcher.ends, []);
+});
+
 test('the runs of a dispatcher that falls silent are stopped', async t => {
   await using stand = await startRunner();
   const silent = await stand.attach('silent');
--- a/packages/runner/test/stand.ts
+++ b/packages/runner/test/stand.ts
@@ -1,6 +1,12 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {RunRef} from '#model';
-import {type Peer, dialPeer, PeerListener, type RunEndRow} from '#protocol';
+import {
+  type Peer,
+  dialPeer,
+  PeerListener,
+  type ReportRunsParams,
+  type RunEndRow,
+} from '#protocol';
 import {
   type EndedRow,
   type EndKind,
@@ -113,6 +119,8 @@
 export interface FakeDispatcher {
   readonly peer: Peer;
   readonly ends: RunEndRow[];
+  /** All that it was told, its ends included. */
+  readonly reports: ReportRunsParams[];
   /** False while it leaves questions for its permission unanswered. */
   permits: boolean;
   /** How long it takes to answer them, in ms. */
@@ -150,18 +158,22 @@
     tickets: readonly number[] = [],
   ): Promise<FakeDispatcher> => {
     const ends: RunEndRow[] = [];
-    const fake = {ends, permits: true, answersAfterMs: 0} as {
+    const reports: ReportRunsParams[] = [];
+    const fake = {ends, reports, permits: true, answersAfterMs: 0} as {
       -readonly [K in keyof FakeDispatcher]: FakeDispatcher[K];
     };
     const dialled = await dialPeer(
       listener.address,
       {
-        'dispatcher.renew': async () => {
-          if (!fake.permits) await new Promise(() => {});
-          await sleep(fake.answersAfterMs);
-          return {};
+        'dispatcher.report': (report, peer) => {
+          ends.push(...report.ends);
+          reports.push(report);
+          const {question} = report;
+          if (question === undefined || !fake.permits) return;
+          void sleep(fake.answersAfterMs).then(() =>
+            peer.notify('runner.permit', {question}),
+          );
         },
-        'dispatcher.report': report => void ends.push(...report.ends),
       },
       performance.now() + 1000,
     );
