--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -355,5 +355,10 @@
   params: unknown,
 ): Either<string, ParamsOf<Name>> {
   const check: Check<ParamsOf<Name>> = checks[method];
-  return check(params ?? {});
+  try {
+    return check(params ?? {});
+  } catch (error) {
+    if (!(error instanceof RangeError)) throw error;
+    return Left('a part of another kind is nested too deeply');
+  }
 }
--- a/packages/protocol/test/peer.test.ts
+++ b/packages/protocol/test/peer.test.ts
@@ -217,3 +217,17 @@
   await peer[Symbol.asyncDispose]();
   await listener[Symbol.asyncDispose]();
 });
+
+test('parameters that are nested too deeply are rejected, and neither end stops', async t => {
+  const {listener, peer} = await connectPair({
+    'entry.peek': () => ({kind: 'absent'}),
+    'agent.release': () => t.fail(),
+  });
+  let deep: unknown = [];
+  for (let i = 0; i < 3000; i++) deep = [deep];
+  peer.notify('agent.release', {slots: deep} as never);
+  const wrong = await peer.request('entry.peek', {job: deep} as never, soon());
+  t.true(wrong.isLeft());
+  await peer[Symbol.asyncDispose]();
+  await listener[Symbol.asyncDispose]();
+});
