Refuse or hand on what an entry at its limit would answer too late

Callers of a crowded entry waited to their deadlines while other entries had time to spare: an entry took every job that the targets had room for, and nothing in it judged its own delay.

- policy/saturation: a job is refused at once when the lag of the event loop, times the turns that a job takes, leaves no useful answer; a late process hands jobs to one that told a small lag with the answer to a claim.
- Placing looks at jobs with ready tasks only, not at all in hand.

Tests: dispatch/test/saturation (a real dispatcher offered twice what it can do: without the judgement under 30% are answered while it is of use, with it 30% or more and the rest refused in time), policy/test/saturation, dispatch/test/relay.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -2,11 +2,9 @@
   type Address,
   type Clock,
   computeDeadline,
-  type Configuration,
   type Instant,
   type JobId,
   monotonicClock,
-  type QueueConfig,
   RecentMap,
   type RunEnd,
   type TargetId,
@@ -17,9 +15,15 @@
   computeUsefulMs,
   endRun,
   estimateChainMs,
+  hasReady,
   openJob,
 } from '#jobs';
-import type {FollowJobResult, Handlers, RunTicket} from '#protocol';
+import type {
+  FollowJobResult,
+  Handlers,
+  RelayJobParams,
+  RelayJobResult,
+} from '#protocol';
 import type {View} from '#membership';
 import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import {
@@ -29,12 +33,14 @@
   type JobSubmission,
 } from './active-job.js';
 import {ClaimTable} from './claims.js';
+import {Expiry, withdrawRuns} from './expiry.js';
 import {Fellows} from './fellows.js';
 import {Forecast} from './forecast.js';
 import {Intake} from './intake.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, settleOwnership} from './ownership.js';
 import {Placer} from './placer.js';
+import {Relay} from './relay.js';
 import {Rescuer} from './rescuer.js';
 import {RunnerFleet} from './runner-fleet.js';
 
@@ -48,10 +54,12 @@
   readonly log: Logger;
   readonly metrics?: Metrics;
   readonly clock?: Clock;
+  /** Reads how late this process's event loop is, in ms. */
+  readonly readLagMs?: () => number;
 }
 
-/** A target has given back by then what waits there, in ms. */
-const withdrawalMs = 60;
+/** Callers of a dispatcher that leaves go elsewhere at once, in ms. */
+const leavingRetryMs = 200;
 /** Ended jobs whose callers may ask again, as they do within seconds. */
 const maxRemembered = 8192;
 
@@ -62,7 +70,10 @@
   private readonly placer: Placer;
   private readonly rescuer: Rescuer;
   private readonly intake: Intake;
+  private readonly expiry: Expiry;
   private readonly jobs = new Map<JobId, ActiveJob>();
+  /** The jobs of which a task may be ready: those that placing looks at. */
+  private readonly waiting = new Set<ActiveJob>();
   /** Outcomes of jobs that ended here. */
   private readonly finished = new RecentMap<JobId, JobOutcome>(maxRemembered);
   /** Jobs that were given up here. */
@@ -70,6 +81,9 @@
   private readonly forecast = new Forecast();
   private readonly claims = new ClaimTable();
   private readonly fellows = new Fellows();
+  private readonly relay: Relay;
+  private readonly readLagMs: () => number;
+  private isLeaving = false;
   private dispatchers: readonly Address[] = [];
   private readonly ownership: OwnershipOptions;
   private isScheduled = false;
@@ -78,6 +92,7 @@
   constructor(private readonly options: DispatcherOptions) {
     this.clock = options.clock ?? monotonicClock;
     this.metrics = options.metrics ?? silentMetrics;
+    this.readLagMs = options.readLagMs ?? (() => 0);
     this.ownership = {
       address: options.address,
       claims: this.claims,
@@ -102,12 +117,32 @@
       id => this.jobs.get(id),
       options.log,
     );
-    this.intake = new Intake(this.fleet, options.log, this.metrics);
+    this.intake = new Intake({
+      fleet: this.fleet,
+      log: options.log,
+      metrics: this.metrics,
+      readLagMs: this.readLagMs,
+    });
+    this.expiry = new Expiry({
+      clock: this.clock,
+      fleet: this.fleet,
+      estimateRetryMs: service =>
+        this.intake.estimateRetryMs(service, this.jobs.values()),
+      close: (job, outcome) => this.close(job, outcome),
+      resume: () => this.schedulePlacing(),
+    });
+    this.relay = new Relay({
+      fellows: this.fellows,
+      log: options.log,
+      readLagMs: this.readLagMs,
+      seed: options.life,
+    });
   }
 
   /** Jobs accepted and not answered. */
   get jobCount(): number {
-    return [...this.jobs.values()].filter(({isAnswered}) => !isAnswered).length;
+    const own = [...this.jobs.values()].filter(({isAnswered}) => !isAnswered);
+    return own.length + this.relay.size;
   }
 
   /** Counts the accepted jobs of a queue of which no task was placed. */
@@ -122,8 +157,7 @@
 
   /** Counts what is in hand and what targets have told, for the log. */
   describe(): Readonly<Record<string, number>> {
-    const {jobCount, fleet} = this;
-    return {jobs: jobCount, ...fleet.countMessages()};
+    return {jobs: this.jobCount, ...this.fleet.countMessages()};
   }
 
   /** True when some target could take work. */
@@ -137,11 +171,23 @@
     this.fleet.follow(view);
   }
 
-  /** Runs a job to its end. Resolves at the latest when its caller leaves. */
+  /** Takes no more jobs from other dispatchers. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  /** Runs a job to its end, here or at another dispatcher. Resolves at the latest when its caller leaves. */
   async submit(submission: JobSubmission): Promise<JobOutcome> {
+    const {job} = submission;
+    return (
+      (await this.findHere(job.id)) ??
+      (await this.relay.tryRelay(submission)) ??
+      this.admit(submission)
+    );
+  }
+
+  private async admit(submission: JobSubmission): Promise<JobOutcome> {
     const {job, leavesAt} = submission;
-    const here = await this.findHere(job.id);
-    if (here !== undefined) return here;
     const refusal = this.intake.judge(
       {...submission, job: this.forecast.adjust(job, submission.queue.name)},
       this.jobs.values(),
@@ -168,7 +214,10 @@
     return {
       'dispatcher.claim': ({job, claimant, replaces}) => ({
         owner: this.claims.note(job, claimant, replaces),
+        ...(!this.isLeaving && {lagMs: this.readLagMs()}),
       }),
+      'dispatcher.relay': params => this.takeRelayed(params),
+      'dispatcher.abandon': ({job}) => this.giveUp(job),
       'dispatcher.follow': ({job, remainingMs}) =>
         this.answerFollower(
           job,
@@ -179,6 +228,7 @@
 
   /** Gives a job up whose caller has gone. */
   giveUp(id: JobId): void {
+    if (this.relay.release(id)) return;
     const job = this.jobs.get(id);
     if (job !== undefined && !job.isAnswered) {
       this.close(job, {kind: 'expired'});
@@ -202,6 +252,22 @@
     return this.finished.get(id);
   }
 
+  private async takeRelayed({
+    job,
+    queue,
+    ageMs,
+    remainingMs,
+  }: RelayJobParams): Promise<RelayJobResult> {
+    if (this.isLeaving) {
+      const detail = 'this dispatcher is about to stop';
+      return {kind: 'refused', retryAfterMs: leavingRetryMs, detail};
+    }
+    const now = this.clock.now();
+    const leavesAt = computeDeadline(now, remainingMs);
+    const submission = {job, queue, arrivedAt: now - ageMs, leavesAt};
+    return (await this.findHere(job.id)) ?? this.admit(submission);
+  }
+
   private async answerFollower(
     id: JobId,
     deadline: Instant,
@@ -229,15 +295,14 @@
   ): Promise<JobOutcome> {
     const now = this.clock.now();
     const job = this.forecast.adjust(submitted, queue.name);
-    const {objective} = queue;
-    const uselessAt = arrivedAt + computeUsefulMs(job, objective);
+    const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
     return new Promise(resolve => {
       const active: ActiveJob = {
         state: openJob(job, queue.maxAttempts),
         submitted,
         queue,
         arrivedAt,
-        dueAt: arrivedAt + computeDueMs(job, objective),
+        dueAt: arrivedAt + computeDueMs(job, queue.objective),
         uselessAt: Math.min(leavesAt, uselessAt),
         leavesAt,
         chainMs: estimateChainMs(job),
@@ -249,8 +314,9 @@
         waiters: [resolve],
         expiry: undefined,
       };
-      this.armExpiry(active, active.uselessAt - active.chainMs);
+      this.expiry.arm(active, active.uselessAt - active.chainMs);
       this.jobs.set(job.id, active);
+      this.waiting.add(active);
       this.options.log.debug(
         {
           event: 'job-accepted',
@@ -277,7 +343,10 @@
 
   private placeWaiting(): void {
     const now = this.clock.now();
-    const impossible = this.placer.placeAll(this.jobs.values(), now);
+    for (const job of this.waiting) {
+      if (!hasReady(job.state)) this.waiting.delete(job);
+    }
+    const impossible = this.placer.placeAll(this.waiting, now);
     this.rescuer.look(now);
     for (const job of impossible) this.close(job, {kind: 'failed'});
   }
@@ -293,6 +362,7 @@
     if (end === 'succeeded') this.observeRun(job, run, target, runMs);
     job.tickets.delete(run.ticket);
     job.state = endRun(job.state, run.ref, end);
+    this.waiting.add(job);
     if (end !== 'not-run') job.hasRun = true;
     this.metrics.increment('queued.runs', 1, {queue: job.queue.name, end});
     if (job.isAnswered) {
@@ -329,56 +399,6 @@
     this.forecast.observe(queue.name, {estimateMs, runMs, relativeSlowness});
   }
 
-  private armExpiry(job: ActiveJob, at: Instant): void {
-    const waitMs = Math.max(1, at - this.clock.now());
-    job.expiry = setTimeout(() => this.expire(job), waitMs);
-  }
-
-  /**
-   * Refuses a job whose answer cannot be of use any more and of which nothing has run. What waits
-   * for room at targets is taken back first; a job that runs goes on until its caller leaves.
-   */
-  private expire(job: ActiveJob): void {
-    if (this.clock.now() >= job.leavesAt && !isUntouched(job)) {
-      this.close(job, {kind: 'expired'});
-      return;
-    }
-    if (isUntouched(job)) {
-      this.refuseUseless(job);
-      return;
-    }
-    if (job.hasRun || job.isHeldBack) {
-      job.isHeldBack = false;
-      this.armExpiry(job, job.leavesAt);
-      this.schedulePlacing();
-      return;
-    }
-    job.isHeldBack = true;
-    this.withdrawRuns(job, true);
-    this.armExpiry(job, this.clock.now() + withdrawalMs);
-  }
-
-  private refuseUseless(job: ActiveJob): void {
-    const {service} = job.queue;
-    this.close(job, {
-      kind: 'refused',
-      retryAfterMs: this.intake.estimateRetryMs(service, this.jobs.values()),
-      detail: 'no room was found while its answer was of use',
-    });
-  }
-
-  private withdrawRuns(job: ActiveJob, waitingOnly: boolean): void {
-    const byTarget = new Map<TargetId, RunTicket[]>();
-    for (const [ticket, target] of job.tickets) {
-      const tickets = byTarget.get(target) ?? [];
-      tickets.push(ticket);
-      byTarget.set(target, tickets);
-    }
-    for (const [target, tickets] of byTarget) {
-      this.fleet.find(target)?.withdraw(tickets, waitingOnly);
-    }
-  }
-
   private close(job: ActiveJob, outcome: JobOutcome): void {
     clearTimeout(job.expiry);
     job.isAnswered = true;
@@ -388,7 +408,7 @@
     } else {
       this.given.set(job.state.job.id, true);
     }
-    this.withdrawRuns(job, false);
+    withdrawRuns(this.fleet, job, false);
     const level = outcome.kind === 'completed' ? 'debug' : 'info';
     this.options.log[level](
       {
@@ -421,22 +441,6 @@
   }
 }
 
-/** Finds the queue that a request names: its host, and the longest path that the request's begins with. */
-export function findQueue(
-  {queues}: Configuration,
-  host: string,
-  path: string,
-): QueueConfig | undefined {
-  let found: QueueConfig | undefined;
-  for (const queue of queues) {
-    if (queue.host !== host || !path.startsWith(queue.path)) continue;
-    if (found === undefined || queue.path.length > found.path.length) {
-      found = queue;
-    }
-  }
-  return found;
-}
-
 function sleepUntil(deadline: Instant, clock: Clock): Promise<undefined> {
   const ms = Math.max(0, deadline - clock.now());
   return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -8,6 +8,7 @@
 import {
   estimateBacklogMs,
   judgeBacklog,
+  judgeSaturation,
   type PoolBacklog,
   type RoomTarget,
 } from '#policy';
@@ -21,13 +22,17 @@
 const noTargetRetryMs = 500;
 const maxRetryMs = 5000;
 
+export interface IntakeOptions {
+  readonly fleet: RunnerFleet;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  /** Reads how late this process's event loop is, in ms. */
+  readonly readLagMs: () => number;
+}
+
 /** Decides which jobs a dispatcher takes. */
 export class Intake {
-  constructor(
-    private readonly fleet: RunnerFleet,
-    private readonly log: Logger,
-    private readonly metrics: Metrics,
-  ) {}
+  constructor(private readonly options: IntakeOptions) {}
 
   /** Refuses a job that cannot be run before its caller leaves; undefined when it is taken. */
   judge(
@@ -36,8 +41,10 @@
     now: Instant,
   ): Refusal | undefined {
     const {job, queue, arrivedAt, leavesAt} = submission;
-    const targets = this.fleet.listTargets(queue.service);
-    if (this.fleet.isReturning(queue.service)) return undefined;
+    const saturated = this.judgeSaturation(submission, now);
+    if (saturated !== undefined) return saturated;
+    const targets = this.options.fleet.listTargets(queue.service);
+    if (this.options.fleet.isReturning(queue.service)) return undefined;
     if (targets.length === 0) return this.judgeWithoutTargets(submission);
     const chainMs = estimateChainMs(job);
     const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
@@ -53,7 +60,7 @@
     );
     if (verdict.kind === 'admit') return undefined;
     this.countRefusal(queue, 'backlog');
-    this.log.info(
+    this.options.log.info(
       {
         event: 'job-refused',
         job: job.id,
@@ -74,15 +81,48 @@
     };
   }
 
+  /** Refuses a job that this process would answer too late, whatever the targets could do. */
+  private judgeSaturation(
+    {job, queue, arrivedAt, leavesAt}: JobSubmission,
+    now: Instant,
+  ): Refusal | undefined {
+    const lagMs = this.options.readLagMs();
+    const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
+    const chainMs = estimateChainMs(job);
+    const verdict = judgeSaturation(
+      {chainMs, leavesAt: Math.min(leavesAt, uselessAt)},
+      lagMs,
+      now,
+    );
+    if (verdict.kind === 'admit') return undefined;
+    const {retryAfterMs} = verdict;
+    this.countRefusal(queue, 'saturated');
+    this.options.log.info(
+      {
+        event: 'job-refused',
+        job: job.id,
+        queue: queue.name,
+        cause: 'saturated',
+        lagMs: Math.round(lagMs),
+        chainMs,
+        patienceMs: Math.round(leavesAt - now),
+        retryAfterMs,
+      },
+      'refused a job: this process is at the limit of its processor',
+    );
+    const detail = 'this entry cannot come to it before its caller leaves';
+    return {kind: 'refused', retryAfterMs, detail};
+  }
+
   /** Estimates when the targets will have done what waits now, in ms. */
   estimateRetryMs(service: ServiceName, jobs: Iterable<ActiveJob>): number {
-    const targets = this.fleet.listTargets(service);
+    const targets = this.options.fleet.listTargets(service);
     const backlogMs = estimateBacklogMs(measureBacklog(service, targets, jobs));
     return Math.min(maxRetryMs, Math.max(noTargetRetryMs, backlogMs));
   }
 
   private countRefusal({name}: QueueConfig, cause: string): void {
-    this.metrics.increment('queued.refusals', 1, {queue: name, cause});
+    this.options.metrics.increment('queued.refusals', 1, {queue: name, cause});
   }
 
   private judgeWithoutTargets({
@@ -91,7 +131,7 @@
   }: JobSubmission): Refusal | undefined {
     this.countRefusal(queue, 'no-target');
     const detail = `no target of service "${queue.service}" can be reached`;
-    this.log.warn(
+    this.options.log.warn(
       {
         event: 'job-refused',
         job: job.id,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -62,6 +62,7 @@
     now: Instant,
   ): boolean {
     const placed: [TaskPosition, TargetId][] = [];
+    let targets = [...pool.values()];
     for (const pos of listReady(job.state)) {
       const step = job.state.job.steps[pos.step]!;
       const task = job.state.steps[pos.step]![pos.index]!;
@@ -72,13 +73,14 @@
           dueAt: job.dueAt,
           ...(task.kind === 'ready' && {avoid: task.avoid}),
         },
-        [...pool.values()],
+        targets,
         now,
       );
       if (choice.kind === 'impossible') return false;
       if (choice.kind === 'wait') continue;
       const target = pool.get(choice.target)!;
       pool.set(choice.target, reserveRoom(target, {...step, rank}));
+      targets = [...pool.values()];
       placed.push([pos, choice.target]);
     }
     this.sendRuns(job, rank, placed, now);
--- /dev/null
+++ b/packages/dispatch/src/queue.ts
@@ -0,0 +1,17 @@
+import type {Configuration, QueueConfig} from '#model';
+
+/** Finds the queue that a request names: its host, and the longest path that the request's begins with. */
+export function findQueue(
+  {queues}: Configuration,
+  host: string,
+  path: string,
+): QueueConfig | undefined {
+  let found: QueueConfig | undefined;
+  for (const queue of queues) {
+    if (queue.host !== host || !path.startsWith(queue.path)) continue;
+    if (found === undefined || queue.path.length > found.path.length) {
+      found = queue;
+    }
+  }
+  return found;
+}
--- /dev/null
+++ b/packages/dispatch/test/relay.test.ts
@@ -0,0 +1,105 @@
+import test from 'ava';
+import {chooseRelay, createRandom} from '#policy';
+import {startRunner, sleep, waitUntil} from '../../runner/test/stand.js';
+import {buildJob, buildLongJob, buildView, startDispatcher} from './stand.js';
+
+/** Two dispatchers of which the first may be late; a few of its jobs have told it how late the other is. */
+async function startPair() {
+  const runner = await startRunner();
+  let lagMs = 0;
+  let otherLagMs = 0;
+  const late = await startDispatcher('late', {readLagMs: () => lagMs});
+  const idle = await startDispatcher('idle', {readLagMs: () => otherLagMs});
+  const view = buildView([runner.address], [late.address, idle.address]);
+  for (const {dispatcher} of [late, idle]) dispatcher.follow(view);
+  await waitUntil(() =>
+    [late, idle].every(({dispatcher}) => dispatcher.isConnected),
+  );
+  const ends = setInterval(() => {
+    for (const ref of [...runner.executor.running.values()]) {
+      if (!ref.job.startsWith('long')) runner.executor.end(ref, 'succeeded');
+    }
+  }, 5);
+  const submitMany = (name: string) =>
+    Promise.all(
+      Array.from({length: 8}, (_, i) =>
+        late.submit(buildJob(`${name}-${i}`, 1)),
+      ),
+    );
+  return {
+    runner,
+    late,
+    idle,
+    submitMany,
+    setLags: (own: number, other: number) => {
+      lagMs = own;
+      otherLagMs = other;
+    },
+    async [Symbol.asyncDispose]() {
+      clearInterval(ends);
+      for (const each of [late, idle, runner]) {
+        await each[Symbol.asyncDispose]();
+      }
+    },
+  };
+}
+
+test('a dispatcher that is late hands jobs to one that is not, and gives their callers the answers', async t => {
+  await using pair = await startPair();
+  t.true((await pair.submitMany('first')).every(isCompleted));
+  pair.setLags(100, 0);
+  const submitted = pair.submitMany('second');
+  await waitUntil(() => pair.idle.dispatcher.jobCount > 0);
+  t.true((await submitted).every(isCompleted));
+  t.is(pair.late.dispatcher.jobCount, 0);
+  t.is(pair.runner.executor.doubles, 0);
+});
+
+test('a dispatcher keeps its jobs while the others are late as well', async t => {
+  await using pair = await startPair();
+  pair.setLags(30, 30);
+  await pair.submitMany('first');
+  const long = pair.late.submit(buildLongJob('long', 1), 20_000);
+  await waitUntil(() => pair.runner.executor.starts.length > 8);
+  t.is(pair.idle.dispatcher.jobCount, 0);
+  pair.late.dispatcher.giveUp('long');
+  await long;
+});
+
+test('a job whose caller leaves is given up where it was handed to', async t => {
+  await using pair = await startPair();
+  await pair.submitMany('first');
+  pair.setLags(100, 0);
+  const long = pair.late.submit(buildLongJob('long', 1), 20_000);
+  await waitUntil(() => pair.runner.executor.running.size === 1);
+  t.is(pair.idle.dispatcher.jobCount, 1);
+  pair.late.dispatcher.giveUp('long');
+  t.deepEqual(await long, {kind: 'expired'});
+  await waitUntil(() => pair.runner.executor.running.size === 0);
+});
+
+test('a dispatcher that leaves is handed no jobs', async t => {
+  await using pair = await startPair();
+  await pair.submitMany('first');
+  pair.idle.dispatcher.leave();
+  await pair.submitMany('second');
+  pair.setLags(100, 0);
+  await pair.submitMany('third');
+  t.is(pair.idle.dispatcher.jobCount, 0);
+  await sleep(0);
+});
+
+test('late processes spread what they hand on over those with time to spare', t => {
+  const fellows = ['a:1', 'b:1', 'c:1'].map(address => ({address, lagMs: 1}));
+  const random = createRandom(1);
+  const chosen = new Set<string | undefined>();
+  for (let i = 0; i < 50; i++) chosen.add(chooseRelay(60, fellows, random));
+  t.deepEqual([...chosen].sort(), ['a:1', 'b:1', 'c:1']);
+  t.is(chooseRelay(10, fellows, random), undefined);
+  const late = fellows.map(fellow => ({...fellow, lagMs: 20}));
+  t.is(chooseRelay(60, late, random), undefined);
+});
+
+function isCompleted({kind}: {readonly kind: string}): boolean {
+  return kind === 'completed';
+}
--- /dev/null
+++ b/packages/dispatch/test/saturation.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava';
+import {monotonicClock} from '#model';
+import {LoopLag} from '#telemetry';
+import {sleep, startRunner, waitUntil} from '../../runner/test/stand.js';
+import {buildJob, buildView, queue, startDispatcher} from './stand.js';
+
+/** What taking one job costs the process, in ms; a refusal costs next to nothing. */
+const costMs = 20;
+const offered = 200;
+/** Twice as many jobs as the process can take. */
+const everyMs = 10;
+const patienceMs = 2000;
+
+function consume(ms: number): void {
+  const until = monotonicClock.now() + ms;
+  while (monotonicClock.now() < until);
+}
+
+/** Offers a dispatcher twice what it can do, and counts what callers who came on time have from it. */
+async function runOverload(judges: boolean) {
+  await using runner = await startRunner();
+  using lag = new LoopLag();
+  await using entry = await startDispatcher('a', {
+    readLagMs: () => (judges ? lag.currentMs : 0),
+    onAccepted: () => consume(costMs),
+  });
+  entry.dispatcher.follow(buildView([runner.address], [entry.address]));
+  await waitUntil(() => entry.dispatcher.isConnected);
+  const ends = setInterval(() => {
+    for (const ref of [...runner.executor.running.values()])
+      runner.executor.end(ref, 'succeeded');
+  }, 5);
+  const counts = {useful: 0, late: 0, refused: 0, refusedLate: 0};
+  const beganAt = monotonicClock.now();
+  const {stretch, slackMs} = queue.objective;
+  const usefulMs = 3 * (stretch * 50 + slackMs);
+  const pending: Promise<void>[] = [];
+  for (let i = 0; i < offered; i++) {
+    const cameAt = beganAt + i * everyMs;
+    while (monotonicClock.now() < cameAt) await sleep(1);
+    const submitted = entry.submit(buildJob(`job-${i}`, 1), patienceMs);
+    pending.push(
+      submitted.then(({kind}) => {
+        const ageMs = monotonicClock.now() - cameAt;
+        if (kind === 'completed' && ageMs <= usefulMs) counts.useful++;
+        else if (kind !== 'refused') counts.late++;
+        else if (ageMs < patienceMs / 2) counts.refused++;
+        else counts.refusedLate++;
+      }),
+    );
+    // Jobs that have come by now are read in one turn of the loop, as requests on their sockets are.
+    if (monotonicClock.now() < cameAt + everyMs) await sleep(0);
+  }
+  await Promise.all(pending);
+  clearInterval(ends);
+  return counts;
+}
+
+test.serial(
+  'an entry at the limit of its processor answers what it takes and refuses the rest in time',
+  async t => {
+    const counts = await runOverload(true);
+    const report = JSON.stringify(counts);
+    t.true(counts.useful >= 0.3 * offered, report);
+    t.true(counts.late + counts.refusedLate <= 0.2 * offered, report);
+  },
+);
+
+test.serial('taking all that comes, it answers few in time', async t => {
+  const counts = await runOverload(false);
+  t.true(counts.useful < 0.3 * offered, JSON.stringify(counts));
+});
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -82,8 +82,20 @@
   };
 }
 
+export interface StandOptions {
+  readonly readLagMs?: () => number;
+  /** Called when a job is taken, as part of the work of taking it. */
+  readonly onAccepted?: () => void;
+}
+
 /** Starts a dispatcher that listens for others. */
-export async function startDispatcher(id: string) {
+export async function startDispatcher(
+  id: string,
+  {readLagMs, onAccepted}: StandOptions = {},
+) {
+  const write = (line: string) => {
+    if (line.includes('"job-accepted"')) onAccepted?.();
+  };
   const handlers = {};
   const listener = (
     await PeerListener.listen('127.0.0.1:0', handlers)
@@ -94,7 +106,8 @@
     life: 1,
     failureDomain: 'f',
     address,
-    log: openLog('silent', 'entry', id),
+    log: openLog(onAccepted ? 'debug' : 'silent', 'entry', id, {write}),
+    readLagMs,
   });
   Object.assign(handlers, dispatcher.createHandlers());
   return {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,10 @@
+export type {
+  FellowLag,
+  SaturatingJob,
+  SaturationVerdict,
+} from './saturation.js';
+export {chooseRelay, judgeSaturation} from './saturation.js';
+
 export type {RandomSource} from './random.js';
 export {createRandom} from './random.js';
 
--- /dev/null
+++ b/packages/policy/src/saturation.ts
@@ -0,0 +1,66 @@
+import type {Address, Instant} from '#model';
+import type {RandomSource} from './random.js';
+
+/** A job that asks to be admitted by a process that may be at the limit of its processor. */
+export interface SaturatingJob {
+  /** Its longest chain of work, in ms. */
+  readonly chainMs: number;
+  /** When its answer is of no use any more, or its caller leaves. */
+  readonly leavesAt: Instant;
+}
+
+/** Another process that takes jobs, and how late its event loop is. */
+export interface FellowLag {
+  readonly address: Address;
+  readonly lagMs: number;
+}
+
+export type SaturationVerdict =
+  | {readonly kind: 'admit'}
+  | {readonly kind: 'refuse'; readonly retryAfterMs: number};
+
+/** Waits for the event loop between a job's arrival and its answer: for its claim, its placing, an end and the answer. */
+const turnsPerJob = 4;
+/** Below this the loop's lag is the usual one of a busy process, in ms. */
+const usualLagMs = 25;
+/** A process whose loop is later than this share of the usual has no time to spare. */
+const idleShare = 0.5;
+/** What came before it was refused is done within some turns of the loop. */
+const turnsToRecover = 10;
+const minRetryMs = 200;
+const maxRetryMs = 2000;
+
+/**
+ * Refuses a job that this process, and not the targets, would answer too late. Load pattern: more
+ * jobs than the process has processor time for, with room at every target; each job that is taken makes
+ * the loop later for all that are in hand, until none is answered in time.
+ */
+export function judgeSaturation(
+  {chainMs, leavesAt}: SaturatingJob,
+  lagMs: number,
+  now: Instant,
+): SaturationVerdict {
+  if (lagMs <= usualLagMs) return {kind: 'admit'};
+  const endsAt = now + chainMs + turnsPerJob * lagMs;
+  if (endsAt <= leavesAt) return {kind: 'admit'};
+  const recoveryMs = Math.ceil(turnsToRecover * lagMs);
+  const retryAfterMs = Math.min(maxRetryMs, Math.max(minRetryMs, recoveryMs));
+  return {kind: 'refuse', retryAfterMs};
+}
+
+/**
+ * Chooses to whom a job is handed by a process whose event loop is late; undefined while it keeps up
+ * itself, or where nobody is known to be much better off. Load pattern: callers that crowd one of
+ * several entries, as one entry serves a whole failure domain; handing a job on costs a tenth of
+ * running it. Draws among those with time to spare, so that several do not crowd one.
+ */
+export function chooseRelay(
+  lagMs: number,
+  fellows: readonly FellowLag[],
+  random: RandomSource,
+): Address | undefined {
+  if (lagMs <= usualLagMs) return undefined;
+  const idle = fellows.filter(fellow => fellow.lagMs <= idleShare * usualLagMs);
+  if (idle.length === 0) return undefined;
+  return idle[random.drawInt(idle.length)]!.address;
+}
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -222,6 +222,37 @@
   return input => codec.decode(input);
 }
 
+const queuedJob = Codec.interface({
+  id: string,
+  payload: string,
+  steps: array(
+    Codec.interface({
+      count,
+      demand: Codec.interface({
+        cpuMillis: number,
+        memoryMb: number,
+        accelerators: number,
+      }),
+      estimateMs: span,
+      after: array(count),
+      requiredLabel: optional(string),
+      dataRack: optional(string),
+      maxPerTarget: optional(number),
+      checkpoints: boolean,
+    }),
+  ),
+});
+const queueConfig = Codec.interface({
+  name: string,
+  service: string,
+  host: string,
+  path: string,
+  priority: number,
+  maxAttempts: count,
+  timeoutMs: span,
+  objective: Codec.interface({stretch: number, slackMs: span}),
+});
+
 const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
   'agent.hello': toCheck(Codec.interface({...entryEpoch, connection: count})),
   'agent.query': toCheck(tasks),
@@ -330,6 +361,15 @@
       replaces: optional(string),
     }),
   ),
+  'dispatcher.relay': toCheck(
+    Codec.interface({
+      job: queuedJob,
+      queue: queueConfig,
+      ageMs: span,
+      remainingMs: span,
+    }),
+  ),
+  'dispatcher.abandon': toCheck(Codec.interface({job: string})),
   'dispatcher.follow': toCheck(
     Codec.interface({job: string, remainingMs: span}),
   ),
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -1,4 +1,5 @@
 import type {
+  AbandonJobParams,
   AdmitParams,
   AdmitResult,
   AgentStatus,
@@ -41,6 +42,8 @@
   PermitRunsParams,
   PlaceRunsParams,
   RecallParams,
+  RelayJobParams,
+  RelayJobResult,
   RegionReport,
   ReleaseParams,
   Renewal,
@@ -133,6 +136,7 @@
   'runner.clear': {params: ClearJobParams; result: Nothing};
   'dispatcher.claim': {params: ClaimJobParams; result: ClaimJobResult};
   'dispatcher.follow': {params: FollowJobParams; result: FollowJobResult};
+  'dispatcher.relay': {params: RelayJobParams; result: RelayJobResult};
   /** Asked by the runner: the answer permits the dispatcher's runs for another while. */
   /** Served by both ends: its result proves that all that was sent before has arrived. */
   'peer.sync': {params: Nothing; result: Nothing};
@@ -152,6 +156,7 @@
   'runner.withdraw': WithdrawRunsParams;
   'runner.permit': PermitRunsParams;
   'dispatcher.report': ReportRunsParams;
+  'dispatcher.abandon': AbandonJobParams;
   'control.replicate': ReplicateParams;
   'watcher.update': ViewUpdate;
 }
--- a/packages/telemetry/src/loop-lag.ts
+++ b/packages/telemetry/src/loop-lag.ts
@@ -4,6 +4,8 @@
 const lookMs = 50;
 /** Weight of the latest look: a second or so counts. */
 const weight = 0.08;
+/** What remains of a lag at each further look: a tenth is left after a quarter of a second. */
+const recentShare = 0.6;
 /** Longer delays count as this long in the mean, in ms: a host that stood still is no overload. */
 const maxCountedMs = 200;
 /** A process whose timers are this late on the mean cannot keep up, in ms: a tenth of it is usual under load. */
@@ -21,6 +23,7 @@
  */
 export class LoopLag implements Disposable {
   private meanMs = 0;
+  private recentMs = 0;
   private dueAt: Instant;
   private maxMs = 0;
   private timer: NodeJS.Timeout;
@@ -35,6 +38,11 @@
     return this.meanMs > overloadMs;
   }
 
+  /** How late the loop is: at the latest looks, or since a look is due that has not come. */
+  get currentMs(): number {
+    return Math.max(this.recentMs, this.clock.now() - this.dueAt);
+  }
+
   /** Tells how late the loop was on the mean of the last second or so, and at the most since the last summary. */
   summarize(): LagSummary {
     const summary = {meanMs: this.meanMs, maxMs: this.maxMs};
@@ -51,6 +59,7 @@
     const now = this.clock.now();
     const lagMs = Math.max(0, now - this.dueAt);
     this.maxMs = Math.max(this.maxMs, lagMs);
+    this.recentMs = Math.max(lagMs, this.recentMs * recentShare);
     this.meanMs += weight * (Math.min(lagMs, maxCountedMs) - this.meanMs);
     this.dueAt = now + lookMs;
     clearTimeout(this.timer);
