--- a/packages/telemetry/src/exposition.ts
+++ b/packages/telemetry/src/exposition.ts
@@ -21,19 +21,14 @@
   private readonly counters = new Map<string, Counter>();
   private readonly gauges = new Map<string, Gauge>();
   private readonly histograms = new Map<string, Histogram>();
-  private readonly labelSets = new Map<string, Set<string>>();
+  private readonly series = new Map<string, Map<string, Series>>();
 
   constructor(tags: Tags) {
     this.registry.setDefaultLabels({...tags});
   }
 
   readonly increment = (name: string, count = 1, tags: Tags = {}): void => {
-    const counter = findOrAdd(
-      this.counters,
-      name,
-      () => new Counter(this.describe(name, tags)),
-    );
-    counter.inc(this.bound(name, tags), count);
+    this.findSeries(name, tags).pending += count;
   };
 
   readonly gauge = (name: string, value: number, tags: Tags = {}): void => {
@@ -42,7 +37,7 @@
       name,
       () => new Gauge(this.describe(name, tags)),
     );
-    gauge.set(this.bound(name, tags), value);
+    gauge.set(this.findSeries(name, tags).labels, value);
   };
 
   readonly timing = (name: string, ms: number, tags: Tags = {}): void => {
@@ -55,11 +50,12 @@
           buckets: bucketsMs,
         }),
     );
-    histogram.observe(this.bound(name, tags), ms);
+    histogram.observe(this.findSeries(name, tags).labels, ms);
   };
 
   /** Tells all metrics as text. */
   render(): Promise<string> {
+    this.flushCounts();
     return this.registry.metrics();
   }
 
@@ -77,21 +73,53 @@
     };
   }
 
-  /** Keeps the sets of label values of a name bounded. */
-  private bound(name: string, tags: Tags): Record<string, string> {
-    const known = findOrAdd(this.labelSets, name, () => new Set<string>());
-    const key = Object.values(tags).join('\n');
-    if (known.has(key)) return {...tags};
-    if (known.size < maxLabelSets) {
-      known.add(key);
-      return {...tags};
+  /** Counts gather in the series and go to the registry when it is told: an increment is on the path of each task. */
+  private flushCounts(): void {
+    for (const [name, all] of this.series) {
+      for (const series of all.values()) {
+        if (series.pending === 0) continue;
+        const counter = findOrAdd(
+          this.counters,
+          name,
+          () => new Counter(this.describe(name, series.labels)),
+        );
+        counter.inc(series.labels, series.pending);
+        series.pending = 0;
+      }
     }
-    return Object.fromEntries(
+  }
+
+  /** Finds a name's series by its label values; their number is bounded. */
+  private findSeries(name: string, tags: Tags): Series {
+    const all = findOrAdd(this.series, name, () => new Map<string, Series>());
+    const key = Object.values(tags).join('\n');
+    const known = all.get(key);
+    if (known !== undefined) return known;
+    if (all.size < maxLabelSets) return addSeries(all, key, {...tags});
+    const labels = Object.fromEntries(
       Object.keys(tags).map(label => [label, otherValue]),
     );
+    return all.get(otherValue) ?? addSeries(all, otherValue, labels);
   }
 }
 
+/** One set of label values of a metric. */
+interface Series {
+  readonly labels: Record<string, string>;
+  /** Counted and not told to the registry yet. */
+  pending: number;
+}
+
+function addSeries(
+  all: Map<string, Series>,
+  key: string,
+  labels: Record<string, string>,
+): Series {
+  const series = {labels, pending: 0};
+  all.set(key, series);
+  return series;
+}
+
 /** Serves a registry's text over HTTP at one path. */
 export class MetricsServer implements AsyncDisposable {
   private constructor(
