Hand a job to an entry that is half as late

An entry at its limit handed jobs only to one with a lag under 12 ms. The lag is now compared with the own one.

--- a/packages/policy/src/saturation.ts
+++ b/packages/policy/src/saturation.ts
@@ -23,8 +23,8 @@
 const turnsPerJob = 4;
 /** Below this the loop's lag is the usual one of a busy process, in ms. */
 const usualLagMs = 25;
-/** A process whose loop is later than this share of the usual has no time to spare. */
-const idleShare = 0.5;
+/** A job is handed to a process whose loop is no later than this share of the own one's lag. */
+const relayShare = 0.5;
 /** What came before it was refused is done within some turns of the loop. */
 const turnsToRecover = 10;
 const minRetryMs = 200;
@@ -51,8 +51,8 @@
 /**
  * Chooses to whom a job is handed by a process whose event loop is late; undefined while it keeps up
  * itself, or where nobody is known to be much better off. Load pattern: callers that crowd one of
- * several entries, as one entry serves a whole failure domain; handing a job on costs a tenth of
- * running it. Draws among those with time to spare, so that several do not crowd one.
+ * several entries, as one entry serves a whole failure domain. Draws among those that are much less
+ * late, so that several do not crowd one.
  */
 export function chooseRelay(
   lagMs: number,
@@ -60,7 +60,7 @@
   random: RandomSource,
 ): Address | undefined {
   if (lagMs <= usualLagMs) return undefined;
-  const idle = fellows.filter(fellow => fellow.lagMs <= idleShare * usualLagMs);
-  if (idle.length === 0) return undefined;
-  return idle[random.drawInt(idle.length)]!.address;
+  const better = fellows.filter(fellow => fellow.lagMs <= relayShare * lagMs);
+  if (better.length === 0) return undefined;
+  return better[random.drawInt(better.length)]!.address;
 }
