--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -132,6 +132,11 @@
     return owner.clock.now() < missingSince + returnLimitMs;
   }
 
+  /** What was sent and the system has not yet taken, in bytes. */
+  get unsentBytes(): number {
+    return this.attached?.unsentBytes ?? 0;
+  }
+
   /** True when nothing at the target is left to hear of. */
   get isIdle(): boolean {
     return this.outstanding.size === 0;
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -33,15 +33,17 @@
     }
   }
 
-  /** Counts what targets have reported since the start: messages, and the ends in them. */
-  countMessages(): {readonly reports: number; readonly ends: number} {
+  /** Counts what targets have reported since the start, messages and the ends in them, and the bytes that wait to be sent. */
+  countMessages(): Readonly<Record<string, number>> {
     let reports = 0;
     let ends = 0;
+    let unsentBytes = 0;
     for (const link of this.links.values()) {
       reports += link.reportCount;
       ends += link.endCount;
+      unsentBytes += link.unsentBytes;
     }
-    return {reports, ends};
+    return {reports, ends, unsentBytes};
   }
 
   /** Describes the targets of a service that take runs. */
