--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -133,8 +133,10 @@
     return true;
   }
 
-  /** Takes over a run that was accepted for the dispatcher. */
+  /** Takes over a run that was accepted for the dispatcher. Its permission is then asked for as often as runs need. */
   add(run: Run): void {
+    const dueAt = this.permittedFrom.monotonic + renewalIntervalMs;
+    this.nextQuestionAt = Math.min(this.nextQuestionAt, dueAt);
     this.runs.set(run.ticket, run);
     this.demand = sumDemand(this.demand, run.demand);
   }
--- a/packages/runner/test/session.test.ts
+++ b/packages/runner/test/session.test.ts
@@ -1,7 +1,12 @@
 import test from 'ava';
-import type {TargetLoad} from '#protocol';
+import type {Peer, ReportRunsParams, TargetLoad} from '#protocol';
 import {isLoadNews} from '../src/load.js';
-import {chooseLoadInterval} from '../src/session.js';
+import {openRuns} from '../src/run.js';
+import {
+  chooseLoadInterval,
+  renewalIntervalMs,
+  Session,
+} from '../src/session.js';
 
 test('what a target spends on telling its load does not grow with its dispatchers', t => {
   const countMessages = (isTight: boolean, dispatchers: number) =>
@@ -37,3 +42,36 @@
   t.true(isLoadNews(load, {...load, failing: 0.2}, ample));
   t.true(isLoadNews(load, {...load, cpuMillis: 30_000}, ample));
 });
+
+test('a dispatcher that was idle is asked for its permission long before that runs out', t => {
+  const questions: number[] = [];
+  const peer = {
+    notify: (_: string, {question}: ReportRunsParams) => {
+      if (question !== undefined) questions.push(question);
+    },
+  } as unknown as Peer;
+  const session = new Session('d', 1, peer, 0);
+  const ask = (monotonic: number) => {
+    const isAsked = session.ask({monotonic, wall: monotonic});
+    session.report(load, ample, 0, monotonic);
+    return isAsked;
+  };
+  t.true(ask(0));
+  t.true(session.grant(questions[0]!));
+  t.false(ask(250));
+  const [run] = openRuns(
+    {
+      job: 'job',
+      payload: '',
+      step: 0,
+      demand: {cpuMillis: 1, memoryMb: 1, accelerators: 0},
+      estimateMs: 100,
+      rankMs: 0,
+      runs: [[1, 0, 1]],
+    },
+    260,
+  );
+  session.add(run!);
+  t.false(ask(290));
+  t.true(ask(renewalIntervalMs));
+});
