Wait for targets that seem silent after this process stood still

A job was refused as without targets by a dispatcher whose event loop had been late for longer than a target may be silent: what the targets had sent was not read yet.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -125,10 +125,16 @@
     );
   }
 
-  /** True for a moment after the target came into view or went out of touch: it may be back at once. */
+  /**
+   * True for a moment after the target came into view or went out of touch, and while it is silent: it
+   * may be back at once, or this process stood still and has not read what it sent.
+   */
   get isReturning(): boolean {
-    const {missingSince, owner, info} = this;
-    if (missingSince === undefined || info.leaving) return false;
+    const {attached, missingSince, owner, info} = this;
+    if (info.leaving) return false;
+    if (missingSince === undefined) {
+      return attached !== undefined && attached.silentMs >= maxSilenceMs;
+    }
     return owner.clock.now() < missingSince + returnLimitMs;
   }
 
