--- a/packages/telemetry/src/process-load.ts
+++ b/packages/telemetry/src/process-load.ts
@@ -11,6 +11,8 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly clock?: Clock;
+  /** Watches the event loop; its owner disposes of it. One of its own where it is not given. */
+  readonly lag?: LoopLag;
   /** Reads the processor time used so far, in microseconds. */
   readonly readProcessorUs?: () => number;
   /** Counts of the role that belong beside its load. */
@@ -30,7 +32,7 @@
   constructor(private readonly options: ProcessLoadOptions) {
     this.clock = options.clock ?? monotonicClock;
     this.readProcessorUs = options.readProcessorUs ?? readOwnProcessorUs;
-    this.lag = new LoopLag(this.clock);
+    this.lag = options.lag ?? new LoopLag(this.clock);
     this.reportedAt = this.clock.now();
     this.usedUs = this.readProcessorUs();
     this.timer = setInterval(() => this.report(), reportIntervalMs);
@@ -39,7 +41,7 @@
 
   [Symbol.dispose](): void {
     clearInterval(this.timer);
-    this.lag[Symbol.dispose]();
+    if (this.options.lag === undefined) this.lag[Symbol.dispose]();
   }
 
   /** Writes what has happened since the last report. */
