--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -1,6 +1,6 @@
 // Builds what the platform runs from the compiled packages: target/wasabiring, and the same bundle with a code cache for deploy/system.toml.
 import {spawnSync} from 'node:child_process';
-import {copyFileSync, readFileSync} from 'node:fs';
+import {copyFileSync, readFileSync, rmSync, statSync} from 'node:fs';
 import process from 'node:process';
 import {parse} from 'smol-toml';
 import {writeBinary} from './bundle.js';
@@ -19,6 +19,7 @@
   const [, ...words] = roles.entry.run.split(' ');
   const options = words.filter(word => word.startsWith('--'));
   const start = [...options, 'target/start.cjs', 'entry'];
+  rmSync('target/wasabiring.cache', {force: true});
   // Without settings the program refuses to start, once all of its modules are loaded.
   spawnSync(process.execPath, start, {
     env: {
@@ -28,4 +29,6 @@
     },
     stdio: 'ignore',
   });
+  // Throws where none was written: each start would compile the bundle anew.
+  statSync('target/wasabiring.cache');
 }
