Sync the last segment of a log when it is read back

Cause: a killed process leaves writes that it had not synced; the next one read them and began a segment that went on from there, and the power cut took them away.

The last segment is now synced before anything goes on from it.

--- a/packages/storage/src/recovery.ts
+++ b/packages/storage/src/recovery.ts
@@ -112,7 +112,11 @@
   });
 }
 
-/** Reads a segment's records; removes a segment that a crash kept from being begun. */
+/**
+ * Reads a segment's records; removes a segment that a crash kept from being begun. The last one is
+ * synced: what a killed process had written and not synced is read back, and must not be lost to a
+ * later power cut once the next segment goes on from it.
+ */
 async function readSegment(
   disk: Disk,
   file: string,
@@ -122,9 +126,8 @@
   const scanned = readFrames(file, data);
   if (scanned.isLeft()) return scanned as Either<StoreError, never>;
   const {bodies, validBytes} = scanned.unsafeCoerce();
-  if (validBytes === data.length && bodies.length > 0) {
-    return Right(bodies as readonly LogRecord[]);
-  }
+  const isWhole = validBytes === data.length && bodies.length > 0;
+  if (isWhole && !isLast) return Right(bodies as readonly LogRecord[]);
   if (!isLast) {
     return Left({
       kind: 'corrupt',
@@ -135,11 +138,11 @@
     });
   }
   if (bodies.length === 0) await disk.remove(file);
-  else await truncateFile(disk, file, validBytes);
+  else await settleFile(disk, file, validBytes);
   return Right(bodies as readonly LogRecord[]);
 }
 
-async function truncateFile(
+async function settleFile(
   disk: Disk,
   file: string,
   length: number,
--- a/packages/storage/test/store.test.ts
+++ b/packages/storage/test/store.test.ts
@@ -222,3 +222,23 @@
     }
   });
 }
+
+// A killed process leaves what it wrote and had not synced; the next one goes on from it.
+test('what a killed process had not synced outlives a power cut after the next one went on from it', async t => {
+  for (let seed = 0; seed < 40; seed++) {
+    const disk = new ForgetfulDisk();
+    const store = await openWith(disk, makeEntry(2));
+    disk.operationsLeft = 2;
+    const killed = await store.append({entries: [makeEntry(3, 1, 3000)]});
+    t.true(killed.isLeft());
+    disk.operationsLeft = Infinity;
+    const next = await openSound(disk);
+    t.deepEqual(listIndexes(next), [1, 2, 3]);
+    const acknowledged = await next.append({entries: [makeEntry(4)]});
+    t.true(acknowledged.isRight());
+    disk.losePower(xoroshiro128plus(seed));
+    const reopened = await openOn(disk);
+    t.true(reopened.isRight(), `seed ${seed}: ${reopened.swap().extract()}`);
+    t.deepEqual(listIndexes(reopened.unsafeCoerce()), [1, 2, 3, 4]);
+  }
+});
