--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -43,6 +43,7 @@
 import {Relay} from './relay.js';
 import {Rescuer} from './rescuer.js';
 import {RunnerFleet} from './runner-fleet.js';
+import {sleepUntil} from './wait.js';
 
 export interface DispatcherOptions {
   readonly id: string;
@@ -87,6 +88,8 @@
   private dispatchers: readonly Address[] = [];
   private readonly ownership: OwnershipOptions;
   private isScheduled = false;
+  /** Time spent on placing since the start, in ms. */
+  private placingMs = 0;
   private readonly metrics: Metrics;
 
   constructor(private readonly options: DispatcherOptions) {
@@ -141,23 +144,23 @@
 
   /** Jobs accepted and not answered. */
   get jobCount(): number {
-    const own = [...this.jobs.values()].filter(({isAnswered}) => !isAnswered);
-    return own.length + this.relay.size;
+    let count = this.relay.size;
+    for (const {isAnswered} of this.jobs.values()) count += isAnswered ? 0 : 1;
+    return count;
   }
 
   /** Counts the accepted jobs of a queue of which no task was placed. */
   countWaiting(queue: string): number {
-    let waiting = 0;
-    for (const job of this.jobs.values()) {
-      const isWaiting = isUntouched(job) && !job.isAnswered;
-      if (job.queue.name === queue && isWaiting) waiting++;
-    }
-    return waiting;
+    const jobs = [...this.jobs.values()].filter(
+      job => job.queue.name === queue && isUntouched(job) && !job.isAnswered,
+    );
+    return jobs.length;
   }
 
   /** Counts what is in hand and what targets have told, for the log. */
   describe(): Readonly<Record<string, number>> {
-    return {jobs: this.jobCount, ...this.fleet.countMessages()};
+    const placingMs = Math.round(this.placingMs);
+    return {jobs: this.jobCount, placingMs, ...this.fleet.countMessages()};
   }
 
   /** True when some target could take work. */
@@ -349,6 +352,7 @@
     const impossible = this.placer.placeAll(this.waiting, now);
     this.rescuer.look(now);
     for (const job of impossible) this.close(job, {kind: 'failed'});
+    this.placingMs += this.clock.now() - now;
   }
 
   private recordEnd(
@@ -426,10 +430,10 @@
   }
 
   private measureEnd(job: ActiveJob, {kind: outcome}: JobOutcome): void {
-    const queue = job.queue.name;
+    const tags = {queue: job.queue.name, outcome};
     const ageMs = this.clock.now() - job.arrivedAt;
-    this.metrics.increment('queued.jobs', 1, {queue, outcome});
-    this.metrics.timing('queued.job.response', ageMs, {queue, outcome});
+    this.metrics.increment('queued.jobs', 1, tags);
+    this.metrics.timing('queued.job.response', ageMs, tags);
     this.metrics.gauge('queued.jobs.open', this.jobs.size);
   }
 
@@ -440,8 +444,3 @@
     for (const close of job.closers) close();
   }
 }
-
-function sleepUntil(deadline: Instant, clock: Clock): Promise<undefined> {
-  const ms = Math.max(0, deadline - clock.now());
-  return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
-}
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -72,9 +72,10 @@
 
 /** A dispatcher's connection to the runner of one target, and its runs there. */
 export class RunnerLink implements AsyncDisposable {
-  /** Reports taken, and the ends in them. */
+  /** Reports taken, the ends in them, and those that told a load only. */
   reportCount = 0;
   endCount = 0;
+  loadOnlyCount = 0;
   private readonly outstanding = new Map<RunTicket, OutstandingRun>();
   /** The latest connection, which may still be attaching. */
   private peer: Peer | undefined;
@@ -258,6 +259,7 @@
       {
         'dispatcher.report': ({ends, load, question}, peer) => {
           if (question !== undefined) this.grantPermission(question, peer);
+          else if (ends.length === 0) this.loadOnlyCount++;
           if (peer === this.peer) this.take(ends, load);
         },
       },
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -33,17 +33,19 @@
     }
   }
 
-  /** Counts what targets have reported since the start, messages and the ends in them, and the bytes that wait to be sent. */
+  /** Counts what targets have reported since the start: messages, the ends in them, and those that told a load only; and the bytes that wait to be sent. */
   countMessages(): Readonly<Record<string, number>> {
     let reports = 0;
     let ends = 0;
+    let loadsOnly = 0;
     let unsentBytes = 0;
     for (const link of this.links.values()) {
       reports += link.reportCount;
       ends += link.endCount;
+      loadsOnly += link.loadOnlyCount;
       unsentBytes += link.unsentBytes;
     }
-    return {reports, ends, unsentBytes};
+    return {reports, ends, loadsOnly, unsentBytes};
   }
 
   /** Describes the targets of a service that take runs. */
--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -50,8 +50,31 @@
   readonly clock?: Clock;
   /** Spreads the clients over the replicas: where in the list this one begins. */
   readonly first?: number;
+  /** Told what becomes of the connection, for the log. */
+  readonly onEvent?: (event: ControlEvent) => void;
 }
 
+/** What became of a client's connection to control. */
+export type ControlEvent =
+  | {readonly kind: 'connected'; readonly control: Address}
+  | {
+      readonly kind: 'unreachable';
+      readonly control: Address;
+      readonly detail: string;
+    }
+  /** The connection was given up, or was over. */
+  | {
+      readonly kind: 'left';
+      readonly control: Address;
+      readonly detail: string;
+    }
+  /** The view is followed at a replica, from this revision. */
+  | {
+      readonly kind: 'watching';
+      readonly control: Address;
+      readonly revision: number;
+    };
+
 /** Receives each new view and the changes that led to it; unset after a full view. */
 export type ViewListener = (
   view: View,
@@ -240,8 +263,12 @@
       .ifRight(peer => {
         if (this.pause.isOver) peer.close('closed by this end');
         this.peer = peer;
+        this.tell({kind: 'connected', control: address});
       })
-      .ifLeft(() => this.rotate(address));
+      .ifLeft(detail => {
+        this.rotate(address);
+        this.tell({kind: 'unreachable', control: address, detail});
+      });
     return dialled;
   }
 
@@ -252,6 +279,11 @@
     if (leader === undefined || leader === left) this.rotate(left);
     else this.next = leader;
     peer.close(cause);
+    this.tell({kind: 'left', control: left, detail: cause});
+  }
+
+  private tell(event: ControlEvent): void {
+    this.options.onEvent?.(event);
   }
 
   private rotate(from: Address): void {
@@ -286,7 +318,12 @@
     const taken = reply
       .map(first => [first, ...early].every(update => this.take(update)))
       .orDefault(false);
-    if (!taken) this.leave(peer, 'its view cannot be followed');
+    if (taken) {
+      const {revision} = this.latest;
+      this.tell({kind: 'watching', control: this.next, revision});
+    } else {
+      this.leave(peer, 'its view cannot be followed');
+    }
     return taken;
   }
 
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -29,6 +29,7 @@
 
 export type {
   ControlClientOptions,
+  ControlEvent,
   ControlFailure,
   ControlRequest,
   ControlValue,
