Judge a peer only after what it sent was read

Cause: the event loop runs due timers before it reads. After a turn longer than a limit, a connection that is open, an answer that is there and a peer that has spoken count as missing; the entry then dials again, without end. Change: PatientTimer lets the loop read once before it acts; dialling, requests and the watchdog use it.

--- a/packages/protocol/src/endpoint.ts
+++ b/packages/protocol/src/endpoint.ts
@@ -2,6 +2,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {Address, Instant} from '#model';
 import {monotonicClock, computeRemainingMs, parseAddress} from '#model';
+import {PatientTimer} from './patient-timer.js';
 import {type ByteSink, type Handlers, type Liveness, Peer} from './peer.js';
 
 const readBufferBytes = 64 * 1024;
@@ -53,18 +54,18 @@
         },
       },
     });
-    const timer = setTimeout(
-      () => giveUp('no connection by the deadline'),
+    const timer = new PatientTimer(
       computeRemainingMs(monotonicClock.now(), deadline),
+      () => giveUp('no connection by the deadline'),
     );
     const giveUp = (cause: string) => {
-      clearTimeout(timer);
+      timer[Symbol.dispose]();
       socket.destroy();
       resolve(Left(`${host}:${port}: ${cause}`));
     };
     socket.once('error', error => giveUp(error.message));
     socket.once('connect', () => {
-      clearTimeout(timer);
+      timer[Symbol.dispose]();
       socket.removeAllListeners('error');
       resolve(Right({socket, sink}));
     });
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -2,6 +2,7 @@
 import {
   createJSONRPCErrorResponse,
   isJSONRPCRequest,
+  type JSONRPCError,
   type JSONRPCErrorException,
   JSONRPCClient,
   JSONRPCErrorCode,
@@ -17,6 +18,7 @@
   monotonicClock,
 } from '#model';
 import {checkParams} from './checks.js';
+import {PatientTimer} from './patient-timer.js';
 import {encodeFrame, FrameReader, preface} from './frame.js';
 import type {
   MethodName,
@@ -83,12 +85,13 @@
   /** By method, for messages that are not answered. */
   private readonly listeners = new Map<string, (params: unknown) => void>();
   private readonly reader = new FrameReader();
-  private watchdog: NodeJS.Timeout | undefined;
+  private watchdog: PatientTimer | undefined;
   private watchdogDueAt: Instant = Infinity;
   private resolveClosed!: (cause: string) => void;
   private closeCause: string | undefined;
   private lastReceived: Instant = monotonicClock.now();
   private isAsking = false;
+  private lastId = 0;
   private outgoing: Buffer[] = [];
 
   constructor(
@@ -176,14 +179,23 @@
       maxRequestMs,
       Math.max(1, computeRemainingMs(monotonicClock.now(), deadline)),
     );
-    try {
-      const requester = this.rpc.client.timeout(remainingMs, id =>
+    const {client} = this.rpc;
+    const id = ++this.lastId;
+    const timer = new PatientTimer(remainingMs, () =>
+      client.receive(
         createJSONRPCErrorResponse(id, timeoutCode, 'timeout', ownTimeout),
-      );
-      return Right(await requester.request(method, params, undefined));
-    } catch (error) {
-      return Left(this.describeFailure(error));
-    }
+      ),
+    );
+    const response = await client.requestAdvanced({
+      jsonrpc: '2.0',
+      id,
+      method,
+      params,
+    });
+    timer[Symbol.dispose]();
+    return response.error === undefined
+      ? Right(response.result as ResultOf<Name>)
+      : Left(this.describeFailure(response.error));
   }
 
   /** Sends a notice. It is lost when the connection ends before it arrives. */
@@ -197,7 +209,7 @@
     if (this.closeCause !== undefined) return;
     this.flush();
     this.closeCause = cause;
-    clearTimeout(this.watchdog);
+    this.watchdog?.[Symbol.dispose]();
     this.socket.destroy();
     this.rpc.rejectAllPendingRequests(`disconnected: ${cause}`);
     this.resolveClosed(cause);
@@ -294,9 +306,9 @@
         : Math.min(probeAfterMs, silenceLimitMs - silentMs + 1);
     const dueAt = now + Math.max(1, dueMs);
     if (this.watchdogDueAt <= dueAt) return;
-    clearTimeout(this.watchdog);
+    this.watchdog?.[Symbol.dispose]();
     this.watchdogDueAt = dueAt;
-    this.watchdog = setTimeout(() => this.checkLiveness(), dueAt - now);
+    this.watchdog = new PatientTimer(dueAt - now, () => this.checkLiveness());
     this.watchdog.unref();
   }
 
@@ -315,15 +327,12 @@
     this.armWatchdog();
   }
 
-  private describeFailure(error: unknown): RpcFailure {
+  private describeFailure({message, data}: JSONRPCError): RpcFailure {
     if (!this.isOpen) {
       return {kind: 'disconnected', detail: this.closeCause ?? ''};
     }
-    if ((error as JSONRPCErrorException).data === ownTimeout) {
-      return {kind: 'timeout'};
-    }
-    const detail = error instanceof Error ? error.message : String(error);
-    return {kind: 'rejected', detail};
+    if (data === ownTimeout) return {kind: 'timeout'};
+    return {kind: 'rejected', detail: message};
   }
 }
 
