--- a/packages/protocol/src/patient-timer.ts
+++ b/packages/protocol/src/patient-timer.ts
@@ -14,7 +14,7 @@
   }
 
   /** Lets the process end while it waits. */
-  unref(): void {
+  allowExit(): void {
     this.timer.unref();
   }
 
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -309,7 +309,7 @@
     this.watchdog?.[Symbol.dispose]();
     this.watchdogDueAt = dueAt;
     this.watchdog = new PatientTimer(dueAt - now, () => this.checkLiveness());
-    this.watchdog.unref();
+    this.watchdog.allowExit();
   }
 
   private checkLiveness(): void {
