--- a/packages/control/src/machine.ts
+++ b/packages/control/src/machine.ts
@@ -1,5 +1,5 @@
-import {assertInvariant, BrokenInvariant} from '#model';
-import type {ViewUpdate, WatchParams} from '#protocol';
+import {assertInvariant, BrokenInvariant, failUnreachable} from '#model';
+import type {View, ViewUpdate, WatchParams} from '#protocol';
 import {
   applyCommand,
   buildView,
@@ -8,11 +8,20 @@
   type ControlState,
   createState,
   decodeSnapshot,
+  emptyView,
   encodeSnapshot,
 } from '#membership';
 import type {AppliedCommand, StateMachine} from '#storage';
 import {ChangeRing} from './ring.js';
 
+const emptyWireView: View = {
+  targets: [],
+  gone: [],
+  entries: [],
+  ended: [],
+  configuration: emptyView.configuration,
+};
+
 /** The replica's copy of the state, and the recent changes for those who watch it. */
 export class Machine implements StateMachine<Command, CommandResult> {
   private current: ControlState = createState();
@@ -68,8 +77,20 @@
       return {kind: 'delta', from: since, revision, changes: []};
     }
     const view = buildView(this.current);
-    if (topics === 'all') return {kind: 'full', revision, view};
-    const bare = {...view, targets: [], gone: [], entries: [], ended: []};
-    return {kind: 'full', revision, view: bare};
+    return {kind: 'full', revision, view: selectTopics(view, topics)};
+  }
+}
+
+function selectTopics(view: View, topics: WatchParams['topics']): View {
+  const {targets, configuration} = view;
+  switch (topics) {
+    case 'all':
+      return view;
+    case 'configuration':
+      return {...emptyWireView, configuration};
+    case 'targets':
+      return {...emptyWireView, targets};
+    default:
+      return failUnreachable(topics);
   }
 }
--- a/packages/control/src/ring.ts
+++ b/packages/control/src/ring.ts
@@ -1,3 +1,4 @@
+import {failUnreachable} from '#model';
 import type {ViewChange, WatchParams} from '#protocol';
 
 const maxEntries = 8192;
@@ -38,8 +39,16 @@
     for (const entry of this.entries.slice(this.findAfter(revision))) {
       changes.push(...entry.changes);
     }
-    if (topics === 'all') return changes;
-    return changes.filter(change => change.kind === 'configured').slice(-1);
+    switch (topics) {
+      case 'all':
+        return changes;
+      case 'targets':
+        return changes.filter(isAboutTargets);
+      case 'configuration':
+        return changes.filter(({kind}) => kind === 'configured').slice(-1);
+      default:
+        return failUnreachable(topics);
+    }
   }
 
   private findAfter(revision: number): number {
@@ -53,3 +62,7 @@
     return low;
   }
 }
+
+function isAboutTargets({kind}: ViewChange): boolean {
+  return kind === 'target-joined' || kind === 'target-gone';
+}
--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -1,7 +1,14 @@
 import type {Instant, QueueConfig, QueuedJob, TargetId} from '#model';
-import {estimateChainMs, hasReady, type JobState} from '#jobs';
+import {
+  computeDueMs,
+  computeUsefulMs,
+  estimateChainMs,
+  hasReady,
+  type JobState,
+  openJob,
+} from '#jobs';
 import {rankWork} from '#policy';
-import type {RunTicket} from '#protocol';
+import type {JobEnd, RunTicket} from '#protocol';
 
 /** A queued job and its caller's patience. */
 export interface JobSubmission {
@@ -14,17 +21,7 @@
 }
 
 /** What became of a submitted job. */
-export type JobOutcome =
-  | {readonly kind: 'completed'}
-  | {readonly kind: 'failed'}
-  /** Nothing of it has run, and nothing will. */
-  | {
-      readonly kind: 'refused';
-      readonly retryAfterMs: number;
-      readonly detail: string;
-    }
-  /** Its caller's time was over first; some of it may have run. */
-  | {readonly kind: 'expired'};
+export type JobOutcome = JobEnd;
 
 /** A job in hand, with what is known of its runs. */
 export interface ActiveJob {
@@ -53,6 +50,33 @@
   expiry: NodeJS.Timeout | undefined;
 }
 
+/** Opens a job with the work that is expected of its tasks; `onOutcome` is told what becomes of it. */
+export function openActiveJob(
+  {job: submitted, queue, arrivedAt, leavesAt}: JobSubmission,
+  job: QueuedJob,
+  isFirst: boolean,
+  onOutcome: (outcome: JobOutcome) => void,
+): ActiveJob {
+  const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
+  return {
+    state: openJob(job, queue.maxAttempts),
+    submitted,
+    queue,
+    arrivedAt,
+    dueAt: arrivedAt + computeDueMs(job, queue.objective),
+    uselessAt: Math.min(leavesAt, uselessAt),
+    leavesAt,
+    chainMs: estimateChainMs(job),
+    tickets: new Map(),
+    hasRun: !isFirst,
+    isHeldBack: false,
+    isAnswered: false,
+    closers: [],
+    waiters: [onOutcome],
+    expiry: undefined,
+  };
+}
+
 /** True when no run of a job has begun, nor can one begin that was placed already. */
 export function isUntouched({hasRun, tickets}: ActiveJob): boolean {
   return !hasRun && tickets.size === 0;
--- a/packages/dispatch/src/claims.ts
+++ b/packages/dispatch/src/claims.ts
@@ -1,5 +1,4 @@
-import {createHash} from 'node:crypto';
-import {type Address, type JobId, RecentMap} from '#model';
+import {type Address, type JobId, RecentMap, weighRendezvous} from '#model';
 
 /** Claims kept: a minute's worth at some hundred jobs a second. */
 const maxClaims = 20_000;
@@ -19,15 +18,16 @@
   }
 }
 
-/** Orders dispatchers by how well they rank as the registrar of a job: each job has its own order. */
+/**
+ * Orders dispatchers by how well they rank as the registrar of a job: each job has its own order. The
+ * first is its home, to which entries hand it.
+ */
 export function rankRegistrars(
   job: JobId,
   dispatchers: readonly Address[],
 ): readonly Address[] {
-  const weigh = (address: Address) =>
-    createHash('md5').update(job).update(address).digest().readUInt32LE(0);
   return dispatchers
-    .map(address => ({address, weight: weigh(address)}))
+    .map(address => ({address, weight: weighRendezvous(job, address)}))
     .sort((a, b) => b.weight - a.weight)
     .map(({address}) => address);
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,39 +4,30 @@
   computeDeadline,
   type Instant,
   type JobId,
+  type JobStep,
   monotonicClock,
   RecentMap,
   type RunEnd,
+  type ServiceName,
   type TargetId,
 } from '#model';
-import {
-  cancelJob,
-  computeDueMs,
-  computeUsefulMs,
-  endRun,
-  estimateChainMs,
-  hasReady,
-  openJob,
-} from '#jobs';
-import type {
-  FollowJobResult,
-  Handlers,
-  RelayJobParams,
-  RelayJobResult,
-} from '#protocol';
-import type {View} from '#membership';
+import {cancelJob, endRun, hasReady} from '#jobs';
+import type {FollowJobResult, Handlers, RelayJobParams} from '#protocol';
+import {emptyView, type View} from '#membership';
 import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import {
   type ActiveJob,
   isUntouched,
   type JobOutcome,
   type JobSubmission,
+  openActiveJob,
 } from './active-job.js';
 import {ClaimTable} from './claims.js';
+import {logEnd, measureEnd} from './events.js';
 import {Expiry, withdrawRuns} from './expiry.js';
 import {Fellows} from './fellows.js';
 import {Forecast} from './forecast.js';
-import {Intake} from './intake.js';
+import {Intake, sumWaiting} from './intake.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, settleOwnership} from './ownership.js';
 import {Placer} from './placer.js';
@@ -52,6 +43,11 @@
   readonly failureDomain: string;
   /** Where it listens for other dispatchers; undefined for one without others. */
   readonly address?: Address;
+  /** Lists where the dispatchers of a service listen: beside each of its targets unless it is given. */
+  readonly listDispatchers?: (
+    view: View,
+    service: ServiceName,
+  ) => readonly Address[];
   readonly log: Logger;
   readonly metrics?: Metrics;
   readonly clock?: Clock;
@@ -85,7 +81,7 @@
   private readonly relay: Relay;
   private readonly readLagMs: () => number;
   private isLeaving = false;
-  private dispatchers: readonly Address[] = [];
+  private view: View = emptyView;
   private readonly ownership: OwnershipOptions;
   private isScheduled = false;
   /** Time spent on placing since the start, in ms. */
@@ -101,7 +97,7 @@
       claims: this.claims,
       fellows: this.fellows,
       log: options.log,
-      listDispatchers: () => this.dispatchers,
+      listDispatchers: service => this.listDispatchers(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
     };
     this.fleet = new RunnerFleet({
@@ -125,6 +121,8 @@
       log: options.log,
       metrics: this.metrics,
       readLagMs: this.readLagMs,
+      listLoads: () => this.fellows.listLoads(),
+      countDispatchers: service => this.listDispatchers(service).length,
     });
     this.expiry = new Expiry({
       clock: this.clock,
@@ -170,10 +168,17 @@
 
   /** Follows the targets that control knows. */
   follow(view: View): void {
-    this.dispatchers = [...view.entries.values()].map(({address}) => address);
+    this.view = view;
     this.fleet.follow(view);
   }
 
+  private listDispatchers(service: ServiceName): readonly Address[] {
+    const {listDispatchers} = this.options;
+    if (listDispatchers !== undefined)
+      return listDispatchers(this.view, service);
+    return this.fleet.listKnown(service).map(({address}) => address);
+  }
+
   /** Takes no more jobs from other dispatchers. */
   leave(): void {
     this.isLeaving = true;
@@ -197,7 +202,9 @@
       this.clock.now(),
     );
     if (refusal !== undefined) return refusal;
-    const standing = await settleOwnership(this.ownership, job.id, leavesAt);
+    const {service} = submission.queue;
+    const claimed = {job: job.id, service};
+    const standing = await settleOwnership(this.ownership, claimed, leavesAt);
     switch (standing.kind) {
       case 'completed':
       case 'failed':
@@ -205,21 +212,27 @@
       case 'uncertain':
         return {kind: 'expired'};
       case 'own':
-        return (
-          (await this.findHere(job.id)) ??
-          this.run(submission, standing.isFirst)
-        );
+        // Looked up and run in one turn: the same job may be settled twice at a time.
+        return this.jobs.has(job.id) || this.finished.has(job.id)
+          ? this.submit(submission)
+          : this.run(submission, standing.isFirst);
     }
   }
 
   /** What other dispatchers ask of this one. */
   createHandlers(): Handlers {
     return {
-      'dispatcher.claim': ({job, claimant, replaces}) => ({
+      'dispatcher.claim': ({job, claimant, replaces, service}) => ({
         owner: this.claims.note(job, claimant, replaces),
-        ...(!this.isLeaving && {lagMs: this.readLagMs()}),
+        ...(!this.isLeaving && {
+          lagMs: this.readLagMs(),
+          waitingCoreMs: sumWaiting(service, this.jobs.values()),
+        }),
+      }),
+      'dispatcher.relay': async params => ({
+        end: await this.takeRelayed(params),
+        waiting: this.countWaiting(params.queue.name),
       }),
-      'dispatcher.relay': params => this.takeRelayed(params),
       'dispatcher.abandon': ({job}) => this.giveUp(job),
       'dispatcher.follow': ({job, remainingMs}) =>
         this.answerFollower(
@@ -260,10 +273,15 @@
     queue,
     ageMs,
     remainingMs,
-  }: RelayJobParams): Promise<RelayJobResult> {
+  }: RelayJobParams): Promise<JobOutcome> {
     if (this.isLeaving) {
       const detail = 'this dispatcher is about to stop';
-      return {kind: 'refused', retryAfterMs: leavingRetryMs, detail};
+      return {
+        kind: 'refused',
+        cause: 'leaving',
+        retryAfterMs: leavingRetryMs,
+        detail,
+      };
     }
     const now = this.clock.now();
     const leavesAt = computeDeadline(now, remainingMs);
@@ -298,28 +316,13 @@
   ): Promise<JobOutcome> {
     const now = this.clock.now();
     const job = this.forecast.adjust(submitted, queue.name);
-    const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
     return new Promise(resolve => {
-      const active: ActiveJob = {
-        state: openJob(job, queue.maxAttempts),
-        submitted,
-        queue,
-        arrivedAt,
-        dueAt: arrivedAt + computeDueMs(job, queue.objective),
-        uselessAt: Math.min(leavesAt, uselessAt),
-        leavesAt,
-        chainMs: estimateChainMs(job),
-        tickets: new Map(),
-        hasRun: !isFirst,
-        isHeldBack: false,
-        isAnswered: false,
-        closers: [],
-        waiters: [resolve],
-        expiry: undefined,
-      };
+      const submission = {job: submitted, queue, arrivedAt, leavesAt};
+      const active = openActiveJob(submission, job, isFirst, resolve);
       this.expiry.arm(active, active.uselessAt - active.chainMs);
       this.jobs.set(job.id, active);
       this.waiting.add(active);
+      if (job.steps.some(hasNeeds)) this.followHolders(active);
       this.options.log.debug(
         {
           event: 'job-accepted',
@@ -351,10 +354,18 @@
     }
     const impossible = this.placer.placeAll(this.waiting, now);
     this.rescuer.look(now);
-    for (const job of impossible) this.close(job, {kind: 'failed'});
+    for (const job of impossible) {
+      if (!this.followHolders(job)) this.close(job, {kind: 'failed'});
+    }
     this.placingMs += this.clock.now() - now;
   }
 
+  /** Follows targets for what a job's tasks need; false when none could ever hold one of them. */
+  private followHolders({state, queue}: ActiveJob): boolean {
+    const {steps} = state.job;
+    return steps.every(step => this.fleet.followHolders(queue.service, step));
+  }
+
   private recordEnd(
     target: TargetId,
     run: OutstandingRun,
@@ -413,30 +424,13 @@
       this.given.set(job.state.job.id, true);
     }
     withdrawRuns(this.fleet, job, false);
-    const level = outcome.kind === 'completed' ? 'debug' : 'info';
-    this.options.log[level](
-      {
-        event: 'job-ended',
-        job: job.state.job.id,
-        queue: job.queue.name,
-        outcome: outcome.kind,
-        ageMs: Math.round(this.clock.now() - job.arrivedAt),
-      },
-      'a job is over',
-    );
-    this.measureEnd(job, outcome);
+    logEnd(this.options.log, job, outcome, this.clock.now());
+    measureEnd(this.metrics, job, outcome, this.clock.now());
+    this.metrics.gauge('queued.jobs.open', this.jobs.size);
     for (const resolve of job.waiters) resolve(outcome);
     this.forgetEnded(job);
   }
 
-  private measureEnd(job: ActiveJob, {kind: outcome}: JobOutcome): void {
-    const tags = {queue: job.queue.name, outcome};
-    const ageMs = this.clock.now() - job.arrivedAt;
-    this.metrics.increment('queued.jobs', 1, tags);
-    this.metrics.timing('queued.job.response', ageMs, tags);
-    this.metrics.gauge('queued.jobs.open', this.jobs.size);
-  }
-
   /** Forgets an answered job once nothing of it runs any more. */
   private forgetEnded(job: ActiveJob): void {
     if (job.tickets.size > 0) return;
@@ -444,3 +438,8 @@
     for (const close of job.closers) close();
   }
 }
+
+/** True when not every target serves a task equally well. */
+function hasNeeds({requiredLabel, dataRack}: JobStep): boolean {
+  return requiredLabel !== undefined || dataRack !== undefined;
+}
--- a/packages/dispatch/src/expiry.ts
+++ b/packages/dispatch/src/expiry.ts
@@ -39,6 +39,7 @@
     if (isUntouched(job)) {
       close(job, {
         kind: 'refused',
+        cause: 'no-room',
         retryAfterMs: estimateRetryMs(job.queue.service),
         detail: 'no room was found while its answer was of use',
       });
--- a/packages/dispatch/src/fellows.ts
+++ b/packages/dispatch/src/fellows.ts
@@ -10,30 +10,55 @@
   dialTimeoutMs,
   type FollowJobResult,
   type Liveness,
+  type ParamsOf,
   type Peer,
   type RelayJobParams,
   type RelayJobResult,
+  type RequestName,
+  type ResultOf,
 } from '#protocol';
-import type {FellowLag} from '#policy';
+import type {FellowLoad} from '#policy';
 
-const liveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
+/** While an answer is awaited: silence of a second is a fault. */
+const busyLiveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
+/** While none is, between dispatchers: each may know all others of its service. */
+const usualIdleLiveness: Liveness = {
+  probeAfterMs: 10_000,
+  silenceLimitMs: 25_000,
+};
 /** A dispatcher that could not be reached is left alone for this long, in ms. */
 const avoidMs = 700;
+/** What a dispatcher has told of its load changes within seconds, in ms. */
+const loadLifeMs = 1500;
 
-/** How late an event loop is changes within seconds, in ms. */
-const lagLifeMs = 1500;
-
-interface ToldLag {
-  readonly lagMs: number;
+interface ToldLoad {
+  readonly load: FellowLoad;
   readonly toldAt: Instant;
 }
 
-/** Connections to the other dispatchers, opened when first needed. */
+interface Line {
+  readonly opening: Promise<Peer | undefined>;
+  /** Set once it is open. */
+  peer?: Peer;
+  /** Questions that are not answered. */
+  asked: number;
+}
+
+/** What became of a job that was to be handed on. */
+export type HandOn =
+  | {readonly kind: 'answered'; readonly result: RelayJobResult}
+  /** There is no connection: nothing was sent. */
+  | {readonly kind: 'unsent'}
+  /** It was sent, and its end is not known. */
+  | {readonly kind: 'lost'};
+
+/** Connections to other dispatchers, opened when first needed. */
 export class Fellows implements AsyncDisposable {
-  private readonly peers = new Map<Address, Promise<Peer | undefined>>();
+  private readonly lines = new Map<Address, Line>();
   private readonly avoidedUntil = new Map<Address, Instant>();
-  /** How late each one's event loop was when it last told. */
-  private readonly lags = new Map<Address, ToldLag>();
+  private readonly loads = new Map<Address, ToldLoad>();
+
+  constructor(private readonly idleLiveness: Liveness = usualIdleLiveness) {}
 
   /** Asks a registrar for the owner of a job; undefined when it does not answer in time. */
   async askOwner(
@@ -41,43 +66,41 @@
     params: ClaimJobParams,
     deadline: Instant,
   ): Promise<Address | undefined> {
-    const peer = await this.open(address);
-    if (peer === undefined) return undefined;
-    const reply = await peer.request('dispatcher.claim', params, deadline);
-    if (reply.isLeft()) this.suspend(address);
-    const result = reply.toMaybe().extract();
-    if (result?.lagMs === undefined) this.lags.delete(address);
-    else
-      this.lags.set(address, {
-        lagMs: result.lagMs,
-        toldAt: monotonicClock.now(),
-      });
-    return result?.owner;
+    const reply = await this.ask(address, 'dispatcher.claim', params, deadline);
+    if (typeof reply === 'string') this.suspend(address);
+    if (typeof reply === 'string' || reply.lagMs === undefined) {
+      this.loads.delete(address);
+    } else {
+      const {lagMs, waitingCoreMs = 0} = reply;
+      const toldAt = monotonicClock.now();
+      this.loads.set(address, {load: {address, lagMs, waitingCoreMs}, toldAt});
+    }
+    return typeof reply === 'string' ? undefined : reply.owner;
   }
 
-  /** Lists the others that lately told how late their event loops were. */
-  listLags(): readonly FellowLag[] {
-    const since = monotonicClock.now() - lagLifeMs;
-    return [...this.lags]
-      .filter(([, {toldAt}]) => toldAt >= since)
-      .map(([address, {lagMs}]) => ({address, lagMs}));
+  /** Lists what the others have told of their load lately. */
+  listLoads(): readonly FellowLoad[] {
+    const since = monotonicClock.now() - loadLifeMs;
+    return [...this.loads.values()]
+      .filter(({toldAt}) => toldAt >= since)
+      .map(({load}) => load);
   }
 
-  /** Hands a job on and waits for its end; undefined when that is not known. */
+  /** Hands a job on and waits for its end. */
   async relay(
     address: Address,
     params: RelayJobParams,
     deadline: Instant,
-  ): Promise<RelayJobResult | undefined> {
-    const peer = await this.open(address);
-    if (peer === undefined) return undefined;
-    const reply = await peer.request('dispatcher.relay', params, deadline);
-    return reply.toMaybe().extract();
+  ): Promise<HandOn> {
+    const reply = await this.ask(address, 'dispatcher.relay', params, deadline);
+    if (reply === 'unsent') return {kind: 'unsent'};
+    if (reply === 'lost') return {kind: 'lost'};
+    return {kind: 'answered', result: reply};
   }
 
   /** Tells the one that a job was handed to that its caller has left. */
   async release(address: Address, job: string): Promise<void> {
-    const peer = await this.peers.get(address);
+    const peer = await this.lines.get(address)?.opening;
     peer?.notify('dispatcher.abandon', {job});
   }
 
@@ -87,44 +110,84 @@
     job: string,
     deadline: Instant,
   ): Promise<FollowJobResult | undefined> {
-    const peer = await this.open(address);
-    if (peer === undefined) return undefined;
     const remainingMs = computeRemainingMs(monotonicClock.now(), deadline);
     const params = {job, remainingMs};
-    const reply = await peer.request('dispatcher.follow', params, deadline);
-    return reply.toMaybe().extract();
+    const reply = await this.ask(
+      address,
+      'dispatcher.follow',
+      params,
+      deadline,
+    );
+    return typeof reply === 'string' ? undefined : reply;
+  }
+
+  /** Opens a connection ahead of its first use. */
+  async connect(address: Address): Promise<void> {
+    if (this.isReachable(address)) await this.open(address).opening;
+  }
+
+  /** True while a connection is open. */
+  isConnected(address: Address): boolean {
+    return this.lines.get(address)?.peer?.isOpen === true;
+  }
+
+  private isReachable(address: Address): boolean {
+    return monotonicClock.now() >= (this.avoidedUntil.get(address) ?? 0);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    for (const opening of this.peers.values()) {
+    for (const {opening} of this.lines.values()) {
       await (await opening)?.[Symbol.asyncDispose]();
     }
   }
 
+  private async ask<Name extends RequestName>(
+    address: Address,
+    method: Name,
+    params: ParamsOf<Name>,
+    deadline: Instant,
+  ): Promise<ResultOf<Name> | 'unsent' | 'lost'> {
+    if (!this.isReachable(address)) return 'unsent';
+    const line = this.open(address);
+    const peer = await line.opening;
+    if (peer?.isOpen !== true) return 'unsent';
+    line.asked++;
+    peer.setLiveness(busyLiveness);
+    const reply = await peer.request(method, params, deadline);
+    line.asked--;
+    if (line.asked === 0) peer.setLiveness(this.idleLiveness);
+    return reply.caseOf<ResultOf<Name> | 'lost'>({
+      Left: () => 'lost',
+      Right: result => result,
+    });
+  }
+
   private suspend(address: Address): void {
     this.avoidedUntil.set(address, monotonicClock.now() + avoidMs);
   }
 
-  private open(address: Address): Promise<Peer | undefined> {
-    const known = this.peers.get(address);
+  private open(address: Address): Line {
+    const known = this.lines.get(address);
     if (known !== undefined) return known;
-    const now = monotonicClock.now();
-    if (now < (this.avoidedUntil.get(address) ?? 0)) {
-      return Promise.resolve(undefined);
+    const deadline = monotonicClock.now() + dialTimeoutMs;
+    const line: Line = {opening: this.dial(address, deadline), asked: 0};
+    this.lines.set(address, line);
+    void line.opening.then(peer => (line.peer = peer));
+    return line;
+  }
+
+  private async dial(
+    address: Address,
+    deadline: Instant,
+  ): Promise<Peer | undefined> {
+    const dialled = await dialPeer(address, {}, deadline, this.idleLiveness);
+    const peer = dialled.toMaybe().extract();
+    if (peer === undefined) {
+      this.lines.delete(address);
+      this.suspend(address);
+    } else {
+      void peer.closed.then(() => this.lines.delete(address));
     }
-    const opening = dialPeer(address, {}, now + dialTimeoutMs, liveness).then(
-      dialled => {
-        const peer = dialled.toMaybe().extract();
-        if (peer === undefined) {
-          this.peers.delete(address);
-          this.suspend(address);
-        } else {
-          void peer.closed.then(() => this.peers.delete(address));
-        }
-        return peer;
-      },
-    );
-    this.peers.set(address, opening);
-    return opening;
+    return peer;
   }
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,3 +3,4 @@
 export type {DispatcherOptions} from './dispatcher.js';
 export {Dispatcher} from './dispatcher.js';
 export {findQueue} from './queue.js';
+export {JobRouter, type JobRouterOptions} from './router.js';
--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -7,10 +7,12 @@
 } from '#jobs';
 import {
   estimateBacklogMs,
+  type FellowLoad,
   judgeBacklog,
   judgeSaturation,
   type PoolBacklog,
   type RoomTarget,
+  estimatePoolBacklog,
 } from '#policy';
 import type {Logger, Metrics} from '#telemetry';
 import type {ActiveJob, JobOutcome, JobSubmission} from './active-job.js';
@@ -24,6 +26,10 @@
 
 export interface IntakeOptions {
   readonly fleet: RunnerFleet;
+  /** Lists what other dispatchers have told of their load lately. */
+  readonly listLoads: () => readonly FellowLoad[];
+  /** Counts the dispatchers that share the targets of a service. */
+  readonly countDispatchers: (service: ServiceName) => number;
   readonly log: Logger;
   readonly metrics: Metrics;
   /** Reads how late this process's event loop is, in ms. */
@@ -48,7 +54,7 @@
     if (targets.length === 0) return this.judgeWithoutTargets(submission);
     const chainMs = estimateChainMs(job);
     const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
-    const backlog = measureBacklog(queue.service, targets, jobs);
+    const backlog = this.estimateBacklog(queue.service, targets, jobs);
     const verdict = judgeBacklog(
       {
         chainMs,
@@ -76,6 +82,7 @@
     );
     return {
       kind: 'refused',
+      cause: 'backlog',
       retryAfterMs: verdict.retryAfterMs,
       detail: 'the targets cannot come to it before its caller leaves',
     };
@@ -111,16 +118,34 @@
       'refused a job: this process is at the limit of its processor',
     );
     const detail = 'this entry cannot come to it before its caller leaves';
-    return {kind: 'refused', retryAfterMs, detail};
+    return {kind: 'refused', cause: 'saturated', retryAfterMs, detail};
   }
 
   /** Estimates when the targets will have done what waits now, in ms. */
   estimateRetryMs(service: ServiceName, jobs: Iterable<ActiveJob>): number {
     const targets = this.options.fleet.listTargets(service);
-    const backlogMs = estimateBacklogMs(measureBacklog(service, targets, jobs));
+    const backlog = this.estimateBacklog(service, targets, jobs);
+    const backlogMs = estimateBacklogMs(backlog);
     return Math.min(maxRetryMs, Math.max(noTargetRetryMs, backlogMs));
   }
 
+  /** Estimates what waits at all dispatchers and what all targets can do, by what is known of some. */
+  private estimateBacklog(
+    service: ServiceName,
+    targets: readonly RoomTarget[],
+    jobs: Iterable<ActiveJob>,
+  ): PoolBacklog {
+    const {countDispatchers, fleet, listLoads} = this.options;
+    const told = listLoads().map(({waitingCoreMs}) => waitingCoreMs);
+    return estimatePoolBacklog({
+      ownCoreMs: sumWaiting(service, jobs),
+      toldCoreMs: told,
+      dispatchers: countDispatchers(service),
+      rates: targets.map(({room, slowness}) => room.cpuMillis / slowness),
+      targets: fleet.listKnown(service).length,
+    });
+  }
+
   private countRefusal({name}: QueueConfig, cause: string): void {
     this.options.metrics.increment('queued.refusals', 1, {queue: name, cause});
   }
@@ -141,24 +166,25 @@
       },
       'refused a job: no target of its service can be reached',
     );
-    return {kind: 'refused', retryAfterMs: noTargetRetryMs, detail};
+    return {
+      kind: 'refused',
+      cause: 'no-target',
+      retryAfterMs: noTargetRetryMs,
+      detail,
+    };
   }
 }
 
-function measureBacklog(
+/** Sums up the work of a service's jobs that waits for a target, in thousandths of a core times ms. */
+export function sumWaiting(
   service: ServiceName,
-  targets: readonly RoomTarget[],
   jobs: Iterable<ActiveJob>,
-): PoolBacklog {
+): number {
   let workCoreMs = 0;
   for (const {state, queue} of jobs) {
     if (queue.service === service) workCoreMs += measureWaiting(state);
   }
-  const rate = targets.reduce(
-    (sum, {room, slowness}) => sum + room.cpuMillis / slowness,
-    0,
-  );
-  return {workCoreMs, rate};
+  return workCoreMs;
 }
 
 /** Sums up the work of a job's tasks that wait for a target, in thousandths of a core times ms. */
--- a/packages/dispatch/src/ownership.ts
+++ b/packages/dispatch/src/ownership.ts
@@ -1,4 +1,10 @@
-import {type Address, type Instant, type JobId, monotonicClock} from '#model';
+import {
+  type Address,
+  type Instant,
+  type JobId,
+  monotonicClock,
+  type ServiceName,
+} from '#model';
 import type {Logger} from '#telemetry';
 import {type ClaimTable, rankRegistrars} from './claims.js';
 import type {Fellows} from './fellows.js';
@@ -9,12 +15,18 @@
   readonly claims: ClaimTable;
   readonly fellows: Fellows;
   readonly log: Logger;
-  /** Where all dispatchers listen, this one included. */
-  readonly listDispatchers: () => readonly Address[];
+  /** Where all dispatchers of a service listen, this one included. */
+  readonly listDispatchers: (service: ServiceName) => readonly Address[];
   /** Ends what others run of a job wherever a target can be reached; false when one cannot. */
   readonly clear: (job: JobId, deadline: Instant) => Promise<boolean>;
 }
 
+/** A job that a dispatcher wants to run, and whose targets are to run it. */
+export interface ClaimedJob {
+  readonly job: JobId;
+  readonly service: ServiceName;
+}
+
 export type Standing =
   /** This dispatcher may run the job; `isFirst` unless another one had it before. */
   | {readonly kind: 'own'; readonly isFirst: boolean}
@@ -29,22 +41,24 @@
 const clearTimeoutMs = 700;
 /** Owners that a claim may pass through before it is given up. */
 const maxOwners = 3;
+/** Registrars that keep a claim: one of them may be lost, as may be the owner, which is its first registrar as a rule. */
+const registrarsPerJob = 2;
 
 /**
  * Makes sure that one dispatcher at a time runs a job, also when its caller submits it to another
- * one: the job's registrar knows the owner, the owner is asked, and where it cannot be, the targets are.
+ * one: the job's registrars know the owner, the owner is asked, and where it cannot be, the targets are.
  */
 export async function settleOwnership(
   options: OwnershipOptions,
-  job: JobId,
+  {job, service}: ClaimedJob,
   deadline: Instant,
 ): Promise<Standing> {
   const {address, fellows, log} = options;
   if (address === undefined) return {kind: 'own', isFirst: true};
   let replaces: Address | undefined;
   for (let turn = 0; turn < maxOwners; turn++) {
-    const owner = await findOwner(options, job, replaces);
-    if (owner === undefined || owner === address) {
+    const owner = await findOwner(options, {job, service}, replaces);
+    if (owner === address) {
       return {kind: 'own', isFirst: replaces === undefined};
     }
     const standing = await fellows.follow(owner, job, deadline);
@@ -78,21 +92,27 @@
   return clear(job, limit);
 }
 
-/** Asks the job's registrar, or the next one in its order. */
+/** Claims a job at its first registrars that can be reached, one after the other; returns the owner that one of them knows. */
 async function findOwner(
   {address, claims, fellows, listDispatchers}: OwnershipOptions,
-  job: JobId,
+  {job, service}: ClaimedJob,
   replaces: Address | undefined,
-): Promise<Address | undefined> {
+): Promise<Address> {
   const claimant = address!;
-  for (const registrar of rankRegistrars(job, listDispatchers())) {
-    if (registrar === claimant) return claims.note(job, claimant, replaces);
-    const owner = await fellows.askOwner(
-      registrar,
-      {job, claimant, ...(replaces !== undefined && {replaces})},
-      monotonicClock.now() + claimTimeoutMs,
-    );
-    if (owner !== undefined) return owner;
+  const replaced = replaces === undefined ? {} : {replaces};
+  let agreed = 0;
+  for (const registrar of rankRegistrars(job, listDispatchers(service))) {
+    const owner =
+      registrar === claimant
+        ? claims.note(job, claimant, replaces)
+        : await fellows.askOwner(
+            registrar,
+            {job, claimant, service, ...replaced},
+            monotonicClock.now() + claimTimeoutMs,
+          );
+    if (owner === undefined) continue;
+    if (owner !== claimant) return owner;
+    if (++agreed === registrarsPerJob) return claimant;
   }
   return claims.note(job, claimant, replaces);
 }
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -1,6 +1,7 @@
 import {
   type Address,
   computeRemainingMs,
+  failUnreachable,
   type JobId,
   monotonicClock,
 } from '#model';
@@ -34,7 +35,8 @@
 
   /**
    * Hands a job on when this process is late and another one has time to spare; undefined when it
-   * stays here. A job whose new owner falls silent has expired: something of it may have run.
+   * stays here, also for want of a connection. A job whose new owner falls silent has expired: something
+   * of it may have run.
    */
   async tryRelay({
     job,
@@ -44,7 +46,7 @@
   }: JobSubmission): Promise<JobOutcome | undefined> {
     const {fellows, log, readLagMs} = this.options;
     const lagMs = readLagMs();
-    const fellow = chooseRelay(lagMs, fellows.listLags(), this.random);
+    const fellow = chooseRelay(lagMs, fellows.listLoads(), this.random);
     if (fellow === undefined) return undefined;
     const now = monotonicClock.now();
     const ageMs = Math.max(0, now - arrivedAt);
@@ -61,9 +63,18 @@
       'handed a job to another dispatcher: this process is late',
     );
     const params = {job, queue, ageMs, remainingMs};
-    const outcome = await fellows.relay(fellow, params, leavesAt);
+    const handed = await fellows.relay(fellow, params, leavesAt);
     this.jobs.delete(job.id);
-    return outcome ?? {kind: 'expired'};
+    switch (handed.kind) {
+      case 'answered':
+        return handed.result.end;
+      case 'unsent':
+        return undefined;
+      case 'lost':
+        return {kind: 'expired'};
+      default:
+        return failUnreachable(handed);
+    }
   }
 
   /** Tells the new owner that the caller has left; false for a job that was not handed on. */
--- /dev/null
+++ b/packages/dispatch/src/router.ts
@@ -0,0 +1,215 @@
+import {
+  type Address,
+  computeRemainingMs,
+  failUnreachable,
+  type JobId,
+  monotonicClock,
+  type ServiceName,
+} from '#model';
+import type {View} from '#membership';
+import type {Liveness, RefusalCause} from '#protocol';
+import {type Logger, type Metrics, silentMetrics} from '#telemetry';
+import type {JobOutcome, JobSubmission} from './active-job.js';
+import {rankRegistrars} from './claims.js';
+import {Fellows} from './fellows.js';
+import {WaitingCounts} from './waiting-counts.js';
+
+export interface JobRouterOptions {
+  readonly log: Logger;
+  readonly metrics?: Metrics;
+}
+
+/** How long a caller waits when no dispatcher could be reached, in ms. */
+const noHomeRetryMs = 500;
+/** Dispatchers that are asked to take a job: each that refuses costs two messages. */
+const maxHomes = 3;
+/** Connections that are opened ahead of the first job. */
+const maxReadyLines = 64;
+/** Connections that were lost are opened again this often, in ms. */
+const reconnectMs = 1000;
+/** On a connection without jobs, so that a dispatcher that is gone is noticed before a job is lost to it. */
+const idleLiveness: Liveness = {probeAfterMs: 1000, silenceLimitMs: 2200};
+
+interface RoutedJob {
+  readonly outcome: Promise<JobOutcome>;
+  /** Set once it was handed to a dispatcher. */
+  home: Address | undefined;
+}
+
+/**
+ * An entry's part of queued jobs: hands each one whole to its home, the dispatcher beside a target that
+ * ranks first for the job's id, and passes its answer on. A job that is submitted to several entries
+ * meets itself at its home.
+ */
+export class JobRouter implements AsyncDisposable {
+  private readonly fellows = new Fellows(idleLiveness);
+  private readonly jobs = new Map<JobId, RoutedJob>();
+  private readonly waiting = new WaitingCounts();
+  /** Where the dispatchers listen that take jobs, by service. */
+  private homes: ReadonlyMap<ServiceName, readonly Address[]> = new Map();
+  private readonly metrics: Metrics;
+  private readonly reconnecting: NodeJS.Timeout;
+
+  constructor(private readonly options: JobRouterOptions) {
+    this.metrics = options.metrics ?? silentMetrics;
+    this.reconnecting = setInterval(() => this.connect(), reconnectMs);
+    this.reconnecting.unref();
+  }
+
+  /** Jobs handed on and not answered. */
+  get jobCount(): number {
+    return this.jobs.size;
+  }
+
+  /** Dispatchers that could take a job at once. */
+  get homeCount(): number {
+    const homes = [...this.homes.values()].flat();
+    return homes.filter(home => this.fellows.isConnected(home)).length;
+  }
+
+  /** True when some dispatcher could take a job. */
+  get isConnected(): boolean {
+    return this.homeCount > 0;
+  }
+
+  /** Counts what is in hand, for the log. */
+  describe(): Readonly<Record<string, number>> {
+    return {jobs: this.jobCount, homes: this.homeCount};
+  }
+
+  /** Counts the jobs of a queue of which no task was placed, as their dispatchers told lately. */
+  countWaiting(queue: string): number {
+    return this.waiting.sum(queue, monotonicClock.now());
+  }
+
+  /** Follows the targets that control knows: a dispatcher stands beside each. */
+  follow(view: View): void {
+    const homes = new Map<ServiceName, Address[]>();
+    for (const {capacity, leaving, service, address} of view.targets.list()) {
+      if (capacity.kind !== 'room' || leaving) continue;
+      const same = homes.get(service) ?? [];
+      same.push(address);
+      homes.set(service, same);
+    }
+    this.homes = homes;
+    this.connect();
+  }
+
+  /** Has a job run to its end. Resolves at the latest when its caller leaves. */
+  async submit(submission: JobSubmission): Promise<JobOutcome> {
+    const {id} = submission.job;
+    const known = this.jobs.get(id);
+    if (known !== undefined) return known.outcome;
+    const outcome = this.relay(submission);
+    const routed: RoutedJob = {outcome, home: undefined};
+    this.jobs.set(id, routed);
+    const result = await outcome;
+    if (this.jobs.get(id) === routed) this.jobs.delete(id);
+    this.measure(submission, result);
+    return result;
+  }
+
+  /** Gives a job up whose caller has gone. */
+  giveUp(id: JobId): void {
+    const home = this.jobs.get(id)?.home;
+    this.jobs.delete(id);
+    if (home !== undefined) void this.fellows.release(home, id);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.reconnecting);
+    await this.fellows[Symbol.asyncDispose]();
+  }
+
+  private connect(): void {
+    const ready = [...this.homes.values()].flat().slice(0, maxReadyLines);
+    for (const address of ready) void this.fellows.connect(address);
+  }
+
+  /** Asks the job's home to run it, or the next ones while it is refused for a reason of the one asked. */
+  private async relay(submission: JobSubmission): Promise<JobOutcome> {
+    const {job, queue, leavesAt, arrivedAt} = submission;
+    const homes = this.homes.get(queue.service) ?? [];
+    let refusal: JobOutcome | undefined;
+    let asked = 0;
+    for (const home of rankRegistrars(job.id, homes)) {
+      if (asked === maxHomes) break;
+      const routed = this.jobs.get(job.id);
+      if (routed !== undefined) routed.home = home;
+      const now = monotonicClock.now();
+      const handed = await this.fellows.relay(
+        home,
+        {
+          job,
+          queue,
+          ageMs: Math.max(0, now - arrivedAt),
+          remainingMs: computeRemainingMs(now, leavesAt),
+        },
+        leavesAt,
+      );
+      switch (handed.kind) {
+        case 'unsent':
+          continue;
+        case 'lost':
+          this.logLost(job.id, home);
+          return {kind: 'expired'};
+        case 'answered':
+          break;
+        default:
+          return failUnreachable(handed);
+      }
+      asked++;
+      const {end, waiting} = handed.result;
+      this.waiting.note(queue.name, home, waiting, monotonicClock.now());
+      if (end.kind !== 'refused' || !isOwn(end.cause)) return end;
+      refusal = end;
+    }
+    return refusal ?? this.refuse(submission);
+  }
+
+  private refuse({job, queue}: JobSubmission): JobOutcome {
+    const detail = `no dispatcher of service "${queue.service}" can be reached`;
+    this.options.log.warn(
+      {event: 'job-refused', job: job.id, queue: queue.name, cause: 'no-home'},
+      'refused a job: no dispatcher of its service can be reached',
+    );
+    return {
+      kind: 'refused',
+      cause: 'no-target',
+      retryAfterMs: noHomeRetryMs,
+      detail,
+    };
+  }
+
+  private logLost(job: JobId, home: Address): void {
+    this.options.log.info(
+      {event: 'job-lost', job, home},
+      'the end of a job is not known: its dispatcher fell silent, or its caller left',
+    );
+  }
+
+  private measure(
+    {queue, arrivedAt}: JobSubmission,
+    {kind: outcome}: JobOutcome,
+  ): void {
+    const ageMs = monotonicClock.now() - arrivedAt;
+    const tags = {queue: queue.name, outcome};
+    this.metrics.increment('routed.jobs', 1, tags);
+    this.metrics.timing('routed.job.response', ageMs, tags);
+  }
+}
+
+/** True of a cause that lies with the dispatcher asked and not with the targets. */
+function isOwn(cause: RefusalCause): boolean {
+  switch (cause) {
+    case 'leaving':
+    case 'saturated':
+    case 'no-target':
+      return true;
+    case 'backlog':
+    case 'no-room':
+      return false;
+    default:
+      return failUnreachable(cause);
+  }
+}
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -1,11 +1,24 @@
 import type {Instant, JobId, ServiceName, TargetId, TargetInfo} from '#model';
 import type {View} from '#membership';
-import {isSlowed, type RoomTarget} from '#policy';
+import {
+  chooseFollowed,
+  chooseHolders,
+  isSlowed,
+  type RoomTarget,
+  type TaskNeeds,
+} from '#policy';
+import {dialPeer, type Liveness} from '#protocol';
 import {type LinkOwner, RunnerLink} from './link.js';
 
-/** The connections to the runners of all targets that control knows. */
+const clearLiveness: Liveness = {probeAfterMs: 200, silenceLimitMs: 600};
+
+/** The connections to the runners of the targets that this dispatcher places tasks on. */
 export class RunnerFleet implements AsyncDisposable {
   private readonly links = new Map<TargetId, RunnerLink>();
+  /** Targets that are followed for what some tasks need. */
+  private readonly holders = new Set<TargetId>();
+  /** All targets that control knows, by service. */
+  private known: ReadonlyMap<ServiceName, readonly TargetInfo[]> = new Map();
 
   constructor(private readonly owner: LinkOwner) {}
 
@@ -18,13 +31,18 @@
     return this.links.get(target);
   }
 
-  /** Follows the targets that control knows. A link with runs outlasts its target's place in the view. */
+  /** Follows some of the targets that control knows. A link with runs outlasts its target's place in the view. */
   follow(view: View): void {
+    this.known = groupByService(view);
+    const {dispatcher} = this.owner;
     const known = new Set<TargetId>();
-    for (const info of view.targets.list()) {
-      if (info.capacity.kind !== 'room') continue;
-      known.add(info.target);
-      this.putTarget(info);
+    for (const targets of this.known.values()) {
+      const followed = chooseFollowed(dispatcher, targets);
+      const more = targets.filter(({target}) => this.holders.has(target));
+      for (const info of [...followed, ...more]) {
+        known.add(info.target);
+        this.putTarget(info);
+      }
     }
     for (const [target, link] of this.links) {
       if (known.has(target) || !link.isIdle) continue;
@@ -33,6 +51,25 @@
     }
   }
 
+  /** Lists all targets of a service that control knows, also those that leave. */
+  listKnown(service: ServiceName): readonly TargetInfo[] {
+    return this.known.get(service) ?? [];
+  }
+
+  /**
+   * Follows further targets for what a task needs of its target's kind or place; false when no target
+   * that control knows could hold it.
+   */
+  followHolders(service: ServiceName, needs: TaskNeeds): boolean {
+    const known = this.listKnown(service);
+    const chosen = chooseHolders(this.owner.dispatcher, needs, known);
+    for (const info of chosen) {
+      this.holders.add(info.target);
+      if (!this.links.has(info.target)) this.putTarget(info);
+    }
+    return chosen.length > 0;
+  }
+
   /** Counts what targets have reported since the start: messages, the ends in them, and those that told a load only; and the bytes that wait to be sent. */
   countMessages(): Readonly<Record<string, number>> {
     let reports = 0;
@@ -90,12 +127,36 @@
 
   /** Ends what other dispatchers run of a job; false when a target does not say so in time. */
   async clear(job: JobId, deadline: Instant): Promise<boolean> {
-    const cleared = await Promise.all(
-      [...this.links.values()].map(link => link.clear(job, deadline)),
+    const followed = [...this.links.values()].map(link =>
+      link.clear(job, deadline),
     );
+    const others = [...this.known.values()]
+      .flat()
+      .filter(({target}) => !this.links.has(target))
+      .map(info => this.clearUnfollowed(info, job, deadline));
+    const cleared = await Promise.all([...followed, ...others]);
     return cleared.every(done => done);
   }
 
+  /** Clears a job at a target that is not followed, over a connection of its own. */
+  private async clearUnfollowed(
+    {address}: TargetInfo,
+    job: JobId,
+    deadline: Instant,
+  ): Promise<boolean> {
+    const {dispatcher, life} = this.owner;
+    const dialled = await dialPeer(address, {}, deadline, clearLiveness);
+    const peer = dialled.toMaybe().extract();
+    if (peer === undefined) return false;
+    const attaching = {dispatcher, life, tickets: []};
+    const attached = await peer.request('runner.attach', attaching, deadline);
+    const cleared =
+      attached.isRight() &&
+      (await peer.request('runner.clear', {job}, deadline)).isRight();
+    peer.close('closed by this end');
+    return cleared;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await Promise.all(
       [...this.links.values()].map(link => link[Symbol.asyncDispose]()),
@@ -111,3 +172,16 @@
     this.links.set(info.target, new RunnerLink(info, this.owner));
   }
 }
+
+function groupByService(
+  view: View,
+): ReadonlyMap<ServiceName, readonly TargetInfo[]> {
+  const groups = new Map<ServiceName, TargetInfo[]>();
+  for (const info of view.targets.list()) {
+    if (info.capacity.kind !== 'room') continue;
+    const group = groups.get(info.service) ?? [];
+    group.push(info);
+    groups.set(info.service, group);
+  }
+  return groups;
+}
--- /dev/null
+++ b/packages/dispatch/test/router.test.ts
@@ -0,0 +1,203 @@
+import test from 'ava';
+import {sleep, waitUntil} from '../../runner/test/stand.js';
+import {rankRegistrars} from '../src/claims.js';
+import {
+  buildJob,
+  buildTarget,
+  buildView,
+  type Home,
+  queue,
+  startHome,
+  startRouter,
+} from './stand.js';
+
+/** Two entries in front of three targets, each with a dispatcher beside it. */
+async function startSite() {
+  const lags = new Map<string, number>();
+  const homes: Home[] = [];
+  for (const id of ['target-0', 'target-1', 'target-2']) {
+    homes.push(await startHome(id, () => lags.get(id) ?? 0));
+  }
+  const addresses = homes.map(({address}) => address);
+  const view = buildView(addresses, []);
+  const entries = [startRouter(), startRouter()] as const;
+  for (const {dispatcher} of homes) dispatcher.follow(view);
+  for (const {router} of entries) router.follow(view);
+  await waitUntil(
+    () =>
+      entries.every(({router}) => router.homeCount === homes.length) &&
+      homes.every(({dispatcher}) => dispatcher.isConnected),
+  );
+  await sleep(50);
+  return {
+    homes,
+    view,
+    entries,
+    lags,
+    /** The homes in the order in which they are asked to run a job. */
+    rank: (job: string) =>
+      rankRegistrars(job, addresses).map(each =>
+        homes.find(({address}) => address === each)!,
+      ),
+    countStarts: () =>
+      homes.reduce((sum, {executor}) => sum + executor.starts.length, 0),
+    countDoubles: () =>
+      homes.reduce((sum, {executor}) => sum + executor.doubles, 0),
+    endAll: () => {
+      for (const {executor} of homes) {
+        for (const ref of [...executor.running.values()])
+          executor.end(ref, 'succeeded');
+      }
+    },
+    async [Symbol.asyncDispose]() {
+      for (const each of [...entries, ...homes]) {
+        await each[Symbol.asyncDispose]();
+      }
+    },
+  };
+}
+
+test('a job that is handed to its home completes, and its entry has nothing left of it', async t => {
+  await using site = await startSite();
+  const [entry] = site.entries;
+  const outcome = entry.submit(buildJob('job', 6));
+  await waitUntil(() => site.countStarts() === 6);
+  t.is(entry.router.jobCount, 1);
+  t.is(site.rank('job')[0]!.dispatcher.jobCount, 1);
+  site.endAll();
+  t.deepEqual(await outcome, {kind: 'completed'});
+  t.is(entry.router.jobCount, 0);
+});
+
+test('a job that is submitted to two entries runs once', async t => {
+  await using site = await startSite();
+  const outcomes = site.entries.map(({submit}) => submit(buildJob('job', 2)));
+  await waitUntil(() => site.countStarts() === 2);
+  await sleep(100);
+  t.is(site.countStarts(), 2);
+  site.endAll();
+  for (const outcome of outcomes) {
+    t.deepEqual(await outcome, {kind: 'completed'});
+  }
+});
+
+test('a job whose home is about to stop is run by the next one', async t => {
+  await using site = await startSite();
+  const [home, next] = site.rank('job');
+  home!.dispatcher.leave();
+  const outcome = site.entries[0].submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  t.is(next!.dispatcher.jobCount, 1);
+  site.endAll();
+  t.deepEqual(await outcome, {kind: 'completed'});
+});
+
+test('a job whose home has no processor time left is run by the next one', async t => {
+  await using site = await startSite();
+  const [home, next] = site.rank('job');
+  const at = site.homes.indexOf(home!);
+  site.lags.set(`target-${at}`, 500);
+  const outcome = site.entries[0].submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  t.is(next!.dispatcher.jobCount, 1);
+  site.endAll();
+  t.deepEqual(await outcome, {kind: 'completed'});
+});
+
+test('a job whose home is gone already is run by the next one', async t => {
+  await using site = await startSite();
+  const [home] = site.rank('job');
+  await home![Symbol.asyncDispose]();
+  await waitUntil(() => site.entries[0].router.homeCount === 2);
+  const outcome = site.entries[0].submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  site.endAll();
+  t.deepEqual(await outcome, {kind: 'completed'});
+});
+
+test('a job whose home goes away with it is not said not to have run, and not run twice', async t => {
+  await using site = await startSite();
+  const [home] = site.rank('job');
+  const outcome = site.entries[0].submit(buildJob('job', 6));
+  await waitUntil(() => site.countStarts() === 6);
+  await home![Symbol.asyncDispose]();
+  t.deepEqual(await outcome, {kind: 'expired'});
+  const again = site.entries[1].submit(buildJob('job', 6), 2000);
+  await sleep(300);
+  t.is(site.countDoubles(), 0);
+  site.endAll();
+  t.not((await again).kind, 'refused');
+});
+
+test('a caller that leaves has its runs stopped at the home', async t => {
+  await using site = await startSite();
+  const [entry] = site.entries;
+  const outcome = entry.submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  entry.router.giveUp('job');
+  t.is(entry.router.jobCount, 0);
+  t.deepEqual(await outcome, {kind: 'expired'});
+  await waitUntil(() =>
+    site.homes.every(({executor}) => executor.running.size === 0),
+  );
+});
+
+test('an entry that knows no target refuses at once', async t => {
+  await using alone = startRouter();
+  t.false(alone.router.isConnected);
+  t.is((await alone.submit(buildJob('job', 1))).kind, 'refused');
+});
+
+test('an entry tells how many jobs wait, as their dispatchers told', async t => {
+  await using site = await startSite();
+  const [entry] = site.entries;
+  const running = Array.from({length: 6}, (_, i) =>
+    entry.submit(buildJob(`job-${i}`, 4)),
+  );
+  await waitUntil(() => site.countStarts() >= 12);
+  // An answer tells how many wait beside it.
+  const ends = setInterval(() => site.endAll(), 20);
+  await Promise.all(running);
+  clearInterval(ends);
+  t.is(entry.router.countWaiting(queue.name), 0);
+});
+
+test('a job for a kind of target that its home does not follow is run there', async t => {
+  const homes: Home[] = [];
+  for (let i = 0; i < 16; i++) homes.push(await startHome(`target-${i}`));
+  const view = buildView(
+    homes.map(({address}) => address),
+    [],
+  );
+  const rare = {
+    ...buildTarget('target-15', homes[15]!.address),
+    capacity: {
+      kind: 'room' as const,
+      cpuMillis: 4000,
+      memoryMb: 4096,
+      accelerators: 0,
+      labels: ['rare'],
+    },
+  };
+  const labelled = {...view, targets: view.targets.set('target-15', rare)};
+  for (const {dispatcher} of homes) dispatcher.follow(labelled);
+  await using entry = startRouter();
+  entry.router.follow(labelled);
+  await waitUntil(() => entry.router.isConnected);
+  const jobs = Array.from({length: 8}, (_, i) => {
+    const job = buildJob(`job-${i}`, 1);
+    return {
+      ...job,
+      steps: job.steps.map(step => ({...step, requiredLabel: 'rare'})),
+    };
+  });
+  const {executor} = homes[15]!;
+  const ends = setInterval(() => {
+    for (const ref of [...executor.running.values()])
+      executor.end(ref, 'succeeded');
+  }, 5);
+  const outcomes = await Promise.all(jobs.map(job => entry.submit(job)));
+  clearInterval(ends);
+  t.true(outcomes.every(({kind}) => kind === 'completed'));
+  for (const home of homes) await home[Symbol.asyncDispose]();
+});
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -1,8 +1,9 @@
 import {emptyView, PersistentMap, type View} from '#membership';
 import type {QueueConfig, QueuedJob, TargetInfo} from '#model';
 import {PeerListener} from '#protocol';
-import {Dispatcher} from '#dispatch';
+import {Dispatcher, JobRouter} from '#dispatch';
 import {openLog} from '#telemetry';
+import {startRunner} from '../../runner/test/stand.js';
 
 export const queue: QueueConfig = {
   name: 'counts',
@@ -88,6 +89,49 @@
   readonly onAccepted?: () => void;
 }
 
+/** Starts a dispatcher and a runner that share an address, as beside each target. */
+export async function startHome(id: string, readLagMs?: () => number) {
+  const handlers = {};
+  const runner = await startRunner([], handlers);
+  const dispatcher = new Dispatcher({
+    id,
+    life: 1,
+    failureDomain: 'f',
+    address: runner.address,
+    log: openLog('silent', 'agent', id),
+    readLagMs,
+  });
+  Object.assign(handlers, dispatcher.createHandlers());
+  return {
+    dispatcher,
+    runner,
+    executor: runner.executor,
+    address: runner.address,
+    async [Symbol.asyncDispose]() {
+      await dispatcher[Symbol.asyncDispose]();
+      await runner[Symbol.asyncDispose]();
+    },
+  };
+}
+
+export type Home = Awaited<ReturnType<typeof startHome>>;
+
+/** Starts an entry's router. */
+export function startRouter() {
+  const router = new JobRouter({log: openLog('silent', 'entry', 'e')});
+  return {
+    router,
+    submit: (job: QueuedJob, patienceMs = 4000) =>
+      router.submit({
+        job,
+        queue,
+        arrivedAt: performance.now(),
+        leavesAt: performance.now() + patienceMs,
+      }),
+    [Symbol.asyncDispose]: () => router[Symbol.asyncDispose](),
+  };
+}
+
 /** Starts a dispatcher that listens for others. */
 export async function startDispatcher(
   id: string,
@@ -106,6 +150,8 @@
     life: 1,
     failureDomain: 'f',
     address,
+    listDispatchers: ({entries}) =>
+      [...entries.values()].map(entry => entry.address),
     log: openLog(onAccepted ? 'debug' : 'silent', 'entry', id, {write}),
     readLagMs,
   });
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -57,6 +57,8 @@
 
 export {RecentMap} from './recent-map.js';
 
+export {weighRendezvous} from './rendezvous.js';
+
 export type {Submission} from './submission.js';
 
 export type {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,5 @@
 export type {
-  FellowLag,
+  FellowLoad,
   SaturatingJob,
   SaturationVerdict,
 } from './saturation.js';
@@ -92,7 +92,12 @@
 export {isBefore, rankWork} from './rank.js';
 
 export type {ArrivingJob, BacklogVerdict, PoolBacklog} from './backlog.js';
-export {estimateBacklogMs, judgeBacklog} from './backlog.js';
+export {
+  estimateBacklogMs,
+  estimatePoolBacklog,
+  type BacklogSample,
+  judgeBacklog,
+} from './backlog.js';
 
 export type {GrantLimits, GrantMode, SlotGrants, SlotHolder} from './grants.js';
 export {
@@ -127,3 +132,5 @@
   UsageReport,
 } from './guard.js';
 export {defaultGuardLimits, judgeGuard, updateUsage} from './guard.js';
+
+export {chooseFollowed, chooseHolders, type TaskNeeds} from './follow.js';
--- a/packages/policy/src/saturation.ts
+++ b/packages/policy/src/saturation.ts
@@ -9,10 +9,13 @@
   readonly leavesAt: Instant;
 }
 
-/** Another process that takes jobs, and how late its event loop is. */
-export interface FellowLag {
+/** What another process that takes jobs has told of its load. */
+export interface FellowLoad {
   readonly address: Address;
+  /** How late its event loop is, in ms. */
   readonly lagMs: number;
+  /** Work that waits there for a target, in thousandths of a core times ms. */
+  readonly waitingCoreMs: number;
 }
 
 export type SaturationVerdict =
@@ -56,7 +59,7 @@
  */
 export function chooseRelay(
   lagMs: number,
-  fellows: readonly FellowLag[],
+  fellows: readonly Pick<FellowLoad, 'address' | 'lagMs'>[],
   random: RandomSource,
 ): Address | undefined {
   if (lagMs <= usualLagMs) return undefined;
--- /dev/null
+++ b/packages/policy/test/follow.test.ts
@@ -0,0 +1,80 @@
+import test from 'ava';
+import type {TargetInfo} from '#model';
+import {chooseFollowed, chooseHolders} from '#policy';
+
+function buildTargets(
+  count: number,
+  label: (i: number) => string = () => '',
+): readonly TargetInfo[] {
+  return Array.from({length: count}, (_, i) => ({
+    target: `target-${i}`,
+    incarnation: 1,
+    service: 'tally',
+    address: `10.0.0.${i}:7000`,
+    place: {site: 's', region: 'r', failureDomain: 'f', rack: 'none'},
+    capacity: {
+      kind: 'room',
+      cpuMillis: 4000,
+      memoryMb: 4096,
+      accelerators: 0,
+      labels: [label(i)],
+    },
+    leaving: false,
+  }));
+}
+
+const needs = {demand: {cpuMillis: 100, memoryMb: 1, accelerators: 0}};
+
+test('each dispatcher follows its own target and a dozen at most, each target is followed by some', t => {
+  const targets = buildTargets(100);
+  const followers = new Map<string, number>();
+  for (const {target: dispatcher} of targets) {
+    const followed = chooseFollowed(dispatcher, targets);
+    t.is(followed.length, 12);
+    t.true(followed.some(({target}) => target === dispatcher));
+    for (const {target} of followed) {
+      followers.set(target, (followers.get(target) ?? 0) + 1);
+    }
+  }
+  const counts = targets.map(({target}) => followers.get(target) ?? 0);
+  t.true(Math.min(...counts) >= 3, String(counts));
+  t.true(Math.max(...counts) <= 30, String(counts));
+});
+
+test('on a small site each dispatcher follows all targets', t => {
+  const targets = buildTargets(11);
+  t.is(chooseFollowed('target-3', targets).length, 11);
+});
+
+test('a target that goes leaves the other ones followed', t => {
+  const targets = buildTargets(60);
+  const before = chooseFollowed('target-0', targets);
+  const gone = before.at(-1)!;
+  const after = chooseFollowed(
+    'target-0',
+    targets.filter(each => each !== gone),
+  );
+  t.deepEqual(after.slice(0, 11), before.slice(0, 11));
+});
+
+test('targets of a rare kind or in the rack of the data are found among all', t => {
+  const targets = buildTargets(100, i => (i % 10 === 7 ? 'rare' : 'usual'));
+  const ofKind = chooseHolders(
+    'target-0',
+    {...needs, requiredLabel: 'rare'},
+    targets,
+  );
+  const nearData = chooseHolders(
+    'target-0',
+    {...needs, dataRack: 'rare'},
+    targets,
+  );
+  for (const chosen of [ofKind, nearData]) {
+    t.is(chosen.length, 4);
+    for (const {target} of chosen) t.regex(target, /7$/);
+  }
+  t.deepEqual(
+    chooseHolders('target-0', {...needs, requiredLabel: 'no'}, targets),
+    [],
+  );
+});
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -314,7 +314,10 @@
   'control.lookup': toCheck(Codec.interface({jobs: array(string)})),
   'control.epochJobs': toCheck(Codec.interface({epochs: array(count)})),
   'control.watch': toCheck(
-    Codec.interface({since: count, topics: exactly('all', 'configuration')}),
+    Codec.interface({
+      since: count,
+      topics: exactly('all', 'configuration', 'targets'),
+    }),
   ),
   'control.applyConfig': toCheck(
     Codec.interface({
@@ -359,6 +362,7 @@
       job: string,
       claimant: string,
       replaces: optional(string),
+      service: string,
     }),
   ),
   'dispatcher.relay': toCheck(
--- a/packages/protocol/src/dispatcher-messages.ts
+++ b/packages/protocol/src/dispatcher-messages.ts
@@ -1,4 +1,4 @@
-import type {Address, QueueConfig, QueuedJob} from '#model';
+import type {Address, QueueConfig, QueuedJob, ServiceName} from '#model';
 
 /** Asks the registrar of a job to note who runs it. */
 export interface ClaimJobParams {
@@ -7,6 +7,8 @@
   readonly claimant: Address;
   /** The owner that the claimant knows to have given the job up. */
   readonly replaces?: Address;
+  /** Whose targets run the job. */
+  readonly service: ServiceName;
 }
 
 export interface ClaimJobResult {
@@ -14,6 +16,8 @@
   readonly owner: Address;
   /** How late the registrar's event loop is, in ms: it tells who could take work from whom. */
   readonly lagMs?: number;
+  /** Work of the job's service that waits at the registrar for a target, in thousandths of a core times ms. */
+  readonly waitingCoreMs?: number;
 }
 
 /** Hands a job to a dispatcher with processor time to spare. It becomes the owner. */
@@ -26,15 +30,38 @@
   readonly remainingMs: number;
 }
 
-/** What became of a job that was handed on. */
-export type RelayJobResult =
+/** Why a job was not taken, or not run after all. */
+export type RefusalCause =
+  /** The dispatcher is about to stop. */
+  | 'leaving'
+  /** Its process is at the limit of its processor. */
+  | 'saturated'
+  /** It reaches no target of the service. */
+  | 'no-target'
+  /** The targets cannot come to it in time. */
+  | 'backlog'
+  /** No room was found while its answer was of use. */
+  | 'no-room';
+
+/** What became of a job that was handed to a dispatcher. */
+export interface RelayJobResult {
+  readonly end: JobEnd;
+  /** Jobs of its queue at the dispatcher of which no task was placed. */
+  readonly waiting: number;
+}
+
+/** How a job was over. */
+export type JobEnd =
   | {readonly kind: 'completed'}
   | {readonly kind: 'failed'}
+  /** Nothing of it has run, and nothing will. */
   | {
       readonly kind: 'refused';
+      readonly cause: RefusalCause;
       readonly retryAfterMs: number;
       readonly detail: string;
     }
+  /** Its caller's time was over first; some of it may have run. */
   | {readonly kind: 'expired'};
 
 export interface FollowJobParams {
--- a/packages/protocol/src/view-messages.ts
+++ b/packages/protocol/src/view-messages.ts
@@ -11,8 +11,8 @@
 export interface WatchParams {
   /** The last revision seen; 0 for none. */
   readonly since: number;
-  /** Agents watch only the configuration. */
-  readonly topics: 'all' | 'configuration';
+  /** Agents watch the configuration, and dispatchers beside them the targets. */
+  readonly topics: 'all' | 'configuration' | 'targets';
 }
 
 /** A life of an agent that is over. What it started cannot be asked for any more. */
--- a/packages/runner/test/stand.ts
+++ b/packages/runner/test/stand.ts
@@ -1,6 +1,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import type {RunRef} from '#model';
 import {
+  type Handlers,
   type Peer,
   dialPeer,
   PeerListener,
@@ -129,7 +130,11 @@
 }
 
 /** Starts a runner on a fake executor, which has announced itself. */
-export async function startRunner(strays: readonly RunRef[] = []) {
+export async function startRunner(
+  strays: readonly RunRef[] = [],
+  /** What else is served at the runner's address. */
+  more: Handlers = {},
+) {
   const executor = new FakeExecutor();
   for (const ref of strays) executor.running.set(formatTask(ref), ref);
   const runner = new Runner({
@@ -137,7 +142,10 @@
     port: executor,
   });
   const listener = (
-    await PeerListener.listen('127.0.0.1:0', runner.createHandlers())
+    await PeerListener.listen(
+      '127.0.0.1:0',
+      Object.assign(more, runner.createHandlers()),
+    )
   ).unsafeCoerce();
   runner.announce({
     target: 'target',
