--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -39,6 +39,8 @@
   readonly tickets: Map<RunTicket, TargetId>;
   /** Set once a run of it may have begun that is over, here or at another dispatcher. */
   hasRun: boolean;
+  /** Set once its tasks were compared with what targets can hold at all. */
+  isExamined: boolean;
   /** Set while nothing of it is to be placed. */
   isHeldBack: boolean;
   /** Set once its callers were answered; runs may still be ending. */
@@ -69,6 +71,7 @@
     chainMs: estimateChainMs(job),
     tickets: new Map(),
     hasRun: !isFirst,
+    isExamined: false,
     isHeldBack: false,
     isAnswered: false,
     closers: [],
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -1,19 +1,39 @@
-import type {Instant, ServiceName, TargetId} from '#model';
+import type {Instant, JobStep, RoomDemand, ServiceName, TargetId} from '#model';
 import {
   hasReady,
   listReady,
   nameRun,
   placeTask,
   type TaskPosition,
+  type TaskState,
 } from '#jobs';
-import {chooseTarget, reserveRoom, type RoomTarget} from '#policy';
+import {
+  chooseTarget,
+  isHoldable,
+  isWithin,
+  reserveRoom,
+  type RoomTarget,
+} from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, rankJob} from './active-job.js';
 import type {Logger} from '#telemetry';
-import type {OutstandingRun} from './link.js';
-import type {RunnerFleet} from './runner-fleet.js';
+import type {OutstandingRun, RunnerLink} from './link.js';
+
+/** What placing needs of the targets' connections. */
+export interface PlacingFleet {
+  /** Describes the targets of a service that take runs. */
+  readonly listTargets: (service: ServiceName) => readonly RoomTarget[];
+  readonly find: (
+    target: TargetId,
+  ) => Pick<RunnerLink, 'slowness' | 'place'> | undefined;
+}
 
-type Pool = Map<TargetId, RoomTarget>;
+/** The targets of a service during one placing, which they only become fuller by. */
+interface Pool {
+  readonly targets: Map<TargetId, RoomTarget>;
+  /** Tasks like these found no room; nor will larger ones that come later. */
+  readonly refused: RoomDemand[];
+}
 
 interface PlacedRuns {
   readonly target: TargetId;
@@ -21,12 +41,35 @@
   readonly runs: Map<RunTicket, OutstandingRun>;
 }
 
+/** True when no target could ever hold some task of a job. */
+function isImpossible({state}: ActiveJob, {targets}: Pool): boolean {
+  const all = [...targets.values()];
+  if (all.length === 0) return false;
+  return state.job.steps.some(
+    step => !all.some(target => isHoldable(target, step)),
+  );
+}
+
+/** True when a task as large was refused by all targets in this placing, where the more urgent ones come first. */
+function isRefused({demand}: JobStep, {refused}: Pool): boolean {
+  return refused.some(smaller => isWithin(smaller, demand));
+}
+
+/** True when a task may run at any target. */
+function isUsual({requiredLabel}: JobStep, task: TaskState): boolean {
+  return (
+    requiredLabel === undefined &&
+    task.kind === 'ready' &&
+    task.avoid === undefined
+  );
+}
+
 /** Sends ready tasks to targets with room for them, the most urgent job's first. */
 export class Placer {
   private nextTicket: RunTicket = 1;
 
   constructor(
-    private readonly fleet: RunnerFleet,
+    private readonly fleet: PlacingFleet,
     private readonly log: Logger,
   ) {}
 
@@ -49,7 +92,8 @@
     const known = pools.get(service);
     if (known !== undefined) return known;
     const targets = this.fleet.listTargets(service);
-    const pool = new Map(targets.map(target => [target.target, target]));
+    const byId = new Map(targets.map(target => [target.target, target]));
+    const pool: Pool = {targets: byId, refused: []};
     pools.set(service, pool);
     return pool;
   }
@@ -61,11 +105,14 @@
     pool: Pool,
     now: Instant,
   ): boolean {
+    if (!job.isExamined && isImpossible(job, pool)) return false;
+    job.isExamined = pool.targets.size > 0;
     const placed: [TaskPosition, TargetId][] = [];
     const joined = new Map<number, Set<TargetId>>();
-    let targets = [...pool.values()];
+    let targets = [...pool.targets.values()];
     for (const pos of listReady(job.state)) {
       const step = job.state.job.steps[pos.step]!;
+      if (isRefused(step, pool)) continue;
       const task = job.state.steps[pos.step]![pos.index]!;
       const choice = chooseTarget(
         {
@@ -79,10 +126,13 @@
         now,
       );
       if (choice.kind === 'impossible') return false;
-      if (choice.kind === 'wait') continue;
-      const target = pool.get(choice.target)!;
-      pool.set(choice.target, reserveRoom(target, {...step, rank}));
-      targets = [...pool.values()];
+      if (choice.kind === 'full' && isUsual(step, task)) {
+        pool.refused.push(step.demand);
+      }
+      if (choice.kind !== 'place') continue;
+      const target = pool.targets.get(choice.target)!;
+      pool.targets.set(choice.target, reserveRoom(target, {...step, rank}));
+      targets = [...pool.targets.values()];
       placed.push([pos, choice.target]);
       const told = joined.get(pos.step) ?? new Set<TargetId>();
       joined.set(pos.step, told.add(choice.target));
--- /dev/null
+++ b/packages/dispatch/test/placer.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+import type {TargetId} from '#model';
+import type {RoomTarget} from '#policy';
+import {openLog} from '#telemetry';
+import {type ActiveJob, openActiveJob} from '../src/active-job.js';
+import {Placer, type PlacingFleet} from '../src/placer.js';
+import {buildJob, queue} from './stand.js';
+
+/** Counts how often a placing looks at what is used of a target. */
+function buildFullFleet(count: number) {
+  const seen = {looks: 0};
+  const targets = Array.from({length: count}, (_, i): RoomTarget => {
+    const used = {cpuMillis: 4500, memoryMb: 8, accelerators: 0};
+    return {
+      target: `target-${i}`,
+      room: {
+        kind: 'room',
+        cpuMillis: 4000,
+        memoryMb: 4096,
+        accelerators: 0,
+        labels: [],
+      },
+      get used() {
+        seen.looks++;
+        return used;
+      },
+      slowness: 1,
+      failing: 0,
+      isNear: true,
+      startsAhead: 0,
+    };
+  });
+  const fleet: PlacingFleet = {
+    listTargets: () => targets,
+    find: (target: TargetId) => {
+      throw new Error(`${target} is full and gets no run`);
+    },
+  };
+  return {fleet, seen};
+}
+
+function openJobs(count: number, tasks: number): readonly ActiveJob[] {
+  return Array.from({length: count}, (_, i) => {
+    const job = buildJob(`job-${i}`, tasks);
+    const submission = {job, queue, arrivedAt: 0, leavesAt: 4000};
+    return openActiveJob(submission, job, true, () => {});
+  });
+}
+
+test('what waits for full targets costs a turn no more than its jobs and its targets', t => {
+  const log = openLog('silent', 'agent', 'a');
+  const counts = new Map<string, number>();
+  for (const [jobs, targets] of [
+    [10, 12],
+    [200, 12],
+    [10, 52],
+    [200, 52],
+  ] as const) {
+    const {fleet, seen} = buildFullFleet(targets);
+    const placer = new Placer(fleet, log);
+    const waiting = openJobs(jobs, 8);
+    t.deepEqual(placer.placeAll(waiting, 10), []);
+    seen.looks = 0;
+    t.deepEqual(placer.placeAll(waiting, 11), []);
+    counts.set(`${jobs} jobs, ${targets} targets`, seen.looks);
+    t.true(seen.looks <= 4 * (jobs + targets), JSON.stringify([...counts]));
+  }
+});
--- a/packages/dispatch/test/router.test.ts
+++ b/packages/dispatch/test/router.test.ts
@@ -29,6 +29,10 @@
       homes.every(({dispatcher}) => dispatcher.isConnected),
   );
   await sleep(50);
+  // Runs make progress for as long as a test looks at them, however slow the machine.
+  const progress = setInterval(() => {
+    for (const {executor} of homes) executor.percent += 0.01;
+  }, 10);
   return {
     homes,
     view,
@@ -50,6 +54,7 @@
       }
     },
     async [Symbol.asyncDispose]() {
+      clearInterval(progress);
       for (const each of [...entries, ...homes]) {
         await each[Symbol.asyncDispose]();
       }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -81,6 +81,7 @@
   canWaitAhead,
   emptyDemand,
   isFitting,
+  isWithin,
   subtractDemand,
   sumDemand,
 } from './room.js';
--- a/packages/policy/src/room-placement.ts
+++ b/packages/policy/src/room-placement.ts
@@ -38,7 +38,9 @@
 
 export type PlacementChoice =
   | {readonly kind: 'place'; readonly target: TargetId}
-  /** Nothing fits, or waiting for a faster target pays. */
+  /** No target has room, nor a place to wait ahead of it. */
+  | {readonly kind: 'full'}
+  /** No target is known, or waiting for a faster one pays. */
   | {readonly kind: 'wait'}
   /** No target of the service could ever hold it. */
   | {readonly kind: 'impossible'};
@@ -90,7 +92,7 @@
   const best =
     findFree(task, usable) ??
     findCheapest(task, usable, target => isOpenAhead(target, task));
-  if (best === undefined) return {kind: 'wait'};
+  if (best === undefined) return {kind: 'full'};
   const fastest = Math.min(...usable.map(each => estimateRunMs(task, each)));
   const missesDue = now + best.cost > task.dueAt;
   const fastKeepsDue = now + fastest <= task.dueAt;
--- a/packages/policy/src/room.ts
+++ b/packages/policy/src/room.ts
@@ -46,7 +46,8 @@
   return isWithin(accepted, room);
 }
 
-function isWithin(used: RoomDemand, room: RoomSize): boolean {
+/** True when a demand fits into a size in each kind. */
+export function isWithin(used: RoomDemand, room: RoomSize): boolean {
   return (
     used.cpuMillis <= room.cpuMillis &&
     used.memoryMb <= room.memoryMb &&
