Give up a job whose entry is gone; look again at tasks that wait for a faster target

What callers saw: nothing yet; both were found by the new tests of the router. Cause: a home that is cut off permits its own runner, so that a job's runs would go on there while its caller submits it again elsewhere. A caller that left was not told to the home, as the entry noted the home too late. A task that waits for a faster target was looked at again only when some load changed: on a quiet site never, and its job was refused. Change: a home watches the connections over which its jobs came, and gives a job up when the last one is over or silent for 1.1 s. The router notes the home before it asks. What waits for a faster target is placed again after 20 ms, and only the run time there counts against the due time. Evidence: dispatch/test/router.test.ts, placer.test.ts.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -4,7 +4,6 @@
   computeDeadline,
   type Instant,
   type JobId,
-  type JobStep,
   monotonicClock,
   RecentMap,
   type RunEnd,
@@ -34,6 +33,7 @@
 import {Relay} from './relay.js';
 import {Rescuer} from './rescuer.js';
 import {RunnerFleet} from './runner-fleet.js';
+import {Submitters} from './submitters.js';
 import {sleepUntil} from './wait.js';
 
 export interface DispatcherOptions {
@@ -57,6 +57,8 @@
 
 /** Callers of a dispatcher that leaves go elsewhere at once, in ms. */
 const leavingRetryMs = 200;
+/** A task that waits for a faster target is looked at again after this, in ms. */
+const placeAgainMs = 20;
 /** Ended jobs whose callers may ask again, as they do within seconds. */
 const maxRemembered = 8192;
 
@@ -79,11 +81,13 @@
   private readonly claims = new ClaimTable();
   private readonly fellows = new Fellows();
   private readonly relay: Relay;
+  private readonly submitters = new Submitters(id => this.giveUp(id));
   private readonly readLagMs: () => number;
   private isLeaving = false;
   private view: View = emptyView;
   private readonly ownership: OwnershipOptions;
   private isScheduled = false;
+  private placingLater: NodeJS.Timeout | undefined;
   /** Time spent on placing since the start, in ms. */
   private placingMs = 0;
   private readonly metrics: Metrics;
@@ -174,9 +178,8 @@
 
   private listDispatchers(service: ServiceName): readonly Address[] {
     const {listDispatchers} = this.options;
-    if (listDispatchers !== undefined)
-      return listDispatchers(this.view, service);
-    return this.fleet.listKnown(service).map(({address}) => address);
+    if (listDispatchers === undefined) return this.fleet.listHomes(service);
+    return listDispatchers(this.view, service);
   }
 
   /** Takes no more jobs from other dispatchers. */
@@ -202,8 +205,7 @@
       this.clock.now(),
     );
     if (refusal !== undefined) return refusal;
-    const {service} = submission.queue;
-    const claimed = {job: job.id, service};
+    const claimed = {job: job.id, service: submission.queue.service};
     const standing = await settleOwnership(this.ownership, claimed, leavesAt);
     switch (standing.kind) {
       case 'completed':
@@ -229,8 +231,12 @@
           waitingCoreMs: sumWaiting(service, this.jobs.values()),
         }),
       }),
-      'dispatcher.relay': async params => ({
-        end: await this.takeRelayed(params),
+      'dispatcher.relay': async (params, peer) => ({
+        end: await this.submitters.hold(
+          params.job.id,
+          peer,
+          this.takeRelayed(params),
+        ),
         waiting: this.countWaiting(params.queue.name),
       }),
       'dispatcher.abandon': ({job}) => this.giveUp(job),
@@ -252,6 +258,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    clearTimeout(this.placingLater);
     for (const {expiry} of this.jobs.values()) clearTimeout(expiry);
     await this.fleet[Symbol.asyncDispose]();
     await this.fellows[Symbol.asyncDispose]();
@@ -322,7 +329,7 @@
       this.expiry.arm(active, active.uselessAt - active.chainMs);
       this.jobs.set(job.id, active);
       this.waiting.add(active);
-      if (job.steps.some(hasNeeds)) this.followHolders(active);
+      this.fleet.followNeeds(queue.service, job);
       this.options.log.debug(
         {
           event: 'job-accepted',
@@ -347,6 +354,14 @@
     });
   }
 
+  /** Places again after a while, though nothing may have changed but the time. */
+  private schedulePlacingLater(): void {
+    this.placingLater ??= setTimeout(() => {
+      this.placingLater = undefined;
+      this.placeWaiting();
+    }, placeAgainMs);
+  }
+
   private placeWaiting(): void {
     const now = this.clock.now();
     for (const job of this.waiting) {
@@ -355,17 +370,13 @@
     const impossible = this.placer.placeAll(this.waiting, now);
     this.rescuer.look(now);
     for (const job of impossible) {
-      if (!this.followHolders(job)) this.close(job, {kind: 'failed'});
+      const canHold = this.fleet.canHold(job.queue.service, job.state.job);
+      if (!canHold) this.close(job, {kind: 'failed'});
     }
+    if (this.placer.isWaitingForFaster) this.schedulePlacingLater();
     this.placingMs += this.clock.now() - now;
   }
 
-  /** Follows targets for what a job's tasks need; false when none could ever hold one of them. */
-  private followHolders({state, queue}: ActiveJob): boolean {
-    const {steps} = state.job;
-    return steps.every(step => this.fleet.followHolders(queue.service, step));
-  }
-
   private recordEnd(
     target: TargetId,
     run: OutstandingRun,
@@ -438,8 +449,3 @@
     for (const close of job.closers) close();
   }
 }
-
-/** True when not every target serves a task equally well. */
-function hasNeeds({requiredLabel, dataRack}: JobStep): boolean {
-  return requiredLabel !== undefined || dataRack !== undefined;
-}
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -66,6 +66,8 @@
 
 /** Sends ready tasks to targets with room for them, the most urgent job's first. */
 export class Placer {
+  /** True when some task of the latest placing waits for a faster target, which only time can tell it not to. */
+  isWaitingForFaster = false;
   private nextTicket: RunTicket = 1;
 
   constructor(
@@ -79,6 +81,7 @@
       .filter(({state, isHeldBack}) => !isHeldBack && hasReady(state))
       .map(job => ({job, rank: rankJob(job, now)}))
       .sort((a, b) => a.rank - b.rank);
+    this.isWaitingForFaster = false;
     const pools = new Map<ServiceName, Pool>();
     const impossible: ActiveJob[] = [];
     for (const {job, rank} of waiting) {
@@ -129,6 +132,7 @@
       if (choice.kind === 'full' && isUsual(step, task)) {
         pool.refused.push(step.demand);
       }
+      if (choice.kind === 'wait') this.isWaitingForFaster = true;
       if (choice.kind !== 'place') continue;
       const target = pool.targets.get(choice.target)!;
       pool.targets.set(choice.target, reserveRoom(target, {...step, rank}));
--- a/packages/dispatch/src/router.ts
+++ b/packages/dispatch/src/router.ts
@@ -7,11 +7,13 @@
   type ServiceName,
 } from '#model';
 import type {View} from '#membership';
+import {chooseHomes} from '#policy';
 import type {Liveness, RefusalCause} from '#protocol';
 import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import type {JobOutcome, JobSubmission} from './active-job.js';
 import {rankRegistrars} from './claims.js';
 import {Fellows} from './fellows.js';
+import {groupTargets} from './runner-fleet.js';
 import {WaitingCounts} from './waiting-counts.js';
 
 export interface JobRouterOptions {
@@ -31,7 +33,8 @@
 const idleLiveness: Liveness = {probeAfterMs: 1000, silenceLimitMs: 2200};
 
 interface RoutedJob {
-  readonly outcome: Promise<JobOutcome>;
+  /** Told what becomes of it, beside the first caller. */
+  readonly waiters: ((outcome: JobOutcome) => void)[];
   /** Set once it was handed to a dispatcher. */
   home: Address | undefined;
 }
@@ -84,14 +87,14 @@
 
   /** Follows the targets that control knows: a dispatcher stands beside each. */
   follow(view: View): void {
-    const homes = new Map<ServiceName, Address[]>();
-    for (const {capacity, leaving, service, address} of view.targets.list()) {
-      if (capacity.kind !== 'room' || leaving) continue;
-      const same = homes.get(service) ?? [];
-      same.push(address);
-      homes.set(service, same);
-    }
-    this.homes = homes;
+    this.homes = new Map(
+      [...groupTargets(view)].map(([service, targets]) => [
+        service,
+        chooseHomes(service, targets)
+          .filter(({leaving}) => !leaving)
+          .map(({address}) => address),
+      ]),
+    );
     this.connect();
   }
 
@@ -99,14 +102,16 @@
   async submit(submission: JobSubmission): Promise<JobOutcome> {
     const {id} = submission.job;
     const known = this.jobs.get(id);
-    if (known !== undefined) return known.outcome;
-    const outcome = this.relay(submission);
-    const routed: RoutedJob = {outcome, home: undefined};
+    if (known !== undefined) {
+      return new Promise(resolve => known.waiters.push(resolve));
+    }
+    const routed: RoutedJob = {waiters: [], home: undefined};
     this.jobs.set(id, routed);
-    const result = await outcome;
+    const outcome = await this.relay(submission, routed);
     if (this.jobs.get(id) === routed) this.jobs.delete(id);
-    this.measure(submission, result);
-    return result;
+    for (const tell of routed.waiters) tell(outcome);
+    this.measure(submission, outcome);
+    return outcome;
   }
 
   /** Gives a job up whose caller has gone. */
@@ -127,15 +132,17 @@
   }
 
   /** Asks the job's home to run it, or the next ones while it is refused for a reason of the one asked. */
-  private async relay(submission: JobSubmission): Promise<JobOutcome> {
+  private async relay(
+    submission: JobSubmission,
+    routed: RoutedJob,
+  ): Promise<JobOutcome> {
     const {job, queue, leavesAt, arrivedAt} = submission;
     const homes = this.homes.get(queue.service) ?? [];
     let refusal: JobOutcome | undefined;
     let asked = 0;
     for (const home of rankRegistrars(job.id, homes)) {
       if (asked === maxHomes) break;
-      const routed = this.jobs.get(job.id);
-      if (routed !== undefined) routed.home = home;
+      routed.home = home;
       const now = monotonicClock.now();
       const handed = await this.fellows.relay(
         home,
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -1,7 +1,16 @@
-import type {Instant, JobId, ServiceName, TargetId, TargetInfo} from '#model';
+import type {
+  Address,
+  Instant,
+  JobId,
+  QueuedJob,
+  ServiceName,
+  TargetId,
+  TargetInfo,
+} from '#model';
 import type {View} from '#membership';
 import {
   chooseFollowed,
+  chooseHomes,
   chooseHolders,
   isSlowed,
   type RoomTarget,
@@ -33,7 +42,7 @@
 
   /** Follows some of the targets that control knows. A link with runs outlasts its target's place in the view. */
   follow(view: View): void {
-    this.known = groupByService(view);
+    this.known = groupTargets(view);
     const {dispatcher} = this.owner;
     const known = new Set<TargetId>();
     for (const targets of this.known.values()) {
@@ -51,16 +60,30 @@
     }
   }
 
+  /** Lists the dispatchers that take a service's jobs, also those that leave. */
+  listHomes(service: ServiceName): readonly Address[] {
+    const homes = chooseHomes(service, this.listKnown(service));
+    return homes.map(({address}) => address);
+  }
+
   /** Lists all targets of a service that control knows, also those that leave. */
   listKnown(service: ServiceName): readonly TargetInfo[] {
     return this.known.get(service) ?? [];
   }
 
-  /**
-   * Follows further targets for what a task needs of its target's kind or place; false when no target
-   * that control knows could hold it.
-   */
-  followHolders(service: ServiceName, needs: TaskNeeds): boolean {
+  /** Follows further targets for a job that not every target serves equally well. */
+  followNeeds(service: ServiceName, {steps}: QueuedJob): void {
+    for (const step of steps) {
+      if (hasNeeds(step)) this.followHolders(service, step);
+    }
+  }
+
+  /** Follows targets that could hold each task of a job; false when none that control knows could hold one of them. */
+  canHold(service: ServiceName, {steps}: QueuedJob): boolean {
+    return steps.every(step => this.followHolders(service, step));
+  }
+
+  private followHolders(service: ServiceName, needs: TaskNeeds): boolean {
     const known = this.listKnown(service);
     const chosen = chooseHolders(this.owner.dispatcher, needs, known);
     for (const info of chosen) {
@@ -173,7 +196,8 @@
   }
 }
 
-function groupByService(
+/** Groups the targets that have room for runs by their services. */
+export function groupTargets(
   view: View,
 ): ReadonlyMap<ServiceName, readonly TargetInfo[]> {
   const groups = new Map<ServiceName, TargetInfo[]>();
@@ -185,3 +209,7 @@
   }
   return groups;
 }
+
+function hasNeeds({requiredLabel, dataRack}: TaskNeeds): boolean {
+  return requiredLabel !== undefined || dataRack !== undefined;
+}
--- /dev/null
+++ b/packages/dispatch/src/submitters.ts
@@ -0,0 +1,66 @@
+import type {JobId} from '#model';
+import type {Liveness, Peer} from '#protocol';
+
+/**
+ * While jobs are in hand: a dispatcher cut off gives its jobs up before their callers, who notice no
+ * sooner, can have them run elsewhere.
+ */
+const busyLiveness: Liveness = {probeAfterMs: 400, silenceLimitMs: 1100};
+/** While none are: who dialled asks for signs of life as often as it needs. */
+const idleLiveness: Liveness = {probeAfterMs: 12_000, silenceLimitMs: 30_000};
+
+/**
+ * The connections over which the jobs in hand came. A job whose connections are all over is given up: its
+ * answer would reach nobody, and its caller may submit it elsewhere.
+ */
+export class Submitters {
+  private readonly peers = new Map<JobId, Set<Peer>>();
+  private readonly jobs = new Map<Peer, Set<JobId>>();
+
+  constructor(private readonly giveUp: (job: JobId) => void) {}
+
+  /** Holds a job for a connection until it is over. */
+  async hold<Outcome>(
+    job: JobId,
+    peer: Peer,
+    outcome: Promise<Outcome>,
+  ): Promise<Outcome> {
+    this.add(job, peer);
+    const result = await outcome;
+    this.remove(job, peer);
+    return result;
+  }
+
+  private add(job: JobId, peer: Peer): void {
+    const peers = this.peers.get(job) ?? new Set();
+    this.peers.set(job, peers.add(peer));
+    const known = this.jobs.get(peer);
+    if (known !== undefined) {
+      known.add(job);
+      return;
+    }
+    this.jobs.set(peer, new Set([job]));
+    peer.setLiveness(busyLiveness);
+    void peer.closed.then(() => this.drop(peer));
+  }
+
+  private remove(job: JobId, peer: Peer): void {
+    const peers = this.peers.get(job);
+    peers?.delete(peer);
+    if (peers?.size === 0) this.peers.delete(job);
+    const jobs = this.jobs.get(peer);
+    jobs?.delete(job);
+    if (jobs?.size !== 0) return;
+    this.jobs.delete(peer);
+    peer.setLiveness(idleLiveness);
+  }
+
+  private drop(peer: Peer): void {
+    for (const job of this.jobs.get(peer) ?? []) {
+      const peers = this.peers.get(job);
+      peers?.delete(peer);
+      if (peers?.size === 0) this.giveUp(job);
+    }
+    this.jobs.delete(peer);
+  }
+}
--- a/packages/dispatch/test/placer.test.ts
+++ b/packages/dispatch/test/placer.test.ts
@@ -66,3 +66,16 @@
     t.true(seen.looks <= 4 * (jobs + targets), JSON.stringify([...counts]));
   }
 });
+
+test('a task that waits for a faster target is told to be looked at again', t => {
+  const {fleet} = buildFullFleet(1);
+  const [fast] = fleet.listTargets('tally');
+  const empty = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  const slow = {...fast!, target: 'slow', used: empty, slowness: 3};
+  const placer = new Placer(
+    {...fleet, listTargets: () => [fast!, slow]},
+    openLog('silent', 'agent', 'a'),
+  );
+  placer.placeAll(openJobs(1, 1), 10);
+  t.true(placer.isWaitingForFaster);
+});
--- a/packages/dispatch/test/router.test.ts
+++ b/packages/dispatch/test/router.test.ts
@@ -1,8 +1,12 @@
+import {connect} from 'node:net';
 import test from 'ava';
+import {parseAddress} from '#model';
+import {encodeFrame, preface} from '#protocol';
 import {sleep, waitUntil} from '../../runner/test/stand.js';
 import {rankRegistrars} from '../src/claims.js';
 import {
   buildJob,
+  buildLongJob,
   buildTarget,
   buildView,
   type Home,
@@ -137,7 +141,7 @@
 test('a caller that leaves has its runs stopped at the home', async t => {
   await using site = await startSite();
   const [entry] = site.entries;
-  const outcome = entry.submit(buildJob('job', 2));
+  const outcome = entry.submit(buildJob('job', 2), 3_600_000);
   await waitUntil(() => site.countStarts() === 2);
   entry.router.giveUp('job');
   t.is(entry.router.jobCount, 0);
@@ -147,6 +151,50 @@
   );
 });
 
+test('a home gives up a job whose entry is gone', async t => {
+  await using site = await startSite();
+  void site.entries[0].submit(buildJob('job', 2));
+  await waitUntil(() => site.countStarts() === 2);
+  await site.entries[0][Symbol.asyncDispose]();
+  await waitUntil(() =>
+    site.homes.every(({executor}) => executor.running.size === 0),
+  );
+  t.is(site.rank('job')[0]!.dispatcher.jobCount, 0);
+});
+
+test('a home gives up a job whose entry has fallen silent, and not one that another entry waits for', async t => {
+  await using site = await startSite();
+  const home = site.rank('shared')[0]!;
+  const alone = site.homes
+    .map((_, i) => `alone-${i}`)
+    .concat('alone-3', 'alone-4', 'alone-5', 'alone-6', 'alone-7')
+    .find(job => site.rank(job)[0] === home)!;
+  const socket = connect(parseAddress(home.address).unsafeCoerce());
+  socket.on('error', () => {});
+  socket.write(preface);
+  for (const [id, job] of ['shared', alone].entries()) {
+    const params = {
+      job: buildLongJob(job, 1),
+      queue,
+      ageMs: 0,
+      remainingMs: 8000,
+    };
+    const method = 'dispatcher.relay';
+    socket.write(encodeFrame({jsonrpc: '2.0', id, method, params}));
+  }
+  const shared = site.entries[0].submit(buildLongJob('shared', 1), 8000);
+  await waitUntil(() => site.countStarts() === 2);
+  const listRunning = () =>
+    site.homes.flatMap(({executor}) =>
+      [...executor.running.values()].map(({job}) => job),
+    );
+  await waitUntil(() => listRunning().length === 1);
+  t.deepEqual(listRunning(), ['shared']);
+  site.endAll();
+  t.deepEqual(await shared, {kind: 'completed'});
+  socket.destroy();
+});
+
 test('an entry that knows no target refuses at once', async t => {
   await using alone = startRouter();
   t.false(alone.router.isConnected);
--- a/packages/policy/src/follow.ts
+++ b/packages/policy/src/follow.ts
@@ -3,6 +3,10 @@
 
 /** Targets of a service that one dispatcher places tasks on as a rule. */
 const maxFollowed = 12;
+/** Dispatchers of a service at least: one of them may be lost, and another one beside it. */
+const minHomes = 4;
+/** Share of a service's targets whose dispatchers take jobs, beyond that. */
+const homeShare = 0.5;
 /** Targets that could hold a task, or have its data, among those that a dispatcher places it on. */
 const minHolders = 4;
 
@@ -38,6 +42,19 @@
   return takeBest(dispatcher, holders, minHolders);
 }
 
+/**
+ * Chooses the targets whose dispatchers take a service's jobs: those who know the same targets choose the
+ * same. Load pattern: a pool that is nearly full, where each dispatcher beyond what the work needs makes
+ * the loads that it and the others hear of older, and splits the order of what waits once more.
+ */
+export function chooseHomes(
+  service: string,
+  targets: readonly TargetInfo[],
+): readonly TargetInfo[] {
+  const count = Math.max(minHomes, Math.ceil(targets.length * homeShare));
+  return takeBest(service, targets, count);
+}
+
 function isHolder({capacity}: TargetInfo, needs: TaskNeeds): boolean {
   if (capacity.kind !== 'room' || !isHoldable({room: capacity}, needs)) {
     return false;
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -134,4 +134,9 @@
 } from './guard.js';
 export {defaultGuardLimits, judgeGuard, updateUsage} from './guard.js';
 
-export {chooseFollowed, chooseHolders, type TaskNeeds} from './follow.js';
+export {
+  chooseFollowed,
+  chooseHomes,
+  chooseHolders,
+  type TaskNeeds,
+} from './follow.js';
--- a/packages/policy/src/room-placement.ts
+++ b/packages/policy/src/room-placement.ts
@@ -94,7 +94,7 @@
     findCheapest(task, usable, target => isOpenAhead(target, task));
   if (best === undefined) return {kind: 'full'};
   const fastest = Math.min(...usable.map(each => estimateRunMs(task, each)));
-  const missesDue = now + best.cost > task.dueAt;
+  const missesDue = now + best.runMs > task.dueAt;
   const fastKeepsDue = now + fastest <= task.dueAt;
   if (missesDue && fastKeepsDue) return {kind: 'wait'};
   return {kind: 'place', target: best.target};
@@ -128,6 +128,8 @@
   readonly target: TargetId;
   /** The time to the task's end there, in ms, with what counts against the target. */
   readonly cost: number;
+  /** The run time expected there, in ms. */
+  readonly runMs: number;
 }
 
 /** Finds the sound target with room now where a task ends soonest; undefined when none has room. */
@@ -160,13 +162,14 @@
   for (const target of targets) {
     if (!isOpen(target)) continue;
     if (target.target === task.avoid && targets.length > 1) continue;
+    const runMs = estimateRunMs(task, target);
     const cost =
-      estimateRunMs(task, target) * (1 + failingWeight * target.failing) +
+      runMs * (1 + failingWeight * target.failing) +
       target.startsAhead * startMs +
       (target.isNear ? 0 : distanceMs) +
       (task.joined?.has(target.target) === true ? 0 : messageMs);
     if (best === undefined || cost < best.cost) {
-      best = {target: target.target, cost};
+      best = {target: target.target, cost, runMs};
     }
   }
   return best;
