Refuse at an entry what it would answer too late

Change: it judges its own event loop as the dispatchers do theirs. Evidence: dispatch/test/saturation.test.ts, four times what an entry can do and then a tenth of it: nothing of what is taken is lost, and afterwards nothing is refused.

--- a/packages/dispatch/src/router.ts
+++ b/packages/dispatch/src/router.ts
@@ -7,7 +7,8 @@
   type ServiceName,
 } from '#model';
 import type {View} from '#membership';
-import {chooseHomes} from '#policy';
+import {computeUsefulMs, estimateChainMs} from '#jobs';
+import {chooseHomes, judgeSaturation} from '#policy';
 import type {Liveness, RefusalCause} from '#protocol';
 import {type Logger, type Metrics, silentMetrics} from '#telemetry';
 import type {JobOutcome, JobSubmission} from './active-job.js';
@@ -19,6 +20,8 @@
 export interface JobRouterOptions {
   readonly log: Logger;
   readonly metrics?: Metrics;
+  /** Reads how late this process's event loop is, in ms. */
+  readonly readLagMs?: () => number;
 }
 
 /** How long a caller waits when no dispatcher could be reached, in ms. */
@@ -105,6 +108,8 @@
     if (known !== undefined) {
       return new Promise(resolve => known.waiters.push(resolve));
     }
+    const refusal = this.judgeSaturation(submission);
+    if (refusal !== undefined) return refusal;
     const routed: RoutedJob = {waiters: [], home: undefined};
     this.jobs.set(id, routed);
     const outcome = await this.relay(submission, routed);
@@ -174,6 +179,36 @@
     return refusal ?? this.refuse(submission);
   }
 
+  /** Refuses a job that this process would answer too late. */
+  private judgeSaturation(submission: JobSubmission): JobOutcome | undefined {
+    const {job, queue, arrivedAt, leavesAt} = submission;
+    const lagMs = this.options.readLagMs?.() ?? 0;
+    const uselessAt = arrivedAt + computeUsefulMs(job, queue.objective);
+    const verdict = judgeSaturation(
+      {
+        chainMs: estimateChainMs(job),
+        leavesAt: Math.min(leavesAt, uselessAt),
+      },
+      lagMs,
+      monotonicClock.now(),
+    );
+    if (verdict.kind === 'admit') return undefined;
+    const {retryAfterMs} = verdict;
+    this.options.log.info(
+      {
+        event: 'job-refused',
+        job: job.id,
+        queue: queue.name,
+        cause: 'saturated',
+        lagMs: Math.round(lagMs),
+        retryAfterMs,
+      },
+      'refused a job: this process is at the limit of its processor',
+    );
+    const detail = 'this entry cannot come to it before its caller leaves';
+    return {kind: 'refused', cause: 'saturated', retryAfterMs, detail};
+  }
+
   private refuse({job, queue}: JobSubmission): JobOutcome {
     const detail = `no dispatcher of service "${queue.service}" can be reached`;
     this.options.log.warn(
--- a/packages/dispatch/test/saturation.test.ts
+++ b/packages/dispatch/test/saturation.test.ts
@@ -2,7 +2,14 @@
 import {monotonicClock} from '#model';
 import {LoopLag} from '#telemetry';
 import {sleep, startRunner, waitUntil} from '../../runner/test/stand.js';
-import {buildJob, buildView, queue, startDispatcher} from './stand.js';
+import {
+  buildJob,
+  buildView,
+  queue,
+  startDispatcher,
+  startHome,
+  startRouter,
+} from './stand.js';
 
 /** What taking one job costs the process, in ms; a refusal costs next to nothing. */
 const costMs = 20;
@@ -70,3 +77,47 @@
   const counts = await runOverload(false);
   t.true(counts.useful < 0.3 * offered, JSON.stringify(counts));
 });
+
+test.serial(
+  'an entry that was offered four times what it can do refuses nothing of a tenth of it',
+  async t => {
+    await using home = await startHome('target-0');
+    using lag = new LoopLag();
+    await using entry = startRouter(() => lag.currentMs);
+    const view = buildView([home.address], []);
+    home.dispatcher.follow(view);
+    entry.router.follow(view);
+    await waitUntil(
+      () => entry.router.isConnected && home.dispatcher.isConnected,
+    );
+    const ends = setInterval(() => {
+      for (const ref of [...home.executor.running.values()])
+        home.executor.end(ref, 'succeeded');
+    }, 5);
+    const offer = (name: string, count: number, pauseMs: number) => {
+      const outcomes: Promise<string>[] = [];
+      return new Promise<string[]>(resolve => {
+        const offerOne = () => {
+          consume(costMs);
+          const job = buildJob(`${name}-${outcomes.length}`, 1);
+          outcomes.push(entry.submit(job).then(({kind}) => kind));
+          if (outcomes.length === count) resolve(Promise.all(outcomes));
+          else if (pauseMs > 0) setTimeout(offerOne, pauseMs);
+          else if (outcomes.length % 8 === 0) setTimeout(offerOne, 1);
+          else offerOne();
+        };
+        offerOne();
+      });
+    };
+    const crowded = await offer('crowded', offered, 0);
+    t.false(crowded.includes('expired'), String(crowded));
+    t.true(crowded.includes('refused'), String(crowded));
+    while (lag.currentMs > 1) await sleep(10);
+    const calm = await offer('calm', 20, 10 * costMs);
+    clearInterval(ends);
+    t.true(
+      calm.every(kind => kind === 'completed'),
+      String(calm),
+    );
+  },
+);
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -117,8 +117,9 @@
 export type Home = Awaited<ReturnType<typeof startHome>>;
 
 /** Starts an entry's router. */
-export function startRouter() {
-  const router = new JobRouter({log: openLog('silent', 'entry', 'e')});
+export function startRouter(readLagMs?: () => number) {
+  const log = openLog('silent', 'entry', 'e');
+  const router = new JobRouter({log, readLagMs});
   return {
     router,
     submit: (job: QueuedJob, patienceMs = 4000) =>
