Have only dispatchers that take jobs follow targets

Cause, in part: loads are told to every dispatcher in turn, so that eleven dispatchers hear of them a quarter as often as three entries did. Change: a dispatcher that is no home of a service follows its targets only once a job of it comes. Turns of placing are a module of their own, which ends with its owner (a disposed dispatcher placed for ever). Evidence: dispatch/test/router.test.ts.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -30,6 +30,7 @@
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, settleOwnership} from './ownership.js';
 import {Placer} from './placer.js';
+import {PlacingTurns} from './placing-turns.js';
 import {Relay} from './relay.js';
 import {Rescuer} from './rescuer.js';
 import {RunnerFleet} from './runner-fleet.js';
@@ -38,6 +39,8 @@
 
 export interface DispatcherOptions {
   readonly id: string;
+  /** The target that it stands beside; undefined for one that stands apart. */
+  readonly beside?: TargetId;
   /** Differs at each start and grows. */
   readonly life: number;
   readonly failureDomain: string;
@@ -57,8 +60,6 @@
 
 /** Callers of a dispatcher that leaves go elsewhere at once, in ms. */
 const leavingRetryMs = 200;
-/** A task that waits for a faster target is looked at again after this, in ms. */
-const placeAgainMs = 20;
 /** Ended jobs whose callers may ask again, as they do within seconds. */
 const maxRemembered = 8192;
 
@@ -86,10 +87,7 @@
   private isLeaving = false;
   private view: View = emptyView;
   private readonly ownership: OwnershipOptions;
-  private isScheduled = false;
-  private placingLater: NodeJS.Timeout | undefined;
-  /** Time spent on placing since the start, in ms. */
-  private placingMs = 0;
+  private readonly placing = new PlacingTurns(() => this.placeWaiting());
   private readonly metrics: Metrics;
 
   constructor(private readonly options: DispatcherOptions) {
@@ -108,11 +106,12 @@
       clock: this.clock,
       log: options.log,
       dispatcher: options.id,
+      beside: options.beside,
       life: options.life,
       failureDomain: options.failureDomain,
       onEnd: (target, run, end, runMs) =>
         this.recordEnd(target, run, end, runMs),
-      onLoad: () => this.schedulePlacing(),
+      onLoad: () => this.placing.schedule(),
     });
     this.placer = new Placer(this.fleet, options.log);
     this.rescuer = new Rescuer(
@@ -134,7 +133,7 @@
       estimateRetryMs: service =>
         this.intake.estimateRetryMs(service, this.jobs.values()),
       close: (job, outcome) => this.close(job, outcome),
-      resume: () => this.schedulePlacing(),
+      resume: () => this.placing.schedule(),
     });
     this.relay = new Relay({
       fellows: this.fellows,
@@ -161,7 +160,7 @@
 
   /** Counts what is in hand and what targets have told, for the log. */
   describe(): Readonly<Record<string, number>> {
-    const placingMs = Math.round(this.placingMs);
+    const {spentMs: placingMs} = this.placing;
     return {jobs: this.jobCount, placingMs, ...this.fleet.countMessages()};
   }
 
@@ -199,6 +198,7 @@
 
   private async admit(submission: JobSubmission): Promise<JobOutcome> {
     const {job, leavesAt} = submission;
+    this.fleet.need(submission.queue.service);
     const refusal = this.intake.judge(
       {...submission, job: this.forecast.adjust(job, submission.queue.name)},
       this.jobs.values(),
@@ -258,7 +258,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    clearTimeout(this.placingLater);
+    this.placing[Symbol.dispose]();
     for (const {expiry} of this.jobs.values()) clearTimeout(expiry);
     await this.fleet[Symbol.asyncDispose]();
     await this.fellows[Symbol.asyncDispose]();
@@ -341,28 +341,12 @@
         },
         'accepted a job',
       );
-      this.schedulePlacing();
+      this.placing.schedule();
     });
   }
 
-  private schedulePlacing(): void {
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    setImmediate(() => {
-      this.isScheduled = false;
-      this.placeWaiting();
-    });
-  }
-
-  /** Places again after a while, though nothing may have changed but the time. */
-  private schedulePlacingLater(): void {
-    this.placingLater ??= setTimeout(() => {
-      this.placingLater = undefined;
-      this.placeWaiting();
-    }, placeAgainMs);
-  }
-
-  private placeWaiting(): void {
+  /** Places what can be placed; true when it is to be tried again, though nothing may have changed but the time. */
+  private placeWaiting(): boolean {
     const now = this.clock.now();
     for (const job of this.waiting) {
       if (!hasReady(job.state)) this.waiting.delete(job);
@@ -373,8 +357,7 @@
       const canHold = this.fleet.canHold(job.queue.service, job.state.job);
       if (!canHold) this.close(job, {kind: 'failed'});
     }
-    if (this.placer.isWaitingForFaster) this.schedulePlacingLater();
-    this.placingMs += this.clock.now() - now;
+    return this.placer.isWaitingForFaster;
   }
 
   private recordEnd(
@@ -410,7 +393,7 @@
         return;
       case 'open':
       case 'cancelled':
-        this.schedulePlacing();
+        this.placing.schedule();
     }
   }
 
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -38,6 +38,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly dispatcher: string;
+  /** The target that the dispatcher stands beside; undefined for one that stands apart. */
+  readonly beside?: TargetId;
   readonly life: number;
   readonly failureDomain: string;
   /** A run is over; nothing of it is left at the target. */
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -26,6 +26,8 @@
   private readonly links = new Map<TargetId, RunnerLink>();
   /** Targets that are followed for what some tasks need. */
   private readonly holders = new Set<TargetId>();
+  /** Services of which a job came here out of turn. */
+  private readonly needed = new Set<ServiceName>();
   /** All targets that control knows, by service. */
   private known: ReadonlyMap<ServiceName, readonly TargetInfo[]> = new Map();
 
@@ -40,12 +42,34 @@
     return this.links.get(target);
   }
 
-  /** Follows some of the targets that control knows. A link with runs outlasts its target's place in the view. */
+  /**
+   * Follows some of the targets of each service whose jobs come here. A link with runs outlasts its
+   * target's place in the view.
+   */
   follow(view: View): void {
     this.known = groupTargets(view);
+    this.followKnown();
+  }
+
+  /** Follows the targets of a service of which a job has come here, though others take its jobs as a rule. */
+  need(service: ServiceName): void {
+    if (this.isServing(service)) return;
+    this.needed.add(service);
+    this.followKnown();
+  }
+
+  private isServing(service: ServiceName): boolean {
+    const {beside} = this.owner;
+    if (beside === undefined || this.needed.has(service)) return true;
+    const homes = chooseHomes(service, this.listKnown(service));
+    return homes.some(({target}) => target === beside);
+  }
+
+  private followKnown(): void {
     const {dispatcher} = this.owner;
     const known = new Set<TargetId>();
-    for (const targets of this.known.values()) {
+    for (const [service, targets] of this.known) {
+      if (!this.isServing(service)) continue;
       const followed = chooseFollowed(dispatcher, targets);
       const more = targets.filter(({target}) => this.holders.has(target));
       for (const info of [...followed, ...more]) {
--- a/packages/dispatch/test/router.test.ts
+++ b/packages/dispatch/test/router.test.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import test from 'ava';
 import {parseAddress} from '#model';
+import {chooseHomes} from '#policy';
 import {encodeFrame, preface} from '#protocol';
 import {sleep, waitUntil} from '../../runner/test/stand.js';
 import {rankRegistrars} from '../src/claims.js';
@@ -215,6 +216,39 @@
   t.is(entry.router.countWaiting(queue.name), 0);
 });
 
+test('a dispatcher to which no jobs are handed as a rule runs one that comes', async t => {
+  const homes: Home[] = [];
+  for (let i = 0; i < 12; i++) homes.push(await startHome(`target-${i}`));
+  const view = buildView(
+    homes.map(({address}) => address),
+    [],
+  );
+  for (const {dispatcher} of homes) dispatcher.follow(view);
+  const taking = chooseHomes('tally', [...view.targets.list()]);
+  t.is(taking.length, 6);
+  await waitUntil(
+    () => homes.filter(each => each.dispatcher.isConnected).length === 6,
+  );
+  const other = homes.find(({address}) =>
+    taking.every(target => target.address !== address),
+  )!;
+  t.false(other.dispatcher.isConnected);
+  const outcome = other.dispatcher.submit({
+    job: buildLongJob('job', 2),
+    queue,
+    arrivedAt: performance.now(),
+    leavesAt: performance.now() + 60_000,
+  });
+  const listRuns = () =>
+    homes.flatMap(({executor}) =>
+      [...executor.running.values()].map(ref => ({executor, ref})),
+    );
+  await waitUntil(() => listRuns().length === 2);
+  for (const {executor, ref} of listRuns()) executor.end(ref, 'succeeded');
+  t.deepEqual(await outcome, {kind: 'completed'});
+  for (const home of homes) await home[Symbol.asyncDispose]();
+});
+
 test('a job for a kind of target that its home does not follow is run there', async t => {
   const homes: Home[] = [];
   for (let i = 0; i < 16; i++) homes.push(await startHome(`target-${i}`));
--- a/packages/dispatch/test/stand.ts
+++ b/packages/dispatch/test/stand.ts
@@ -95,6 +95,7 @@
   const runner = await startRunner([], handlers);
   const dispatcher = new Dispatcher({
     id,
+    beside: id,
     life: 1,
     failureDomain: 'f',
     address: runner.address,
