--- a/packages/dispatch/src/router.ts
+++ b/packages/dispatch/src/router.ts
@@ -142,7 +142,7 @@
     routed: RoutedJob,
   ): Promise<JobOutcome> {
     const {job, queue, leavesAt, arrivedAt} = submission;
-    const homes = this.homes.get(queue.service) ?? [];
+    const homes = this.listReady(queue.service);
     let refusal: JobOutcome | undefined;
     let asked = 0;
     for (const home of rankRegistrars(job.id, homes)) {
@@ -179,6 +179,16 @@
     return refusal ?? this.refuse(submission);
   }
 
+  /**
+   * Lists the homes that can be asked at once, or all where none can: a connection to one that is cut off
+   * takes longer to fail than a short job may last. They are connected to beside the jobs.
+   */
+  private listReady(service: ServiceName): readonly Address[] {
+    const homes = this.homes.get(service) ?? [];
+    const ready = homes.filter(home => this.fellows.isConnected(home));
+    return ready.length > 0 ? ready : homes;
+  }
+
   /** Refuses a job that this process would answer too late. */
   private judgeSaturation(submission: JobSubmission): JobOutcome | undefined {
     const {job, queue, arrivedAt, leavesAt} = submission;
