--- a/packages/dispatch/test/router.test.ts
+++ b/packages/dispatch/test/router.test.ts
@@ -135,9 +135,11 @@
   t.deepEqual(await outcome, {kind: 'expired'});
   const again = site.entries[1].submit(buildLongJob('job', 6));
   await sleep(300);
+  t.is(site.countStarts(), 6);
   t.is(site.countDoubles(), 0);
   site.endAll();
   t.not((await again).kind, 'refused');
+  t.is(site.countStarts(), 6);
 });
 
 test('a caller that leaves has its runs stopped at the home', async t => {
--- a/packages/dispatch/test/saturation.test.ts
+++ b/packages/dispatch/test/saturation.test.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import test from 'ava';
 import {monotonicClock} from '#model';
 import {LoopLag} from '#telemetry';
@@ -11,22 +12,22 @@
   startRouter,
 } from './stand.js';
 
-/** What taking one job costs the process, in ms of its processor time; a refusal costs next to nothing. */
+/** What taking one job costs the process, in ms; a refusal costs next to nothing. */
 const costMs = 20;
 const offered = 200;
 /** Twice as many jobs as the process can take. */
 const everyMs = 10;
 const patienceMs = 2000;
 
-/** Reads the processor time that this process has used, in ms. */
-function readProcessorMs(): number {
-  const {user, system} = process.cpuUsage();
-  return (user + system) / 1000;
+/** Reads for how long this thread was ready and got no processor, in ms. */
+function readStarvedMs(): number {
+  const [, waitedNs] = readFileSync('/proc/self/schedstat', 'utf8').split(' ');
+  return Number(waitedNs) / 1e6;
 }
 
 function consume(ms: number): void {
-  const until = readProcessorMs() + ms;
-  while (readProcessorMs() < until);
+  const until = monotonicClock.now() + ms;
+  while (monotonicClock.now() < until);
 }
 
 /** Offers a dispatcher twice what it can do, and counts what callers who came on time have from it. */
@@ -43,14 +44,8 @@
     for (const ref of [...runner.executor.running.values()])
       runner.executor.end(ref, 'succeeded');
   }, 5);
-  const counts = {
-    useful: 0,
-    late: 0,
-    refused: 0,
-    refusedLate: 0,
-    affordable: 0,
-  };
-  const usedBefore = readProcessorMs();
+  const counts = {useful: 0, late: 0, refused: 0, refusedLate: 0, starvedMs: 0};
+  const starvedBefore = readStarvedMs();
   const beganAt = monotonicClock.now();
   const {stretch, slackMs} = queue.objective;
   const usefulMs = 3 * (stretch * 50 + slackMs);
@@ -71,7 +66,7 @@
     // Jobs that have come by now are read in one turn of the loop, as requests on their sockets are.
     if (monotonicClock.now() < cameAt + everyMs) await sleep(0);
   }
-  counts.affordable = (readProcessorMs() - usedBefore) / costMs;
+  counts.starvedMs = Math.round(readStarvedMs() - starvedBefore);
   await Promise.all(pending);
   clearInterval(ends);
   return counts;
@@ -82,16 +77,16 @@
   async t => {
     const counts = await runOverload(true);
     const report = JSON.stringify(counts);
-    // Of what the processor time that it got would do: 0.3 of what is offered where it gets a whole core.
-    t.true(counts.useful >= 0.6 * Math.min(offered, counts.affordable), report);
+    // Half of the offered jobs can be done; what the machine withheld from this process is not the admission's.
+    const withheld = counts.starvedMs / costMs;
+    t.true(counts.useful >= 0.3 * offered - 0.6 * withheld, report);
     t.true(counts.late + counts.refusedLate <= 0.2 * offered, report);
   },
 );
 
 test.serial('taking all that comes, it answers few in time', async t => {
   const counts = await runOverload(false);
-  const report = JSON.stringify(counts);
-  t.true(counts.useful < 0.6 * Math.min(offered, counts.affordable), report);
+  t.true(counts.useful < 0.3 * offered, JSON.stringify(counts));
 });
 
 test.serial(
