Grant no vote while an earlier leader may hold its lease

Cause: the wait after a contact with a leader held for requests of a newer term only. A late vote reply moves a follower's term, and the vote that came next was granted within the wait. Change: a vote request of the replica's own term is ignored within the wait, too.

--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -40,8 +40,8 @@
   durableIndex: number;
   role: RoleState = {kind: 'follower'};
   /**
-   * Last contact with a leader. As the leader may hold a lease, no vote in a newer term is granted for
-   * one election timeout from then on.
+   * Last contact with a leader. As the leader may hold a lease, no vote is granted for one election
+   * timeout from then on.
    */
   lastContactAt: Instant;
   electionDeadline: Instant = 0;
--- a/packages/consensus/src/vote.ts
+++ b/packages/consensus/src/vote.ts
@@ -76,9 +76,11 @@
 
 /**
  * Handles RequestVote. A leader, and a replica within an election timeout of
- * contact with one, rejects pre-votes and ignores requests in a newer term,
- * except after a leadership transfer. The leader's lease relies on this, and a
- * replica that returns from a partition can't disrupt the group.
+ * contact with one, rejects pre-votes and ignores requests for votes, except
+ * after a leadership transfer. The leader's lease relies on this, and a replica
+ * that returns from a partition can't disrupt the group. Requests in the
+ * replica's own term are ignored too: that term may come from another message
+ * than the leader's.
  */
 export function handleVoteRequest(
   core: ReplicaCore,
@@ -97,10 +99,8 @@
     replyVote(core, from, request, granted);
     return;
   }
-  if (request.term > core.term) {
-    if (leaseMayHold) return;
-    core.follow(request.term, undefined);
-  }
+  if (request.term >= core.term && leaseMayHold) return;
+  if (request.term > core.term) core.follow(request.term, undefined);
   const {vote} = core.hardState;
   const granted =
     request.term === core.term &&
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -241,3 +241,22 @@
   t.is(refuse(gap), 'expected entry 2, got 3');
   t.true(checkMessage(append(1)).isRight());
 });
+
+test('a newer term learnt from a vote reply does not end the wait after a contact with a leader', t => {
+  const harness = new ReplicaHarness();
+  harness.now = electionTimeoutMs;
+  harness.receive('b', append(1));
+  harness.now += 10;
+  harness.receive('c', {
+    kind: 'vote-reply',
+    term: 2,
+    preliminary: true,
+    granted: false,
+  });
+  t.is(harness.status.term, 2);
+  harness.receive('c', requestVote(2));
+  t.false(hasGrantedVote(harness));
+  harness.now += electionTimeoutMs;
+  harness.receive('c', requestVote(2));
+  t.true(hasGrantedVote(harness));
+});
