Keep a recall of slots that arrives before the session is open

Cause: AgentLink kept grants that came before the agent's welcome, and dropped recalls. The agent counted the slots as asked for and did not ask again, so that a second entry held none there (proof-targets, once). Change: early recalls follow the early grants once the session is open. Result: the new test of AgentLink failed before and passes now.

--- a/packages/entry/src/agent-link.ts
+++ b/packages/entry/src/agent-link.ts
@@ -62,6 +62,7 @@
   private peer: Peer | undefined;
   private ready = false;
   private earlySlots = 0;
+  private earlyRecalls = 0;
   private stopped = false;
   private inView = true;
   private endBackoff = () => {};
@@ -238,11 +239,7 @@
       this.target.address,
       {
         'entry.grant': ({slots}, peer) => this.receiveSlots(peer, slots),
-        'entry.recall': ({slots}, peer) => {
-          if (peer === this.peer && this.ready) {
-            this.owner.onRecalled(this, slots);
-          }
-        },
+        'entry.recall': ({slots}, peer) => this.receiveRecall(peer, slots),
         'entry.report': (report, peer) => this.receiveReport(peer, report),
       },
       this.getDeadline(dialTimeoutMs),
@@ -252,6 +249,7 @@
     if (peer === null) return false;
     this.peer = peer;
     this.earlySlots = 0;
+    this.earlyRecalls = 0;
     const slots = await this.startSession(peer, epoch);
     if (slots === undefined) {
       peer.close('no session could be opened with the agent');
@@ -262,6 +260,7 @@
     this.wakeWaiters();
     this.owner.onOpened(this, slots);
     if (this.earlySlots > 0) this.owner.onGranted(this, this.earlySlots);
+    if (this.earlyRecalls > 0) this.owner.onRecalled(this, this.earlyRecalls);
     const cause = await peer.closed;
     this.ready = false;
     this.owner.log.debug(
@@ -325,6 +324,13 @@
     else this.earlySlots += slots;
   }
 
+  /** Passes on a recall. One that comes before the session is open follows the early grants. */
+  private receiveRecall(peer: Peer, slots: number): void {
+    if (peer !== this.peer) return;
+    if (this.ready) this.owner.onRecalled(this, slots);
+    else this.earlyRecalls += slots;
+  }
+
   private receiveReport(peer: Peer, report: ReportParams): void {
     for (const {job, task, fate, runMs} of report.tasks) {
       this.finish({job, task}, {fate, runMs});
--- a/packages/entry/test/agent-link.test.ts
+++ b/packages/entry/test/agent-link.test.ts
@@ -23,11 +23,21 @@
 });
 type Page = Pick<FenceResult, 'tasks' | 'next'>;
 
-/** A link of the successor, epoch 2, to an agent that answers fence requests with `fence`. */
-async function openLink(fence: (params: FenceParams, peer: Peer) => Page) {
+/**
+ * A link of the successor, epoch 2, to an agent that answers fence requests with `fence` and calls
+ * `greet` before it opens a session.
+ */
+async function openLink(
+  fence: (params: FenceParams, peer: Peer) => Page,
+  greet: (peer: Peer) => void = () => {},
+) {
+  const calls: string[] = [];
   const listener = (
     await PeerListener.listen('127.0.0.1:0', {
-      'agent.hello': () => ({kind: 'welcome', target: describe(), slots: 1}),
+      'agent.hello': (_, peer) => {
+        greet(peer);
+        return {kind: 'welcome', target: describe(), slots: 4};
+      },
       'agent.query': ({tasks}) => ({
         standings: tasks.map(() => ({kind: 'running'})),
       }),
@@ -54,17 +64,17 @@
     log: openLog('silent', 'entry', 'entry-2'),
     getEpoch: () => 2,
     nextConnection: () => ++connections,
-    onOpened: () => {},
+    onOpened: () => void calls.push('opened'),
     onClosed: () => {},
-    onGranted: () => {},
-    onRecalled: () => {},
+    onGranted: (_, slots) => void calls.push(`granted ${slots}`),
+    onRecalled: (_, slots) => void calls.push(`recalled ${slots}`),
     onUnawaitedEnd: () => {},
   });
   const close = async () => {
     await link[Symbol.asyncDispose]();
     await listener[Symbol.asyncDispose]();
   };
-  return {link, close};
+  return {link, close, calls};
 }
 
 test('a takeover processes every page, including tasks that end meanwhile', async t => {
@@ -102,3 +112,16 @@
   t.deepEqual(silent, []);
   await close();
 });
+
+test('slots recalled before the session is open are returned once it is', async t => {
+  const {link, close, calls} = await openLink(
+    () => ({tasks: []}),
+    peer => {
+      peer.notify('entry.grant', {slots: 4});
+      peer.notify('entry.recall', {slots: 2});
+    },
+  );
+  while (!link.isReady) await new Promise(resolve => setTimeout(resolve, 2));
+  t.deepEqual(calls, ['opened', 'granted 4', 'recalled 2']);
+  await close();
+});
