Keep the request to end a run in any case over a later, weaker one

Cause: RunnerLink kept the latest of two requests made out of touch; one for runs that have not begun replaced one to end the run in any case. Change: the stronger request stands.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -219,12 +219,15 @@
   /**
    * Asks the target to end runs, or only those that have not begun; their ends are reported as usual.
    * While not attached, the request is sent after the next attach: the runner knows no runs on a
-   * connection that is not attached yet.
+   * connection that is not attached yet. A request to end a run in any case stands whatever is
+   * asked for later.
    */
   withdraw(tickets: readonly RunTicket[], waitingOnly = false): void {
     if (tickets.length === 0) return;
-    for (const ticket of tickets)
-      this.pendingWithdrawals.set(ticket, waitingOnly);
+    for (const ticket of tickets) {
+      const earlier = this.pendingWithdrawals.get(ticket) ?? true;
+      this.pendingWithdrawals.set(ticket, earlier && waitingOnly);
+    }
     this.attached?.notify('runner.withdraw', {tickets, waitingOnly});
   }
 
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -5,7 +5,7 @@
   type Peer,
   PeerListener,
   type RunBatch,
-  type RunTicket,
+  type WithdrawRunsParams,
 } from '#protocol';
 import {openLog} from '#telemetry';
 import {RunnerLink} from '../src/link.js';
@@ -102,9 +102,23 @@
 });
 
 test('a withdrawal made while a connection is attaching is sent once it is attached', async t => {
+  const {withdrawn} = await withdrawWhileAttaching(link => link.withdraw([1]));
+  t.deepEqual(withdrawn, [{tickets: [1], waitingOnly: false}]);
+});
+
+test('a run that is to end in any case still is after a later withdrawal of waiting runs', async t => {
+  const {withdrawn} = await withdrawWhileAttaching(link => {
+    link.withdraw([1]);
+    link.withdraw([1], true);
+  });
+  t.deepEqual(withdrawn, [{tickets: [1], waitingOnly: false}]);
+});
+
+/** Withdraws while a lost connection is attached again; returns what the runner then receives. */
+async function withdrawWhileAttaching(withdraw: (link: RunnerLink) => void) {
   const attached: Peer[] = [];
   const known = new Set<Peer>();
-  const withdrawn: RunTicket[] = [];
+  const withdrawn: WithdrawRunsParams[] = [];
   let isWithdrawn = false;
   // Accepts withdrawals on a connection only once it is attached, as the runner does.
   const handlers: Handlers = {
@@ -115,8 +129,8 @@
       return welcome;
     },
     'runner.place': () => {},
-    'runner.withdraw': ({tickets}, peer) => {
-      if (known.has(peer)) withdrawn.push(...tickets);
+    'runner.withdraw': (params, peer) => {
+      if (known.has(peer)) withdrawn.push(params);
     },
   };
   await using listener = (
@@ -128,10 +142,10 @@
   link.place(batch, runs);
   attached[0]!.close('test');
   await waitUntil(() => attached.length === 2);
-  link.withdraw([1]);
+  withdraw(link);
   await new Promise(resolve => setTimeout(resolve, 20));
   isWithdrawn = true;
   await waitUntil(() => link.isOpen);
   await new Promise(resolve => setTimeout(resolve, 50));
-  t.deepEqual(withdrawn, [1]);
-});
+  return {withdrawn};
+}
