Report the byte at which a record leaves a gap in the log

Cause: the frame's number stood where the error prints a byte. Change: frames are read with their offset; the replay reports it. Result: a test that appends a record with a gap and expects the byte.

--- a/packages/storage/src/frame.ts
+++ b/packages/storage/src/frame.ts
@@ -16,9 +16,15 @@
   readonly end: number;
 }
 
-/** The bodies of a file's frames and the length in bytes that the frames take up. */
+/** A frame's body and the frame's first byte in the file. */
+export interface ScannedFrame {
+  readonly body: unknown;
+  readonly offset: number;
+}
+
+/** A file's frames and the length in bytes that they take up. */
 export interface ScannedFile {
-  readonly bodies: readonly unknown[];
+  readonly frames: readonly ScannedFrame[];
   readonly validBytes: number;
 }
 
@@ -43,20 +49,20 @@
   file: string,
   data: Buffer,
 ): Either<StoreError, ScannedFile> {
-  const bodies: unknown[] = [];
+  const frames: ScannedFrame[] = [];
   let pos = 0;
   while (pos < data.length) {
     const frame = readFrame(data, pos);
     if (!frame) {
       const expected = describeCorruption(data, pos);
-      if (!expected) return Right({bodies, validBytes: pos});
+      if (!expected) return Right({frames, validBytes: pos});
       const found = `${data.length - pos} bytes that do not match`;
       return Left({kind: 'corrupt', file, offset: pos, expected, found});
     }
-    bodies.push(frame.body);
+    frames.push({body: frame.body, offset: pos});
     pos = frame.end;
   }
-  return Right({bodies, validBytes: pos});
+  return Right({frames, validBytes: pos});
 }
 
 function readFrame(data: Buffer, pos: number): DecodedFrame | undefined {
--- a/packages/storage/src/log-replay.ts
+++ b/packages/storage/src/log-replay.ts
@@ -5,8 +5,8 @@
 /** The location of a record, for error reports. */
 export interface RecordLocation {
   readonly file: string;
-  /** The position of the frame in the file, from 0. */
-  readonly frame: number;
+  /** The first byte of the record's frame in the file. */
+  readonly offset: number;
 }
 
 /** Rebuilds the log from its records, oldest first. */
@@ -35,9 +35,8 @@
       if (entry.index > this.lastIndex + 1 || entry.index <= this.base.index) {
         return {
           kind: 'corrupt',
-          file: location.file,
-          offset: location.frame,
-          expected: `frame ${location.frame} to continue the log after entry ${this.lastIndex}`,
+          ...location,
+          expected: `a record that continues the log after entry ${this.lastIndex}`,
           found: `entry ${entry.index}`,
         };
       }
--- a/packages/storage/src/recovery.ts
+++ b/packages/storage/src/recovery.ts
@@ -4,7 +4,7 @@
 import type {RecoveredState, Snapshot} from '#consensus';
 import type {Disk} from './disk.js';
 import type {StoreError} from './error.js';
-import {readFrames} from './frame.js';
+import {readFrames, type ScannedFrame} from './frame.js';
 import {
   listFileNumbers,
   formatVersion,
@@ -56,8 +56,8 @@
   const number = listFileNumbers(names, 'snapshot').at(-1);
   if (number === undefined) return Right(undefined);
   const file = join(folder, formatFileName('snapshot', number));
-  return readFrames(file, await disk.read(file)).chain(({bodies}) => {
-    const record = bodies[0] as SnapshotRecord | undefined;
+  return readFrames(file, await disk.read(file)).chain(({frames}) => {
+    const record = frames[0]?.body as SnapshotRecord | undefined;
     if (record?.format === formatVersion) return Right(decodeSnapshot(record));
     return Left<StoreError>({
       kind: 'corrupt',
@@ -89,9 +89,9 @@
       replay = new LogReplay();
       segments = [];
     }
-    const records = await recoverSegment(disk, file, isLast);
-    if (records.isLeft()) return records as Either<StoreError, never>;
-    const found = records.unsafeCoerce();
+    const frames = await recoverSegment(disk, file, isLast);
+    if (frames.isLeft()) return frames as Either<StoreError, never>;
+    const found = frames.unsafeCoerce();
     if (found.length === 0) continue;
     const replayed = replaySegment(replay, file, found);
     if (replayed.isLeft()) return replayed as Either<StoreError, never>;
@@ -125,13 +125,13 @@
   disk: Disk,
   file: string,
   isLast: boolean,
-): Promise<Either<StoreError, readonly LogRecord[]>> {
+): Promise<Either<StoreError, readonly ScannedFrame[]>> {
   const data = await disk.read(file);
   const scanned = readFrames(file, data);
   if (scanned.isLeft()) return scanned as Either<StoreError, never>;
-  const {bodies, validBytes} = scanned.unsafeCoerce();
-  const isWhole = validBytes === data.length && bodies.length > 0;
-  if (isWhole && !isLast) return Right(bodies as readonly LogRecord[]);
+  const {frames, validBytes} = scanned.unsafeCoerce();
+  const isWhole = validBytes === data.length && frames.length > 0;
+  if (isWhole && !isLast) return Right(frames);
   if (!isLast) {
     return Left({
       kind: 'corrupt',
@@ -141,9 +141,9 @@
       found: `${data.length - validBytes} bytes of an incomplete frame`,
     });
   }
-  if (bodies.length === 0) await disk.remove(file);
+  if (frames.length === 0) await disk.remove(file);
   else await truncateAndSync(disk, file, validBytes);
-  return Right(bodies as readonly LogRecord[]);
+  return Right(frames);
 }
 
 async function truncateAndSync(
@@ -161,9 +161,9 @@
 function replaySegment(
   replay: LogReplay,
   file: string,
-  records: readonly LogRecord[],
+  frames: readonly ScannedFrame[],
 ): Either<StoreError, number> {
-  const format = records[0].head?.format;
+  const format = (frames[0].body as LogRecord).head?.format;
   if (format !== formatVersion) {
     return Left({
       kind: 'corrupt',
@@ -174,8 +174,8 @@
     });
   }
   let maxLastIndex = 0;
-  for (const [frame, record] of records.entries()) {
-    const error = replay.replay(record, {file, frame});
+  for (const {body, offset} of frames) {
+    const error = replay.replay(body as LogRecord, {file, offset});
     if (error) return Left(error);
     maxLastIndex = Math.max(maxLastIndex, replay.lastIndex);
   }
--- a/packages/storage/test/simulated-disk.ts
+++ b/packages/storage/test/simulated-disk.ts
@@ -103,6 +103,11 @@
     this.find(file).data[offset] ^= 0x55;
   }
 
+  append(file: string, bytes: Uint8Array): void {
+    const inode = this.find(file);
+    inode.data = Buffer.concat([inode.data, bytes]);
+  }
+
   truncateEnd(file: string, bytes: number): void {
     const inode = this.find(file);
     inode.data = Buffer.from(inode.data.subarray(0, inode.data.length - bytes));
--- a/packages/storage/test/store.test.ts
+++ b/packages/storage/test/store.test.ts
@@ -2,7 +2,9 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {createMembers, type LogEntry, type Snapshot} from '#consensus';
-import {Store, type StoreError} from '#storage';
+import {describeStoreError, Store, type StoreError} from '#storage';
+import {encodeFrame} from '../src/frame.js';
+import {encodeEntry} from '../src/record.js';
 import {SimulatedDisk} from './simulated-disk.js';
 
 const folder = '/data';
@@ -103,6 +105,16 @@
   t.deepEqual(listIndexes(await openOrThrow(disk)), [1, 2, 3]);
 });
 
+test('a record that leaves a gap in the log is refused with the byte at which it starts', async t => {
+  const disk = new SimulatedDisk();
+  await openWith(disk, makeEntry(2), makeEntry(3));
+  const offset = disk.measure(segment(1));
+  disk.append(segment(1), encodeFrame({entries: [encodeEntry(makeEntry(9))]}));
+  const error = (await openOn(disk)).swap().unsafeCoerce();
+  t.like(error, {kind: 'corrupt', file: segment(1), offset});
+  t.regex(describeStoreError(error), /after entry 3, found entry 9/);
+});
+
 test('a folder of another replica is refused', async t => {
   const disk = new SimulatedDisk();
   await openOrThrow(disk);
