Give no old view to a process that has just started

Cause: a control replica answered a watch as long as it had known a leader within 3 s of its start. Change: a watch is refused until an entry of the known leader's term is committed here. VersionMonitor reads control replicas by a watch, across restarts, so that expectAtLeast holds for them.

--- a/packages/bench/src/version-monitor.ts
+++ b/packages/bench/src/version-monitor.ts
@@ -1,6 +1,5 @@
 import {request} from 'undici';
 import type {Address} from '#model';
-import type {RequestName} from '#protocol';
 import {askPeer} from './ask.js';
 import type {Site} from './site.js';
 import type {Member} from './member.js';
@@ -37,9 +36,7 @@
   /** The lowest of the running processes' highest versions so far; 0 until each has reported one. */
   get lowestSeen(): number {
     const running = this.site.members.filter(({child}) => child.isRunning);
-    const versions = running.map(
-      member => this.highest.get(nameProcess(member, member.pid)) ?? 0,
-    );
+    const versions = running.map(({name}) => this.highest.get(name) ?? 0);
     return Math.min(...versions);
   }
 
@@ -55,10 +52,10 @@
 
   private async pollMember(member: Member): Promise<void> {
     while (!this.isStopped) {
-      const {pid} = member;
+      const {name, pid} = member;
       const version = await readVersion(this.site, member);
       if (version !== undefined && pid === member.pid) {
-        this.recordVersion(nameProcess(member, pid), version);
+        this.recordVersion(name, version);
       }
       await sleepFor(pollIntervalMs);
     }
@@ -73,15 +70,6 @@
   }
 }
 
-/**
- * Names the sequence of versions that may not decrease. A restarted control replica replays its
- * log from the start and serves nothing from it before that is done, so its versions are compared
- * only within one process; those of entries and agents are compared across restarts.
- */
-function nameProcess({name, role}: Member, pid: number): string {
-  return role === 'control' ? `${name}, pid ${pid}` : name;
-}
-
 /** Reads the configuration version in force at a process; undefined when it serves none or is silent. */
 async function readVersion(
   site: Site,
@@ -94,9 +82,9 @@
         site.entryUrls[site.list('entry').indexOf(member)]!,
       );
     case 'agent':
-      return readPeerVersion(listen, 'agent.status');
+      return readAgentVersion(listen);
     case 'control':
-      return readPeerVersion(listen, 'control.status');
+      return readControlVersion(listen);
   }
 }
 
@@ -116,11 +104,21 @@
   }
 }
 
-async function readPeerVersion(
-  address: Address,
-  method: Extract<RequestName, 'agent.status' | 'control.status'>,
-): Promise<number | undefined> {
-  const status = await askPeer(address, method, {});
+async function readAgentVersion(address: Address): Promise<number | undefined> {
+  const status = await askPeer(address, 'agent.status', {});
   const version = status?.configVersion ?? 0;
   return version > 0 ? version : undefined;
 }
+
+/**
+ * Reads the version that a control replica gives to a process that has just started. A restarted
+ * replica gives none until it has caught up.
+ */
+async function readControlVersion(
+  address: Address,
+): Promise<number | undefined> {
+  const topics = 'configuration';
+  const update = await askPeer(address, 'control.watch', {since: 0, topics});
+  if (update?.kind !== 'full') return undefined;
+  return update.view.configuration.version;
+}
--- a/packages/bench/test/proof-configuration.test.ts
+++ b/packages/bench/test/proof-configuration.test.ts
@@ -107,6 +107,10 @@
     const {site} = harness;
     await using monitor = new VersionMonitor(site);
     await applyChanges(site, 'before', 3);
+    await fillLog(site, entriesForSnapshot);
+    await harness.waitUntil('control-2 has a snapshot of the old version', () =>
+      hasSnapshot(harness, 'control-2'),
+    );
     const stopped = ['control-2', 'entry-1', 'tally-1'];
     const paused = 'tally-0';
     await Promise.all(stopped.map(name => site.kill(name, 'SIGKILL')));
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -42,6 +42,11 @@
   readonly leader?: ControlId;
   readonly lastIndex: number;
   readonly commitIndex: number;
+  /**
+   * Whether a leader is known and an entry of its term is committed here: every write that was
+   * acknowledged before that leader's election is then applied.
+   */
+  readonly isCurrent: boolean;
   readonly members: Members;
   /** Empty unless this replica is the leader. */
   readonly progress: readonly MemberProgress[];
@@ -87,6 +92,9 @@
       ...(leader !== undefined && {leader}),
       lastIndex: core.log.lastIndex,
       commitIndex: core.commitIndex,
+      isCurrent:
+        leader !== undefined &&
+        core.log.getTerm(core.commitIndex) === core.term,
       members: core.log.members,
       progress: this.describeProgress(),
     };
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -260,3 +260,20 @@
   harness.receive('c', requestVote(2));
   t.true(hasGrantedVote(harness));
 });
+
+test('a replica is current once an entry of the term of its leader is committed', t => {
+  const harness = new ReplicaHarness(1, makeBlank(2, 1));
+  t.false(harness.status.isCurrent);
+  harness.receive('b', {
+    ...append(2, 2),
+    previousTerm: 1,
+    commitIndex: 2,
+  } as Message);
+  t.like(harness.status, {commitIndex: 2, isCurrent: false});
+  const entries = [makeBlank(3, 2)];
+  const next = {...append(2, 2), previousTerm: 1, commitIndex: 3, entries};
+  harness.receive('b', next as Message);
+  t.like(harness.status, {commitIndex: 3, isCurrent: true});
+  harness.advanceTime(3 * electionTimeoutMs);
+  t.false(harness.status.isCurrent);
+});
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -336,10 +336,15 @@
       );
   }
 
-  /** Rejects a watcher if the view is missing, may be stale or is older than what the watcher has seen. */
+  /**
+   * Rejects a watcher if the view is missing, may be stale or is older than what the watcher has seen.
+   * A watcher that has just started has seen nothing, so only the replica can tell that its view is old.
+   */
   private watch(peer: Peer, params: WatchParams): ViewUpdate {
     const {revision, configuration} = this.machine.state;
-    if (this.isLeaderless) throw new Error('no leader is known here');
+    if (!this.replica.describeStatus().isCurrent) {
+      throw new Error('this replica has not caught up with a leader');
+    }
     if (configuration.current.version === 0) {
       throw new Error('no configuration is in force yet');
     }
--- a/packages/control/src/in-memory-replica.ts
+++ b/packages/control/src/in-memory-replica.ts
@@ -29,6 +29,7 @@
       leader: id,
       lastIndex: index,
       commitIndex: index,
+      isCurrent: true,
       members: [{id, address, voter: true}],
       progress: [{id, voter: true, matchIndex: index}],
     }),
--- a/packages/control/test/control.test.ts
+++ b/packages/control/test/control.test.ts
@@ -72,6 +72,20 @@
   t.is(gone.gone[0].target, 'pen-1');
 });
 
+test('a replica that has not caught up with a leader since its start serves no watcher its old view', async t => {
+  let isCurrent = true;
+  await using control = await openTestControl({
+    adjustStatus: status => ({...status, isCurrent}),
+  });
+  const client = control.connect();
+  await client.request('control.announce', {target, configVersion: 1});
+  await client.awaitVersion(1);
+  isCurrent = false;
+  t.true((await control.watchFromStart()).isLeft());
+  isCurrent = true;
+  t.true((await control.watchFromStart()).isRight());
+});
+
 test('an entry that stops renewing its lease is ended, and another one inherits its jobs', async t => {
   await using control = await openTestControl();
   const expiring = await control.connect().open('gilgit-1');
--- a/packages/control/test/test-control.ts
+++ b/packages/control/test/test-control.ts
@@ -1,7 +1,14 @@
 import {pino} from 'pino';
 import {type Either, Right} from 'purify-ts';
 import {type ConfigurationSource, monotonicClock, type Location} from '#model';
-import type {Admission, ParamsOf} from '#protocol';
+import type {ReplicaStatus} from '#consensus';
+import {
+  type Admission,
+  dialPeer,
+  type ParamsOf,
+  type RpcFailure,
+  type ViewUpdate,
+} from '#protocol';
 import {
   ControlClient,
   type ControlFailure,
@@ -175,6 +182,17 @@
     return client;
   }
 
+  /** Asks for the view as a process that has just started does. */
+  async watchFromStart(): Promise<Either<RpcFailure, ViewUpdate>> {
+    const {address} = this.control;
+    const dialled = await dialPeer(address, {}, createDeadline());
+    const peer = dialled.unsafeCoerce();
+    const params = {since: 0, topics: 'all'} as const;
+    const reply = await peer.request('control.watch', params, createDeadline());
+    peer.close('watched');
+    return reply;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     for (const client of this.clients) await client[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
@@ -186,19 +204,25 @@
   readonly region?: string;
   readonly upstream?: readonly string[];
   readonly configuration?: ConfigurationSource;
+  /** Changes the status that the replica reports. */
+  readonly adjustStatus?: (status: ReplicaStatus) => ReplicaStatus;
 }
 
 export async function openTestControl(
   options: TestControlOptions = {},
 ): Promise<TestControl> {
   const {region = place.region, upstream, configuration = source} = options;
+  const {adjustStatus = status => status} = options;
   const settings = createSettings('c1', upstream && {upstream});
   const opened = await Control.open({
     settings: {...settings, place: {...place, region}},
     configuration,
     runtime,
-    startReplica: async ({id, address, machine}) =>
-      Right(createInMemoryReplica(id, address, machine)),
+    startReplica: async ({id, address, machine}) => {
+      const replica = createInMemoryReplica(id, address, machine);
+      const describeStatus = () => adjustStatus(replica.describeStatus());
+      return Right({...replica, describeStatus});
+    },
   });
   return new TestControl(opened.unsafeCoerce());
 }
