Let the control group replace a lost voter by itself

Change: the leader keeps a stated number of voters. A silent voter is removed once a caught-up learner is present, which is then promoted; a removed replica comes back as a learner; clients learn where the members listen. A control replica's `voters` is optional and changes nothing when absent.

--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -51,6 +51,8 @@
   private announced: TargetInfo | undefined;
   private stopped = false;
   private nextControlIndex = 0;
+  /** Where control told that its replicas listen. */
+  private learnedControls: readonly Address[] = [];
   private cancelPause = () => {};
   private readonly waiters: (() => void)[] = [];
   private readonly loop: Promise<void>;
@@ -118,7 +120,9 @@
   }
 
   private pickControl(): Address {
-    const {controls} = this.owner;
+    const controls = [
+      ...new Set([...this.learnedControls, ...this.owner.controls]),
+    ];
     return controls[this.nextControlIndex++ % controls.length]!;
   }
 
@@ -126,7 +130,12 @@
   private async followReplica(address: Address): Promise<ConnectionEnd> {
     const dialled = await dialPeer(
       address,
-      {'watcher.update': update => this.receiveView(update)},
+      {
+        'watcher.update': update => this.receiveView(update),
+        'watcher.controls': ({controls}) => {
+          this.learnedControls = controls;
+        },
+      },
       this.deriveDeadline(dialTimeoutMs),
       this.owner.liveness ?? renewalLiveness,
     );
--- a/packages/cli/src/member-commands.ts
+++ b/packages/cli/src/member-commands.ts
@@ -11,9 +11,10 @@
   setAction,
 } from './command.js';
 import {printResult} from './console.js';
-import {ControlClient} from './control-client.js';
+import {ControlClient, requestOnce} from './control-client.js';
+import {renderMembers} from './member-table.js';
 
-/** Adds `members add-learner`, `members promote` and `members remove`. */
+/** Adds `members list`, `members add-learner`, `members promote` and `members remove`. */
 export function addMemberCommands(
   program: Command,
   context: CommandContext,
@@ -21,6 +22,17 @@
   const group = program
     .command('members')
     .description('Change the members of the control group, one at a time');
+  setAction(
+    addControlOptions(
+      group
+        .command('list')
+        .description(
+          'List voters and learners, who is silent, and what a repair waits for',
+        ),
+    ),
+    context,
+    (options: ControlOptions) => listMembers(context, options),
+  );
   setAction(
     addControlOptions(
       group
@@ -55,6 +67,34 @@
   );
 }
 
+/** Shows the members as the leader sees them, or as another replica does while none leads. */
+async function listMembers(
+  {console}: CommandContext,
+  options: ControlOptions,
+): Promise<ExitCode> {
+  const deadline = computeCommandDeadline(options);
+  const first = await new ControlClient(options.control).readStatus(deadline);
+  const {leader} = first.toMaybe().extract() ?? {};
+  const atLeader =
+    leader === undefined
+      ? first
+      : await requestOnce(leader, 'control.status', {}, deadline);
+  return atLeader.alt(first).caseOf<ExitCode>({
+    Left: failure => reportFailure(console, options, failure),
+    Right: status => {
+      const {member, role, members, repair} = status;
+      printResult(console, options, {member, role, members, repair}, () =>
+        [
+          renderMembers(status),
+          ...(role === 'leader' ? [] : ['no leader answers']),
+          ...(repair === undefined ? [] : [`repair: ${repair}`]),
+        ].join('\n'),
+      );
+      return exitCode.ok;
+    },
+  });
+}
+
 async function changeMembers(
   {console}: CommandContext,
   options: ControlOptions,
--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -14,6 +14,7 @@
 import {printErrors, printResult} from './console.js';
 import {requestOnce} from './control-client.js';
 import {requestEntry} from './entry-client.js';
+import {renderMembers} from './member-table.js';
 import {renderTable} from './table.js';
 
 interface StatusOptions extends RemoteOptions {
@@ -114,12 +115,6 @@
 }
 
 function renderControl(status: ControlStatus): readonly string[] {
-  const members = status.members.map(each => [
-    each.member,
-    each.address,
-    each.voter ? 'voter' : 'learner',
-    status.role === 'leader' ? each.matchIndex : '-',
-  ]);
   const targets = status.targets.map(each => [
     each.target,
     each.service,
@@ -135,7 +130,8 @@
   ]);
   return [
     `${status.member}: ${status.role} in term ${status.term}, committed ${status.commitIndex}, configuration ${status.configVersion}, jobs ${status.jobs}`,
-    renderTable(['MEMBER', 'ADDRESS', 'KIND', 'MATCH'], members),
+    renderMembers(status),
+    ...(status.repair === undefined ? [] : [`repair: ${status.repair}`]),
     renderTable(['TARGET', 'SERVICE', 'ADDRESS', 'DOMAIN', 'STATE'], targets),
     renderTable(['ENTRY', 'EPOCH', 'ADDRESS', 'DOMAIN'], entries),
   ];
--- a/packages/cli/test/config.test.ts
+++ b/packages/cli/test/config.test.ts
@@ -221,6 +221,46 @@
   t.true(gilgit.lines.includes('+ services.tally.placement = "credit"'));
 });
 
+test('members list shows what the leader knows, and asks another replica only while none leads', async t => {
+  const members = [
+    {member: 'c1', address: 'a:1', voter: true, matchIndex: 7, silentMs: 0},
+    {member: 'c2', address: 'a:2', voter: true, matchIndex: 3, silentMs: 4200},
+  ];
+  const repair = 'waiting: no learner';
+  const leader = await serveRpc(t, {
+    'control.status': () =>
+      ({
+        ...controlStatus,
+        member: 'c1',
+        role: 'leader',
+        members,
+        repair,
+      }) as ControlStatus,
+  });
+  const follower = (at: string) =>
+    serveRpc(t, {
+      'control.status': () => {
+        const bare = members.map(({silentMs: _, ...rest}) => rest);
+        return {
+          ...controlStatus,
+          member: 'c2',
+          role: 'follower',
+          leader: at,
+          members: bare,
+        } as ControlStatus;
+      },
+    });
+  const list = async (control: string) =>
+    runCommand(`members list --control ${control}`);
+  const {code, out} = await list(await follower(leader));
+  t.is(code, 0);
+  t.regex(out, /c2 +a:2 +voter +3 +4\.2/);
+  t.regex(out, /repair: waiting: no learner/);
+  const alone = await list(await follower('127.0.0.1:1'));
+  t.is(alone.code, 0);
+  t.regex(alone.out, /no leader answers/);
+});
+
 test('a membership change is not resent when its answer is lost', async t => {
   let sent = 0;
   const control = await serveRpc(t, {
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -33,3 +33,6 @@
 
 export type {MemberProgress, ReplicaStatus} from './replica.js';
 export {Replica} from './replica.js';
+
+export type {RepairOptions, RepairPlan, RepairWait} from './repair.js';
+export {planRepair} from './repair.js';
--- a/packages/consensus/src/lead.ts
+++ b/packages/consensus/src/lead.ts
@@ -29,7 +29,7 @@
     commitAtHeartbeat: Infinity,
   };
   core.role = {kind: 'leader', leadership};
-  syncProgress(core, leadership);
+  syncProgress(core, leadership, now);
   appendEntries(core, leadership, now, [
     {kind: 'blank', index: leadership.firstIndex, term: core.term},
   ]);
@@ -50,7 +50,11 @@
 }
 
 /** Updates the progress records to one for each other member in force. */
-export function syncProgress(core: ReplicaCore, leadership: Leadership): void {
+export function syncProgress(
+  core: ReplicaCore,
+  leadership: Leadership,
+  now: Instant,
+): void {
   const {progress} = leadership;
   const others = core.log.members
     .map(member => member.id)
@@ -60,7 +64,7 @@
   }
   for (const id of others) {
     if (progress.has(id)) continue;
-    progress.set(id, new Progress(id, core.log.lastIndex + 1));
+    progress.set(id, new Progress(id, core.log.lastIndex + 1, now));
   }
 }
 
@@ -195,6 +199,7 @@
   if (!progress || round > leadership.rounds.latest) return undefined;
   if (round <= progress.ackedRound) return progress;
   progress.ackedRound = round;
+  progress.heardAt = now;
   confirmReads(core, leadership, now);
   return progress;
 }
--- a/packages/consensus/src/membership-change.ts
+++ b/packages/consensus/src/membership-change.ts
@@ -33,7 +33,7 @@
   appendEntries(core, leadership, now, [
     {kind: 'members', index, term, members},
   ]);
-  syncProgress(core, leadership);
+  syncProgress(core, leadership, now);
 }
 
 /**
--- a/packages/consensus/src/progress.ts
+++ b/packages/consensus/src/progress.ts
@@ -1,4 +1,4 @@
-import type {ControlId} from '#model';
+import type {ControlId, Instant} from '#model';
 import type {LogEntry, Snapshot} from './entry.js';
 import type {ReplicaBounds} from './options.js';
 
@@ -30,6 +30,8 @@
   ackedRound = 0;
   /** Whether at the last heartbeat it had all entries that were committed at the heartbeat before. */
   caughtUp = false;
+  /** When it last replied to a new round; the start of the leadership until it has. */
+  heardAt: Instant;
   mode: ReplicationMode = {kind: 'probe', awaitsReply: false};
 
   private inFlight: Batch[] = [];
@@ -39,7 +41,10 @@
     readonly id: ControlId,
     /** The index of the first entry to send. */
     public nextIndex: number,
-  ) {}
+    trackedFrom: Instant,
+  ) {
+    this.heardAt = trackedFrom;
+  }
 
   /** Whether another batch may be sent now. */
   canSend(bounds: ReplicaBounds): boolean {
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -32,6 +32,13 @@
   readonly voter: boolean;
   /** The last index known to be synced on the member's disk; 0 if unknown. */
   readonly matchIndex: number;
+  /** Whether it had all entries of the heartbeat before at the last one. */
+  readonly caughtUp: boolean;
+  /**
+   * When this leader last heard from it, or began to follow its progress; Infinity for the leader
+   * itself.
+   */
+  readonly heardAt: Instant;
 }
 
 /** The current status of a replica. */
@@ -290,13 +297,18 @@
   private describeProgress(): readonly MemberProgress[] {
     const {role, log, options, durableIndex} = this.core;
     if (role.kind !== 'leader') return [];
-    return log.members.map(({id, voter}) => ({
-      id,
-      voter,
-      matchIndex:
-        id === options.id
-          ? durableIndex
-          : (role.leadership.progress.get(id)?.matchIndex ?? 0),
-    }));
+    const {progress} = role.leadership;
+    return log.members.map(({id, voter}) => {
+      if (id === options.id) {
+        const matchIndex = durableIndex;
+        return {id, voter, matchIndex, caughtUp: true, heardAt: Infinity};
+      }
+      const {
+        matchIndex = 0,
+        caughtUp = false,
+        heardAt = -Infinity,
+      } = progress.get(id) ?? {};
+      return {id, voter, matchIndex, caughtUp, heardAt};
+    });
   }
 }
--- a/packages/consensus/test/invariant-checker.ts
+++ b/packages/consensus/test/invariant-checker.ts
@@ -17,11 +17,12 @@
   readonly leaders = new Map<number, string>();
   /** Digest of all committed entries up to each index. */
   private digests = [0];
-  private terms = [0];
   /** The highest index that a client has observed by an acknowledged write or a read. */
   seenIndex = 0;
   acknowledged: {readonly index: number; readonly command: string}[] = [];
   private commands: (string | undefined)[] = [undefined];
+  /** The ids of the last committed members; undefined before the first entry is applied. */
+  private memberIds: ReadonlySet<string> | undefined;
 
   /** With `checkSteps` also checks single commits, messages and promotions. */
   constructor(private readonly checkSteps: boolean) {}
@@ -38,6 +39,10 @@
     const known = this.leaders.get(term) ?? id;
     assert.equal(id, known, `term ${term} has leaders ${known} and ${id}`);
     this.leaders.set(term, id);
+    assert.ok(
+      this.memberIds?.has(id) !== false,
+      `${id} leads in term ${term} after its removal was committed`,
+    );
   }
 
   /** All replicas apply the same entries in the same order. Returns the new digest. */
@@ -46,8 +51,10 @@
     const {index} = entry;
     if (index === this.digests.length) {
       this.digests.push(digest);
-      this.terms.push(entry.term);
       this.commands.push(readCommand(entry));
+      if (entry.kind === 'members') {
+        this.memberIds = new Set(entry.members.map(({id}) => id));
+      }
     }
     assert.equal(
       digest,
@@ -111,6 +118,23 @@
     );
   }
 
+  /** A group repairs itself by removing one of an odd number of voters only for a learner that has caught up. */
+  checkRemoval(
+    id: string,
+    members: Members,
+    findDisk: (id: string) => MemoryDisk | undefined,
+  ): void {
+    const voters = members.filter(({voter}) => voter);
+    const isVoter = voters.some(voter => voter.id === id);
+    if (!this.checkSteps || !isVoter || voters.length % 2 === 0) return;
+    const learners = members.filter(({voter}) => !voter);
+    const isCaughtUp = learners.some(
+      learner =>
+        (findDisk(learner.id)?.lastIndex ?? 0) >= this.recentCommits[0],
+    );
+    assert.ok(isCaughtUp, `${id} was removed while no learner had caught up`);
+  }
+
   /** Records the commit index; to be called once per heartbeat interval. */
   recordCommitIndex(): void {
     this.recentCommits.push(this.committedIndex);
--- a/packages/consensus/test/profiles.ts
+++ b/packages/consensus/test/profiles.ts
@@ -14,6 +14,8 @@
   readonly transfer: number;
   /** Replaces a replica, live or with a lost disk, by a new one. */
   readonly replace: number;
+  /** The leader repairs the group by itself; replaced replicas get no operator's change. */
+  readonly repair: boolean;
   /** Also checks single commits, messages and promotions, not only outcomes. */
   readonly checkSteps: boolean;
 }
@@ -29,6 +31,7 @@
   partition: 40,
   transfer: 15,
   replace: 0,
+  repair: false,
   checkSteps: true,
 };
 
@@ -45,6 +48,21 @@
     maxBatchBytes: 1,
   },
   'replaced-disks': {...baseProfile, crash: 25, partition: 25, replace: 30},
+  'self-repair': {
+    ...baseProfile,
+    crash: 20,
+    partition: 20,
+    replace: 40,
+    repair: true,
+  },
+  'self-repair-of-five': {
+    ...baseProfile,
+    replicas: 5,
+    crash: 30,
+    partition: 30,
+    replace: 50,
+    repair: true,
+  },
 } satisfies Record<string, FaultProfile>;
 
 export type ProfileName = keyof typeof profiles;
--- a/packages/consensus/test/replacement.ts
+++ b/packages/consensus/test/replacement.ts
@@ -1,4 +1,9 @@
-import type {MemberChange, Members} from '#consensus';
+import {
+  type MemberChange,
+  type Members,
+  planRepair,
+  type ReplicaStatus,
+} from '#consensus';
 
 /** The replacement of a replica, live or with a lost disk, by a new one. */
 export interface Replacement {
@@ -20,3 +25,22 @@
   if (hasLeft) return joined.voter ? undefined : promote;
   return joined.voter || !promoteFirst ? remove : promote;
 }
+
+const repairTimes = {silenceMs: 400, presenceMs: 100, learnerSilenceMs: 2500};
+
+/** Chooses the next change of a group that repairs itself; undefined when there is none. */
+export function chooseRepair(
+  status: ReplicaStatus,
+  running: readonly string[],
+  voters: number,
+  now: number,
+): MemberChange | undefined {
+  const outsider = running.find(id =>
+    status.members.every(member => member.id !== id),
+  );
+  if (outsider !== undefined) {
+    return {kind: 'add-learner', member: outsider, address: outsider};
+  }
+  const plan = planRepair(status, {...repairTimes, voters}, now);
+  return plan.kind === 'change' ? plan.change : undefined;
+}
--- /dev/null
+++ b/packages/consensus/test/self-repair.test.ts
@@ -0,0 +1,3 @@
+import {runProfile} from './run-profile.js';
+
+runProfile('self-repair', 1000);
--- a/packages/consensus/test/simulation.ts
+++ b/packages/consensus/test/simulation.ts
@@ -8,6 +8,7 @@
   type Effect,
   type Input,
   type LogEntry,
+  type MemberChange,
   type Message,
   Replica,
   type ReplicaBounds,
@@ -19,7 +20,7 @@
 import {createNode, type Node, readClock} from './node.js';
 import {InvariantChecker, readCommand} from './invariant-checker.js';
 import type {FaultProfile} from './profiles.js';
-import {chooseChange, type Replacement} from './replacement.js';
+import {Replacer} from './replacer.js';
 
 const timing: ReplicaTiming = {
   heartbeatIntervalMs: 20,
@@ -50,7 +51,7 @@
   private lastTicket = 0;
   private lastCommand = 0;
   private lastNode = 0;
-  private replacement: Replacement | undefined;
+  private readonly replacer: Replacer;
   private isFaulty = true;
 
   constructor(
@@ -59,6 +60,22 @@
   ) {
     this.random = xoroshiro128plus(seed);
     this.checker = new InvariantChecker(faults.checkSteps);
+    this.replacer = new Replacer({
+      faults,
+      nodes: this.nodes,
+      draw: (from, to) => this.draw(from, to),
+      findLeader: () => this.findLeader(),
+      addEmptyNode: () => {
+        const id = this.createId();
+        this.addNode(id, []);
+        return id;
+      },
+      kill: node => this.kill(node),
+      restartAfter: (node, delayMs) =>
+        this.schedule(node, delayMs, () => this.restart(node)),
+      readClock: node => readClock(node, this.events.now),
+      requestChange: (leader, change) => this.requestChange(leader, change),
+    });
     const ids = Array.from({length: faults.replicas}, () => this.createId());
     const members = createMembers(ids.map(id => ({id, address: id})));
     for (const id of ids) this.addNode(id, [createFirstEntry(members)]);
@@ -82,7 +99,7 @@
     const before = this.checker.committedIndex;
     while (this.events.now < end) {
       this.events.runUntil(this.events.now + 20);
-      if (!this.replacement && this.hasRecovered(before)) return;
+      if (!this.replacer.isReplacing && this.hasRecovered(before)) return;
     }
     const states = [...this.nodes.values()].map(node =>
       JSON.stringify(node.replica?.describeStatus()),
@@ -95,6 +112,8 @@
     const leader = this.findLeader();
     if (!leader || this.checker.committedIndex < minIndex + 3) return false;
     const members = leader.replica!.describeStatus().members;
+    const voters = members.filter(({voter}) => voter).length;
+    if (voters !== this.faults.replicas) return false;
     return members.every(
       member => (this.nodes.get(member.id)?.applied ?? 0) > minIndex,
     );
@@ -360,7 +379,7 @@
       maxFaultIntervalMs,
     );
     this.events.add(intervalMs, () => this.injectFaults());
-    this.stepReplacement();
+    this.replacer.step();
     if (this.shouldInject(this.faults.transfer)) this.transfer();
     if (!this.isFaulty) return;
     const nodes = [...this.nodes.values()];
@@ -370,7 +389,7 @@
       this.schedule(node, this.draw(5, maxOutageMs), () => this.restart(node));
     }
     if (this.shouldInject(this.faults.partition)) this.cutLinks(nodes, node);
-    if (this.shouldInject(this.faults.replace)) this.beginReplacement();
+    if (this.shouldInject(this.faults.replace)) this.replacer.begin();
   }
 
   /** Blocks the links of a node, or one of them, in one or both directions. */
@@ -389,31 +408,15 @@
     });
   }
 
-  private beginReplacement(): void {
-    if (this.replacement) return;
-    const members = this.findLeader()?.replica?.describeStatus().members ?? [];
-    const voters = members.filter(member => member.voter);
-    if (voters.length !== this.faults.replicas) return;
-    const leaving = voters[this.draw(0, voters.length - 1)].id;
-    const node = this.nodes.get(leaving)!;
-    if (this.draw(0, 1) === 0) {
-      this.kill(node);
-      node.diskLost = true;
-    }
-    const joining = this.createId();
-    this.addNode(joining, []);
-    this.replacement = {leaving, joining, promoteFirst: this.draw(0, 1) === 0};
-  }
-
-  /** Requests the next membership change of a replacement, which the leader may refuse. */
-  private stepReplacement(): void {
-    const leader = this.findLeader();
-    if (!this.replacement || !leader) return;
-    const {members} = leader.replica!.describeStatus();
-    const change = chooseChange(this.replacement, members);
-    if (!change) {
-      this.finishReplacement(this.replacement, leader);
-      return;
+  /** Requests a membership change, which the leader may refuse. */
+  private requestChange(leader: Node, change: MemberChange): void {
+    if (this.faults.repair && change.kind === 'remove') {
+      const {members} = leader.replica!.describeStatus();
+      this.checker.checkRemoval(
+        change.member,
+        members,
+        id => this.nodes.get(id)?.disk,
+      );
     }
     const ticket = ++this.lastTicket;
     const before = leader.replica!.describeStatus().lastIndex;
@@ -426,14 +429,6 @@
     }
   }
 
-  private finishReplacement({leaving}: Replacement, leader: Node): void {
-    const {members, commitIndex, lastIndex} = leader.replica!.describeStatus();
-    const settled = commitIndex === lastIndex;
-    if (!settled || members.some(member => member.id === leaving)) return;
-    this.replacement = undefined;
-    if (this.nodes.get(leaving)?.diskLost) this.nodes.delete(leaving);
-  }
-
   private recordCommitIndex(): void {
     this.checker.recordCommitIndex();
     this.events.add(timing.heartbeatIntervalMs, () => this.recordCommitIndex());
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -3,25 +3,13 @@
   type Address,
   type ConfigurationSource,
   type ControlId,
-  failUnreachable,
   type Instant,
 } from '#model';
+import {checkMessage, type Message, type ReplicaStatus} from '#consensus';
 import {
-  type ChangeRefusal,
-  checkMessage,
-  type MemberChange,
-  type Message,
-  type ReplicaStatus,
-} from '#consensus';
-import {
-  type ChangeMembersParams,
-  type ControlReply,
   type ControlStatus,
-  type EnrolParams,
-  type EnrolResult,
   type Handlers,
   type Liveness,
-  type EmptyMessage,
   type Peer,
   PeerListener,
   type ProcessConfigStatus,
@@ -31,7 +19,8 @@
 } from '#protocol';
 import type {ControlRole, ProcessSettings} from '#settings';
 import type {Runtime} from '#telemetry';
-import {planEnrolment} from './enrolment.js';
+import {EnrolmentLoop} from './enrolment-loop.js';
+import {GroupMembers} from './group-members.js';
 import {deriveHomes} from './homes.js';
 import {Leader} from './leader.js';
 import {ReplicaLinks} from './replica-links.js';
@@ -97,6 +86,8 @@
   private readonly links: ReplicaLinks;
   private readonly termState: TermState;
   private leader!: Leader;
+  private members!: GroupMembers;
+  private enrolment: EnrolmentLoop | undefined;
   private upstream: Upstream | undefined;
   private replica!: Replica;
   private listener!: PeerListener;
@@ -157,19 +148,15 @@
   describeStatus(): ControlStatus {
     const status = this.replica.describeStatus();
     const leader = this.leader.findLeader();
+    const repair = this.members.describeRepair();
     return {
       member: status.id,
       role: status.role,
       term: status.term,
       ...(leader === undefined ? {} : {leader}),
       commitIndex: status.commitIndex,
-      members: status.members.map(({id, address, voter}) => ({
-        member: id,
-        address,
-        voter,
-        matchIndex:
-          status.progress.find(progress => progress.id === id)?.matchIndex ?? 0,
-      })),
+      members: this.members.describe(),
+      ...(repair !== undefined && {repair}),
       ...describeState(this.machine.state),
     };
   }
@@ -187,6 +174,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.tickTimer);
+    await this.enrolment?.[Symbol.asyncDispose]();
     await this.upstream?.[Symbol.asyncDispose]();
     this.watchers[Symbol.dispose]();
     await this.replica[Symbol.asyncDispose]();
@@ -230,12 +218,35 @@
           : undefined,
         runtime,
       );
+      this.members = new GroupMembers({
+        replica,
+        leader: this.leader,
+        machine: this.machine,
+        clock: runtime.clock,
+        log: runtime.log,
+        voters: settings.role.voters,
+      });
+      this.enrolment = this.startEnrolment();
       this.upstream = this.createUpstream();
       this.leaderSeenAt = runtime.clock.now();
       this.tickTimer = setInterval(() => this.tick(), tickIntervalMs);
     });
   }
 
+  /** Without other controls in the settings there is no group to ask. */
+  private startEnrolment(): EnrolmentLoop | undefined {
+    const {settings, runtime} = this.options;
+    const {controls, role} = settings;
+    if (role.voters === undefined || controls.length === 0) return undefined;
+    return new EnrolmentLoop({
+      controls,
+      address: this.listener.address,
+      describeStatus: () => this.replica.describeStatus(),
+      clock: runtime.clock,
+      log: runtime.log,
+    });
+  }
+
   private createUpstream(): Upstream | undefined {
     const {settings, runtime} = this.options;
     const {upstream: controls} = settings.role;
@@ -289,10 +300,12 @@
 
   private tick(): void {
     this.leader.tick();
+    this.members.tick();
     this.upstream?.tick();
     const {members, leader} = this.replica.describeStatus();
     const others = members.filter(({id}) => id !== this.options.settings.id);
     this.links.updateMembers(new Set(others.map(({address}) => address)));
+    this.watchers.announceControls(members.map(({address}) => address));
     const now = this.options.runtime.clock.now();
     if (leader !== undefined) this.leaderSeenAt = now;
     if (this.isLeaderless) this.watchers.closeAll('no leader is known here');
@@ -318,8 +331,8 @@
         listControls,
       }),
       'control.watch': (params, peer) => this.watch(peer, params),
-      'control.changeMembers': params => this.changeMembers(params),
-      'control.enrol': params => this.advanceEnrolment(params),
+      'control.changeMembers': params => this.members.change(params),
+      'control.enrol': params => this.members.acceptEnrolment(params),
       'control.status': () => this.describeStatus(),
       'control.replicate': (params, peer) => this.links.accept(params, peer),
     };
@@ -356,69 +369,6 @@
     return this.watchers.add(peer, params);
   }
 
-  /** Requests the next membership change, if any, of a replica's enrolment. */
-  private async advanceEnrolment({
-    member,
-    address,
-  }: EnrolParams): Promise<ControlReply<EnrolResult>> {
-    if (!this.leader.isLeading) return this.leader.redirect();
-    const {members} = this.replica.describeStatus();
-    const change = planEnrolment(members, member, address);
-    if (change === undefined) return {kind: 'done', value: {votes: true}};
-    const outcome = await this.replica.changeMembers(change);
-    this.options.runtime.log.info(
-      {event: 'enrolment', change, outcome},
-      'requested a membership change to enrol a replica',
-    );
-    if (outcome.kind === 'not-leader') return this.leader.redirect();
-    return {kind: 'done', value: {votes: false}};
-  }
-
-  private async changeMembers(
-    params: ChangeMembersParams,
-  ): Promise<ControlReply<EmptyMessage>> {
-    const change = parseMemberChange(params);
-    const outcome = await this.replica.changeMembers(change);
-    switch (outcome.kind) {
-      case 'committed':
-        return {kind: 'done', value: {}};
-      case 'not-leader':
-        return this.leader.redirect();
-      case 'unknown':
-        return {...this.leader.redirect(), maybeApplied: true};
-      case 'refused':
-        if (this.isApplied(change, outcome.reason)) {
-          return {kind: 'done', value: {}};
-        }
-        // A newly elected leader becomes ready within a round trip, so the client retries.
-        if (outcome.reason === 'not-ready') return this.leader.redirect();
-        throw new Error(
-          `${params.change} of "${params.member}" is refused: ${outcome.reason}`,
-        );
-    }
-  }
-
-  /** True when a refused change was made before, so that a retry gets the answer of the first request. */
-  private isApplied(change: MemberChange, reason: ChangeRefusal): boolean {
-    const {members} = this.replica.describeStatus();
-    const existing = members.find(({id}) => id === change.member);
-    switch (change.kind) {
-      case 'add-learner':
-        return (
-          reason === 'already-member' && existing?.address === change.address
-        );
-      case 'promote':
-        return reason === 'already-member';
-      case 'remove':
-        return (
-          reason === 'unknown-member' &&
-          this.machine.state.acknowledged.has(change.member)
-        );
-      default:
-        return failUnreachable(change);
-    }
-  }
-
   /** Requests each member's applied configuration version; members that do not answer are left out. */
   private async listControls(): Promise<readonly ProcessConfigStatus[]> {
     const {members} = this.replica.describeStatus();
@@ -438,16 +388,3 @@
       }));
   }
 }
-
-/** Throws when the address of a new learner is missing. */
-function parseMemberChange({
-  change,
-  member,
-  address,
-}: ChangeMembersParams): MemberChange {
-  if (change !== 'add-learner') return {kind: change, member};
-  if (address === undefined) {
-    throw new Error(`add-learner of "${member}" needs an address`);
-  }
-  return {kind: change, member, address};
-}
--- a/packages/control/src/in-memory-replica.ts
+++ b/packages/control/src/in-memory-replica.ts
@@ -31,7 +31,9 @@
       commitIndex: index,
       isCurrent: true,
       members: [{id, address, voter: true}],
-      progress: [{id, voter: true, matchIndex: index}],
+      progress: [
+        {id, voter: true, matchIndex: index, caughtUp: true, heardAt: Infinity},
+      ],
     }),
     [Symbol.asyncDispose]: async () => {},
   };
--- a/packages/control/src/watchers.ts
+++ b/packages/control/src/watchers.ts
@@ -1,3 +1,4 @@
+import type {Address} from '#model';
 import type {Peer, ViewUpdate, WatchParams} from '#protocol';
 import type {ControlMachine} from './state-machine.js';
 
@@ -20,6 +21,7 @@
 export class Watchers implements Disposable {
   private readonly watchers = new Map<Peer, Watcher>();
   private timer: NodeJS.Timeout | undefined;
+  private controls: readonly Address[] = [];
 
   constructor(private readonly getMachine: () => ControlMachine) {}
 
@@ -34,6 +36,7 @@
       void peer.closed.then(() => this.watchers.delete(peer));
     }
     const {revision} = update;
+    peer.notify('watcher.controls', {controls: this.controls});
     this.watchers.set(peer, {
       topics,
       sentRevision: revision,
@@ -42,6 +45,18 @@
     return update;
   }
 
+  /** Tells the watchers where the control replicas listen, if that has changed. */
+  announceControls(controls: readonly Address[]): void {
+    const isKnown =
+      controls.length === this.controls.length &&
+      controls.every((address, i) => address === this.controls[i]);
+    if (isKnown) return;
+    this.controls = controls;
+    for (const peer of this.watchers.keys()) {
+      peer.notify('watcher.controls', {controls});
+    }
+  }
+
   /** Schedules the next batch of updates. */
   schedule(): void {
     if (this.watchers.size === 0) return;
--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -30,10 +30,14 @@
     private readonly folder: string,
     private readonly addresses: ReadonlyMap<string, Address>,
     private readonly voters: readonly string[],
+    private readonly repairs: boolean,
   ) {}
 
-  /** Starts a group of three; `spareIds` are replicas that may join later. */
-  static async start(spareIds: readonly string[] = []): Promise<Group> {
+  /** Starts a group of three, which may repair itself; `spareIds` are replicas that may join later. */
+  static async start(
+    spareIds: readonly string[] = [],
+    repairs = false,
+  ): Promise<Group> {
     const voters = ['c1', 'c2', 'c3'];
     const ids = [...voters, ...spareIds];
     const ports = await reservePorts(ids.length);
@@ -41,7 +45,7 @@
       ids.map((id, i) => [id, `127.0.0.1:${ports[i]}`] as const),
     );
     const folder = await mkdtemp(join(tmpdir(), 'control-test-'));
-    const group = new Group(folder, addresses, voters);
+    const group = new Group(folder, addresses, voters, repairs);
     await Promise.all(voters.map(id => group.start(id)));
     return group;
   }
@@ -55,12 +59,14 @@
       member,
       address: this.getAddress(member),
     }));
-    const settings = createSettings(id, {
+    const basic = createSettings(id, {
       listen: this.getAddress(id),
       data: join(this.folder, id),
       members,
       join: !this.voters.includes(id),
+      ...(this.repairs && {voters: this.voters.length}),
     });
+    const settings = {...basic, controls: members.map(each => each.address)};
     const opened = await Control.open({
       settings,
       configuration: source,
@@ -119,6 +125,23 @@
     }
   }
 
+  /** Waits until the leader's members are these voters and learners. */
+  async awaitMembers(
+    voters: readonly string[],
+    learners: readonly string[] = [],
+  ): Promise<void> {
+    await this.awaitStatus((_, {role, members}) => {
+      const list = (isVoter: boolean) =>
+        members
+          .filter(({voter}) => voter === isVoter)
+          .map(({member}) => member)
+          .join();
+      const isAsExpected =
+        list(true) === voters.join() && list(false) === learners.join();
+      return role === 'leader' && isAsExpected;
+    });
+  }
+
   /** Connects a client to the given replicas, by default to all of the first members. */
   connect(...ids: readonly string[]): TestClient {
     const chosen = ids.length > 0 ? ids : this.voters;
--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -108,7 +108,8 @@
   private readonly clock: Clock;
   private readonly nonce = randomUUID();
   private readonly waits = new CancellableWaits();
-  private readonly addresses: Address[];
+  /** Those that control told of go first. */
+  private addresses: readonly Address[];
   private next: Address;
   private dialling: Promise<Either<string, Peer>> | undefined;
   private peer: Peer | undefined;
@@ -192,6 +193,12 @@
     this.watchLoop = this.followView(this.watching);
   }
 
+  /** Prefers these replicas from now on; those of the settings are tried after them. */
+  updateControls(controls: readonly Address[]): void {
+    const {controls: configured} = this.options;
+    this.addresses = [...new Set([...controls, ...configured])];
+  }
+
   /** Ends the watch and closes the connection; pending requests fail as unavailable. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.waits.cancel();
@@ -266,7 +273,10 @@
     const address = this.next;
     const dialled = await dialPeer(
       address,
-      {'watcher.update': (update, peer) => this.receive(peer, update)},
+      {
+        'watcher.update': (update, peer) => this.receive(peer, update),
+        'watcher.controls': ({controls}) => this.updateControls(controls),
+      },
       monotonicClock.now() + dialTimeoutMs,
       this.options.liveness,
     );
@@ -300,7 +310,7 @@
 
   private rotate(from: Address): void {
     const at = this.addresses.indexOf(from);
-    this.next = this.addresses[(at + 1) % this.addresses.length];
+    this.next = this.addresses[(at + 1) % this.addresses.length]!;
   }
 
   private async followView(watching: Watch): Promise<void> {
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -394,6 +394,7 @@
     Codec.interface({from: string, message: unknown}),
   ),
   'watcher.update': toCheck(viewUpdate),
+  'watcher.controls': toCheck(Codec.interface({controls: array(string)})),
   'peer.sync': toCheck(empty),
 };
 
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -17,6 +17,7 @@
   CloseEntryParams,
   ConfigStatus,
   ControlReply,
+  ControlsParams,
   ControlStatus,
   DemandParams,
   DrainParams,
@@ -165,6 +166,8 @@
   'dispatcher.abandon': AbandonJobParams;
   'control.replicate': ReplicateParams;
   'watcher.update': ViewUpdate;
+  /** Where the control replicas listen now; follows each change of members. */
+  'watcher.controls': ControlsParams;
 }
 
 export type RequestName = keyof Requests;
--- a/packages/protocol/src/replica-messages.ts
+++ b/packages/protocol/src/replica-messages.ts
@@ -30,6 +30,8 @@
   readonly voter: boolean;
   /** The highest log index that the leader knows to be on the member's disk. */
   readonly matchIndex: number;
+  /** Time in ms since the leader last heard from the member; absent in the answers of other replicas. */
+  readonly silentMs?: number;
 }
 
 export interface ControlStatus {
@@ -39,6 +41,8 @@
   readonly leader?: Address;
   readonly commitIndex: number;
   readonly members: readonly MemberStatus[];
+  /** Whether the leader is replacing a member or why it cannot; absent unless it repairs the group. */
+  readonly repair?: string;
   readonly targets: readonly TargetInfo[];
   readonly entries: readonly EntryInfo[];
   readonly jobs: number;
--- a/packages/protocol/src/view-messages.ts
+++ b/packages/protocol/src/view-messages.ts
@@ -1,4 +1,5 @@
 import type {
+  Address,
   EndedEpoch,
   EntryInfo,
   Epoch,
@@ -15,6 +16,10 @@
   readonly topics: 'all' | 'configuration' | 'targets';
 }
 
+export interface ControlsParams {
+  readonly controls: readonly Address[];
+}
+
 /** An ended incarnation of an agent. The tasks it started can no longer be queried. */
 export interface GoneTarget {
   readonly target: TargetId;
--- a/packages/settings/src/conflict.ts
+++ b/packages/settings/src/conflict.ts
@@ -89,7 +89,10 @@
         },
       ];
     case 'control':
-      return control?.join ? [controlsRule] : [requireOwnMember(settings)];
+      return [
+        control?.join ? controlsRule : requireOwnMember(settings),
+        requireOddVoters(settings),
+      ];
   }
 }
 
@@ -118,3 +121,13 @@
     holds: members.some(({member}) => member === process.id),
   };
 }
+
+function requireOddVoters({control}: CompletedSettings): Rule {
+  const voters = control?.voters ?? 1;
+  return {
+    key: 'control.voters',
+    expected: 'an odd number, as an even one bears no more losses',
+    found: voters,
+    holds: voters % 2 === 1,
+  };
+}
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -102,6 +102,7 @@
   data: declareRequiredKey(folderPath),
   members: declareOptionalKey(controlMembers),
   join: declareDefaultedKey(boolean, false),
+  voters: declareOptionalKey(declareInteger(3, 7, 'voters')),
   upstream: declareOptionalKey(dialableAddresses),
 });
 
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -214,13 +214,14 @@
       };
     }
     case 'control': {
-      const {listen, data, members, join, upstream} = settings.control!;
+      const {listen, data, members, join, voters, upstream} = settings.control!;
       return {
         kind: 'control',
         listen,
         data,
         members: members ?? [],
         join,
+        ...(voters !== undefined && {voters}),
         ...(upstream !== undefined && {upstream}),
       };
     }
--- a/packages/settings/src/process.ts
+++ b/packages/settings/src/process.ts
@@ -46,6 +46,11 @@
   readonly members: readonly ControlMember[];
   /** Starts with an empty log as a learner of a running group. */
   readonly join: boolean;
+  /**
+   * The number of voters that the group keeps by itself, odd: caught-up learners take the place of
+   * silent voters. Undefined when members change on an operator's command alone.
+   */
+  readonly voters?: number;
   /** Addresses of the group where configuration originates; undefined when it is this group. */
   readonly upstream?: readonly Address[];
 }
--- a/packages/settings/test/load.test.ts
+++ b/packages/settings/test/load.test.ts
@@ -140,6 +140,16 @@
 members = [{member = "a", address = "127.0.0.1:1"}]`,
     'control.members',
   ],
+  [
+    'an even number of voters',
+    'control',
+    `[control]
+listen = "127.0.0.1:0"
+data = "d"
+voters = 4
+members = [{member = "a", address = "127.0.0.1:1"}]`,
+    'control.voters',
+  ],
   [
     'an address that others cannot dial',
     'entry',
