Keep a control replica up while its disk is full

Change: no room is an outcome of its own. The replica is dropped as after a crash and started again in its process until there is room; meanwhile it leads nothing and acknowledges nothing. A store that cannot open gives back its lock and its file. Other failures of a disk end the process as before: after a failed sync the system may have dropped what was written.

--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -27,7 +27,8 @@
 import {ControlMachine} from './state-machine.js';
 import {TermState} from './term-state.js';
 import {summarizeRegion} from './region-reports.js';
-import type {Replica} from './replica.js';
+import {RecoveringReplica} from './recovering-replica.js';
+import type {StartReplica} from './replica.js';
 import {createLeaderHandlers, describeState} from './leader-handlers.js';
 import {Upstream} from './upstream.js';
 import {Watchers} from './watchers.js';
@@ -44,30 +45,6 @@
 /** A replica that knows no leader for this long closes its watchers, so that they try another one. */
 const maxLeaderlessMs = 3000;
 
-/** What a replica gets from the process that hosts it. */
-export interface ReplicaEnvironment {
-  readonly id: ControlId;
-  readonly address: Address;
-  readonly machine: ControlMachine;
-  /** Sends a message to another replica, or drops it while there is no connection. */
-  readonly send: (
-    to: ControlId,
-    address: Address | undefined,
-    message: Message,
-  ) => void;
-  /** Requests another replica's status; undefined when it does not answer in time. */
-  readonly askStatus: (address: Address) => Promise<ControlStatus | undefined>;
-  /** Called after each change of role, term, leader or members. */
-  readonly observe?: (status: ReplicaStatus) => void;
-  /** Called once, when the disk has failed. */
-  readonly fail: (detail: string) => void;
-}
-
-/** Starts the replica; `Left` holds the reason when it cannot start. */
-export type StartReplica = (
-  environment: ReplicaEnvironment,
-) => Promise<Either<string, Replica>>;
-
 export interface ControlOptions {
   readonly settings: ProcessSettings<ControlRole>;
   /** Becomes version 1 when a new group is bootstrapped. */
@@ -89,7 +66,7 @@
   private members!: GroupMembers;
   private enrolment: EnrolmentLoop | undefined;
   private upstream: Upstream | undefined;
-  private replica!: Replica;
+  private replica!: RecoveringReplica;
   private listener!: PeerListener;
   private tickTimer: NodeJS.Timeout | undefined;
   private leaderSeenAt: Instant = 0;
@@ -149,6 +126,7 @@
     const status = this.replica.describeStatus();
     const leader = this.leader.findLeader();
     const repair = this.members.describeRepair();
+    const {diskFailure} = this.replica;
     return {
       member: status.id,
       role: status.role,
@@ -157,6 +135,7 @@
       commitIndex: status.commitIndex,
       members: this.members.describe(),
       ...(repair !== undefined && {repair}),
+      ...(diskFailure !== undefined && {diskFailure}),
       ...describeState(this.machine.state),
     };
   }
@@ -184,13 +163,14 @@
 
   private async start(): Promise<Either<string, void>> {
     const {settings, configuration, runtime, startReplica} = this.options;
-    const started = await startReplica({
+    const environment = {
       id: settings.id,
       address: this.listener.address,
       machine: this.machine,
-      send: (to, address, message) => this.links.send(to, address, message),
-      askStatus: address => this.askStatus(address),
-      observe: ({role, term, leader, members}) =>
+      send: (to: ControlId, address: Address | undefined, message: Message) =>
+        this.links.send(to, address, message),
+      askStatus: (address: Address) => this.askStatus(address),
+      observe: ({role, term, leader, members}: ReplicaStatus) =>
         runtime.log.info(
           {
             event: 'replica-role',
@@ -201,7 +181,14 @@
           },
           'role, term, leader or members changed',
         ),
-      fail: detail => this.fail(detail),
+    };
+    const started = await RecoveringReplica.start({
+      start: startReplica,
+      environment,
+      onDiskFull: () => this.watchers.closeAll('the disk is full'),
+      onFailed: detail => this.fail(detail),
+      log: runtime.log,
+      metrics: runtime.metrics,
     });
     return started.map(replica => {
       this.replica = replica;
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,10 +1,11 @@
+export type {ControlOptions} from './control.js';
+export {Control} from './control.js';
 export type {
-  ControlOptions,
+  Replica,
   ReplicaEnvironment,
+  ReplicaFailure,
   StartReplica,
-} from './control.js';
-export {Control} from './control.js';
-export type {Replica} from './replica.js';
+} from './replica.js';
 export {createInMemoryReplica} from './in-memory-replica.js';
 export {createReplicaStarter} from './replica-starter.js';
 export {runControl} from './run.js';
--- a/packages/control/src/replica-starter.ts
+++ b/packages/control/src/replica-starter.ts
@@ -4,9 +4,14 @@
 import {createMembers, type Members} from '#consensus';
 import type {Command, CommandResult} from '#membership';
 import type {ControlRole, ProcessSettings} from '#settings';
-import {describeStoreError, type Disk, ReplicaHost} from '#storage';
+import {
+  describeStoreError,
+  type Disk,
+  ReplicaHost,
+  type StoreError,
+} from '#storage';
 import type {Clock} from '#model';
-import type {StartReplica} from './control.js';
+import type {ReplicaFailure, StartReplica} from './replica.js';
 import {isEmptyFolder, checkEmptyDisk} from './empty-disk.js';
 
 /** Creates a function that starts the replica on the data folder of the settings. */
@@ -27,7 +32,9 @@
         askStatus,
         cancel,
       });
-      if (refusal !== undefined) return Left(refusal);
+      if (refusal !== undefined) {
+        return Left({kind: 'final', detail: refusal});
+      }
     }
     const started = await ReplicaHost.start<Command, CommandResult>({
       folder: role.data,
@@ -36,15 +43,20 @@
       machine,
       send,
       observe,
-      fail: error => fail(describeStoreError(error)),
+      fail: error => fail(describeFailure(error)),
       clock,
       seed: crc32(id),
       ...(disk && {disk}),
     });
-    return started.mapLeft(describeStoreError);
+    return started.mapLeft(describeFailure);
   };
 }
 
+function describeFailure(error: StoreError): ReplicaFailure {
+  const kind = error.kind === 'full' ? 'disk-full' : 'final';
+  return {kind, detail: describeStoreError(error)};
+}
+
 /** Lists the voters of a new group; when the settings name no members, the replica is the only one. */
 function listFirstMembers(
   id: string,
--- a/packages/control/src/state-machine.ts
+++ b/packages/control/src/state-machine.ts
@@ -46,6 +46,12 @@
     return results;
   }
 
+  /** Drops the state, which is then built again from a snapshot and the log. */
+  reset(): void {
+    this.current = createState();
+    this.recentChanges.restart(this.current.revision);
+  }
+
   takeSnapshot(): Uint8Array {
     return encodeSnapshot(this.current);
   }
--- a/packages/control/test/group.ts
+++ b/packages/control/test/group.ts
@@ -6,6 +6,7 @@
 import type {Address} from '#model';
 import {ControlClient} from '#membership';
 import {Control, type StartReplica, createReplicaStarter} from '#control';
+import {type Disk, nodeDisk} from '#storage';
 import {createSettings, runtime, source, TestClient} from './test-control.js';
 
 /** Finds ports that are free at the moment. */
@@ -24,6 +25,8 @@
   readonly running = new Map<string, Control>();
   /** Ids of replicas whose messages to and from the others are dropped. */
   readonly isolated = new Set<string>();
+  /** Ids of replicas whose disks have no room. */
+  readonly full = new Set<string>();
   private readonly clients: TestClient[] = [];
 
   private constructor(
@@ -72,7 +75,12 @@
       configuration: source,
       runtime,
       startReplica: this.filterMessages(
-        createReplicaStarter(settings, runtime.clock),
+        createReplicaStarter(
+          settings,
+          runtime.clock,
+          undefined,
+          this.createDisk(id),
+        ),
       ),
     });
     this.running.set(
@@ -157,6 +165,27 @@
     await rm(this.folder, {recursive: true});
   }
 
+  /** The file system, where writes find no room while the replica's disk is full. */
+  private createDisk(id: string): Disk {
+    const checkRoom = () => {
+      if (!this.full.has(id)) return;
+      throw Object.assign(new Error('ENOSPC'), {code: 'ENOSPC'});
+    };
+    return {
+      ...nodeDisk,
+      open: async file => {
+        const opened = await nodeDisk.open(file);
+        return {
+          ...opened,
+          write: async (data, position) => {
+            checkRoom();
+            return opened.write(data, position);
+          },
+        };
+      },
+    };
+  }
+
   private filterMessages(start: StartReplica): StartReplica {
     return async environment => {
       const {id, send} = environment;
--- a/packages/protocol/src/replica-messages.ts
+++ b/packages/protocol/src/replica-messages.ts
@@ -43,6 +43,8 @@
   readonly members: readonly MemberStatus[];
   /** Whether the leader is replacing a member or why it cannot; absent unless it repairs the group. */
   readonly repair?: string;
+  /** What found no room on the replica's disk; absent while there is room. */
+  readonly diskFailure?: string;
   readonly targets: readonly TargetInfo[];
   readonly entries: readonly EntryInfo[];
   readonly jobs: number;
--- a/packages/storage/src/error.ts
+++ b/packages/storage/src/error.ts
@@ -17,6 +17,8 @@
       readonly expected: string;
       readonly found: string;
     }
+  /** The disk has no room. The store accepts no more writes; it can be opened again. */
+  | {readonly kind: 'full'; readonly file: string; readonly detail: string}
   /** An operation of the operating system failed. The store accepts no more writes. */
   | {readonly kind: 'failed'; readonly file: string; readonly detail: string}
   | {readonly kind: 'closed'};
@@ -30,6 +32,7 @@
       return `${error.file}: at byte ${error.offset} expected ${error.expected}, found ${error.found}`;
     case 'wrong-identity':
       return `${error.file}: expected the folder of replica "${error.expected}", found that of "${error.found}"`;
+    case 'full':
     case 'failed':
       return `${error.file}: ${error.detail}`;
     case 'closed':
@@ -40,5 +43,7 @@
 /** Converts an error of the operating system to a StoreError. */
 export function toStoreError(file: string, error: unknown): StoreError {
   const detail = error instanceof Error ? error.message : String(error);
-  return {kind: 'failed', file, detail};
+  const {code} = error as NodeJS.ErrnoException;
+  const isFull = code === 'ENOSPC' || code === 'EDQUOT';
+  return {kind: isFull ? 'full' : 'failed', file, detail};
 }
--- a/packages/storage/src/store.ts
+++ b/packages/storage/src/store.ts
@@ -94,19 +94,17 @@
     options: StoreOptions,
   ): Promise<Either<StoreError, Store>> {
     const {disk = nodeDisk} = options;
+    let lock: AsyncDisposable | undefined;
     try {
       await disk.createFolder(folder);
-      const lock = await disk.lock(folder);
-      if (lock.isLeft()) return lock as Either<StoreError, never>;
-      const opened = await Store.recover(
-        disk,
-        folder,
-        lock.unsafeCoerce(),
-        options,
-      );
-      if (opened.isLeft()) await lock.unsafeCoerce()[Symbol.asyncDispose]();
+      const locked = await disk.lock(folder);
+      if (locked.isLeft()) return locked as Either<StoreError, never>;
+      lock = locked.unsafeCoerce();
+      const opened = await Store.recover(disk, folder, lock, options);
+      if (opened.isLeft()) await lock[Symbol.asyncDispose]();
       return opened;
     } catch (error) {
+      await lock?.[Symbol.asyncDispose]();
       return Left(toStoreError(folder, error));
     }
   }
@@ -134,7 +132,12 @@
         ? {...recovered.state, entries: [createFirstEntry(bootstrap)]}
         : recovered.state;
     const store = new Store(disk, folder, lock, id, state, recovered.segments);
-    await store.beginSegment(isNew ? state.entries : []);
+    try {
+      await store.beginSegment(isNew ? state.entries : []);
+    } catch (error) {
+      await store.segment?.[Symbol.asyncDispose]();
+      throw error;
+    }
     return Right(store);
   }
 
--- a/packages/storage/test/simulated-disk.ts
+++ b/packages/storage/test/simulated-disk.ts
@@ -17,6 +17,10 @@
   private syncedNames = new Map<string, Inode>();
   /** Decreases with each operation; the one that reaches 0 and all later ones fail. */
   operationsLeft = Infinity;
+  /** Syncs end only once this has resolved. */
+  stall: Promise<void> | undefined;
+  /** The code of the error with which operations fail. */
+  errorCode = 'EIO';
 
   readonly lock = async () => Right({[Symbol.asyncDispose]: async () => {}});
 
@@ -56,6 +60,7 @@
         inode.data = Buffer.from(inode.data.subarray(0, length));
       },
       sync: async () => {
+        await this.stall;
         this.countOperation();
         inode.synced = Buffer.from(inode.data);
       },
@@ -125,7 +130,9 @@
 
   private countOperation(): void {
     this.operationsLeft--;
-    if (this.operationsLeft <= 0) throw new Error('EIO: simulated power loss');
+    if (this.operationsLeft > 0) return;
+    const error = new Error(`${this.errorCode}: simulated failure`);
+    throw Object.assign(error, {code: this.errorCode});
   }
 }
 
--- a/packages/storage/test/store.test.ts
+++ b/packages/storage/test/store.test.ts
@@ -236,6 +236,40 @@
   });
 }
 
+test('a store that found no room at any operation says so and opens again with all that it acknowledged', async t => {
+  for (let operations = 1; operations <= 60; operations++) {
+    const disk = new SimulatedDisk();
+    disk.errorCode = 'ENOSPC';
+    const store = await openWith(disk, makeEntry(2));
+    disk.operationsLeft = operations;
+    let acknowledged = 2;
+    let term = 0;
+    let error: unknown;
+    for (let index = 3; error === undefined; index++) {
+      const hardState = {term: index, vote: 'a'};
+      const voted = await store.append({hardState, entries: []});
+      if (voted.isRight()) term = index;
+      const written = voted.isRight()
+        ? await store.append({entries: [makeEntry(index)]})
+        : voted;
+      if (written.isRight()) acknowledged = index;
+      const saved =
+        written.isRight() && index % 4 === 0
+          ? await store.saveSnapshot(makeSnapshot(index), 'continue')
+          : written;
+      error = saved.isLeft() ? saved.extract() : undefined;
+    }
+    t.like(error, {kind: 'full'});
+    await store[Symbol.asyncDispose]();
+    t.like((await openOn(disk)).extract(), {kind: 'full'});
+    disk.operationsLeft = Infinity;
+    const {recovered} = await openOrThrow(disk);
+    const last = recovered.entries.at(-1)?.index ?? recovered.snapshot!.index;
+    t.true(last >= acknowledged, `operation ${operations}`);
+    t.true(recovered.hardState.term >= term, `operation ${operations}`);
+  }
+});
+
 // A killed process leaves records that it wrote but did not sync; the next process continues from them.
 test('unsynced records of a killed process survive a power loss once the next process has continued from them', async t => {
   for (let seed = 0; seed < 40; seed++) {
