Hand over from a leader whose disk stands still

Cause: proposals made during a sync wait for its end, so that a leader with a stalled disk accepted nothing for as long as it led. Change: a leader that waits for a write for more than 1 s hands over.

--- a/packages/storage/src/replica-host.ts
+++ b/packages/storage/src/replica-host.ts
@@ -37,6 +37,8 @@
 const packr = new Packr({useRecords: false});
 const defaultSnapshotInterval = 10_000;
 const maxTimerMs = 60_000;
+/** A leader whose disk takes longer than this for a write hands over. */
+const maxSyncMs = 1000;
 
 /**
  * Runs one replica with a data folder, a clock and a transport. Proposals made
@@ -53,6 +55,8 @@
   private timerAt: Instant = Infinity;
   /** Each is called with true once another replica is known to lead, or with false at shutdown. */
   private readonly transferWaiters = new Set<(transferred: boolean) => void>();
+  /** Start times of the writes that are not synced yet, oldest first. */
+  private readonly syncs = new Map<number, Instant>();
   private addresses: ReadonlyMap<ControlId, Address> = new Map();
   private appliedIndex: number;
   private snapshotIndex: number;
@@ -158,8 +162,7 @@
 
   /** Stops the replica. Entries in flight resolve with `unknown`, all other requests with `not-leader`. */
   async [Symbol.asyncDispose](): Promise<void> {
-    if (this.closed) return;
-    this.stop();
+    if (!this.closed) this.stop();
     await this.store[Symbol.asyncDispose]();
   }
 
@@ -228,6 +231,7 @@
 
   private async writeToStore(effect: Persist): Promise<void> {
     this.proposals.beginSync();
+    this.syncs.set(effect.sequence, this.options.clock.now());
     const {sequence, hardState, entries, snapshot} = effect;
     const outcomes: Promise<Either<StoreError, void>>[] = [];
     if (hardState || entries.length > 0) {
@@ -237,6 +241,7 @@
     if (snapshot) outcomes.push(this.store.saveSnapshot(snapshot, 'replace'));
     const outcome = Either.sequence(await Promise.all(outcomes));
     if (!this.handleStoreOutcome(outcome)) return;
+    this.syncs.delete(sequence);
     this.step({kind: 'synced', sequence});
     this.proposals.endSync();
   }
@@ -314,11 +319,20 @@
       () => {
         this.timerAt = Infinity;
         this.step({kind: 'tick'});
+        if (this.isStalled()) this.step({kind: 'transfer'});
       },
       Math.min(Math.ceil(delayMs), maxTimerMs),
     );
   }
 
+  /** Whether this replica leads while its disk keeps its writes, and with them all proposals, waiting. */
+  private isStalled(): boolean {
+    const [oldest] = this.syncs.values();
+    if (oldest === undefined || this.closed) return false;
+    if (this.options.clock.now() - oldest <= maxSyncMs) return false;
+    return this.describeStatus().role === 'leader';
+  }
+
   private settleTransfers(): void {
     const {role, leader} = this.describeStatus();
     if (role === 'leader' || leader === undefined) return;
--- a/packages/storage/test/host.test.ts
+++ b/packages/storage/test/host.test.ts
@@ -117,3 +117,28 @@
   t.deepEqual(await leader.propose('y'), {kind: 'unknown'});
   t.like(await leader.propose('z'), {kind: 'not-leader'});
 });
+
+test('a leader whose disk stands still hands over, and takes part again after', async t => {
+  await using cluster = await Cluster.start(['a', 'b', 'c']);
+  await cluster.submit('x');
+  const old = await cluster.awaitLeader();
+  const {id, term} = old.describeStatus();
+  const disk = cluster.disks.get(id)!;
+  let resume = () => {};
+  disk.stall = new Promise(resolve => (resume = resolve));
+  const stuck = old.propose('y');
+  const next = await cluster.awaitValue(() =>
+    [...cluster.hosts.values()].find(host => {
+      const status = host.describeStatus();
+      return status.role === 'leader' && status.term > term;
+    }),
+  );
+  t.not(next.describeStatus().id, id);
+  t.is((await next.propose('z')).kind, 'committed');
+  disk.stall = undefined;
+  resume();
+  await stuck;
+  await cluster.awaitValue(() =>
+    cluster.machines.get(id)!.values.includes('z') ? true : undefined,
+  );
+});
