Skip a waiting job whose tasks cannot fit in a round of placement

Cause: on full targets each round listed the ready tasks of each waiting job, and each job ranked the homes of its service anew (by hashing every target) to be admitted and to be claimed. Change: a job whose steps are all known not to fit is passed over; the homes of a service are kept until the view changes.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -119,6 +119,8 @@
   ): boolean {
     if (!job.isFeasibilityChecked && isImpossible(job, pool)) return false;
     job.isFeasibilityChecked = pool.targets.size > 0;
+    const {steps} = job.state.job;
+    if (steps.every(step => isUnplaceable(step, pool))) return true;
     const placed: [TaskPosition, TargetId][] = [];
     const targetsByStep = new Map<number, Set<TargetId>>();
     let targets = [...pool.targets.values()];
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -30,6 +30,8 @@
   private readonly extraServices = new Set<ServiceName>();
   /** All targets in control's view, by service. */
   private known: ReadonlyMap<ServiceName, readonly TargetInfo[]> = new Map();
+  /** The homes of services in that view, as far as they were asked for. */
+  private readonly homes = new Map<ServiceName, readonly TargetInfo[]>();
 
   constructor(private readonly owner: RunnerLinkOwner) {}
 
@@ -48,6 +50,7 @@
    */
   follow(view: View): void {
     this.known = groupTargets(view);
+    this.homes.clear();
     this.followKnown();
   }
 
@@ -62,8 +65,16 @@
     const {localTarget} = this.owner;
     if (localTarget === undefined || this.extraServices.has(service))
       return true;
+    return this.findHomes(service).some(({target}) => target === localTarget);
+  }
+
+  /** Finds the homes of a service, which each job asks for more than once. */
+  private findHomes(service: ServiceName): readonly TargetInfo[] {
+    const known = this.homes.get(service);
+    if (known !== undefined) return known;
     const homes = chooseHomeDispatchers(service, this.listKnown(service));
-    return homes.some(({target}) => target === localTarget);
+    this.homes.set(service, homes);
+    return homes;
   }
 
   private followKnown(): void {
@@ -89,8 +100,7 @@
 
   /** Lists the dispatchers that accept a service's jobs, including those that are leaving. */
   listHomes(service: ServiceName): readonly Address[] {
-    const homes = chooseHomeDispatchers(service, this.listKnown(service));
-    return homes.map(({address}) => address);
+    return this.findHomes(service).map(({address}) => address);
   }
 
   /** Lists all targets of a service in control's view, including those that are leaving. */
--- a/packages/dispatch/test/placer.test.ts
+++ b/packages/dispatch/test/placer.test.ts
@@ -67,6 +67,26 @@
   }
 });
 
+test('a job whose tasks cannot fit in a round costs no look at each of them', t => {
+  const {fleet} = buildFullFleet(12);
+  const placer = new Placer(fleet, openLog('silent', 'agent', 'a'));
+  let reads = 0;
+  const waiting = openJobs(200, 170).map(job => {
+    const [tasks] = job.state.steps;
+    const counted = new Proxy(tasks!, {
+      get: (target, key, receiver) => {
+        if (/^\d+$/.test(String(key))) reads++;
+        return Reflect.get(target, key, receiver) as unknown;
+      },
+    });
+    return Object.assign(job, {state: {...job.state, steps: [counted]}});
+  });
+  t.deepEqual(placer.placeAll(waiting, 10), []);
+  reads = 0;
+  t.deepEqual(placer.placeAll(waiting, 11), []);
+  t.true(reads <= 2 * waiting.length + 2 * 170, `${reads} reads`);
+});
+
 test('a task that waits for a faster target makes the placer ask for a retry', t => {
   const {fleet} = buildFullFleet(1);
   const [fast] = fleet.listTargets('tally');
