Send no configuration to agents to which it does not matter

Cause: an agent on the platform followed the configuration, dropped it and reported version 0, so that each renewal asked for it again and each change was sent whole to every agent: the bytes of a change grew with the number of targets.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -206,18 +206,20 @@
         leaving: false,
       };
       this.control = new ControlLink({
-        controls: settings.controls,
+        listControls: () => settings.controls,
         leases: settings.leases,
         clock: runtime.clock,
         log: runtime.log,
         liveness,
         describeTarget: () => this.info,
-        getConfigVersion: () => this.getConfigVersion(),
         onAnnounced: version => {
           this.committedVersion ??= version;
           this.updateReadiness();
         },
-        onConfiguration: source => this.applyConfiguration(source),
+        configuration: {
+          getVersion: () => this.getConfigVersion(),
+          onConfiguration: source => this.applyConfiguration(source),
+        },
       });
       this.targetHealth.start();
     });
--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -12,17 +12,23 @@
 
 /** What a link needs from the agent that owns it. */
 export interface ControlLinkOwner {
-  readonly controls: readonly Address[];
+  /** Where the control replicas listen, as far as is known at the time; at least one. */
+  readonly listControls: () => readonly Address[];
   readonly leases: LeaseSettings;
   readonly clock: Clock;
   readonly log: Logger;
   readonly liveness?: Liveness;
   /** Returns the target to announce, the same object until it changes. */
   readonly describeTarget: () => TargetInfo;
-  /** Returns the version of the configuration in force here. */
-  readonly getConfigVersion: () => number;
   /** Called once the leader has the announcement, with the committed configuration version. */
   readonly onAnnounced: (configVersion: number) => void;
+  /** What follows the configuration; undefined where it does not matter, and none is sent. */
+  readonly configuration?: ConfigurationFollower;
+}
+
+export interface ConfigurationFollower {
+  /** Returns the version in force here. */
+  readonly getVersion: () => number;
   /** Called with a configuration of any version, possibly one seen before. */
   readonly onConfiguration: (configuration: VersionedSource) => void;
 }
@@ -51,7 +57,7 @@
   private announced: TargetInfo | undefined;
   private stopped = false;
   private nextControlIndex = 0;
-  /** Where control told that its replicas listen. */
+  /** Where control told that its replicas listen; tried before those of the owner. */
   private learnedControls: readonly Address[] = [];
   private cancelPause = () => {};
   private readonly waiters: (() => void)[] = [];
@@ -120,9 +126,8 @@
   }
 
   private pickControl(): Address {
-    const controls = [
-      ...new Set([...this.learnedControls, ...this.owner.controls]),
-    ];
+    const known = this.owner.listControls();
+    const controls = [...new Set([...this.learnedControls, ...known])];
     return controls[this.nextControlIndex++ % controls.length]!;
   }
 
@@ -169,7 +174,7 @@
     const target = this.owner.describeTarget();
     const reply = await peer.request(
       'control.announce',
-      {target, configVersion: this.owner.getConfigVersion()},
+      {target, configVersion: this.configVersion},
       this.deriveDeadline(requestTimeoutMs),
     );
     const answer = reply.toMaybe().extractNullable();
@@ -199,7 +204,7 @@
     const {target, incarnation} = this.owner.describeTarget();
     const reply = await peer.request(
       'control.renewTarget',
-      {target, incarnation, configVersion: this.owner.getConfigVersion()},
+      {target, incarnation, configVersion: this.configVersion},
       this.deriveDeadline(requestTimeoutMs),
     );
     const answer = reply.toMaybe().extractNullable();
@@ -209,13 +214,19 @@
       this.announced = undefined;
       return undefined;
     }
-    if (answer.value.configVersion > this.owner.getConfigVersion()) {
+    if (answer.value.configVersion > this.configVersion) {
       await this.subscribe(peer);
     }
     return undefined;
   }
 
+  private get configVersion(): number {
+    return this.owner.configuration?.getVersion() ?? 0;
+  }
+
+  /** Follows the configuration, if it matters here; false when the replica does not answer. */
   private async subscribe(peer: Peer): Promise<boolean> {
+    if (this.owner.configuration === undefined) return true;
     const reply = await peer.request(
       'control.watch',
       {since: this.revision, topics: 'configuration'},
@@ -228,7 +239,7 @@
   private receiveView(update: ViewUpdate): void {
     if (update.kind === 'full') {
       this.revision = update.revision;
-      this.owner.onConfiguration(update.view.configuration);
+      this.owner.configuration?.onConfiguration(update.view.configuration);
       return;
     }
     if (update.from > this.revision) {
@@ -238,7 +249,7 @@
     this.revision = Math.max(this.revision, update.revision);
     for (const change of update.changes) {
       if (change.kind !== 'configured') continue;
-      this.owner.onConfiguration(change.configuration);
+      this.owner.configuration?.onConfiguration(change.configuration);
     }
   }
 
--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -130,6 +130,11 @@
     return this.latest;
   }
 
+  /** Where the control replicas listen, those that control told of first. */
+  get controls(): readonly Address[] {
+    return this.addresses;
+  }
+
   /**
    * Sends a request, retrying at other replicas until the deadline. A lease in the reply counts
    * from this call, which is no later than the time of sending.
