Try tasks that were returned by a full pool once for each target that they avoid

Cause: a task that a target returned avoids that target, and was therefore asked for at all targets in each round, however many equal ones had found none with room. After a power cut, when most waiting tasks were returned, placing took two fifths of the processor time of the homes. Change: what fitted nowhere is remembered with its label and the target it avoids. What is placed where does not change.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -37,8 +37,15 @@
 /** The targets of a service during one round of placement, in which their free capacity only shrinks. */
 interface Pool {
   readonly targets: Map<TargetId, CandidateTarget>;
-  /** Demands that fitted on no target in this round; later ones that are at least as large won't fit either. */
-  readonly unplaceable: ResourceRequest[];
+  /** What fitted on no target in this round; later tasks that need at least as much won't fit either. */
+  readonly unplaceable: Unplaceable[];
+}
+
+/** A task that fitted on no target with the required label, leaving out the one to avoid. */
+interface Unplaceable {
+  readonly demand: ResourceRequest;
+  readonly requiredLabel: string | undefined;
+  readonly avoid: TargetId | undefined;
 }
 
 interface PlacedRuns {
@@ -57,20 +64,29 @@
 }
 
 /**
- * True when an equal or smaller demand fitted on no target in this round. That demand came from a job
- * that is at least as urgent, so this task would not displace a queued run either.
+ * True when an equal or smaller demand fitted on none of the targets that a task may use, in this
+ * round. That demand came from a job that is at least as urgent, so this task would not displace a
+ * queued run either.
+ *
+ * Load pattern: a full pool in which most waiting tasks were returned by some target, each of them to
+ * be avoided. They are tried once for each target to avoid, not once each.
  */
-function isUnplaceable({demand}: JobStep, {unplaceable}: Pool): boolean {
-  return unplaceable.some(smaller => isWithinCapacity(smaller, demand));
+function isUnplaceable(
+  {demand, requiredLabel}: JobStep,
+  avoid: TargetId | undefined,
+  {unplaceable}: Pool,
+): boolean {
+  return unplaceable.some(
+    earlier =>
+      (earlier.avoid === undefined || earlier.avoid === avoid) &&
+      (earlier.requiredLabel === undefined ||
+        earlier.requiredLabel === requiredLabel) &&
+      isWithinCapacity(earlier.demand, demand),
+  );
 }
 
-/** True when a task may run on any target. */
-function isUnconstrained({requiredLabel}: JobStep, task: TaskState): boolean {
-  return (
-    requiredLabel === undefined &&
-    task.kind === 'ready' &&
-    task.avoid === undefined
-  );
+function getAvoidedTarget(task: TaskState): TargetId | undefined {
+  return task.kind === 'ready' ? task.avoid : undefined;
 }
 
 /** Places ready tasks on targets with enough free capacity, those of the most urgent job first. */
@@ -120,28 +136,29 @@
     if (!job.isFeasibilityChecked && isImpossible(job, pool)) return false;
     job.isFeasibilityChecked = pool.targets.size > 0;
     const {steps} = job.state.job;
-    if (steps.every(step => isUnplaceable(step, pool))) return true;
+    if (steps.every(step => isUnplaceable(step, undefined, pool))) return true;
     const placed: [TaskPosition, TargetId][] = [];
     const targetsByStep = new Map<number, Set<TargetId>>();
     let targets = [...pool.targets.values()];
     for (const pos of listReadyTasks(job.state)) {
       const step = job.state.job.steps[pos.step]!;
-      if (isUnplaceable(step, pool)) continue;
-      const task = job.state.steps[pos.step]![pos.index]!;
+      const avoid = getAvoidedTarget(job.state.steps[pos.step]![pos.index]!);
+      if (isUnplaceable(step, avoid, pool)) continue;
       const choice = chooseTarget(
         {
           ...step,
           rank,
           dueAt: job.dueAt,
           batchTargets: targetsByStep.get(pos.step),
-          ...(task.kind === 'ready' && {avoid: task.avoid}),
+          avoid,
         },
         targets,
         now,
       );
       if (choice.kind === 'impossible') return false;
-      if (choice.kind === 'full' && isUnconstrained(step, task)) {
-        pool.unplaceable.push(step.demand);
+      if (choice.kind === 'full') {
+        const {demand, requiredLabel} = step;
+        pool.unplaceable.push({demand, requiredLabel, avoid});
       }
       if (choice.kind === 'wait') this.isWaitingForFaster = true;
       if (choice.kind !== 'place') continue;
--- a/packages/dispatch/test/placer.test.ts
+++ b/packages/dispatch/test/placer.test.ts
@@ -87,6 +87,49 @@
   t.true(reads <= 2 * waiting.length + 2 * 170, `${reads} reads`);
 });
 
+test('tasks that were returned by a full target are tried once for each target that they avoid', t => {
+  const targets = 12;
+  const {fleet, seen} = buildFullFleet(targets);
+  const placer = new Placer(fleet, openLog('silent', 'agent', 'a'));
+  const waiting = openJobs(200, 8).map(job => {
+    const steps = job.state.steps.map(tasks =>
+      tasks.map((task, i) =>
+        task.kind === 'ready' ? {...task, avoid: `target-${i}`} : task,
+      ),
+    );
+    return Object.assign(job, {state: {...job.state, steps}});
+  });
+  t.deepEqual(placer.placeAll(waiting, 10), []);
+  seen.reads = 0;
+  t.deepEqual(placer.placeAll(waiting, 11), []);
+  const avoided = 8;
+  t.true(seen.reads <= 4 * avoided * targets, `${seen.reads} reads`);
+});
+
+test('a full pool for one avoided target leaves a task that avoids another one placeable', t => {
+  const {fleet} = buildFullFleet(2);
+  const [full, other] = fleet.listTargets('tally');
+  const empty = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  const placed: string[] = [];
+  const open = {...other!, target: 'open', used: empty};
+  const placer = new Placer(
+    {
+      listTargets: () => [full!, open],
+      find: target => ({slowness: 1, place: () => void placed.push(target)}),
+    },
+    openLog('silent', 'agent', 'a'),
+  );
+  const [first, second] = openJobs(2, 1).map((job, i) => {
+    const avoid = i === 0 ? 'open' : full!.target;
+    const steps = job.state.steps.map(tasks =>
+      tasks.map(task => (task.kind === 'ready' ? {...task, avoid} : task)),
+    );
+    return Object.assign(job, {state: {...job.state, steps}});
+  });
+  placer.placeAll([first!, second!], 10);
+  t.deepEqual(placed, ['open']);
+});
+
 test('a task that waits for a faster target makes the placer ask for a retry', t => {
   const {fleet} = buildFullFleet(1);
   const [fast] = fleet.listTargets('tally');
