--- a/packages/settings/test/load.test.ts
+++ b/packages/settings/test/load.test.ts
@@ -147,7 +147,7 @@
 listen = "127.0.0.1:0"
 data = "d"
 voters = 4
-members = [{member = "a", address = "127.0.0.1:1"}]`,
+members = [{member = "entry-1", address = "127.0.0.1:1"}]`,
     'control.voters',
   ],
   [
