Bound what a process holds of what clients send

Nothing bounded what the unfinished bodies of a process hold together, and a held byte cost an object a chunk. The settings are [intake], with defaults that no client within the interfaces' limits meets.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,7 @@
 const packageOrder = [
   'model',
   'settings',
+  'intake',
   'protocol',
   'policy',
   'jobs',
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -9,6 +9,9 @@
   Role,
 } from './process.js';
 
+export type {IntakeSettings} from './intake.js';
+export {defaultIntake} from './intake.js';
+
 export type {SettingsError} from './error.js';
 export {describeSettingsError} from './error.js';
 
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -15,6 +15,7 @@
   folderPath,
   urlPath,
 } from './value-types.js';
+import {defaultIntake} from './intake.js';
 import {
   declareOptionalKey,
   declareOptionalTable,
@@ -71,6 +72,53 @@
   prefix: declareDefaultedKey(metricPrefix, 'wasabiring.'),
 });
 
+const maxIntakeMs = 3_600_000;
+const maxIntakeBytes = 1024 ** 3;
+const maxIntakeCount = 1_000_000;
+
+const intakeTable = declareTable({
+  max_held_bytes: declareDefaultedKey(
+    declareInteger(64 * 1024, maxIntakeBytes, 'bytes'),
+    defaultIntake.maxHeldBytes,
+  ),
+  max_held_chunks: declareDefaultedKey(
+    declareInteger(1000, 100 * maxIntakeCount, 'chunks'),
+    defaultIntake.maxHeldChunks,
+  ),
+  max_body_ms: declareDefaultedKey(
+    declareInteger(1000, maxIntakeMs, 'ms'),
+    defaultIntake.maxBodyMs,
+  ),
+  body_grace_ms: declareDefaultedKey(
+    declareInteger(100, maxIntakeMs, 'ms'),
+    defaultIntake.bodyGraceMs,
+  ),
+  min_body_bytes_per_second: declareDefaultedKey(
+    declareInteger(1, maxIntakeBytes, 'bytes a second'),
+    defaultIntake.minBodyBytesPerSecond,
+  ),
+  max_header_ms: declareDefaultedKey(
+    declareInteger(100, maxIntakeMs, 'ms'),
+    defaultIntake.maxHeaderMs,
+  ),
+  max_connections: declareDefaultedKey(
+    declareInteger(10, maxIntakeCount, 'connections'),
+    defaultIntake.maxConnections,
+  ),
+  max_connections_per_address: declareDefaultedKey(
+    declareInteger(1, maxIntakeCount, 'connections'),
+    defaultIntake.maxConnectionsPerAddress,
+  ),
+  max_pipelined_requests: declareDefaultedKey(
+    declareInteger(1, maxIntakeCount, 'requests'),
+    defaultIntake.maxPipelinedRequests,
+  ),
+  max_requests: declareDefaultedKey(
+    declareInteger(1, maxIntakeCount, 'requests'),
+    defaultIntake.maxRequests,
+  ),
+});
+
 const entryTable = declareOptionalTable({
   http: declareRequiredKey(listenAddress),
   listen: declareRequiredKey(listenAddress),
@@ -110,6 +158,7 @@
   process: processTable,
   leases: leasesTable,
   metrics: metricsTable,
+  intake: intakeTable,
   entry: entryTable,
   agent: agentTable,
   control: controlTable,
--- a/packages/settings/src/load.ts
+++ b/packages/settings/src/load.ts
@@ -11,11 +11,13 @@
 import {parseLayers} from './layers.js';
 import {settingsShape} from './layout.js';
 import {listTableKeys} from './keys.js';
+import type {IntakeSettings} from './intake.js';
 import type {LeaseSettings, ProcessSettings, Role} from './process.js';
 
 /** The settings of a process and the configuration that its files contain. */
 export interface LoadedSettings<OneRole extends Role = Role> {
   readonly process: ProcessSettings<OneRole>;
+  readonly intake: IntakeSettings;
   readonly configuration: ConfigurationSource;
   /** Every process setting that applies to the role, defaults included, by key path. */
   readonly keys: ReadonlyMap<string, unknown>;
@@ -143,6 +145,7 @@
         completed,
         toRole(completed, role) as RoleOf<Kind>,
       ),
+      intake: toIntakeSettings(completed),
       configuration,
       keys: listProcessKeys(completed, role),
     }));
@@ -152,8 +155,8 @@
   settings: CompletedSettings,
   role: Role['kind'],
 ): ReadonlyMap<string, unknown> {
-  const {process, leases, metrics} = settings;
-  const tables = {process, leases, metrics, [role]: settings[role]};
+  const {process, leases, metrics, intake} = settings;
+  const tables = {process, leases, metrics, intake, [role]: settings[role]};
   return new Map(listTableKeys(tables));
 }
 
@@ -189,6 +192,21 @@
   };
 }
 
+function toIntakeSettings({intake}: CompletedSettings): IntakeSettings {
+  return {
+    maxHeldBytes: intake.max_held_bytes,
+    maxHeldChunks: intake.max_held_chunks,
+    maxBodyMs: intake.max_body_ms,
+    bodyGraceMs: intake.body_grace_ms,
+    minBodyBytesPerSecond: intake.min_body_bytes_per_second,
+    maxHeaderMs: intake.max_header_ms,
+    maxConnections: intake.max_connections,
+    maxConnectionsPerAddress: intake.max_connections_per_address,
+    maxPipelinedRequests: intake.max_pipelined_requests,
+    maxRequests: intake.max_requests,
+  };
+}
+
 function toRole(settings: CompletedSettings, role: Role['kind']): Role {
   switch (role) {
     case 'entry': {
