Count incomplete messages of inner connections among the intake

A frame may announce 64 MB, and any client of an inner port could hold as much for each connection: 60 connections with 4 MB each took an agent to 344 MB (hosts of 218), 90 took a control host to 482 MB (346). Frames are now held in the process's account, the one that holds most is cut when it is full, and connections that have sent no whole message make room for new ones.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -42,7 +42,7 @@
 export interface AgentOptions {
   readonly settings: ProcessSettings<AgentRole>;
   readonly target: Target;
-  readonly runtime: Pick<Runtime, 'log' | 'metrics' | 'clock'>;
+  readonly runtime: Pick<Runtime, 'log' | 'metrics' | 'clock' | 'intake'>;
   /** Parses a configuration for this agent's site; `Left` describes the errors. */
   readonly readConfiguration: (
     configuration: VersionedSource,
@@ -193,6 +193,7 @@
       this.createHandlers(),
       undefined,
       liveness,
+      runtime.intake,
     );
     return listening.map(listener => {
       this.listener = listener;
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -49,7 +49,7 @@
   readonly settings: ProcessSettings<ControlRole>;
   /** Becomes version 1 when a new group is bootstrapped. */
   readonly configuration: ConfigurationSource;
-  readonly runtime: Pick<Runtime, 'log' | 'metrics' | 'clock'>;
+  readonly runtime: Pick<Runtime, 'log' | 'metrics' | 'clock' | 'intake'>;
   readonly startReplica: StartReplica;
 }
 
@@ -96,6 +96,7 @@
       handlers,
       undefined,
       clientLiveness,
+      options.runtime.intake,
     );
     return listening.caseOf<Promise<Either<string, Control>>>({
       Left: async detail => Left(detail),
--- a/packages/protocol/src/endpoint.ts
+++ b/packages/protocol/src/endpoint.ts
@@ -1,10 +1,12 @@
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts';
+import type {Door, Intake} from '#intake';
 import type {Address, Instant} from '#model';
 import {monotonicClock, computeRemainingMs, parseAddress} from '#model';
 import {PostPollTimer} from './post-poll-timer.js';
 import {type ByteSink, type Handlers, type Liveness, Peer} from './peer.js';
 
+const innerDoor: Door = {name: 'inner'};
 const readBufferBytes = 64 * 1024;
 /** Shared by all dialled sockets: each chunk is consumed before the next one is read. */
 const readBuffer = Buffer.allocUnsafeSlow(readBufferBytes);
@@ -88,6 +90,8 @@
     handlers: Handlers,
     onPeer: (peer: Peer) => void = () => {},
     liveness?: Liveness,
+    /** Limits what the other ends of all connections hold together. */
+    intake?: Intake,
   ): Promise<Either<string, PeerListener>> {
     return parseAddress(address).caseOf<Promise<Either<string, PeerListener>>>({
       Left: async detail => Left(detail),
@@ -101,7 +105,23 @@
               bound !== null && typeof bound === 'object' ? bound.port : port;
             const listener = new PeerListener(server, `${host}:${boundPort}`);
             server.on('connection', socket => {
-              const peer = new Peer(socket, handlers, liveness);
+              const since = monotonicClock.now();
+              const isAdmitted = intake?.connections.admit(
+                socket,
+                innerDoor,
+                () => ({
+                  stage: peer.hasReceived ? 'waiting' : 'silent',
+                  since,
+                }),
+              );
+              const peer = new Peer(
+                socket,
+                handlers,
+                liveness,
+                undefined,
+                intake?.bodies,
+              );
+              if (isAdmitted === false) return;
               listener.peers.add(peer);
               void peer.closed.then(() => listener.peers.delete(peer));
               onPeer(peer);
--- a/packages/protocol/src/frame.ts
+++ b/packages/protocol/src/frame.ts
@@ -1,5 +1,6 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {Packr, Unpackr} from 'msgpackr';
+import {BlockBuffer} from '#intake';
 
 /** The largest message that a connection accepts, in bytes. */
 export const maxFrameBytes = 64 * 1024 * 1024;
@@ -20,30 +21,37 @@
   return frame;
 }
 
-/** Decodes a byte stream into messages. The chunks of a frame are concatenated only once. */
+/** Holds the bytes of a frame until it is complete. */
+export interface PendingBytes {
+  readonly length: number;
+  /** Appends a copy of a chunk. */
+  readonly append: (chunk: Buffer) => void;
+  readonly take: () => Buffer;
+  readonly drop: () => void;
+}
+
+/** Decodes a byte stream into messages. */
 export class FrameReader {
-  private readonly pendingChunks: Buffer[] = [];
-  private pendingBytes = 0;
+  private pending: PendingBytes | undefined;
   /** Pending bytes needed to decode the preface or the next frame. */
   private neededBytes = preface.length;
   private hasReadPreface = false;
 
+  constructor(
+    private readonly openPending: () => PendingBytes = () => new BlockBuffer(),
+  ) {}
+
   /**
    * Returns the messages completed by a chunk, or a protocol error that is
    * fatal to the connection. Copies the bytes it retains, so that the caller
    * may overwrite the chunk afterwards.
    */
   readChunk(chunk: Buffer): Either<string, readonly unknown[]> {
-    this.pendingBytes += chunk.length;
-    if (this.pendingBytes < this.neededBytes) {
-      this.pendingChunks.push(Buffer.from(chunk));
+    if ((this.pending?.length ?? 0) + chunk.length < this.neededBytes) {
+      this.hold(chunk);
       return Right([]);
     }
-    const bytes =
-      this.pendingChunks.length === 0
-        ? chunk
-        : Buffer.concat([...this.pendingChunks, chunk]);
-    this.pendingChunks.length = 0;
+    const bytes = this.joinPending(chunk);
     if (this.hasReadPreface) return this.readFrames(bytes, 0);
     const start = bytes.subarray(0, preface.length);
     if (!start.equals(preface)) {
@@ -55,6 +63,26 @@
     return this.readFrames(bytes, preface.length);
   }
 
+  /** Drops the bytes of an incomplete frame. */
+  clear(): void {
+    this.pending?.drop();
+    this.pending = undefined;
+  }
+
+  private hold(chunk: Buffer): void {
+    this.pending ??= this.openPending();
+    this.pending.append(chunk);
+  }
+
+  /** Returns the pending bytes and those of a chunk. */
+  private joinPending(chunk: Buffer): Buffer {
+    if (this.pending === undefined) return chunk;
+    this.hold(chunk);
+    const bytes = this.pending.take();
+    this.pending = undefined;
+    return bytes;
+  }
+
   private readFrames(
     bytes: Buffer,
     start: number,
@@ -79,9 +107,7 @@
       }
       pos = end;
     }
-    this.pendingBytes = bytes.length - pos;
-    if (this.pendingBytes > 0)
-      this.pendingChunks.push(Buffer.from(bytes.subarray(pos)));
+    if (pos < bytes.length) this.hold(bytes.subarray(pos));
     return Right(messages);
   }
 }
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -11,6 +11,7 @@
   JSONRPCServerAndClient,
 } from 'json-rpc-2.0';
 import {type Either, Left, Right} from 'purify-ts';
+import type {BodyAccount} from '#intake';
 import {
   BrokenInvariant,
   computeRemainingMs,
@@ -87,7 +88,8 @@
     string,
     (params: unknown) => void
   >();
-  private readonly reader = new FrameReader();
+  private readonly reader: FrameReader;
+  private hasMessage = false;
   private watchdog: PostPollTimer | undefined;
   private watchdogDueAt: Instant = Infinity;
   private resolveClosed!: (cause: string) => void;
@@ -102,7 +104,17 @@
     handlers: Handlers,
     private liveness: Liveness = defaultLiveness,
     sink?: ByteSink,
+    /** Counts what incomplete messages hold; without it, they are limited by their size alone. */
+    account?: BodyAccount,
   ) {
+    this.reader = new FrameReader(
+      account &&
+        (() =>
+          account.open({
+            onCut: () => this.close('incomplete messages hold too much'),
+            isTimed: false,
+          })),
+    );
     this.closed = new Promise(resolve => (this.resolveClosed = resolve));
     this.rpc = new JSONRPCServerAndClient(
       new JSONRPCServer({errorListener: () => {}}),
@@ -130,6 +142,11 @@
     return this.closeCause === undefined;
   }
 
+  /** True once the other end has sent a whole message. */
+  get hasReceived(): boolean {
+    return this.hasMessage;
+  }
+
   /** Bytes written to the socket that the operating system has not accepted yet. */
   get unsentBytes(): number {
     return this.socket.writableLength;
@@ -216,6 +233,7 @@
     this.flush();
     this.closeCause = cause;
     this.watchdog?.[Symbol.dispose]();
+    this.reader.clear();
     this.socket.destroy();
     this.rpc.rejectAllPendingRequests(`disconnected: ${cause}`);
     this.resolveClosed(cause);
@@ -257,6 +275,7 @@
     this.reader.readChunk(chunk).caseOf({
       Left: cause => this.close(`protocol error: ${cause}`),
       Right: messages => {
+        if (messages.length > 0) this.hasMessage = true;
         for (const message of messages) this.dispatch(message);
       },
     });
--- a/packages/telemetry/src/runtime.ts
+++ b/packages/telemetry/src/runtime.ts
@@ -1,3 +1,4 @@
+import type {Intake} from '#intake';
 import type {Clock} from '#model';
 import type {Logger} from './log.js';
 import type {Metrics} from './metrics.js';
@@ -7,6 +8,8 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly clock: Clock;
+  /** Limits what the process takes in; each door by itself when omitted. */
+  readonly intake?: Intake;
   /** Aborted by the first SIGTERM or SIGINT: drain, then return. */
   readonly drain: AbortSignal;
   /** Aborted by the second signal or at the drain deadline: stop at once. */
