--- a/packages/agent/src/http.ts
+++ b/packages/agent/src/http.ts
@@ -1,5 +1,6 @@
 import {Either} from 'purify-ts';
 import {Pool} from 'undici';
+import {BlockBuffer} from '#intake';
 
 const connectTimeoutMs = 2000;
 /** Shorter than the common server default, so that no request is sent on a closing connection. */
@@ -75,9 +76,8 @@
   body: string | undefined,
 ): Promise<HttpOutcome> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    const received = new BlockBuffer();
     let status = 0;
-    let bytes = 0;
     let sent = false;
     let abort = (_cause: Error) => {};
     let end = () => {};
@@ -122,15 +122,16 @@
           status = statusCode;
         },
         onResponseData: (controller, chunk) => {
-          bytes += chunk.length;
-          chunks.push(chunk);
-          if (bytes <= request.maxBytes) return;
+          if (received.length + chunk.length <= request.maxBytes) {
+            received.append(chunk);
+            return;
+          }
           const detail = `the answer exceeds ${request.maxBytes} bytes`;
           finish({kind: 'unusable', detail});
           controller.abort(new Error(detail));
         },
         onResponseEnd: () => {
-          finish({kind: 'answered', status, body: Buffer.concat(chunks)});
+          finish({kind: 'answered', status, body: received.take()});
           end();
         },
         onResponseError: (_controller, error) => {
