Bound what clients hold at every door, and show it with crowds

Seen on, the real programs on loopback, peak resident memory by /proc: 12 callers with bodies of 260,000 one-byte chunks that stay open took an entry to 1,307 MB (hosts of 160), 600 with a body of 262,000 bytes to 248 MB, 60 that pipeline requests and read no answers to 243 MB, the same at the metrics to 2,342 MB; 10 bodies of 400,000 one-byte chunks took a control host to 1,655 MB (346), 90 of 4 MB to 442 MB, 60 at an agent's announcements to 328 MB (218). 12 and 60 such bodies took an entry of the product to 1,300 and 309 MB. A limit on connections did not exist: 500 silent ones were 526 descriptors.

The cause is an object for each chunk held, no bound on what all bodies hold together, and no bound on connections and pipelined requests. All doors are now HttpDoors on the process's one Intake: callers, readiness, operators, announcements, metrics, and the callers of the product. A refused body was never handed on, so that 413, 408 and 503 with Retry-After are true.

What is refused is counted, and logged in one line each 5 s.

--- a/packages/cli/src/role.ts
+++ b/packages/cli/src/role.ts
@@ -1,6 +1,7 @@
 import {runAgent} from '#agent';
 import {runControl} from '#control';
 import {runEntry} from '#entry';
+import {Intake} from '#intake';
 import {failUnreachable, monotonicClock} from '#model';
 import {
   describeSettingsError,
@@ -12,6 +13,7 @@
 import {
   type ExitCode,
   exitCode,
+  IntakeReporter,
   type Logger,
   openLog,
   openMetrics,
@@ -52,7 +54,14 @@
   );
   signals.halt.addEventListener('abort', () => scheduleForcedExit(log));
   const {drain, halt} = signals;
-  const runtime = {log, metrics, clock: monotonicClock, drain, halt};
+  const reporter = new IntakeReporter(log, metrics);
+  const intake = new Intake({
+    settings: loaded.intake,
+    onRefused: reporter.record,
+  });
+  reporter.watch(intake);
+  const clock = monotonicClock;
+  const runtime = {log, metrics, clock, drain, halt, intake};
   log.info({event: 'start', pid: process.pid}, 'starting');
   const code = await awaitExitCode(startRole(loaded, runtime), log);
   log.info({event: 'exit', code}, 'stopped');
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -31,7 +31,7 @@
 import {Forwarder} from './forwarder.js';
 import {AdmissionController} from './admission-controller.js';
 import {listInheritedEpochs} from './fence-report.js';
-import {HttpServer} from './http.js';
+import {type HttpOwner, HttpServer} from './http.js';
 import {Takeover} from './takeover.js';
 import {EntryLease} from './lease.js';
 import {PeerEntries} from './peer-entries.js';
@@ -147,7 +147,7 @@
     const configuration = parsed.toMaybe().extract();
     if (configuration === undefined)
       return Left('the configuration is invalid');
-    const listened = await PeerListener.listen(settings.role.listen, {
+    const handlers: Handlers = {
       'entry.attach': params => entry.attach(params),
       'entry.peek': ({job, forwarded}) =>
         forwarded
@@ -157,7 +157,14 @@
         forwarded
           ? entry.jobs.cancel(job, entry.getQueryDeadline())
           : entry.jobs.cancelLocal(job),
-    } satisfies Handlers);
+    };
+    const listened = await PeerListener.listen(
+      settings.role.listen,
+      handlers,
+      undefined,
+      undefined,
+      runtime.intake,
+    );
     const listener = listened.extract();
     if (typeof listener === 'string') return Left(listener);
     const entry: Entry = new Entry(settings, runtime, configuration, listener);
@@ -210,7 +217,7 @@
   }
 
   private openHttpServer(): Promise<Either<string, HttpServer>> {
-    return HttpServer.listen(this.settings.role.http, {
+    const owner: HttpOwner = {
       getLimits: () => this.configuration.limits,
       submit: request => this.submit(request),
       peek: (team, job) =>
@@ -220,7 +227,9 @@
       isReady: () => this.isReady,
       isDraining: () => this.draining,
       getStatus: () => this.describe(),
-    });
+    };
+    const {http} = this.settings.role;
+    return HttpServer.listen(http, owner, this.runtime.intake);
   }
 
   private openLease(): EntryLease {
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -1,14 +1,17 @@
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {type Either, Left, Right} from 'purify-ts';
+import {
+  type BodyRefusal,
+  type Door,
+  HttpDoor,
+  Intake,
+  type ReceivedBody,
+} from '#intake';
 import {
   type Address,
   deriveJobId,
+  failUnreachable,
   type JobAnswer,
   type JobId,
   type Limits,
@@ -35,14 +38,15 @@
   readonly getStatus: () => unknown;
 }
 
-const maxHeaderBytes = 16 * 1024;
-const headersTimeoutMs = 10_000;
-const requestTimeoutMs = 60_000;
+const callersDoor: Door = {name: 'callers'};
+const idleTimeoutMs = 5000;
+const overloadRetryMs = 1000;
+const msPerSecond = 1000;
 
 /** The HTTP interface for callers, health probes and load balancers. */
 export class HttpServer implements AsyncDisposable {
   private constructor(
-    private readonly server: Server,
+    private readonly server: HttpDoor['server'],
     /** The listening address, with the port that the system chose for port 0. */
     readonly address: Address,
   ) {}
@@ -51,17 +55,19 @@
   static listen(
     address: Address,
     owner: HttpOwner,
+    intake: Intake = new Intake(),
   ): Promise<Either<string, HttpServer>> {
     return parseAddress(address).caseOf<Promise<Either<string, HttpServer>>>({
       Left: async detail => Left(detail),
       Right: ({host, port}) =>
         new Promise(resolve => {
-          const server = createServer({
-            maxHeaderSize: maxHeaderBytes,
-            headersTimeout: headersTimeoutMs,
-            requestTimeout: requestTimeoutMs,
+          const door = new HttpDoor({
+            intake,
+            door: callersDoor,
+            keepAliveMs: idleTimeoutMs,
           });
-          addRoutes(server, owner);
+          const {server} = door;
+          addRoutes(door, owner);
           server.once('error', error => resolve(Left(error.message)));
           server.listen(port, host, () => {
             const bound = server.address();
@@ -89,10 +95,11 @@
   owner: HttpOwner,
 ) => Promise<HttpAnswer>;
 
-function addRoutes(server: Server, owner: HttpOwner): void {
+function addRoutes(door: HttpDoor, owner: HttpOwner): void {
   const serve =
     (handler: RouteHandler) =>
     (req: IncomingMessage, res: ServerResponse): void => {
+      req.resume();
       void handler(req as IncomingMessage & {params: Params}, owner).then(
         answer => send(res, answer, owner.isDraining()),
       );
@@ -111,7 +118,14 @@
         false,
       ),
   })
-    .post('/v1/services/:service/jobs', serve(submitJob))
+    .post('/v1/services/:service/jobs', (req, res) => {
+      void submitJob(
+        door,
+        req as IncomingMessage & {params: Params},
+        res,
+        owner,
+      );
+    })
     .get('/v1/jobs/:key', serve(peekJob))
     .delete('/v1/jobs/:key', serve(cancelJob))
     .get(
@@ -130,30 +144,60 @@
         body: owner.getStatus(),
       })),
     );
-  server.on('request', (req, res) =>
-    router.handler(req as polka.Request, res, undefined),
-  );
+  door.server.on('request', (req, res) => {
+    const admission = door.admit(req, res);
+    switch (admission.kind) {
+      case 'admitted':
+        router.handler(req as polka.Request, res, undefined);
+        return;
+      case 'refused':
+        sendRefusal(door, req, res, overloadedRefusal);
+        return;
+      case 'closed':
+        return;
+      default:
+        failUnreachable(admission);
+    }
+  });
 }
 
-const submitJob: RouteHandler = async (req, owner) => {
+async function submitJob(
+  door: HttpDoor,
+  req: IncomingMessage & {params: Params},
+  res: ServerResponse,
+  owner: HttpOwner,
+): Promise<void> {
   const limits = owner.getLimits();
-  const body = await readBody(req, limits.maxBodyBytes);
-  const request = body.chain(bytes =>
-    checkRequest(
-      {
-        service: req.params.service!,
-        team: getHeader(req, 'wasabiring-team'),
-        key: getHeader(req, 'idempotency-key'),
-        body: bytes,
-      },
-      limits,
-    ),
+  const received = await door.readBody(req, res, limits.maxBodyBytes);
+  received
+    .ifLeft(cause => refuseBody(door, req, res, cause, limits.maxBodyBytes))
+    .ifRight(body => {
+      void answerSubmission(req, body, limits, owner).then(answer =>
+        send(res, answer, owner.isDraining()),
+      );
+    });
+}
+
+function answerSubmission(
+  req: IncomingMessage & {params: Params},
+  body: ReceivedBody,
+  limits: Limits,
+  owner: HttpOwner,
+): Promise<HttpAnswer> {
+  const request = checkRequest(
+    {
+      service: req.params.service!,
+      team: getHeader(req, 'wasabiring-team'),
+      key: getHeader(req, 'idempotency-key'),
+      body: body.take(),
+    },
+    limits,
   );
   return request.caseOf<Promise<HttpAnswer>>({
     Left: async bad => refuse(bad),
     Right: async checked => formatAnswer(await owner.submit(checked)),
   });
-};
+}
 
 const peekJob: RouteHandler = (req, owner) => queryJob(req, owner.peek);
 
@@ -212,31 +256,67 @@
   return Array.isArray(value) ? value.join(',') : value;
 }
 
-/** Reads a body; beyond `maxBytes` the rest is discarded and the request refused. */
-async function readBody(
+const overloadedRefusal: HttpAnswer = {
+  status: getRefusalStatus('overloaded'),
+  retryAfterMs: overloadRetryMs,
+  body: {
+    status: 'not-run',
+    reason: 'overloaded',
+    detail: 'clients send more than this process takes in',
+    retryAfterMs: overloadRetryMs,
+  },
+};
+const slowStatus = 408;
+
+/** Refuses a request whose body was not read to its end: no job was created. */
+function refuseBody(
+  door: HttpDoor,
   req: IncomingMessage,
+  res: ServerResponse,
+  cause: BodyRefusal,
   maxBytes: number,
-): Promise<Either<BadRequest, Buffer>> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of req) {
-      bytes += (chunk as Buffer).length;
-      if (bytes <= maxBytes) chunks.push(chunk as Buffer);
+): void {
+  switch (cause) {
+    case 'too-large': {
+      const detail = `the body is over ${maxBytes} bytes`;
+      sendRefusal(door, req, res, refuse({reason: 'body-too-large', detail}));
+      return;
     }
-  } catch (error) {
-    return Left({
-      reason: 'bad-request',
-      detail: `the body ended early: ${(error as Error).message}`,
-    });
-  }
-  if (bytes > maxBytes) {
-    return Left({
-      reason: 'body-too-large',
-      detail: `the body is over ${maxBytes} bytes`,
-    });
+    case 'too-slow': {
+      const detail = 'the body was sent too slowly';
+      const answer = refuse({reason: 'bad-request', detail});
+      sendRefusal(door, req, res, {...answer, status: slowStatus});
+      return;
+    }
+    case 'overloaded':
+      sendRefusal(door, req, res, overloadedRefusal);
+      return;
+    case 'disconnected':
+      return;
+    default:
+      failUnreachable(cause);
   }
-  return Right(Buffer.concat(chunks));
+}
+
+/** Answers a request whose body was not read, and closes its connection. */
+function sendRefusal(
+  door: HttpDoor,
+  req: IncomingMessage,
+  res: ServerResponse,
+  {status, retryAfterMs, body}: HttpAnswer,
+): void {
+  const headers = {
+    'content-type': 'application/json',
+    ...describeRetry(retryAfterMs),
+  };
+  const text = JSON.stringify(body);
+  const lingers = status !== overloadedRefusal.status;
+  door.sendFinal(req, res, {status, headers, text, lingers});
+}
+
+function describeRetry(retryAfterMs: number): Readonly<Record<string, string>> {
+  if (retryAfterMs <= 0) return {};
+  return {'retry-after': String(Math.ceil(retryAfterMs / msPerSecond))};
 }
 
 function send(
@@ -249,9 +329,10 @@
   res.statusCode = answer.status;
   res.setHeader('Content-Type', 'application/json');
   res.setHeader('Content-Length', body.length);
-  if (answer.retryAfterMs > 0) {
-    res.setHeader('Retry-After', Math.ceil(answer.retryAfterMs / 1000));
-  }
+  for (const [name, value] of Object.entries(
+    describeRetry(answer.retryAfterMs),
+  ))
+    res.setHeader(name, value);
   if (lastOnConnection) res.setHeader('Connection', 'close');
   res.end(body);
 }
--- a/packages/telemetry/src/exposition.ts
+++ b/packages/telemetry/src/exposition.ts
@@ -1,7 +1,7 @@
-import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {type Either, Left, Right} from 'purify-ts';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {type Door, HttpDoor, Intake} from '#intake';
 import {type Address, parseAddress} from '#model';
 import type {Metrics, Tags} from './metrics.js';
 
@@ -12,6 +12,12 @@
 /** Maximum number of label sets per metric; further ones are recorded as `other`. */
 const maxLabelSets = 200;
 const otherValue = 'other';
+const metricsDoor: Door = {
+  name: 'metrics',
+  maxConnections: 50,
+  maxPipelinedRequests: 2,
+};
+const idleTimeoutMs = 5000;
 const okStatus = 200;
 const notFoundStatus = 404;
 
@@ -123,7 +129,7 @@
 /** Serves a registry's metrics over HTTP at one path. */
 export class MetricsServer implements AsyncDisposable {
   private constructor(
-    private readonly server: Server,
+    private readonly server: HttpDoor['server'],
     /** The listening address, with the port that the system chose for port 0. */
     readonly address: Address,
   ) {}
@@ -133,10 +139,21 @@
     address: Address,
     path: string,
     registry: MetricsRegistry,
+    intake: Intake = new Intake(),
   ): Promise<Either<string, MetricsServer>> {
     const parsed = parseAddress(address).extract();
     if (typeof parsed === 'string') return Left(parsed);
-    const server = createServer((req, res) => {
+    const door = new HttpDoor({
+      intake,
+      door: metricsDoor,
+      keepAliveMs: idleTimeoutMs,
+    });
+    const {server} = door;
+    server.on('request', (req, res) => {
+      if (door.admit(req, res).kind !== 'admitted') {
+        res.destroy();
+        return;
+      }
       if (req.url !== path) {
         res.writeHead(notFoundStatus).end();
         return;
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -7,6 +7,7 @@
 export type {Metrics, Tags} from './metrics.js';
 export {openMetrics, noopMetrics} from './metrics.js';
 export {MetricsRegistry, MetricsServer} from './exposition.js';
+export {IntakeReporter} from './intake-reporter.js';
 export {ProcessLoadReporter} from './process-load.js';
 export type {ExitCode, Runtime} from './runtime.js';
 export {exitCode} from './runtime.js';
