Compare a queued run with the executor as it is before it starts

Cause: a dispatcher places by control's view of a target. When an executor of another kind takes a crashed one's place, the runner opens the target as soon as the new incarnation has answered, which is before the view tells of it; and the runner, the last to see a run before the executor, could not compare: a batch carried neither service nor label, and runs that waited were kept.

Change: a batch carries the service and the required label. The runner compares them and the demand with the executor as it last announced itself, on arrival, when the executor changes (for waiting runs) and when a queued start is sent; what does not fit goes back as not begun. Dispatchers learn from the runner what its executor has become, at attaching and with a report, and place by that, so that returned runs do not come back and service goes on while control is away. Both fields are optional on the wire, for older builds.

The fixture of a router test announced no label at its executor and now does; its check is the same.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -12,6 +12,7 @@
   dialPeer,
   dialTimeoutMs,
   type Liveness,
+  type ExecutorDescription,
   type Peer,
   type RunBatch,
   type RunEndRow,
@@ -84,6 +85,8 @@
   /** The connection on which `runner.attach` has succeeded, so that both ends agree about the runs. */
   private attached: Peer | undefined;
   private load: TargetLoad | undefined;
+  /** The executor as its runner described it on the latest attached connection; newer than control's view. */
+  private executor: ExecutorDescription | undefined;
   /** Withdrawn runs whose end has not been reported; the value is true when a run is to end only if it has not begun. */
   private readonly pendingWithdrawals = new Map<RunTicket, boolean>();
   /** The estimated number of placed runs that the agent had yet to begin at `lastPlacedAt`. */
@@ -118,7 +121,7 @@
   }
 
   get service(): string {
-    return this.info.service;
+    return (this.executor ?? this.info).service;
   }
 
   /** True when runs can be placed on the target. */
@@ -179,7 +182,8 @@
 
   /** Describes the target for placement; undefined before the first report. */
   describe(): CandidateTarget | undefined {
-    const {capacity, place} = this.info;
+    const {place} = this.info;
+    const {capacity} = this.executor ?? this.info;
     const {load, outstandingDemand} = this;
     if (capacity.kind !== 'room' || load === undefined) return undefined;
     return {
@@ -271,10 +275,12 @@
     const dialled = await dialPeer(
       this.info.address,
       {
-        'dispatcher.report': ({ends, load, question}, peer) => {
+        'dispatcher.report': ({ends, load, executor, question}, peer) => {
           if (question !== undefined) this.grantPermission(question, peer);
           else if (ends.length === 0) this.loadOnlyCount++;
-          if (peer === this.peer) this.applyReport(ends, load);
+          if (peer !== this.peer) return;
+          if (executor !== undefined) this.executor = executor;
+          this.applyReport(ends, load);
         },
       },
       clock.now() + dialTimeoutMs,
@@ -297,11 +303,12 @@
         peer.close(`attaching failed: ${failure.kind}`);
         return undefined;
       },
-      Right: ({ended, load}) => {
+      Right: ({ended, load, service, capacity}) => {
         clearTimeout(this.lossTimer);
         this.lossTimer = undefined;
         this.disconnectedSince = undefined;
         this.attached = peer;
+        this.executor = capacity && {service, capacity};
         this.applyReport(ended, load);
         this.withdrawAgain(peer);
         this.owner.log.info(
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -222,7 +222,7 @@
     {target, step, runs}: PlacedRuns,
   ): void {
     const {id, payload, steps} = job.state.job;
-    const {demand, estimateMs} = steps[step]!;
+    const {demand, estimateMs, requiredLabel} = steps[step]!;
     this.log.debug(
       {event: 'runs-placed', job: id, step, target, runs: runs.size, rankMs},
       'placed runs on a target',
@@ -233,6 +233,8 @@
         payload,
         step,
         demand,
+        service: job.queue.service,
+        ...(requiredLabel !== undefined && {requiredLabel}),
         estimateMs,
         rankMs,
         runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -149,3 +149,31 @@
   await new Promise(resolve => setTimeout(resolve, 50));
   return {withdrawn};
 }
+
+test('a target is described as its runner describes it, not as an older view does', async t => {
+  const capacity = {
+    kind: 'room' as const,
+    cpuMillis: 2000,
+    memoryMb: 1024,
+    accelerators: 0,
+    labels: ['b'],
+  };
+  const attached: Peer[] = [];
+  await using listener = (
+    await PeerListener.listen('127.0.0.1:0', {
+      'runner.attach': (_, peer) => {
+        attached.push(peer);
+        return {...welcome, service: 'tally', capacity};
+      },
+    })
+  ).unsafeCoerce();
+  await using link = openLink(listener.address);
+  await waitUntil(() => link.isOpen);
+  t.deepEqual(link.describe()!.capacity, capacity);
+  const executor = {service: 'renewal', capacity: {...capacity, labels: []}};
+  attached[0]!.notify('dispatcher.report', {ends: [], load, executor});
+  await waitUntil(() => link.service === 'renewal');
+  link.update(buildTarget('target', listener.address));
+  t.is(link.service, 'renewal');
+  t.deepEqual(link.describe()!.capacity.labels, []);
+});
--- a/packages/dispatch/test/router.test.ts
+++ b/packages/dispatch/test/router.test.ts
@@ -272,6 +272,7 @@
       labels: ['rare'],
     },
   };
+  homes[15]!.runner.announce({room: rare.capacity});
   const labelled = {...view, targets: view.targets.set('target-15', rare)};
   for (const {dispatcher} of homes) dispatcher.follow(labelled);
   await using entry = startRouter();
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -1,41 +1,23 @@
-import {type Either, Left, Right} from 'purify-ts';
+import {type Either, Left} from 'purify-ts';
 import {
   array,
   boolean,
   Codec,
-  type Codec as CodecOf,
   exactly,
   number,
   oneOf,
   optional,
   record,
   string,
-  tuple,
   unknown,
 } from 'purify-ts/Codec';
 import type {MethodName, ParamsOf} from './methods.js';
+import {count, nonNegative} from './number-codecs.js';
+import {roomCapacity, runBatch, runReport} from './runner-codecs.js';
 
 /** Validates parameters from the wire: returns the value, or describes the invalid part. */
 export type Check<Checked> = (input: unknown) => Either<string, Checked>;
 
-/** A safe integer of at least 0. */
-const count: CodecOf<number> = Codec.custom({
-  decode: input =>
-    Number.isSafeInteger(input) && (input as number) >= 0
-      ? Right(input as number)
-      : Left(`expected a whole number of at least 0, got ${String(input)}`),
-  encode: value => value,
-});
-
-/** A finite number of at least 0, such as a duration in ms. */
-const nonNegative: CodecOf<number> = Codec.custom({
-  decode: input =>
-    Number.isFinite(input) && (input as number) >= 0
-      ? Right(input as number)
-      : Left(`expected a time in ms of at least 0, got ${String(input)}`),
-  encode: value => value,
-});
-
 const empty = Codec.interface({});
 const taskRef = {job: string, task: count};
 const location = Codec.interface({
@@ -56,13 +38,7 @@
     memoryMb: number,
     accelerators: count,
   }),
-  Codec.interface({
-    kind: exactly('room'),
-    cpuMillis: count,
-    memoryMb: count,
-    accelerators: count,
-    labels: array(string),
-  }),
+  roomCapacity,
 ]);
 const target = Codec.interface({
   target: string,
@@ -182,38 +158,6 @@
     changes: array(viewChange),
   }),
 ]);
-const resourceRequest = Codec.interface({
-  cpuMillis: nonNegative,
-  memoryMb: nonNegative,
-  accelerators: nonNegative,
-});
-const runBatch = Codec.interface({
-  job: string,
-  payload: string,
-  step: count,
-  demand: resourceRequest,
-  estimateMs: nonNegative,
-  rankMs: number,
-  runs: array(tuple([count, count, count])),
-});
-const runEnd = exactly(
-  'succeeded',
-  'failed',
-  'stopped',
-  'lapsed',
-  'not-run',
-  'unanswered',
-  'stalled',
-);
-const targetLoad = Codec.interface({
-  open: boolean,
-  cpuMillis: nonNegative,
-  memoryMb: nonNegative,
-  accelerators: nonNegative,
-  slowness: nonNegative,
-  failing: nonNegative,
-  waitingRankMs: optional(number),
-});
 const slots = Codec.interface({slots: count});
 const tasks = Codec.interface({tasks: array(Codec.interface(taskRef))});
 const job = Codec.interface({job: string, forwarded: optional(boolean)});
@@ -381,13 +325,7 @@
   'dispatcher.follow': toCheck(
     Codec.interface({job: string, remainingMs: nonNegative}),
   ),
-  'dispatcher.report': toCheck(
-    Codec.interface({
-      ends: array(tuple([count, runEnd, nonNegative])),
-      load: targetLoad,
-      question: optional(count),
-    }),
-  ),
+  'dispatcher.report': toCheck(runReport),
   'control.enrol': toCheck(Codec.interface({member: string, address: string})),
   'control.status': toCheck(empty),
   'control.replicate': toCheck(
--- a/packages/protocol/src/runner-messages.ts
+++ b/packages/protocol/src/runner-messages.ts
@@ -1,4 +1,10 @@
-import type {ResourceRequest, RunEnd, ServiceName, TargetId} from '#model';
+import type {
+  ResourceCapacity,
+  ResourceRequest,
+  RunEnd,
+  ServiceName,
+  TargetId,
+} from '#model';
 
 /** Identifies a run within one session of a dispatcher and a runner. Assigned by the dispatcher, never reused. */
 export type RunTicket = number;
@@ -15,6 +21,8 @@
   readonly target: TargetId;
   readonly incarnation: number;
   readonly service: ServiceName;
+  /** Unset by runners of builds that do not report it; control's view tells it then. */
+  readonly capacity?: ResourceCapacity;
   /** Tickets of the request whose runs have ended here or never arrived. */
   readonly ended: readonly RunEndRow[];
   readonly load: TargetLoad;
@@ -35,12 +43,22 @@
   readonly waitingRankMs?: number;
 }
 
+/** What a target's executor runs now. Control's view may still describe the executor before it. */
+export interface ExecutorDescription {
+  readonly service: ServiceName;
+  readonly capacity: ResourceCapacity;
+}
+
 /** Runs of tasks of one step of one job. */
 export interface RunBatch {
   readonly job: string;
   readonly payload: string;
   readonly step: number;
   readonly demand: ResourceRequest;
+  /** The service that the tasks are for; unset by dispatchers of builds that do not send it. */
+  readonly service?: ServiceName;
+  /** The label that the executor must have when a run starts. */
+  readonly requiredLabel?: string;
   readonly estimateMs: number;
   /** Runs that wait for capacity start in order of rank, lowest first. In ms from now, so that dispatchers' clocks need not agree. */
   readonly rankMs: number;
@@ -64,6 +82,8 @@
 export interface ReportRunsParams {
   readonly ends: readonly RunEndRow[];
   readonly load: TargetLoad;
+  /** Set when it has changed since the dispatcher attached or was last told. */
+  readonly executor?: ExecutorDescription;
   /** Number of a request to extend the dispatcher's permission for its runs. */
   readonly question?: number;
 }
--- a/packages/runner/src/backlog.ts
+++ b/packages/runner/src/backlog.ts
@@ -33,8 +33,10 @@
     return true;
   }
 
-  /** Removes and returns all runs. */
-  takeAll(): readonly Run[] {
-    return this.runs.splice(0);
+  /** Removes and returns the runs for which a condition holds. */
+  take(holds: (run: Run) => boolean): readonly Run[] {
+    const taken = this.runs.filter(holds);
+    for (const run of taken) this.remove(run);
+    return taken;
   }
 }
--- a/packages/runner/src/events.ts
+++ b/packages/runner/src/events.ts
@@ -1,3 +1,4 @@
+import type {Instant} from '#model';
 import type {Logger} from '#telemetry';
 import type {ExecutorInfo} from './executor.js';
 import {formatRun, type Run} from './run.js';
@@ -16,8 +17,9 @@
 }
 
 /** Logs that a run makes no progress and is stopped. */
-export function logStall(log: Logger, run: Run, stillMs: number): void {
+export function logStall(log: Logger, run: Run, now: Instant): void {
   const {ref, percent} = run;
+  const stillMs = Math.round(now - run.progressedAt);
   log.warn(
     {event: 'run-stalled', run: formatRun(ref), percent, stillMs},
     'run makes no progress; stopping it',
--- a/packages/runner/src/reporter.ts
+++ b/packages/runner/src/reporter.ts
@@ -1,4 +1,4 @@
-import type {TargetLoad} from '#protocol';
+import type {ExecutorDescription, TargetLoad} from '#protocol';
 import type {FreeCapacity} from './load.js';
 import type {Session} from './session.js';
 import type {SessionTable} from './session-table.js';
@@ -7,6 +7,7 @@
   readonly sessions: SessionTable;
   /** Describes the target's load for a session's dispatcher. */
   readonly describeLoad: (session: Session) => TargetLoad;
+  readonly getDescription: () => ExecutorDescription | undefined;
   readonly computeFree: () => FreeCapacity;
 }
 
@@ -30,8 +31,12 @@
   report(): void {
     this[Symbol.dispose]();
     this.batchTimer = undefined;
-    const {sessions, describeLoad, computeFree} = this.options;
-    const waitMs = sessions.report(describeLoad, computeFree());
+    const {sessions, describeLoad, getDescription, computeFree} = this.options;
+    const waitMs = sessions.report(
+      describeLoad,
+      computeFree(),
+      getDescription(),
+    );
     if (waitMs === undefined) return;
     this.throttleTimer = setTimeout(() => this.report(), waitMs);
   }
--- a/packages/runner/src/run.ts
+++ b/packages/runner/src/run.ts
@@ -1,5 +1,14 @@
-import type {Instant, ResourceRequest, RunEnd, RunRef} from '#model';
-import type {RunBatch, RunTicket} from '#protocol';
+import {isDeepStrictEqual} from 'node:util';
+import type {
+  Instant,
+  ResourceRequest,
+  RunEnd,
+  RunRef,
+  ServiceName,
+} from '#model';
+import {canHoldWhenEmpty} from '#policy';
+import type {ExecutorDescription, RunBatch, RunTicket} from '#protocol';
+import type {ExecutorInfo} from './executor.js';
 
 /** The state of a run at the runner. */
 export type RunPhase =
@@ -22,6 +31,9 @@
   readonly ref: RunRef;
   readonly payload: string;
   readonly demand: ResourceRequest;
+  /** Unset when the dispatcher did not send it. */
+  readonly service?: ServiceName;
+  readonly requiredLabel?: string;
   readonly estimateMs: number;
   readonly rank: number;
   phase: RunPhase;
@@ -42,11 +54,14 @@
 /** Creates the runs of a batch in the state `waiting`. */
 export function openRuns(batch: RunBatch, now: Instant): readonly Run[] {
   const {job, step, payload, demand, estimateMs, rankMs, runs} = batch;
+  const {service, requiredLabel} = batch;
   return runs.map(([ticket, index, run]) => ({
     ticket,
     ref: {job, step, index, run},
     payload,
     demand,
+    service,
+    requiredLabel,
     estimateMs,
     rank: now + rankMs,
     phase: {kind: 'waiting'},
@@ -56,6 +71,29 @@
   }));
 }
 
+/** Describes an executor to dispatchers; returns the known description while it is the same. */
+export function describeExecutor(
+  {service, room}: ExecutorInfo,
+  known: ExecutorDescription | undefined,
+): ExecutorDescription {
+  const description = {service, capacity: room};
+  return isDeepStrictEqual(description, known) ? known! : description;
+}
+
+/**
+ * Whether an executor may run a task: it serves the task's service, has the required label, and could
+ * hold the task when empty. A dispatcher may have placed the run for the executor's predecessor.
+ */
+export function canRunOn(
+  {service, requiredLabel, demand}: Run,
+  executor: ExecutorDescription,
+): boolean {
+  return (
+    (service === undefined || service === executor.service) &&
+    canHoldWhenEmpty(executor, {demand, requiredLabel})
+  );
+}
+
 /** Records when the executor started a run; only the first call counts. */
 export function markStarted(run: Run, at: Instant): void {
   if (run.startedAt !== undefined) return;
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -3,6 +3,7 @@
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
+  ExecutorDescription,
   Handlers,
   Peer,
   RunBatch,
@@ -10,6 +11,7 @@
   WithdrawRunsParams,
 } from '#protocol';
 import {type Logger, type Metrics, noopMetrics} from '#telemetry';
+import {Acknowledgements} from './acknowledgements.js';
 import {Backlog} from './backlog.js';
 import {JobRestrictions} from './job-restrictions.js';
 import type {
@@ -31,7 +33,13 @@
 import {ExecutorRequests} from './executor-requests.js';
 import {compareReport} from './reconcile.js';
 import {Reporter} from './reporter.js';
-import {markStarted, openRuns, type Run} from './run.js';
+import {
+  canRunOn,
+  describeExecutor,
+  markStarted,
+  openRuns,
+  type Run,
+} from './run.js';
 import {RunTable} from './run-table.js';
 import type {ClockReading, Session} from './session.js';
 import {SessionTable} from './session-table.js';
@@ -70,11 +78,10 @@
   private readonly reporter: Reporter;
   private readonly ticker: NodeJS.Timeout;
   private executor: ExecutorInfo | undefined;
+  /** The part of the announcement that dispatchers place by; replaced only when it has changed. */
+  private description: ExecutorDescription | undefined;
   private stats: TargetStats = initialStats;
-  /** Number of the latest outcome received from this incarnation of the executor. */
-  private acknowledged = 0;
-  /** The value of `acknowledged` that was last sent to the executor. */
-  private sentAck = 0;
+  private readonly acknowledgements = new Acknowledgements();
   /** False until the executor has reported no runs that are unknown to this process. */
   private adopted = false;
   private draining = false;
@@ -91,6 +98,7 @@
     this.reporter = new Reporter({
       sessions: this.sessions,
       describeLoad: session => this.describeLoad(session),
+      getDescription: () => this.description,
       computeFree: () => computeFreeCapacity(this.executor?.room, this.runs),
     });
     this.requests = new ExecutorRequests({
@@ -99,7 +107,8 @@
       log: options.log,
       firstFence: Math.floor(this.readWall()),
       canStart: run =>
-        this.runs.findOwner(run)?.canStart(this.readClocks()) === true,
+        this.runs.findOwner(run)?.canStart(this.readClocks()) === true &&
+        canRunOn(run, this.description!),
       onStartSent: sentAt => this.lease.noteLease(sentAt),
       onStartOutcome: (run, outcome) => this.handleStartOutcome(run, outcome),
       onStopped: () => void this.lease.fetchReport(),
@@ -108,11 +117,8 @@
       clock: this.clock,
       port: options.port,
       getFence: () => this.requests.fence,
-      getAcknowledged: () => {
-        this.sentAck = this.acknowledged;
-        return this.acknowledged;
-      },
-      getSentAcknowledgement: () => this.sentAck,
+      getAcknowledged: () => this.acknowledgements.send(),
+      getSentAcknowledgement: () => this.acknowledgements.lastSent,
       isNeeded: () => this.isLeaseNeeded,
       isAdopted: () => this.adopted,
       canExtend: () => this.adopted && this.sessions.isCurrent(),
@@ -138,6 +144,8 @@
     if (known !== undefined && info.incarnation < known.incarnation) return;
     const isNew = info.incarnation !== known?.incarnation;
     this.executor = info;
+    this.description = describeExecutor(info, this.description);
+    this.returnWaiting(run => !canRunOn(run, this.description!));
     if (isNew) this.beginIncarnation(info);
     else if (info.draining && !known.draining) this.returnWaiting();
     this.reporter.schedule();
@@ -182,7 +190,7 @@
   }
 
   private get isIdle(): boolean {
-    return this.runs.size === 0 && this.sentAck === this.acknowledged;
+    return this.runs.size === 0 && this.acknowledgements.isComplete;
   }
 
   private get isOpen(): boolean {
@@ -200,7 +208,7 @@
     return (
       !this.adopted ||
       !this.lease.isAnswered ||
-      this.sentAck !== this.acknowledged ||
+      !this.acknowledgements.isComplete ||
       this.runs.size > this.backlog.size
     );
   }
@@ -221,8 +229,7 @@
       if (run.phase.kind !== 'waiting') this.endRun(run, 'lapsed');
     }
     this.stats = initialStats;
-    this.acknowledged = 0;
-    this.sentAck = 0;
+    this.acknowledgements.reset();
     this.adopted = false;
   }
 
@@ -234,6 +241,7 @@
     if (info === undefined) throw new Error('no executor has announced itself');
     if (!this.adopted) throw new Error('the executor has not answered yet');
     const session = this.sessions.attach(dispatcher, life, tickets, peer);
+    session.noteDescription(this.description!);
     this.options.log.info(
       {event: 'dispatcher-attached', dispatcher, life, runs: session.runs.size},
       'dispatcher attached',
@@ -242,6 +250,7 @@
       target: info.target,
       incarnation: info.incarnation,
       service: info.service,
+      capacity: info.room,
       ended: session.listEnded(tickets),
       load: this.describeLoad(session),
     };
@@ -263,6 +272,7 @@
     if (
       this.restrictions.isExcluded(run.ref.job, session.dispatcher) ||
       !this.isOpen ||
+      !canRunOn(run, this.description!) ||
       this.runs.find(run.ref) !== undefined ||
       !this.ensureQueueSpace(run)
     ) {
@@ -326,17 +336,9 @@
     }
   }
 
-  private withdrawRuns(
-    {tickets, waitingOnly}: WithdrawRunsParams,
-    peer: Peer,
-  ): void {
-    const session = this.sessions.find(peer);
-    for (const ticket of tickets) {
-      const run = session?.runs.get(ticket);
-      if (run === undefined) continue;
-      if (waitingOnly && run.phase.kind !== 'waiting') continue;
-      this.stop(run, 'stopped');
-    }
+  private withdrawRuns(params: WithdrawRunsParams, peer: Peer): void {
+    const runs = this.sessions.find(peer)?.listWithdrawn(params) ?? [];
+    for (const run of runs) this.stop(run, 'stopped');
   }
 
   /** Stops a job's runs for other dispatchers; resolves once all of them have ended. */
@@ -369,9 +371,7 @@
   private receiveReport(report: ExecutorReport, askedAt: Instant): void {
     const info = this.executor;
     if (info === undefined || report.incarnation !== info.incarnation) return;
-    for (const {number} of report.ended) {
-      this.acknowledged = Math.max(this.acknowledged, number);
-    }
+    this.acknowledgements.note(report.ended);
     const {ends, orphans, stalled, work} = compareReport(this.runs, report, {
       askedAt,
       now: this.clock.now(),
@@ -393,8 +393,7 @@
   }
 
   private stopStalled(run: Run): void {
-    const stillMs = Math.round(this.clock.now() - run.progressedAt);
-    logStall(this.options.log, run, stillMs);
+    logStall(this.options.log, run, this.clock.now());
     this.stats = recordFailure(this.stats);
     this.stop(run, 'stalled');
   }
@@ -407,8 +406,9 @@
     this.returnWaiting();
   }
 
-  private returnWaiting(): void {
-    for (const run of this.backlog.takeAll()) this.endRun(run, 'not-run');
+  /** Returns the waiting runs for which a condition holds as not begun. */
+  private returnWaiting(holds: (run: Run) => boolean = () => true): void {
+    for (const run of this.backlog.take(holds)) this.endRun(run, 'not-run');
   }
 
   private endRun(run: Run, end: RunEnd): void {
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -1,5 +1,5 @@
 import type {Instant} from '#model';
-import type {Peer, RunTicket, TargetLoad} from '#protocol';
+import type {ExecutorDescription, Peer, RunTicket, TargetLoad} from '#protocol';
 import type {FreeCapacity} from './load.js';
 import type {Run} from './run.js';
 import {chooseLoadInterval, type ClockReading, Session} from './session.js';
@@ -94,12 +94,13 @@
   }
 
   /**
-   * Reports to each dispatcher the ends of its runs and the load from the others. Returns the time
+   * Reports to each dispatcher the ends of its runs, the load from the others, and the executor if it has changed. Returns the time
    * until the next delayed change may be reported, in ms; undefined when none is delayed.
    */
   report(
     describe: (session: Session) => TargetLoad,
     free: FreeCapacity,
+    executor: ExecutorDescription | undefined,
   ): number | undefined {
     const now: Instant = this.readClocks().monotonic;
     const intervalMs = chooseLoadInterval(
@@ -109,7 +110,7 @@
     const delaysMs: number[] = [];
     for (const session of this.sessions.values()) {
       const load = describe(session);
-      const waitMs = session.report(load, free, intervalMs, now);
+      const waitMs = session.report({load, free, executor}, intervalMs, now);
       if (waitMs !== undefined) delaysMs.push(waitMs);
     }
     return delaysMs.length === 0 ? undefined : Math.min(...delaysMs);
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -5,7 +5,14 @@
   subtractDemand,
   sumDemand,
 } from '#policy';
-import type {Peer, RunEndRow, RunTicket, TargetLoad} from '#protocol';
+import type {
+  ExecutorDescription,
+  Peer,
+  RunEndRow,
+  RunTicket,
+  TargetLoad,
+  WithdrawRunsParams,
+} from '#protocol';
 import {shouldReportLoad} from './load.js';
 import type {Run} from './run.js';
 
@@ -47,6 +54,14 @@
   return dispatchers * (isNearlyFull ? nearFullIntervalMs : loadIntervalMs);
 }
 
+/** The state of a target that a session may have to report. */
+export interface TargetStatus {
+  readonly load: TargetLoad;
+  readonly free: RunCapacity;
+  /** Undefined before the executor has announced itself. */
+  readonly executor: ExecutorDescription | undefined;
+}
+
 /** One dispatcher's runs here, and its permission to run them. */
 export class Session {
   readonly runs = new Map<RunTicket, Run>();
@@ -70,6 +85,7 @@
   private nextQuestionAt: Instant;
   private reportedAt: Instant = -Infinity;
   private reportedLoad: TargetLoad | undefined;
+  private reportedExecutor: ExecutorDescription | undefined;
 
   constructor(
     readonly dispatcher: string,
@@ -80,6 +96,11 @@
     this.nextQuestionAt = now;
   }
 
+  /** Records what the dispatcher was told of the executor when it attached. */
+  noteDescription(executor: ExecutorDescription): void {
+    this.reportedExecutor = executor;
+  }
+
   /** Continues over a new connection; permission requests on the old one become invalid. */
   resume(peer: Peer, now: Instant): void {
     this.peer = peer;
@@ -154,6 +175,14 @@
     this.demand = subtractDemand(this.demand, run.demand);
   }
 
+  /** Lists the runs that the dispatcher withdraws; a run that it wants ended only if it waits is left out once it has begun. */
+  listWithdrawn({tickets, waitingOnly}: WithdrawRunsParams): readonly Run[] {
+    return tickets
+      .map(ticket => this.runs.get(ticket))
+      .filter(run => run !== undefined)
+      .filter(({phase}) => !waitingOnly || phase.kind === 'waiting');
+  }
+
   /** Queues an end for the next report. */
   addEnd(ticket: RunTicket, end: RunEnd, runMs: number): void {
     const row: RunEndRow = [ticket, end, Math.max(0, Math.round(runMs))];
@@ -178,17 +207,21 @@
   }
 
   /**
-   * Sends a report if there are ends, a permission request or a notable change of the load. Returns
+   * Sends a report if there are ends, a permission request, another executor or a notable change of the load. Returns
    * the time until a delayed change of the load may be reported, in ms; undefined when none is.
    */
   report(
-    load: TargetLoad,
-    free: RunCapacity,
+    {load, free, executor}: TargetStatus,
     intervalMs: number,
     now: Instant,
   ): number | undefined {
     const {reportedLoad, unsentQuestion} = this;
-    if (this.ends.length === 0 && unsentQuestion === undefined) {
+    const isExecutorChanged = executor !== this.reportedExecutor;
+    if (
+      this.ends.length === 0 &&
+      unsentQuestion === undefined &&
+      !isExecutorChanged
+    ) {
       if (!shouldReportLoad(reportedLoad, load, free)) return undefined;
       const waitMs = this.reportedAt + intervalMs - now;
       if (reportedLoad?.open === load.open && waitMs > 0) return waitMs;
@@ -196,11 +229,13 @@
     this.peer.notify('dispatcher.report', {
       ends: this.ends,
       load,
+      ...(isExecutorChanged && {executor}),
       ...(unsentQuestion !== undefined && {question: unsentQuestion}),
     });
     this.ends = [];
     this.unsentQuestion = undefined;
     this.reportedLoad = load;
+    this.reportedExecutor = executor;
     this.reportedAt = now;
     return undefined;
   }
--- a/packages/runner/test/harness.ts
+++ b/packages/runner/test/harness.ts
@@ -6,10 +6,12 @@
   dialPeer,
   PeerListener,
   type ReportRunsParams,
+  type RunBatch,
   type RunEndRow,
 } from '#protocol';
 import {
   type ExecutorEndedRun,
+  type ExecutorInfo,
   type ExecutorRunEnd,
   type ExecutorPort,
   type ExecutorReport,
@@ -20,8 +22,6 @@
 } from '#runner';
 import {openLog} from '#telemetry';
 
-const incarnation = 1;
-
 /** An in-memory executor that can leave starts unanswered, execute them late, or stop answering. */
 export class FakeExecutor implements ExecutorPort {
   readonly running = new Map<string, RunRef>();
@@ -33,6 +33,7 @@
   /** Returns the progress to report for every run, in percent. */
   readPercent = () => 1;
   isSilent = false;
+  incarnation = 1;
   /** The `waitMs` of each lease request. */
   readonly waits: number[] = [];
   isDelayingStarts = false;
@@ -81,7 +82,7 @@
     if (leaseMs !== undefined) this.leaseEndsAt = performance.now() + leaseMs;
     this.ended = this.ended.filter(({number}) => number > acknowledged);
     return Right({
-      incarnation,
+      incarnation: this.incarnation,
       running: [...this.running.values()].map(ref => ({
         ref,
         percent: this.readPercent(),
@@ -127,9 +128,28 @@
   permits: boolean;
   /** The delay before it answers permission requests, in ms. */
   answerDelayMs: number;
-  readonly place: (ticket: number, index?: number, run?: number) => void;
+  readonly place: (
+    ticket: number,
+    index?: number,
+    run?: number,
+    changes?: Partial<RunBatch>,
+  ) => void;
 }
 
+const firstInfo: ExecutorInfo = {
+  target: 'target',
+  incarnation: 1,
+  service: 'tally',
+  room: {
+    kind: 'room',
+    cpuMillis: 4000,
+    memoryMb: 4096,
+    accelerators: 0,
+    labels: [],
+  },
+  draining: false,
+};
+
 /** Starts a runner on a fake executor that has announced itself. */
 export async function startRunner(
   orphans: readonly RunRef[] = [],
@@ -148,19 +168,7 @@
       Object.assign(extraHandlers, runner.createHandlers()),
     )
   ).unsafeCoerce();
-  runner.announce({
-    target: 'target',
-    incarnation,
-    service: 'tally',
-    room: {
-      kind: 'room',
-      cpuMillis: 4000,
-      memoryMb: 4096,
-      accelerators: 0,
-      labels: [],
-    },
-    draining: false,
-  });
+  runner.announce(firstInfo);
   const attach = async (
     dispatcher: string,
     life = 1,
@@ -199,7 +207,7 @@
       }
       await sleep(10);
     }
-    fake.place = (ticket, index = 0, run = 1) =>
+    fake.place = (ticket, index = 0, run = 1, changes = {}) =>
       fake.peer.notify('runner.place', {
         batches: [
           {
@@ -210,6 +218,7 @@
             estimateMs: 10_000,
             rankMs: 0,
             runs: [[ticket, index, run]],
+            ...changes,
           },
         ],
       });
@@ -220,6 +229,13 @@
     executor,
     runner,
     attach,
+    /** Announces the executor with changes; a new incarnation has no runs. */
+    announce(changes: Partial<ExecutorInfo>) {
+      const info = {...firstInfo, ...changes};
+      if (info.incarnation > executor.incarnation) executor.running.clear();
+      executor.incarnation = info.incarnation;
+      runner.announce(info);
+    },
     async [Symbol.asyncDispose]() {
       await listener[Symbol.asyncDispose]();
       await runner[Symbol.asyncDispose]();
--- a/packages/runner/test/session.test.ts
+++ b/packages/runner/test/session.test.ts
@@ -55,7 +55,7 @@
   const session = new Session('d', 1, peer, 0);
   const ask = (monotonic: number) => {
     const isAsked = session.requestPermission({monotonic, wall: monotonic});
-    session.report(load, ample, 0, monotonic);
+    session.report({load, free: ample, executor: undefined}, 0, monotonic);
     return isAsked;
   };
   t.true(ask(0));
