Let a runner of an evacuated failure domain start nothing

An evacuated domain must start no further task, also not one that was placed, queued ahead or ordered before its dispatcher learned of it. The runner is the last hand before the executor, so it compares its own domain with its own view: when a run arrives, when a waiting run would start, and when a start leaves the queue of requests. What waits is returned as not begun; runs at work keep their lease. A runner whose process has just started can be told to wait for its first view.

When the domain is taken back, its executors may be cold.

The statistics and the options of the runner move to files of their own.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -134,6 +134,13 @@
 } from './guard.js';
 export {defaultGuardLimits, chooseGuardAction, updateUsage} from './guard.js';
 
+export type {LoadReturn, ObservedSpeed} from './load-return.js';
+export {
+  advanceLoadReturn,
+  beginLoadReturn,
+  computeOfferedRoom,
+} from './load-return.js';
+
 export {
   chooseTargetSubset,
   chooseHomeDispatchers,
--- a/packages/runner/src/events.ts
+++ b/packages/runner/src/events.ts
@@ -1,5 +1,5 @@
 import type {Instant} from '#model';
-import type {Logger} from '#telemetry';
+import {type Logger, type Metrics, noopMetrics} from '#telemetry';
 import type {ExecutorInfo} from './executor.js';
 import {formatRun, type Run} from './run.js';
 
@@ -61,3 +61,23 @@
     'executor did not answer; its lease has expired',
   );
 }
+
+/** Logs and counts that the runner's failure domain was evacuated, or taken back into service. */
+export function logEvacuation(
+  {log, metrics = noopMetrics}: {log: Logger; metrics?: Metrics},
+  isEvacuated: boolean,
+  counts: {readonly returned: number; readonly running: number},
+): void {
+  if (isEvacuated) {
+    metrics.increment('runner.evacuation.returned', counts.returned);
+    log.info(
+      {event: 'domain-evacuated', ...counts},
+      'the failure domain is evacuated; waiting runs are returned, and none is started',
+    );
+    return;
+  }
+  log.info(
+    {event: 'domain-restored'},
+    'the failure domain is back in service; load returns gradually',
+  );
+}
--- a/packages/runner/src/index.ts
+++ b/packages/runner/src/index.ts
@@ -1,4 +1,4 @@
-export type {RunnerOptions} from './runner.js';
+export type {RunnerOptions} from './runner-options.js';
 export {Runner} from './runner.js';
 
 export type {
--- a/packages/runner/src/load.ts
+++ b/packages/runner/src/load.ts
@@ -1,5 +1,10 @@
 import type {Instant, ResourceRequest} from '#model';
-import {emptyDemand, type RunCapacity, subtractDemand} from '#policy';
+import {
+  emptyDemand,
+  type RunCapacity,
+  subtractDemand,
+  sumDemand,
+} from '#policy';
 import type {TargetLoad} from '#protocol';
 import type {Backlog} from './backlog.js';
 import type {RunTable} from './run-table.js';
@@ -8,6 +13,8 @@
 /** The runner's state from which the load reported to dispatchers is computed. */
 export interface LoadSources {
   readonly isOpen: boolean;
+  /** Room that isn't offered for now. It counts as used. */
+  readonly withheld: ResourceRequest;
   readonly runs: RunTable;
   readonly backlog: Backlog;
   readonly stats: TargetStats;
@@ -15,14 +22,14 @@
 
 /** Describes the load from all dispatchers except the one whose demand is `own`. */
 export function describeLoad(
-  {isOpen, runs, backlog, stats}: LoadSources,
+  {isOpen, withheld, runs, backlog, stats}: LoadSources,
   own: ResourceRequest,
   now: Instant,
 ): TargetLoad {
   const {last} = backlog;
   return {
     open: isOpen,
-    ...subtractDemand(runs.accepted, own),
+    ...subtractDemand(sumDemand(runs.accepted, withheld), own),
     slowness: stats.slowness,
     failing: stats.failing,
     ...(last !== undefined && {waitingRankMs: last.rank - now}),
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Instant, monotonicClock, type RunEnd} from '#model';
-import {canQueueAhead, shouldDisplace, hasCapacityFor} from '#policy';
+import {canQueueAhead, shouldDisplace} from '#policy';
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
@@ -10,17 +10,13 @@
   TargetLoad,
   WithdrawRunsParams,
 } from '#protocol';
-import {type Logger, type Metrics, noopMetrics} from '#telemetry';
+import {noopMetrics} from '#telemetry';
 import {Acknowledgements} from './acknowledgements.js';
 import {Backlog} from './backlog.js';
 import {JobRestrictions} from './job-restrictions.js';
-import type {
-  ExecutorInfo,
-  ExecutorPort,
-  ExecutorReport,
-  StartOutcome,
-} from './executor.js';
+import type {ExecutorInfo, ExecutorReport, StartOutcome} from './executor.js';
 import {
+  logEvacuation,
   logStartFailure,
   logLeaseExpiry,
   logIncarnation,
@@ -28,6 +24,7 @@
   logStall,
   logStart,
 } from './events.js';
+import {Intake} from './intake.js';
 import {LeaseLoop} from './lease.js';
 import {computeFreeCapacity, describeLoad} from './load.js';
 import {ExecutorRequests} from './executor-requests.js';
@@ -41,26 +38,10 @@
   type Run,
 } from './run.js';
 import {RunTable} from './run-table.js';
+import type {RunnerOptions} from './runner-options.js';
 import type {ClockReading, Session} from './session.js';
 import {SessionTable} from './session-table.js';
-import {
-  decreaseFailing,
-  initialStats,
-  observeWork,
-  recordFailure,
-  recordSuccess,
-  recoverSpeed,
-  type TargetStats,
-} from './target-stats.js';
-
-export interface RunnerOptions {
-  readonly log: Logger;
-  readonly port: ExecutorPort;
-  readonly metrics?: Metrics;
-  readonly clock?: Clock;
-  /** Reads the time of day in ms since 1970. */
-  readonly readWall?: () => number;
-}
+import {StatsRecorder} from './stats-recorder.js';
 
 /** Interval of checking permissions, starting waiting runs and decaying statistics, in ms. */
 const tickMs = 50;
@@ -76,11 +57,12 @@
   private readonly requests: ExecutorRequests;
   private readonly lease: LeaseLoop;
   private readonly reporter: Reporter;
+  private readonly intake: Intake;
   private readonly ticker: NodeJS.Timeout;
   private executor: ExecutorInfo | undefined;
   /** The part of the announcement that dispatchers place by; replaced only when it has changed. */
   private description: ExecutorDescription | undefined;
-  private stats: TargetStats = initialStats;
+  private readonly stats = new StatsRecorder();
   private readonly acknowledgements = new Acknowledgements();
   /** False until the executor has reported no runs that are unknown to this process. */
   private adopted = false;
@@ -90,6 +72,8 @@
   constructor(private readonly options: RunnerOptions) {
     this.clock = options.clock ?? monotonicClock;
     this.readWall = options.readWall ?? Date.now;
+    const {evacuationWaitMs = 0} = options;
+    this.intake = new Intake(this.clock, this.clock.now() + evacuationWaitMs);
     this.sessions = new SessionTable(
       () => this.readClocks(),
       run => this.stop(run, 'stopped'),
@@ -99,7 +83,7 @@
       sessions: this.sessions,
       describeLoad: session => this.describeLoad(session),
       getDescription: () => this.description,
-      computeFree: () => computeFreeCapacity(this.executor?.room, this.runs),
+      computeFree: () => computeFreeCapacity(this.offeredRoom, this.runs),
     });
     this.requests = new ExecutorRequests({
       port: options.port,
@@ -107,6 +91,7 @@
       log: options.log,
       firstFence: Math.floor(this.readWall()),
       canStart: run =>
+        this.intake.isOpen &&
         this.runs.findOwner(run)?.canStart(this.readClocks()) === true &&
         canRunOn(run, this.description!),
       onStartSent: sentAt => this.lease.noteLease(sentAt),
@@ -160,6 +145,19 @@
     this.reporter.schedule();
   }
 
+  /**
+   * Notes whether the runner's failure domain is evacuated. While it is, the runner takes no runs,
+   * returns those that wait and starts none; runs at work continue. Afterwards load returns gradually.
+   */
+  setEvacuated(isEvacuated: boolean): void {
+    const {backlog, runs} = this;
+    if (!this.intake.setEvacuated(isEvacuated, this.stats.current)) return;
+    const counts = {returned: backlog.size, running: runs.size - backlog.size};
+    logEvacuation(this.options, isEvacuated, counts);
+    if (isEvacuated) this.returnWaiting();
+    this.reporter.schedule();
+  }
+
   /** Creates the handlers for dispatchers' requests. */
   createHandlers(): Handlers {
     return {
@@ -199,10 +197,15 @@
       !this.executor.draining &&
       !this.draining &&
       this.adopted &&
-      this.lease.isResponsive
+      this.lease.isResponsive &&
+      this.intake.isOpen
     );
   }
 
+  private get offeredRoom() {
+    return this.intake.limitRoom(this.executor?.room);
+  }
+
   private get isLeaseNeeded(): boolean {
     if (this.executor === undefined) return false;
     return (
@@ -218,9 +221,11 @@
   }
 
   private describeLoad({demand}: Session): TargetLoad {
-    const {isOpen, runs, backlog, stats} = this;
-    const now = this.clock.now();
-    return describeLoad({isOpen, runs, backlog, stats}, demand, now);
+    const {isOpen, runs, backlog} = this;
+    const stats = this.stats.current;
+    const withheld = this.intake.computeWithheld(this.executor?.room);
+    const sources = {isOpen, withheld, runs, backlog, stats};
+    return describeLoad(sources, demand, this.clock.now());
   }
 
   private beginIncarnation(info: ExecutorInfo): void {
@@ -228,7 +233,8 @@
     for (const run of this.runs.list()) {
       if (run.phase.kind !== 'waiting') this.endRun(run, 'lapsed');
     }
-    this.stats = initialStats;
+    this.stats.reset();
+    this.intake.restartReturn(this.stats.current);
     this.acknowledgements.reset();
     this.adopted = false;
   }
@@ -285,7 +291,7 @@
 
   /** Ensures that a run may wait here, displacing the last waiting run if needed; false when it may not. */
   private ensureQueueSpace(run: Run): boolean {
-    if (canQueueAhead(this.executor!.room, this.runs.accepted)) return true;
+    if (canQueueAhead(this.offeredRoom!, this.runs.accepted)) return true;
     const {last} = this.backlog;
     if (last === undefined || !shouldDisplace(run.rank, last.rank))
       return false;
@@ -294,13 +300,13 @@
   }
 
   private startWaiting(): void {
-    const {executor} = this;
+    const {backlog, executor} = this;
     if (executor === undefined || !this.isOpen) return;
     const now = this.readClocks();
     for (;;) {
-      const run = this.backlog.takeFirst(
+      const run = backlog.takeFirst(
         each =>
-          hasCapacityFor(executor.room, this.runs.used, each.demand) &&
+          this.intake.hasRoomFor(each, executor.room, this.runs, backlog) &&
           this.runs.findOwner(each)!.canStart(now),
       );
       if (run === undefined) return;
@@ -323,14 +329,12 @@
         return;
       case 'refused':
         logStartFailure(this.options.log, run, outcome.reason);
-        if (outcome.reason === 'unhealthy') {
-          this.stats = recordFailure(this.stats);
-        }
+        if (outcome.reason === 'unhealthy') this.stats.recordFailure();
         this.endRun(run, 'not-run');
         return;
       case 'unanswered':
         logStartFailure(this.options.log, run, outcome.detail);
-        this.stats = recordFailure(this.stats);
+        this.stats.recordFailure();
         this.stop(run, 'unanswered');
         return;
     }
@@ -376,9 +380,9 @@
       askedAt,
       now: this.clock.now(),
       leaseExpiry: this.lease.expiry,
-      baselineSlowness: this.stats.baselineSlowness,
+      baselineSlowness: this.stats.current.baselineSlowness,
     });
-    this.stats = work.reduce(observeWork, this.stats);
+    this.stats.observe(work);
     for (const [run, end] of ends) this.endRun(run, end);
     for (const ref of orphans) this.requests.stopOrphan(ref);
     for (const run of stalled) this.stopStalled(run);
@@ -394,7 +398,7 @@
 
   private stopStalled(run: Run): void {
     logStall(this.options.log, run, this.clock.now());
-    this.stats = recordFailure(this.stats);
+    this.stats.recordFailure();
     this.stop(run, 'stalled');
   }
 
@@ -419,15 +423,14 @@
     const {metrics = noopMetrics} = this.options;
     metrics.increment('runner.runs', 1, {end});
     if (runMs > 0) metrics.timing('runner.run', runMs, {end});
-    if (end === 'succeeded') this.stats = recordSuccess(this.stats);
-    if (end === 'failed') this.stats = recordFailure(this.stats);
+    this.stats.recordEnd(end);
     this.reporter.schedule();
   }
 
   private tick(): void {
     for (const session of this.sessions.renew()) this.expire(session);
-    this.stats = decreaseFailing(this.stats);
-    if (this.runs.size === 0) this.stats = recoverSpeed(this.stats);
+    this.stats.tick(this.runs.size === 0);
+    this.intake.advance(this.stats.current);
     this.startWaiting();
     this.lease.wakeUp();
     this.reporter.schedule();
--- a/packages/runner/test/harness.ts
+++ b/packages/runner/test/harness.ts
@@ -17,6 +17,7 @@
   type ExecutorReport,
   type LeaseRequest,
   Runner,
+  type RunnerOptions,
   type StartRequest,
   type StartOutcome,
 } from '#runner';
@@ -155,12 +156,14 @@
   orphans: readonly RunRef[] = [],
   /** Further handlers served at the runner's address. */
   extraHandlers: Handlers = {},
+  options: Partial<RunnerOptions> = {},
 ) {
   const executor = new FakeExecutor();
   for (const ref of orphans) executor.running.set(formatTask(ref), ref);
   const runner = new Runner({
     log: openLog('silent', 'agent', 'r'),
     port: executor,
+    ...options,
   });
   const listener = (
     await PeerListener.listen(
