Keep evacuated failure domains in the state of the control group

Cause: nothing in the group's state tells that a failure domain is out of service. Change: a command, a version of its own, two view changes that reach every watcher whatever it follows, requests to set and to read it.

--- a/packages/control/src/change-buffer.ts
+++ b/packages/control/src/change-buffer.ts
@@ -46,7 +46,7 @@
       case 'targets':
         return changes.filter(isAboutTargets);
       case 'configuration':
-        return changes.filter(({kind}) => kind === 'configured').slice(-1);
+        return selectLatest(changes);
       default:
         return failUnreachable(topics);
     }
@@ -65,5 +65,19 @@
 }
 
 function isAboutTargets({kind}: ViewChange): boolean {
-  return kind === 'target-joined' || kind === 'target-gone';
+  return (
+    kind === 'target-joined' || kind === 'target-gone' || isEvacuation(kind)
+  );
+}
+
+/** Selects the latest configuration and all evacuations. */
+function selectLatest(changes: readonly ViewChange[]): readonly ViewChange[] {
+  const latest = changes.findLast(({kind}) => kind === 'configured');
+  return changes.filter(
+    change => change === latest || isEvacuation(change.kind),
+  );
+}
+
+function isEvacuation(kind: ViewChange['kind']): boolean {
+  return kind === 'domain-evacuated' || kind === 'domain-restored';
 }
--- a/packages/control/src/leader-handlers.ts
+++ b/packages/control/src/leader-handlers.ts
@@ -15,11 +15,16 @@
   Renewal,
   RenewEntryParams,
   RenewTargetParams,
+  SetEvacuationParams,
+  SetEvacuationResult,
 } from '#protocol';
 import {
   type ControlState,
   findAnswer,
+  isDomainName,
+  isKnownDomain,
   isRecordId,
+  listDomains,
   listHomes,
   lookupJob,
   maxRecordTasks,
@@ -104,6 +109,15 @@
     'control.readConfig': () =>
       leader.read(({configuration}) => configuration.current),
     'control.configStatus': () => describeConfiguration(context),
+    'control.setEvacuation': params => setEvacuation(context, params),
+    'control.readEvacuations': () =>
+      leader.read(({evacuations, targets, epochs}) =>
+        listDomains(
+          evacuations,
+          targets.values(),
+          [...epochs.live.values()].map(({info}) => info),
+        ),
+      ),
   } satisfies Handlers;
 }
 
@@ -112,13 +126,19 @@
   state: ControlState,
 ): Pick<
   ControlStatus,
-  'targets' | 'entries' | 'jobs' | 'configVersion' | 'acknowledged'
+  | 'targets'
+  | 'entries'
+  | 'jobs'
+  | 'configVersion'
+  | 'evacuated'
+  | 'acknowledged'
 > {
   return {
     targets: [...state.targets.values()],
     entries: [...state.epochs.live.values()].map(live => live.info),
     jobs: state.admissions.size,
     configVersion: state.configuration.current.version,
+    evacuated: [...state.evacuations.evacuated],
     acknowledged: [...state.acknowledged],
   };
 }
@@ -266,6 +286,30 @@
     .map(error => describeSettingsError(error));
 }
 
+/** Commits an order; done once it is durable, whoever has learnt of it. Throws for a name that no domain can have. */
+async function setEvacuation(
+  {leader}: LeaderContext,
+  {domain, evacuated, changeId}: SetEvacuationParams,
+): Promise<ControlReply<SetEvacuationResult>> {
+  if (!isDomainName(domain)) {
+    throw new Error(
+      'expected the name of a failure domain: 1 to 255 bytes without control characters',
+    );
+  }
+  const known = await leader.read(({evacuations, time}) =>
+    isKnownDomain(evacuations, domain, time),
+  );
+  if (known.kind !== 'done') return known;
+  if (!known.value) return {kind: 'done', value: {kind: 'unknown-domain'}};
+  const reply = await leader.propose({
+    kind: 'set-evacuation',
+    domain,
+    evacuated,
+    ...(changeId !== undefined && {changeId}),
+  });
+  return reply.kind === 'done' ? {kind: 'done', value: {kind: 'done'}} : reply;
+}
+
 async function describeConfiguration({
   leader,
   termState,
--- a/packages/control/src/state-machine.ts
+++ b/packages/control/src/state-machine.ts
@@ -78,8 +78,9 @@
     if (since > 0 && changes !== undefined) {
       return {kind: 'delta', from: since, revision, changes};
     }
-    const {configuration} = this.current;
-    if (topics === 'configuration' && since >= configuration.revision) {
+    const {configuration, evacuations} = this.current;
+    const changedAt = Math.max(configuration.revision, evacuations.revision);
+    if (topics === 'configuration' && since >= changedAt) {
       return {kind: 'delta', from: since, revision, changes: []};
     }
     const view = buildView(this.current);
@@ -88,14 +89,14 @@
 }
 
 function selectTopics(view: View, topics: WatchParams['topics']): View {
-  const {targets, configuration} = view;
+  const {targets, configuration, evacuated} = view;
   switch (topics) {
     case 'all':
       return view;
     case 'configuration':
-      return {...emptyWireView, configuration};
+      return {...emptyWireView, configuration, evacuated};
     case 'targets':
-      return {...emptyWireView, targets};
+      return {...emptyWireView, targets, evacuated};
     default:
       return failUnreachable(topics);
   }
--- a/packages/membership/src/command.ts
+++ b/packages/membership/src/command.ts
@@ -18,6 +18,7 @@
 } from '#protocol';
 
 import type {ChangeSummary} from './configure.js';
+import type {EvacuationOrder} from './evacuations.js';
 
 /**
  * Log time in ms, carried by each command; 0 when the group was formed.
@@ -68,6 +69,7 @@
       readonly history: readonly ChangeSummary[];
       readonly homes: TeamHomes;
     }
+  | ({readonly kind: 'set-evacuation'} & EvacuationOrder)
 );
 
 /** The result of a command; the same on every replica. */
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -19,6 +19,8 @@
 export {resolveOwner} from './epochs.js';
 export type {ChangeSummary, ConfigurationState} from './configure.js';
 export {bootstrapChangeId, findAnswer} from './configure.js';
+export type {EvacuationOrder, EvacuationState} from './evacuations.js';
+export {isDomainName, isKnownDomain, listDomains} from './evacuations.js';
 export type {HomeTable} from './homes.js';
 export {listHomes} from './homes.js';
 export {decodeSnapshot, encodeSnapshot} from './snapshot.js';
--- a/packages/membership/src/snapshot.ts
+++ b/packages/membership/src/snapshot.ts
@@ -1,6 +1,12 @@
 import {Packr, Unpackr} from 'msgpackr';
 import {type Either, Left, Right} from 'purify-ts';
-import type {ControlId, EndedEpoch, Epoch, TargetInfo} from '#model';
+import type {
+  ControlId,
+  EndedEpoch,
+  Epoch,
+  FailureDomain,
+  TargetInfo,
+} from '#model';
 import {AdmissionTable} from './admissions.js';
 import type {
   ChangeAnswer,
@@ -9,6 +15,7 @@
 } from './configure.js';
 import type {TeamHomes} from '#protocol';
 import {createHomes, listHomes, recordHomes} from './homes.js';
+import {createEvacuations, type EvacuationState} from './evacuations.js';
 import type {LiveEntry} from './epochs.js';
 import type {ControlState, GoneIncarnation} from './state.js';
 
@@ -31,6 +38,14 @@
     /** Unset in snapshots written before regions existed. */
     readonly homes?: TeamHomes;
   };
+  /** Unset in snapshots written before evacuations existed. */
+  readonly evacuations?: {
+    readonly version: number;
+    readonly revision: number;
+    readonly evacuated: readonly FailureDomain[];
+    readonly known: readonly FailureDomain[];
+    readonly changeIds: readonly string[];
+  };
   readonly acknowledged: readonly ControlId[];
   readonly forgottenSecond: number;
   readonly latestExpirySecond: number;
@@ -42,7 +57,7 @@
 
 /** Encodes the whole state: 58 bytes per admission; the rest is bounded by the size of the site. */
 export function encodeSnapshot(state: ControlState): Uint8Array {
-  const {epochs, configuration, admissions} = state;
+  const {epochs, configuration, evacuations, admissions} = state;
   const snapshot: Snapshot = {
     format: snapshotFormat,
     revision: state.revision,
@@ -59,6 +74,13 @@
       answers: [...configuration.answers],
       homes: listHomes(configuration.homes),
     },
+    evacuations: {
+      version: evacuations.version,
+      revision: evacuations.revision,
+      evacuated: [...evacuations.evacuated],
+      known: [...evacuations.known],
+      changeIds: [...evacuations.changeIds],
+    },
     acknowledged: [...state.acknowledged],
     forgottenSecond: admissions.lastForgottenSecond,
     latestExpirySecond: admissions.latestExpirySecond,
@@ -107,6 +129,7 @@
       answers: new Map(configuration.answers),
       homes,
     },
+    evacuations: rebuildEvacuations(snapshot),
     acknowledged: new Set(snapshot.acknowledged),
     admissions: AdmissionTable.decode(
       Buffer.from(snapshot.admissions),
@@ -115,3 +138,23 @@
     ),
   };
 }
+
+/** Without a record nothing is evacuated, and the domains of the live processes are known. */
+function rebuildEvacuations({
+  evacuations,
+  live,
+  targets,
+}: Snapshot): EvacuationState {
+  if (evacuations === undefined) {
+    const processes = [...live.map(({info}) => info), ...targets];
+    const known = processes.map(({place}) => place.failureDomain);
+    return {...createEvacuations(), known: new Set(known)};
+  }
+  return {
+    version: evacuations.version,
+    revision: evacuations.revision,
+    evacuated: new Set(evacuations.evacuated),
+    known: new Set(evacuations.known),
+    changeIds: new Set(evacuations.changeIds),
+  };
+}
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -23,6 +23,11 @@
   createConfiguration,
 } from './configure.js';
 import {endEpoch, type EpochTable, openEpoch, resolveOwner} from './epochs.js';
+import {
+  applyEvacuation,
+  createEvacuations,
+  type EvacuationState,
+} from './evacuations.js';
 
 /** The capacity of the admission table; a batch beyond it is refused as `full`. */
 export const maxAdmissions = 2 ** 20;
@@ -43,6 +48,7 @@
   /** In the order in which they ended. */
   readonly gone: GoneIncarnation[];
   readonly configuration: ConfigurationState;
+  readonly evacuations: EvacuationState;
   readonly admissions: AdmissionTable;
   /** Replicas that ever had log entries on disk: none of them may rejoin with an empty disk. */
   readonly acknowledged: Set<ControlId>;
@@ -70,6 +76,7 @@
     targets: new Map(),
     gone: [],
     configuration: createConfiguration(),
+    evacuations: createEvacuations(),
     admissions: new AdmissionTable(),
     acknowledged: new Set(),
   };
@@ -85,6 +92,7 @@
   state.time = Math.max(state.time, command.time);
   switch (command.kind) {
     case 'open-entry': {
+      state.evacuations.known.add(command.place.failureDomain);
       const {epoch, changes} = openEpoch(state.epochs, command);
       return {result: {kind: 'opened', epoch}, changes};
     }
@@ -113,6 +121,8 @@
     }
     case 'adopt-configuration':
       return finish(adoptConfiguration(state.configuration, command, index));
+    case 'set-evacuation':
+      return finish(applyEvacuation(state.evacuations, command, index));
     default:
       return failUnreachable(command);
   }
@@ -143,6 +153,7 @@
     entries: [...state.epochs.live.values()].map(live => live.info),
     ended: [...state.epochs.ended.values()],
     configuration: state.configuration.current,
+    evacuated: [...state.evacuations.evacuated],
   };
 }
 
@@ -155,6 +166,7 @@
   state: ControlState,
   target: TargetInfo,
 ): AppliedCommand {
+  state.evacuations.known.add(target.place.failureDomain);
   const known = state.targets.get(target.target);
   if (known !== undefined && known.incarnation > target.incarnation) {
     return {result: {kind: 'superseded'}, changes: []};
--- a/packages/membership/src/view.ts
+++ b/packages/membership/src/view.ts
@@ -3,6 +3,7 @@
   type EntryInfo,
   type Epoch,
   failUnreachable,
+  type FailureDomain,
   type ServiceName,
   type TargetInfo,
   type VersionedSource,
@@ -29,6 +30,8 @@
   readonly ended: ReadonlyMap<Epoch, EndedEpoch>;
   /** Version 0 before the first update. */
   readonly configuration: VersionedSource;
+  /** Failure domains in which no task may start. */
+  readonly evacuated: ReadonlySet<FailureDomain>;
 }
 
 /** The result of an update: `stale` when it is older than the view, `gap` when changes before it are missing. */
@@ -54,6 +57,7 @@
     author: '',
     source: {base: '', overlays: {}},
   },
+  evacuated: new Set(),
 };
 
 /** Applies an update. The revision and the configuration's version never decrease. */
@@ -109,6 +113,7 @@
     entries: new Map(wire.entries.map(entry => [entry.epoch, entry])),
     ended: new Map(wire.ended.map(ended => [ended.epoch, ended])),
     configuration: wire.configuration,
+    evacuated: new Set(wire.evacuated),
   };
 }
 
@@ -149,6 +154,13 @@
     }
     case 'configured':
       return {...view, configuration: change.configuration};
+    case 'domain-evacuated':
+      return {...view, evacuated: new Set([...view.evacuated, change.domain])};
+    case 'domain-restored': {
+      const evacuated = new Set(view.evacuated);
+      evacuated.delete(change.domain);
+      return {...view, evacuated};
+    }
     default:
       return failUnreachable(change);
   }
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -138,6 +138,8 @@
     kind: exactly('configured'),
     configuration: versionedSource,
   }),
+  Codec.interface({kind: exactly('domain-evacuated'), domain: string}),
+  Codec.interface({kind: exactly('domain-restored'), domain: string}),
 ]);
 const viewUpdate = oneOf([
   Codec.interface({
@@ -149,6 +151,7 @@
       entries: array(entryInfo),
       ended: array(endedEpoch),
       configuration: versionedSource,
+      evacuated: optional(array(string)),
     }),
   }),
   Codec.interface({
@@ -289,6 +292,14 @@
   ),
   'control.readConfig': toCheck(empty),
   'control.configStatus': toCheck(empty),
+  'control.setEvacuation': toCheck(
+    Codec.interface({
+      domain: string,
+      evacuated: boolean,
+      changeId: optional(string),
+    }),
+  ),
+  'control.readEvacuations': toCheck(empty),
   'control.changeMembers': toCheck(
     Codec.interface({
       change: exactly('add-learner', 'promote', 'remove'),
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -4,6 +4,7 @@
 export type * from './admission-messages.js';
 export type * from './view-messages.js';
 export type * from './configuration-messages.js';
+export type * from './evacuation-messages.js';
 export type * from './replica-messages.js';
 export type * from './dispatcher-messages.js';
 export type * from './runner-messages.js';
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -25,6 +25,7 @@
   EnrolResult,
   EpochJob,
   EpochJobsParams,
+  EvacuationStatus,
   FenceParams,
   FenceResult,
   FollowJobParams,
@@ -54,6 +55,8 @@
   ReportParams,
   ReportRunsParams,
   ReserveParams,
+  SetEvacuationParams,
+  SetEvacuationResult,
   StartParams,
   TasksParams,
   ViewUpdate,
@@ -132,6 +135,15 @@
     params: EmptyMessage;
     result: ControlReply<ConfigStatus>;
   };
+  'control.setEvacuation': {
+    params: SetEvacuationParams;
+    result: ControlReply<SetEvacuationResult>;
+  };
+  /** The evacuated domains, at least as recent as the request. */
+  'control.readEvacuations': {
+    params: EmptyMessage;
+    result: ControlReply<EvacuationStatus>;
+  };
   'control.changeMembers': {
     params: ChangeMembersParams;
     result: ControlReply<EmptyMessage>;
--- a/packages/protocol/src/replica-messages.ts
+++ b/packages/protocol/src/replica-messages.ts
@@ -1,4 +1,10 @@
-import type {Address, ControlId, EntryInfo, TargetInfo} from '#model';
+import type {
+  Address,
+  ControlId,
+  EntryInfo,
+  FailureDomain,
+  TargetInfo,
+} from '#model';
 
 /** The answer of a control replica that is not the leader. */
 export interface NotLeader {
@@ -49,6 +55,8 @@
   readonly entries: readonly EntryInfo[];
   readonly jobs: number;
   readonly configVersion: number;
+  /** Failure domains in which no task may start; unset by builds without evacuations. */
+  readonly evacuated?: readonly FailureDomain[];
   /** All replicas that ever had log entries on disk. None of them may start again with an empty disk. */
   readonly acknowledged: readonly string[];
 }
--- a/packages/protocol/src/view-messages.ts
+++ b/packages/protocol/src/view-messages.ts
@@ -3,6 +3,7 @@
   EndedEpoch,
   EntryInfo,
   Epoch,
+  FailureDomain,
   TargetInfo,
   TargetId,
   VersionedSource,
@@ -39,6 +40,8 @@
   readonly entries: readonly EntryInfo[];
   readonly ended: readonly EndedEpoch[];
   readonly configuration: VersionedSource;
+  /** Failure domains in which no task may start; unset by builds without evacuations. */
+  readonly evacuated?: readonly FailureDomain[];
 }
 
 export type ViewChange =
@@ -50,7 +53,10 @@
   | {readonly kind: 'epoch-ended'; readonly ended: EndedEpoch}
   /** Control no longer keeps any job of this ended epoch. */
   | {readonly kind: 'epoch-forgotten'; readonly epoch: Epoch}
-  | {readonly kind: 'configured'; readonly configuration: VersionedSource};
+  | {readonly kind: 'configured'; readonly configuration: VersionedSource}
+  /** No task may start in the domain any more. */
+  | {readonly kind: 'domain-evacuated'; readonly domain: FailureDomain}
+  | {readonly kind: 'domain-restored'; readonly domain: FailureDomain};
 
 export type ViewUpdate =
   | {readonly kind: 'full'; readonly revision: number; readonly view: View}
