Place nothing in an evacuated failure domain, and move homes out of it

Dispatchers place on targets in service only, choose their subset from them, and count them alone in their estimates of backlog, so a job that the smaller pool cannot come to is refused early. Homes are chosen from targets in service; those outside the domain stay, so entries are connected to nearly all of them already. Dispatchers in the domain finish the jobs that they own, and remain registrars, as two dispatchers with different views must ask the same ones. Links to emptied targets are kept: all dispatchers would otherwise open them again at the same moment.

A job with a task that only evacuated targets could hold doesn't fail. It waits if its slack may outlast the evacuation, and is refused on arrival otherwise.

--- a/packages/dispatch/src/admission.ts
+++ b/packages/dispatch/src/admission.ts
@@ -9,6 +9,7 @@
   estimateBacklogMs,
   type DispatcherLoad,
   checkBacklog,
+  checkEvacuation,
   checkSaturation,
   type PoolBacklog,
   type CandidateTarget,
@@ -49,6 +50,9 @@
     const {job, queue, arrivedAt, callerDeadline} = submission;
     const saturated = this.checkSaturation(submission, now);
     if (saturated !== undefined) return saturated;
+    if (this.options.fleet.isEvacuatedOnly(queue.service, job)) {
+      return this.checkEvacuation(submission, now);
+    }
     const targets = this.options.fleet.listTargets(queue.service);
     if (this.options.fleet.isTemporarilyUnreachable(queue.service))
       return undefined;
@@ -122,6 +126,38 @@
     return {kind: 'refused', cause: 'saturated', retryAfterMs, detail};
   }
 
+  /** Refuses a job that only targets of evacuated failure domains could run, unless it can wait for them. */
+  private checkEvacuation(
+    {job, queue, arrivedAt, callerDeadline}: JobSubmission,
+    now: Instant,
+  ): Refusal | undefined {
+    const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, queue.objective);
+    const decision = checkEvacuation(
+      {
+        chainMs: estimateCriticalPathMs(job),
+        dueAt: arrivedAt + computeDueMs(job, queue.objective),
+        answerDeadline: Math.min(callerDeadline, uselessAt),
+      },
+      now,
+    );
+    if (decision.kind === 'admit') return undefined;
+    const {retryAfterMs} = decision;
+    this.countRefusal(queue, 'evacuated');
+    this.options.log.info(
+      {
+        event: 'job-refused',
+        job: job.id,
+        queue: queue.name,
+        cause: 'evacuated',
+        patienceMs: Math.round(callerDeadline - now),
+        retryAfterMs,
+      },
+      'refused a job: only targets of evacuated failure domains could run it',
+    );
+    const detail = 'only targets of evacuated failure domains could run it';
+    return {kind: 'refused', cause: 'no-room', retryAfterMs, detail};
+  }
+
   /** Estimates how long the targets need for the current backlog, in ms, within bounds for a retry delay. */
   estimateRetryMs(service: ServiceName, jobs: Iterable<ActiveJob>): number {
     const targets = this.options.fleet.listTargets(service);
@@ -147,7 +183,7 @@
       rates: targets.map(
         ({capacity, slowness}) => capacity.cpuMillis / slowness,
       ),
-      targets: fleet.listKnown(service).length,
+      targets: fleet.countInService(service),
     });
   }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -105,7 +105,7 @@
       claims: this.claims,
       peerDispatchers: this.peerDispatchers,
       log: options.log,
-      listDispatchers: service => this.listDispatchers(service),
+      listDispatchers: service => this.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
     };
     this.fleet = new RunnerFleet({
@@ -179,6 +179,7 @@
   follow(view: View): void {
     this.view = view;
     this.fleet.follow(view);
+    this.metrics.gauge('queued.targets.evacuated', this.fleet.evacuatedCount);
   }
 
   private listDispatchers(service: ServiceName): readonly Address[] {
@@ -187,6 +188,14 @@
     return listDispatchers(this.view, service);
   }
 
+  private listRegistrars(service: ServiceName): readonly Address[] {
+    const {listDispatchers} = this.options;
+    if (listDispatchers === undefined) {
+      return this.fleet.listRegistrars(service);
+    }
+    return listDispatchers(this.view, service);
+  }
+
   /** Stops accepting jobs from other dispatchers. */
   leave(): void {
     this.isLeaving = true;
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  type FailureDomain,
   type Instant,
   type JobId,
   type ResourceRequest,
@@ -120,6 +121,10 @@
     return this.info.target;
   }
 
+  get failureDomain(): FailureDomain {
+    return this.info.place.failureDomain;
+  }
+
   get service(): string {
     return (this.executor ?? this.info).service;
   }
--- a/packages/dispatch/src/router.ts
+++ b/packages/dispatch/src/router.ts
@@ -95,7 +95,7 @@
     this.homes = new Map(
       [...groupTargets(view)].map(([service, targets]) => [
         service,
-        chooseHomeDispatchers(service, targets)
+        chooseHomeDispatchers(service, targets, view.evacuated)
           .filter(({leaving}) => !leaving)
           .map(({address}) => address),
       ]),
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -1,5 +1,6 @@
 import type {
   Address,
+  FailureDomain,
   Instant,
   JobId,
   QueuedJob,
@@ -9,9 +10,11 @@
 } from '#model';
 import type {View} from '#membership';
 import {
-  chooseTargetSubset,
+  canHoldWhenEmpty,
+  chooseFollowedTargets,
   chooseHomeDispatchers,
   chooseCapableTargets,
+  filterInService,
   isSlowed,
   type CandidateTarget,
   type TaskRequirements,
@@ -32,24 +35,32 @@
   private known: ReadonlyMap<ServiceName, readonly TargetInfo[]> = new Map();
   /** The homes of services in that view, as far as they were asked for. */
   private readonly homes = new Map<ServiceName, readonly TargetInfo[]>();
+  private evacuated: ReadonlySet<FailureDomain> = new Set();
 
   constructor(private readonly owner: RunnerLinkOwner) {}
 
   /** True when runs can be placed on some target. */
   get isConnected(): boolean {
-    return [...this.links.values()].some(link => link.isOpen);
+    return [...this.links.values()].some(link => this.isUsable(link));
   }
 
   find(target: TargetId): RunnerLink | undefined {
     return this.links.get(target);
   }
 
+  /** The number of known targets in evacuated failure domains. */
+  get evacuatedCount(): number {
+    const all = [...this.known.values()].flat();
+    return all.length - filterInService(all, this.evacuated).length;
+  }
+
   /**
    * Follows a subset of the targets of each service that this dispatcher serves. A link with outstanding
    * runs is kept after its target has left the view.
    */
   follow(view: View): void {
     this.known = groupTargets(view);
+    this.evacuated = view.evacuated;
     this.homes.clear();
     this.followKnown();
   }
@@ -65,14 +76,23 @@
     const {localTarget} = this.owner;
     if (localTarget === undefined || this.extraServices.has(service))
       return true;
-    return this.findHomes(service).some(({target}) => target === localTarget);
+    const all = this.listKnown(service);
+    // A former home in an evacuated domain still owns jobs.
+    return [
+      ...this.findHomes(service),
+      ...(this.evacuated.size > 0 ? chooseHomeDispatchers(service, all) : []),
+    ].some(({target}) => target === localTarget);
   }
 
   /** Finds the homes of a service, which each job asks for more than once. */
   private findHomes(service: ServiceName): readonly TargetInfo[] {
     const known = this.homes.get(service);
     if (known !== undefined) return known;
-    const homes = chooseHomeDispatchers(service, this.listKnown(service));
+    const homes = chooseHomeDispatchers(
+      service,
+      this.listKnown(service),
+      this.evacuated,
+    );
     this.homes.set(service, homes);
     return homes;
   }
@@ -82,7 +102,7 @@
     const followed = new Set<TargetId>();
     for (const [service, targets] of this.known) {
       if (!this.isServing(service)) continue;
-      const subset = chooseTargetSubset(dispatcher, targets);
+      const subset = chooseFollowedTargets(dispatcher, targets, this.evacuated);
       const required = targets.filter(({target}) =>
         this.requiredTargets.has(target),
       );
@@ -103,11 +123,36 @@
     return this.findHomes(service).map(({address}) => address);
   }
 
+  /**
+   * Lists the dispatchers that may be registrars of a service's jobs. They don't depend on evacuations,
+   * so that dispatchers which learn of one at different times ask the same registrars.
+   */
+  listRegistrars(service: ServiceName): readonly Address[] {
+    if (this.evacuated.size === 0) return this.listHomes(service);
+    const homes = chooseHomeDispatchers(service, this.listKnown(service));
+    return homes.map(({address}) => address);
+  }
+
   /** Lists all targets of a service in control's view, including those that are leaving. */
   listKnown(service: ServiceName): readonly TargetInfo[] {
     return this.known.get(service) ?? [];
   }
 
+  /** Counts the targets of a service outside evacuated failure domains. */
+  countInService(service: ServiceName): number {
+    return filterInService(this.listKnown(service), this.evacuated).length;
+  }
+
+  /** True when some task of a job could run on targets of evacuated failure domains only. */
+  isEvacuatedOnly(service: ServiceName, {steps}: QueuedJob): boolean {
+    if (this.evacuated.size === 0) return false;
+    const known = this.listKnown(service);
+    const inService = filterInService(known, this.evacuated);
+    return steps.some(
+      step => !canSomeHold(inService, step) && canSomeHold(known, step),
+    );
+  }
+
   /** Follows more targets for a job that requires a label or prefers the rack of its data. */
   followRequiredTargets(service: ServiceName, {steps}: QueuedJob): void {
     for (const step of steps) {
@@ -124,8 +169,14 @@
     service: ServiceName,
     needs: TaskRequirements,
   ): boolean {
+    const {dispatcher} = this.owner;
     const known = this.listKnown(service);
-    const chosen = chooseCapableTargets(this.owner.dispatcher, needs, known);
+    const inService = filterInService(known, this.evacuated);
+    const usable = chooseCapableTargets(dispatcher, needs, inService);
+    const chosen =
+      usable.length > 0
+        ? usable
+        : chooseCapableTargets(dispatcher, needs, known);
     for (const info of chosen) {
       this.requiredTargets.add(info.target);
       if (!this.links.has(info.target)) this.putTarget(info);
@@ -152,7 +203,7 @@
   listTargets(service: ServiceName): readonly CandidateTarget[] {
     const targets: CandidateTarget[] = [];
     for (const link of this.links.values()) {
-      if (link.service !== service || !link.isOpen) continue;
+      if (link.service !== service || !this.isUsable(link)) continue;
       const target = link.describe();
       if (target !== undefined) targets.push(target);
     }
@@ -186,7 +237,10 @@
   /** True when a target of a service is silent or was disconnected or discovered a short time ago. */
   isTemporarilyUnreachable(service: ServiceName): boolean {
     return [...this.links.values()].some(
-      link => link.service === service && link.isTemporarilyUnreachable,
+      link =>
+        link.service === service &&
+        link.isTemporarilyUnreachable &&
+        !this.evacuated.has(link.failureDomain),
     );
   }
 
@@ -228,6 +282,10 @@
     );
   }
 
+  private isUsable(link: RunnerLink): boolean {
+    return link.isOpen && !this.evacuated.has(link.failureDomain);
+  }
+
   private putTarget(info: TargetInfo): void {
     const known = this.links.get(info.target);
     if (known !== undefined) {
@@ -255,3 +313,13 @@
 function hasConstraints({requiredLabel, dataRack}: TaskRequirements): boolean {
   return requiredLabel !== undefined || dataRack !== undefined;
 }
+
+function canSomeHold(
+  targets: readonly TargetInfo[],
+  needs: TaskRequirements,
+): boolean {
+  return targets.some(
+    ({capacity}) =>
+      capacity.kind === 'room' && canHoldWhenEmpty({capacity}, needs),
+  );
+}
--- a/packages/policy/src/backlog.ts
+++ b/packages/policy/src/backlog.ts
@@ -23,6 +23,8 @@
 
 const minRetryAfterMs = 100;
 const maxRetryAfterMs = 5000;
+/** A failure domain usually stays evacuated for longer than this, in ms. */
+const minEvacuationMs = 10_000;
 
 /**
  * The part of a service's backlog that one of its dispatchers knows. Work is in thousandths of a core
@@ -99,3 +101,17 @@
   );
   return {kind: 'refuse', retryAfterMs};
 }
+
+/**
+ * Refuses a job with a task that only targets of evacuated failure domains could run, unless its slack
+ * may outlast the evacuation. Load pattern: jobs that require a label of an evacuated domain go on
+ * arriving. Each would wait until its answer is useless, though its caller could do something else.
+ */
+export function checkEvacuation(
+  {chainMs, answerDeadline}: ArrivingJob,
+  now: Instant,
+): BacklogDecision {
+  const slackMs = answerDeadline - now - chainMs;
+  if (slackMs >= minEvacuationMs) return {kind: 'admit'};
+  return {kind: 'refuse', retryAfterMs: maxRetryAfterMs};
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -98,6 +98,7 @@
   estimatePoolBacklog,
   type BacklogSample,
   checkBacklog,
+  checkEvacuation,
 } from './backlog.js';
 
 export type {GrantLimits, GrantMode, SlotGrants, SlotHolder} from './grants.js';
@@ -142,7 +143,9 @@
 } from './load-return.js';
 
 export {
+  chooseFollowedTargets,
   chooseTargetSubset,
+  filterInService,
   chooseHomeDispatchers,
   chooseCapableTargets,
   type TaskRequirements,
--- a/packages/policy/src/target-subset.ts
+++ b/packages/policy/src/target-subset.ts
@@ -1,4 +1,8 @@
-import {type TargetInfo, computeRendezvousWeight} from '#model';
+import {
+  computeRendezvousWeight,
+  type FailureDomain,
+  type TargetInfo,
+} from '#model';
 import {canHoldWhenEmpty, type ReadyTask} from './capacity-placement.js';
 
 /** Size of the subset of targets on which a dispatcher normally places tasks of a service. */
@@ -43,18 +47,48 @@
   return takeHighestRanked(dispatcher, capable, maxCapableTargets);
 }
 
+/** Filters out the targets of evacuated failure domains. */
+export function filterInService(
+  targets: readonly TargetInfo[],
+  evacuated: ReadonlySet<FailureDomain>,
+): readonly TargetInfo[] {
+  if (evacuated.size === 0) return targets;
+  return targets.filter(({place}) => !evacuated.has(place.failureDomain));
+}
+
+/**
+ * Chooses the targets that a dispatcher keeps connections to. Load pattern: a failure domain is evacuated
+ * and taken back. The dispatcher then uses as many targets as before, and the links to those of the
+ * evacuated domain are kept, as all dispatchers would otherwise open them again at the same moment.
+ */
+export function chooseFollowedTargets(
+  dispatcher: string,
+  targets: readonly TargetInfo[],
+  evacuated: ReadonlySet<FailureDomain>,
+): ReadonlySet<TargetInfo> {
+  const used = filterInService(targets, evacuated);
+  return new Set([
+    ...chooseTargetSubset(dispatcher, used),
+    ...(used === targets ? [] : chooseTargetSubset(dispatcher, targets)),
+  ]);
+}
+
 /**
  * Chooses a service's homes, the targets whose dispatchers accept its jobs. The choice depends only on
- * the service and its targets, so all that know the same targets agree. When a service is nearly full,
+ * the service and its targets, so all that know the same targets agree. While a failure domain
+ * is evacuated, homes are chosen from the other targets, if there are any; most homes there remain. When a service is nearly full,
  * each dispatcher beyond those needed makes load reports older for all and splits the waiting work into
  * one more separately ordered queue.
  */
 export function chooseHomeDispatchers(
   service: string,
   targets: readonly TargetInfo[],
+  evacuated: ReadonlySet<FailureDomain> = new Set(),
 ): readonly TargetInfo[] {
-  const count = Math.max(minHomes, Math.ceil(targets.length * homeRatio));
-  return takeHighestRanked(service, targets, count);
+  const inService = filterInService(targets, evacuated);
+  const available = inService.length === 0 ? targets : inService;
+  const count = Math.max(minHomes, Math.ceil(available.length * homeRatio));
+  return takeHighestRanked(service, available, count);
 }
 
 function isCapable({capacity}: TargetInfo, needs: TaskRequirements): boolean {
--- a/packages/policy/test/target-subset.test.ts
+++ b/packages/policy/test/target-subset.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 import type {TargetInfo} from '#model';
-import {chooseTargetSubset, chooseCapableTargets} from '#policy';
+import {
+  chooseCapableTargets,
+  chooseFollowedTargets,
+  chooseHomeDispatchers,
+  chooseTargetSubset,
+} from '#policy';
 
 function buildTargets(
   count: number,
@@ -78,3 +83,42 @@
     [],
   );
 });
+
+const spread = buildTargets(70).map((target, i) => ({
+  ...target,
+  place: {...target.place, failureDomain: `domain-${i % 3}`},
+}));
+const first = new Set(['domain-0']);
+const firstTwo = new Set(['domain-0', 'domain-1']);
+
+test('while a domain is evacuated, a dispatcher has a full subset elsewhere and keeps its other links', t => {
+  const isElsewhere = ({place}: TargetInfo) => !first.has(place.failureDomain);
+  for (const {target: dispatcher} of spread) {
+    const usual = chooseTargetSubset(dispatcher, spread);
+    const followed = chooseFollowedTargets(dispatcher, spread, first);
+    t.true(usual.every(target => followed.has(target)));
+    t.is([...followed].filter(isElsewhere).length, 12);
+  }
+});
+
+test('homes leave an evacuated domain, and those elsewhere stay', t => {
+  const before = chooseHomeDispatchers('tally', spread);
+  for (const evacuated of [first, firstTwo]) {
+    const homes = chooseHomeDispatchers('tally', spread, evacuated);
+    const staying = before.filter(
+      ({place}) => !evacuated.has(place.failureDomain),
+    );
+    t.true(homes.every(({place}) => !evacuated.has(place.failureDomain)));
+    t.is(homes.length, evacuated === first ? 23 : 12);
+    const kept = staying.filter(home => homes.includes(home)).length;
+    t.true(kept >= Math.min(homes.length, staying.length) - 1, String(kept));
+  }
+});
+
+test('when all domains are evacuated, the homes stay', t => {
+  const all = new Set([...firstTwo, 'domain-2']);
+  t.deepEqual(
+    chooseHomeDispatchers('tally', spread, all),
+    chooseHomeDispatchers('tally', spread),
+  );
+});
