Let operators evacuate a failure domain and take it back

Cause: POST /v1/Evacuate.Start/ZONE and .Finish were answered 404, and the command line had no such order. Change: both orders on the platform, 503 without an answer of control in 850 ms; an order whose sender has gone is dropped, since after a pause of the process it could undo a newer one; wasabiring domain list, evacuate and restore, a line in status, log lines and a gauge of each replica. Result: tests of the state (random histories), the platform's interface and the commands pass. The test of a sender that has gone fails with fewer than three turns of the event loop before an order is passed on; four are taken.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -3,6 +3,7 @@
 import {type ExitCode, exitCode} from '#telemetry';
 import {addConfigCommands} from './config-commands.js';
 import {type Console} from './console.js';
+import {addDomainCommands} from './domain-commands.js';
 import {addDrainCommand} from './drain-command.js';
 import {addExplainCommand} from './explain-command.js';
 import {addJobCommands} from './job-commands.js';
@@ -59,6 +60,7 @@
   addStatusCommand(program, context);
   addDrainCommand(program, context);
   addMemberCommands(program, context);
+  addDomainCommands(program, context);
   addExplainCommand(program, context);
   return program;
 }
--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -132,11 +132,17 @@
     `${status.member}: ${status.role} in term ${status.term}, committed ${status.commitIndex}, configuration ${status.configVersion}, jobs ${status.jobs}`,
     renderMembers(status),
     ...(status.repair === undefined ? [] : [`repair: ${status.repair}`]),
+    ...renderEvacuated(status),
     renderTable(['TARGET', 'SERVICE', 'ADDRESS', 'DOMAIN', 'STATE'], targets),
     renderTable(['ENTRY', 'EPOCH', 'ADDRESS', 'DOMAIN'], entries),
   ];
 }
 
+function renderEvacuated({evacuated = []}: ControlStatus): readonly string[] {
+  if (evacuated.length === 0) return [];
+  return [`evacuated failure domains: ${evacuated.join(', ')}`];
+}
+
 const histogramColumns = [
   'team',
   'service',
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -20,6 +20,7 @@
 import type {ControlRole, ProcessSettings} from '#settings';
 import type {Runtime} from '#telemetry';
 import {EnrolmentLoop} from './enrolment-loop.js';
+import {EvacuationLog} from './evacuation-log.js';
 import {GroupMembers} from './group-members.js';
 import {deriveHomes} from './homes.js';
 import {Leader} from './leader.js';
@@ -60,6 +61,7 @@
 
   private readonly watchers = new Watchers(() => this.machine);
   private readonly machine = new ControlMachine(() => this.watchers.schedule());
+  private readonly evacuationLog: EvacuationLog;
   private readonly links: ReplicaLinks;
   private readonly termState: TermState;
   private leader!: Leader;
@@ -78,6 +80,11 @@
     this.links = new ReplicaLinks(settings.id, (from, message) =>
       this.receive(from, message),
     );
+    this.evacuationLog = new EvacuationLog(
+      this.machine,
+      runtime.log,
+      runtime.metrics,
+    );
     this.termState = new TermState(
       this.machine,
       settings.leases,
@@ -288,6 +295,7 @@
   private tick(): void {
     this.leader.tick();
     this.members.tick();
+    this.evacuationLog.tick();
     this.upstream?.tick();
     const {members, leader} = this.replica.describeStatus();
     const others = members.filter(({id}) => id !== this.options.settings.id);
--- a/packages/membership/test/state.test.ts
+++ b/packages/membership/test/state.test.ts
@@ -47,6 +47,13 @@
       ),
     })),
   fc.constant({kind: 'forget' as const, time: 0}),
+  fc.tuple(small, fc.boolean(), small).map(([n, evacuated, change]) => ({
+    kind: 'set-evacuation' as const,
+    time: 0,
+    domain: `d${n}`,
+    evacuated,
+    ...(change > 0 && {changeId: `c${change}`}),
+  })),
   fc.tuple(small, small).map(([n, expected]) => ({
     kind: 'configure' as const,
     time: 0,
@@ -74,6 +81,7 @@
     entries: sort(view.entries.values()),
     ended: sort(view.ended.values()),
     configuration: view.configuration,
+    evacuated: sort(view.evacuated),
   };
 }
 
