--- a/packages/control/test/test-control.ts
+++ b/packages/control/test/test-control.ts
@@ -8,6 +8,7 @@
   type ParamsOf,
   type RpcFailure,
   type ViewUpdate,
+  type WatchParams,
 } from '#protocol';
 import {
   ControlClient,
@@ -145,7 +146,7 @@
     }, 100);
   }
 
-  follow(topics: 'all' | 'configuration'): void {
+  follow(topics: WatchParams['topics']): void {
     this.client.watch(topics, ({revision}) => {
       this.revisions.push(revision);
       for (const listener of this.listeners) listener();
@@ -184,19 +185,32 @@
 
   /** Asks for the view as a process that has just started does. */
   async watchFromStart(): Promise<Either<RpcFailure, ViewUpdate>> {
+    return this.watch({since: 0, topics: 'all'});
+  }
+
+  /** Asks for the update of a watcher at a revision. */
+  async watchSince(
+    since: number,
+    topics: WatchParams['topics'],
+  ): Promise<ViewUpdate> {
+    return (await this.watch({since, topics})).unsafeCoerce();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const client of this.clients) await client[Symbol.asyncDispose]();
+    await this.control[Symbol.asyncDispose]();
+  }
+
+  private async watch(
+    params: WatchParams,
+  ): Promise<Either<RpcFailure, ViewUpdate>> {
     const {address} = this.control;
     const dialled = await dialPeer(address, {}, createDeadline());
     const peer = dialled.unsafeCoerce();
-    const params = {since: 0, topics: 'all'} as const;
     const reply = await peer.request('control.watch', params, createDeadline());
     peer.close('watched');
     return reply;
   }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    for (const client of this.clients) await client[Symbol.asyncDispose]();
-    await this.control[Symbol.asyncDispose]();
-  }
 }
 
 /** By default the group is the origin of configuration and has no regions. */
@@ -204,6 +218,8 @@
   readonly region?: string;
   readonly upstream?: readonly string[];
   readonly configuration?: ConfigurationSource;
+  /** Log time at the start, in ms. */
+  readonly logTimeMs?: number;
   /** Changes the status that the replica reports. */
   readonly adjustStatus?: (status: ReplicaStatus) => ReplicaStatus;
 }
@@ -212,7 +228,7 @@
   options: TestControlOptions = {},
 ): Promise<TestControl> {
   const {region = place.region, upstream, configuration = source} = options;
-  const {adjustStatus = status => status} = options;
+  const {adjustStatus = status => status, logTimeMs = 0} = options;
   const settings = createSettings('c1', upstream && {upstream});
   const opened = await Control.open({
     settings: {...settings, place: {...place, region}},
@@ -220,6 +236,9 @@
     runtime,
     startReplica: async ({id, address, machine}) => {
       const replica = createInMemoryReplica(id, address, machine);
+      if (logTimeMs > 0) {
+        await replica.propose({kind: 'forget', time: logTimeMs});
+      }
       const describeStatus = () => adjustStatus(replica.describeStatus());
       return Right({...replica, describeStatus});
     },
