--- a/packages/control/src/evacuation-log.ts
+++ b/packages/control/src/evacuation-log.ts
@@ -5,7 +5,8 @@
 /** Logs each domain that is evacuated or restored in a replica's state, and reports their number as a gauge. */
 export class EvacuationLog {
   private logged: ReadonlySet<FailureDomain> = new Set();
-  private isReported = false;
+  /** Unset until the gauge was first reported. */
+  private loggedVersion: number | undefined;
 
   constructor(
     private readonly machine: ControlMachine,
@@ -13,9 +14,10 @@
     private readonly metrics: Metrics,
   ) {}
 
-  /** Logs what has changed since the last call. */
+  /** Logs what has changed since the last call; nothing while the state is being built again. */
   tick(): void {
     const {evacuated, version} = this.machine.state.evacuations;
+    if (version <= (this.loggedVersion ?? -1)) return;
     const added = [...evacuated].filter(domain => !this.logged.has(domain));
     const removed = [...this.logged].filter(domain => !evacuated.has(domain));
     for (const domain of added) {
@@ -30,8 +32,7 @@
         'tasks may start in the failure domain again',
       );
     }
-    if (this.isReported && added.length + removed.length === 0) return;
-    this.isReported = true;
+    this.loggedVersion = version;
     this.logged = new Set(evacuated);
     this.metrics.gauge('control.domains.evacuated', evacuated.size);
   }
