Leave targets of evacuated failure domains out of entries' pools

Entries start no further task at such a target; tasks sent before run to their ends there. When the domain is taken back, the link rejoins its pool and reconnects, as agents report their slots on connection. Starts that an agent has queued already are not returned yet.

Test: packages/entry/test/service-pools.test.ts.

--- a/packages/entry/src/service-pools.ts
+++ b/packages/entry/src/service-pools.ts
@@ -37,6 +37,8 @@
 export class ServicePools implements AsyncDisposable {
   private readonly links = new Map<TargetId, AgentLink>();
   private readonly pools = new Map<ServiceName, Pool>();
+  /** Links to targets of evacuated failure domains. They are in no pool; tasks sent over them run to their ends. */
+  private readonly evacuatedLinks = new Set<AgentLink>();
   private connections = 0;
 
   constructor(
@@ -99,6 +101,10 @@
   applyView(view: View, changes: readonly ViewChange[] | undefined): void {
     if (changes === undefined) this.applyFullView(view);
     else for (const change of changes) this.applyChange(change);
+    for (const link of this.links.values()) {
+      const {failureDomain} = link.target.place;
+      this.setEvacuated(link, view.evacuated.has(failureDomain));
+    }
   }
 
   /** Applies a configuration. */
@@ -159,6 +165,7 @@
   private fillPool(pool: Pool): void {
     for (const link of this.links.values()) {
       if (link.target.service !== pool.config.name) continue;
+      if (this.evacuatedLinks.has(link)) continue;
       pool.addLink(link);
       link.reconnect();
     }
@@ -198,13 +205,30 @@
     const link = this.links.get(target);
     if (link === undefined) return;
     this.links.delete(target);
-    this.pools.get(link.target.service)?.removeLink(link);
+    if (!this.evacuatedLinks.delete(link)) {
+      this.pools.get(link.target.service)?.removeLink(link);
+    }
     link.retire();
   }
 
+  /** Takes a link out of its pool, or adds it again. It reconnects then, as the agent reports its slots on connection. */
+  private setEvacuated(link: AgentLink, isEvacuated: boolean): void {
+    if (isEvacuated === this.evacuatedLinks.has(link)) return;
+    const pool = this.pools.get(link.target.service);
+    if (isEvacuated) {
+      this.evacuatedLinks.add(link);
+      pool?.removeLink(link);
+      return;
+    }
+    this.evacuatedLinks.delete(link);
+    pool?.addLink(link);
+    link.reconnect();
+  }
+
   private openLink(target: TargetInfo): AgentLink {
     const applyToPool = (link: AgentLink, event: PlacementEvent) => {
       if (this.links.get(link.target.target) !== link) return;
+      if (this.evacuatedLinks.has(link)) return;
       this.pools.get(link.target.service)?.apply(event);
     };
     const {entry, clock, log, getEpoch} = this.owner;
--- a/packages/entry/test/service-pools.test.ts
+++ b/packages/entry/test/service-pools.test.ts
@@ -153,3 +153,22 @@
   await pools[Symbol.asyncDispose]();
   await agent.listener[Symbol.asyncDispose]();
 });
+
+test('no task is sent to a target of an evacuated failure domain until it is taken back', async t => {
+  const agent = await openAgent();
+  const pools = openPools(() => 1);
+  const target = agent.describe();
+  pools.applyView(emptyView, [{kind: 'target-joined', target}]);
+  const link = pools.listLinks()[0]!;
+  while (!link.isReady) await new Promise(setImmediate);
+  pools.applyView({...emptyView, evacuated: new Set(['d'])}, []);
+  const job = createJob(buildSubmission('k', 4), monotonicClock.now() + 60_000);
+  const execution = new Execution(job, 3);
+  pools.start(execution);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.true(execution.job.tasks.every(({kind}) => kind === 'waiting'));
+  pools.applyView(emptyView, []);
+  t.is((await execution.answered).kind, 'complete');
+  await pools[Symbol.asyncDispose]();
+  await agent.listener[Symbol.asyncDispose]();
+});
