Give no old view after a restart under the same leader

A process that started while a control replica restarted could be given an old configuration as the one in force, and entries would serve by it: proof-configuration once saw control-2 go from version 304 to 4. It is not the status page alone: the version came as the answer to control.watch. Reads by operators and leases go through the leader and were right.

Cause: a replica called itself current once it knew a leader and its last committed entry was of the term of that leader.

A replica is now current once it has committed all that its leader has told of as committed, and only for an election timeout after the latest message (a leader: for its lease), so that one that was paused, lags or is a learner cut off gives no view either. Watchers of a replica that has not been current for 3 s are closed, as those of one without a leader were. The status says `catchingUp`, as does the list of versions; the command line shows it and prefers a replica that has caught up.

--- a/packages/cli/src/config-commands.ts
+++ b/packages/cli/src/config-commands.ts
@@ -25,6 +25,7 @@
   fetchConfigStatus,
   fetchRollout,
   type ConfigRollout,
+  type ProcessVersion,
   type RegionRollout,
 } from './config-status.js';
 import {ControlClient} from './control-client.js';
@@ -234,11 +235,11 @@
   regions,
   upstream,
 }: ConfigRollout): string {
-  const rows = processes.map(({process, role, version}) => [
-    process,
-    role,
-    version ?? '-',
-    describeVersionState(version, current.version),
+  const rows = processes.map(each => [
+    each.process,
+    each.role,
+    each.version ?? '-',
+    describeVersionState(each, current.version),
   ]);
   return [
     `version ${current.version} by ${current.author} (change ${current.changeId})`,
@@ -274,10 +275,11 @@
 }
 
 function describeVersionState(
-  version: number | undefined,
+  {version, catchingUp}: ProcessVersion,
   current: number,
 ): string {
   if (version === undefined) return 'not reported';
+  if (catchingUp) return 'catching up';
   return version < current ? 'behind' : 'in force';
 }
 
--- a/packages/cli/src/control-client.ts
+++ b/packages/cli/src/control-client.ts
@@ -131,11 +131,15 @@
     return Left(maybeApplied ? {...failure, kind: 'unanswered'} : failure);
   }
 
-  /** Reads the status from the first replica that responds; it need not be the leader. */
+  /**
+   * Reads the status from the first replica that responds and has caught up; it need not be the
+   * leader. The status of one that has not is returned when no other responds.
+   */
   async readStatus(
     deadline: Instant,
   ): Promise<Either<RemoteFailure, ControlStatus>> {
     let failure: RemoteFailure = {kind: 'unreachable', detail: 'no control'};
+    let old: ControlStatus | undefined;
     for (const address of this.addresses) {
       const reply = await requestOnce(
         address,
@@ -143,11 +147,13 @@
         {},
         computeAttemptDeadline(deadline),
       );
-      if (reply.isRight()) return reply;
-      failure = reply.swap().unsafeCoerce();
+      const status = reply.toMaybe().extract();
+      if (status !== undefined && !status.catchingUp) return Right(status);
+      old ??= status;
+      failure = reply.swap().toMaybe().orDefault(failure);
       this.moveToBack(address);
     }
-    return Left(toUnreachable(failure));
+    return old === undefined ? Left(toUnreachable(failure)) : Right(old);
   }
 
   private moveToFront(address: Address): void {
--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -130,6 +130,9 @@
   ]);
   return [
     `${status.member}: ${status.role} in term ${status.term}, committed ${status.commitIndex}, configuration ${status.configVersion}, jobs ${status.jobs}`,
+    ...(status.catchingUp
+      ? ['catching up with the leader: the state below may be old']
+      : []),
     renderMembers(status),
     ...(status.repair === undefined ? [] : [`repair: ${status.repair}`]),
     renderTable(['TARGET', 'SERVICE', 'ADDRESS', 'DOMAIN', 'STATE'], targets),
--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -45,6 +45,8 @@
    */
   lastContactAt: Instant;
   electionDeadline: Instant = 0;
+  /** The highest commit index that the leader followed has told; undefined before the first. */
+  leaderCommitIndex: number | undefined;
   partialSnapshot: PartialSnapshot | undefined;
 
   constructor(
@@ -117,6 +119,7 @@
   follow(term: number, leader: ControlId | undefined): void {
     if (this.role.kind === 'leader') this.refuseReads(this.role.leadership);
     if (term > this.term) this.writeHardState({term});
+    this.leaderCommitIndex = undefined;
     this.role =
       leader === undefined ? {kind: 'follower'} : {kind: 'follower', leader};
   }
--- a/packages/consensus/src/follow.ts
+++ b/packages/consensus/src/follow.ts
@@ -47,6 +47,10 @@
   now: Instant,
 ): void {
   if (!acceptLeader(core, from, request, now)) return;
+  core.leaderCommitIndex = Math.max(
+    core.leaderCommitIndex ?? 0,
+    request.commitIndex,
+  );
   const {log} = core;
   const {previousIndex, previousTerm, entries} = request;
   if (previousIndex < log.baseIndex) {
--- a/packages/consensus/src/quorum.ts
+++ b/packages/consensus/src/quorum.ts
@@ -60,20 +60,28 @@
   return lastContactAt + core.options.timing.electionTimeoutMs;
 }
 
-/**
- * Whether the leader holds its lease: no other replica can be elected yet. Each
- * member of the quorum that replied to a round grants no vote for one election
- * timeout after it received the message, which it did after the round started.
- */
+/** Whether the leader holds its lease: no other replica can be elected yet. */
 export function hasLease(
   core: ReplicaCore,
   leadership: Leadership,
   now: Instant,
 ): boolean {
-  if (leadership.leaseEnded) return false;
+  return now < computeLeaseDeadline(core, leadership);
+}
+
+/**
+ * Computes when the leader's lease ends. Each member of the quorum that replied
+ * to a round grants no vote for one election timeout after it received the
+ * message, which it did after the round started.
+ */
+export function computeLeaseDeadline(
+  core: ReplicaCore,
+  leadership: Leadership,
+): Instant {
+  if (leadership.leaseEnded) return -Infinity;
   const round = computeQuorumRound(core, leadership);
-  if (round === Infinity) return true;
+  if (round === Infinity) return Infinity;
   const {electionTimeoutMs, clockMarginMs} = core.options.timing;
   const start = leadership.rounds.getStartTime(round);
-  return now < start + electionTimeoutMs - clockMarginMs;
+  return start + electionTimeoutMs - clockMarginMs;
 }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -15,7 +15,7 @@
 import type {Members} from './member.js';
 import type {Message} from './message.js';
 import type {ReplicaOptions} from './options.js';
-import {computeQuorumDeadline} from './quorum.js';
+import {computeLeaseDeadline, computeQuorumDeadline} from './quorum.js';
 import {beginReads} from './read.js';
 import {beginTransfer} from './transfer.js';
 import type {Effect, Input, Role, Ticket} from './transition.js';
@@ -50,10 +50,15 @@
   readonly lastIndex: number;
   readonly commitIndex: number;
   /**
-   * Whether a leader is known and an entry of its term is committed here: every write that was
-   * acknowledged before that leader's election is then applied.
+   * Whether every write is applied here that was acknowledged before the leader sent its latest
+   * message: an entry of its term is committed, and all that it told of as committed.
    */
   readonly isCurrent: boolean;
+  /**
+   * Until when `isCurrent` holds without another message. Past it, this replica may have been paused
+   * or cut off while others committed.
+   */
+  readonly currentUntil: Instant;
   readonly members: Members;
   /** Empty unless this replica is the leader. */
   readonly progress: readonly MemberProgress[];
@@ -99,9 +104,8 @@
       ...(leader !== undefined && {leader}),
       lastIndex: core.log.lastIndex,
       commitIndex: core.commitIndex,
-      isCurrent:
-        leader !== undefined &&
-        core.log.getTerm(core.commitIndex) === core.term,
+      isCurrent: this.isCurrent,
+      currentUntil: this.currentUntil,
       members: core.log.members,
       progress: this.describeProgress(),
     };
@@ -294,6 +298,24 @@
     core.outbox.push({kind: 'members', members: core.log.members});
   }
 
+  /** A snapshot may be of the leader's own term, so that the term alone does not show that nothing is missing. */
+  private get isCurrent(): boolean {
+    const {core} = this;
+    if (core.leader === undefined) return false;
+    if (core.log.getTerm(core.commitIndex) !== core.term) return false;
+    if (core.role.kind === 'leader') return true;
+    const {leaderCommitIndex = Infinity} = core;
+    return core.commitIndex >= leaderCommitIndex;
+  }
+
+  private get currentUntil(): Instant {
+    const {core} = this;
+    if (core.role.kind === 'leader') {
+      return computeLeaseDeadline(core, core.role.leadership);
+    }
+    return core.lastContactAt + core.options.timing.electionTimeoutMs;
+  }
+
   private describeProgress(): readonly MemberProgress[] {
     const {role, log, options, durableIndex} = this.core;
     if (role.kind !== 'leader') return [];
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -42,8 +42,8 @@
 const statusTimeoutMs = 500;
 /** How long a draining leader waits for a successor to take over. */
 const leadershipTransferTimeoutMs = 1000;
-/** A replica that knows no leader for this long closes its watchers, so that they try another one. */
-const maxLeaderlessMs = 3000;
+/** A replica that has not been current for this long closes its watchers, so that they try another one. */
+const maxLagMs = 3000;
 
 export interface ControlOptions {
   readonly settings: ProcessSettings<ControlRole>;
@@ -69,7 +69,7 @@
   private replica!: RecoveringReplica;
   private listener!: PeerListener;
   private tickTimer: NodeJS.Timeout | undefined;
-  private leaderSeenAt: Instant = 0;
+  private currentAt: Instant = 0;
   private fail!: (detail: string) => void;
 
   private constructor(private readonly options: ControlOptions) {
@@ -136,6 +136,7 @@
       members: this.members.describe(),
       ...(repair !== undefined && {repair}),
       ...(diskFailure !== undefined && {diskFailure}),
+      ...(!this.isCurrent && {catchingUp: true}),
       ...describeState(this.machine.state),
     };
   }
@@ -215,7 +216,7 @@
       });
       this.enrolment = this.startEnrolment();
       this.upstream = this.createUpstream();
-      this.leaderSeenAt = runtime.clock.now();
+      this.currentAt = runtime.clock.now();
       this.tickTimer = setInterval(() => this.tick(), tickIntervalMs);
     });
   }
@@ -276,6 +277,7 @@
       term: 0,
       commitIndex: 0,
       members: [],
+      catchingUp: true,
       ...describeState(this.machine.state),
     };
   }
@@ -289,18 +291,20 @@
     this.leader.tick();
     this.members.tick();
     this.upstream?.tick();
-    const {members, leader} = this.replica.describeStatus();
+    const {members} = this.replica.describeStatus();
     const others = members.filter(({id}) => id !== this.options.settings.id);
     this.links.updateMembers(new Set(others.map(({address}) => address)));
     this.watchers.announceControls(members.map(({address}) => address));
     const now = this.options.runtime.clock.now();
-    if (leader !== undefined) this.leaderSeenAt = now;
-    if (this.isLeaderless) this.watchers.closeAll('no leader is known here');
+    if (this.isCurrent) this.currentAt = now;
+    if (now - this.currentAt <= maxLagMs) return;
+    this.watchers.closeAll('this replica is behind the leader');
   }
 
-  private get isLeaderless(): boolean {
-    const now = this.options.runtime.clock.now();
-    return now - this.leaderSeenAt > maxLeaderlessMs;
+  /** Whether the state includes all that was acknowledged before the leader's latest message, which is recent. */
+  private get isCurrent(): boolean {
+    const {isCurrent, currentUntil} = this.replica.describeStatus();
+    return isCurrent && this.options.runtime.clock.now() < currentUntil;
   }
 
   private createHandlers(): Handlers {
@@ -342,7 +346,7 @@
    */
   private watch(peer: Peer, params: WatchParams): ViewUpdate {
     const {revision, configuration} = this.machine.state;
-    if (!this.replica.describeStatus().isCurrent) {
+    if (!this.isCurrent) {
       throw new Error('this replica has not caught up with a leader');
     }
     if (configuration.current.version === 0) {
@@ -368,10 +372,11 @@
     );
     return statuses
       .filter(status => status !== undefined)
-      .map(({member, configVersion}) => ({
+      .map(({member, configVersion, catchingUp}) => ({
         process: member,
         role: 'control',
         version: configVersion,
+        ...(catchingUp && {catchingUp}),
       }));
   }
 }
--- a/packages/control/src/in-memory-replica.ts
+++ b/packages/control/src/in-memory-replica.ts
@@ -30,6 +30,7 @@
       lastIndex: index,
       commitIndex: index,
       isCurrent: true,
+      currentUntil: Infinity,
       members: [{id, address, voter: true}],
       progress: [
         {id, voter: true, matchIndex: index, caughtUp: true, heardAt: Infinity},
--- a/packages/control/src/recovering-replica.ts
+++ b/packages/control/src/recovering-replica.ts
@@ -50,6 +50,7 @@
       lastIndex: 0,
       commitIndex: 0,
       isCurrent: false,
+      currentUntil: -Infinity,
       members: [],
       progress: [],
     };
--- a/packages/protocol/src/configuration-messages.ts
+++ b/packages/protocol/src/configuration-messages.ts
@@ -40,6 +40,8 @@
   readonly process: string;
   readonly role: 'entry' | 'agent' | 'control';
   readonly version: number;
+  /** Present while a control replica has not caught up with the leader: its version may be old. */
+  readonly catchingUp?: true;
 }
 
 /** The home regions of a configuration's teams, where their jobs are admitted. */
--- a/packages/protocol/src/replica-messages.ts
+++ b/packages/protocol/src/replica-messages.ts
@@ -45,6 +45,11 @@
   readonly repair?: string;
   /** What found no room on the replica's disk; absent while there is room. */
   readonly diskFailure?: string;
+  /**
+   * Present while the replica has not caught up with the leader: the state that follows may be old,
+   * and it gives it to no process.
+   */
+  readonly catchingUp?: true;
   readonly targets: readonly TargetInfo[];
   readonly entries: readonly EntryInfo[];
   readonly jobs: number;
