Bound by bytes what control keeps of earlier configurations

With hundreds of changes of a configuration of 1,000 routes each control process passed its memory (346 MB), was killed, read the whole log again and came back to the same size, until an operator got no acknowledgement.

Cause: bounds by count alone.

The buffer keeps the latest configuration alone, which replaces those before it. A watcher with 256 KiB unsent gets nothing until it has read them, then all changes in one update; one that answers nothing is closed by the silence limit, as before.

--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -7,6 +7,7 @@
   SnapshotMetadata,
 } from './entry.js';
 import type {Members} from './member.js';
+import type {ReplicaBounds} from './options.js';
 
 interface Membership {
   readonly index: number;
@@ -133,10 +134,13 @@
     return {index, term, members: this.findMembership(index).members};
   }
 
-  /** Stores a snapshot and discards the entries it covers, except for some trailing ones. */
-  compact(snapshot: Snapshot, trailingEntries: number): void {
+  /** Stores a snapshot and discards the entries it covers, except for trailing ones within the bounds. */
+  compact(
+    snapshot: Snapshot,
+    bounds: Pick<ReplicaBounds, 'trailingEntries' | 'trailingBytes'>,
+  ): void {
     this.latestSnapshot = snapshot;
-    const index = snapshot.index - trailingEntries;
+    const index = this.findTrailing(snapshot.index, bounds);
     if (index <= this.base.index) return;
     const membership = this.findMembership(index);
     const term = this.getTerm(index)!;
@@ -157,6 +161,25 @@
     this.latestSnapshot = snapshot;
   }
 
+  /** Finds the index after which the trailing entries begin that are retained before a snapshot. */
+  private findTrailing(
+    through: number,
+    {
+      trailingEntries,
+      trailingBytes,
+    }: Pick<ReplicaBounds, 'trailingEntries' | 'trailingBytes'>,
+  ): number {
+    const first = Math.max(this.base.index, through - trailingEntries);
+    let index = through;
+    let bytes = 0;
+    while (index > first) {
+      bytes += estimateEntryBytes(this.entries[index - this.base.index - 1]);
+      if (bytes > trailingBytes) break;
+      index--;
+    }
+    return index;
+  }
+
   private findMembership(index: number): Membership {
     return this.memberships.findLast(membership => membership.index <= index)!;
   }
--- a/packages/consensus/src/options.ts
+++ b/packages/consensus/src/options.ts
@@ -19,6 +19,8 @@
   readonly snapshotChunkBytes: number;
   /** Entries retained before a snapshot, for followers that are slightly behind. */
   readonly trailingEntries: number;
+  /** The most that they take. */
+  readonly trailingBytes: number;
 }
 
 export interface ReplicaOptions {
@@ -42,4 +44,5 @@
   maxInFlightBatches: 64,
   snapshotChunkBytes: 1024 * 1024,
   trailingEntries: 4096,
+  trailingBytes: 4 * 1024 * 1024,
 };
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -153,10 +153,7 @@
         this.acknowledgeSync(input.sequence, now);
         return;
       case 'snapshot-saved':
-        this.core.log.compact(
-          input.snapshot,
-          this.options.bounds.trailingEntries,
-        );
+        this.core.log.compact(input.snapshot, this.options.bounds);
         return;
       default:
         failUnreachable(input);
--- a/packages/consensus/test/simulation.ts
+++ b/packages/consensus/test/simulation.ts
@@ -34,6 +34,7 @@
   maxInFlightBatches: 3,
   snapshotChunkBytes: 24,
   trailingEntries: 10,
+  trailingBytes: Infinity,
 };
 const faultPhaseMs = 2500;
 const maxRecoveryMs = 6000;
--- a/packages/control/src/change-buffer.ts
+++ b/packages/control/src/change-buffer.ts
@@ -6,19 +6,26 @@
 
 interface BufferedChanges {
   readonly index: number;
-  readonly changes: readonly ViewChange[];
+  changes: readonly ViewChange[];
 }
 
-/** Buffer of the latest view changes by log index, from which a watcher resumes at a revision. */
+/**
+ * Buffer of the latest view changes by log index, from which a watcher resumes at a revision. Of the
+ * configurations, each of which replaces the one before, it holds the latest alone.
+ */
 export class ChangeBuffer {
   private entries: BufferedChanges[] = [];
   /** Every change after this revision is in the buffer. */
   private start = 0;
+  /** The entry that holds the configuration. */
+  private configured: BufferedChanges | undefined;
 
   /** Adds the changes of a log index, which must be above all earlier ones. */
   add(index: number, changes: readonly ViewChange[]): void {
     if (changes.length === 0) return;
-    this.entries.push({index, changes});
+    const entry = {index, changes};
+    this.entries.push(entry);
+    if (changes.some(isConfiguration)) this.replaceConfiguration(entry);
     if (this.entries.length < 2 * retainedEntries) return;
     this.start = this.entries[this.entries.length - retainedEntries - 1].index;
     this.entries = this.entries.slice(-retainedEntries);
@@ -27,6 +34,7 @@
   /** Empties the buffer: only changes after the revision will be available. */
   restart(revision: number): void {
     this.entries = [];
+    this.configured = undefined;
     this.start = revision;
   }
 
@@ -46,12 +54,21 @@
       case 'targets':
         return changes.filter(isAboutTargets);
       case 'configuration':
-        return changes.filter(({kind}) => kind === 'configured').slice(-1);
+        return changes.filter(isConfiguration);
       default:
         return failUnreachable(topics);
     }
   }
 
+  private replaceConfiguration(entry: BufferedChanges): void {
+    const {configured} = this;
+    this.configured = entry;
+    if (configured === undefined) return;
+    configured.changes = configured.changes.filter(
+      change => !isConfiguration(change),
+    );
+  }
+
   private findFirstAfter(revision: number): number {
     let low = 0;
     let high = this.entries.length;
@@ -64,6 +81,10 @@
   }
 }
 
+function isConfiguration({kind}: ViewChange): boolean {
+  return kind === 'configured';
+}
+
 function isAboutTargets({kind}: ViewChange): boolean {
   return kind === 'target-joined' || kind === 'target-gone';
 }
--- a/packages/control/src/watchers.ts
+++ b/packages/control/src/watchers.ts
@@ -6,8 +6,9 @@
 const batchIntervalMs = 10;
 /** Watchers updated in one turn of the event loop. */
 const watchersPerTurn = 64;
-/** A watcher with more unsent bytes than this does not read its updates and is closed. */
-const maxUnsentBytes = 8 * 1024 * 1024;
+/** A watcher with more unsent bytes than this gets no update until it has read them, then all changes at once. */
+const maxUnsentBytes = 256 * 1024;
+const unsentRetryMs = 100;
 
 interface Watcher {
   readonly topics: WatchParams['topics'];
@@ -21,6 +22,7 @@
 export class Watchers implements Disposable {
   private readonly watchers = new Map<Peer, Watcher>();
   private timer: NodeJS.Timeout | undefined;
+  private retryTimer: NodeJS.Timeout | undefined;
   private controls: readonly Address[] = [];
 
   constructor(private readonly getMachine: () => ControlMachine) {}
@@ -71,10 +73,19 @@
 
   [Symbol.dispose](): void {
     clearTimeout(this.timer);
+    clearTimeout(this.retryTimer);
     this.watchers.clear();
   }
 
+  private scheduleRetry(): void {
+    this.retryTimer ??= setTimeout(() => {
+      this.retryTimer = undefined;
+      this.publish();
+    }, unsentRetryMs);
+  }
+
   private publish(): void {
+    clearTimeout(this.timer);
     this.timer = undefined;
     this.sendUpdates([...this.watchers], 0);
   }
@@ -86,6 +97,10 @@
     const updates = new Map<string, ViewUpdate>();
     for (const [peer, watcher] of all.slice(from, from + watchersPerTurn)) {
       if (this.watchers.get(peer) !== watcher) continue;
+      if (peer.unsentBytes > maxUnsentBytes) {
+        this.scheduleRetry();
+        continue;
+      }
       const key = `${watcher.topics} ${watcher.builtRevision}`;
       const update =
         updates.get(key) ??
@@ -101,10 +116,6 @@
     const {revision} = update;
     watcher.builtRevision = revision;
     if (update.kind === 'delta' && update.changes.length === 0) return;
-    if (peer.unsentBytes > maxUnsentBytes) {
-      peer.close('the watcher does not read');
-      return;
-    }
     const from = watcher.sentRevision;
     watcher.sentRevision = revision;
     peer.notify(
--- a/packages/storage/src/host-options.ts
+++ b/packages/storage/src/host-options.ts
@@ -55,6 +55,8 @@
   readonly bounds?: ReplicaBounds;
   /** Number of applied entries between two snapshots. */
   readonly snapshotInterval?: number;
+  /** Bytes of applied commands between two snapshots, or those of the last snapshot if it has more. */
+  readonly snapshotIntervalBytes?: number;
   /** The file system that holds the folder; `nodeDisk` by default. */
   readonly disk?: Disk;
 }
--- a/packages/storage/src/replica-host.ts
+++ b/packages/storage/src/replica-host.ts
@@ -36,6 +36,9 @@
 
 const packr = new Packr({useRecords: false});
 const defaultSnapshotInterval = 10_000;
+const defaultSnapshotIntervalBytes = 8 * 1024 * 1024;
+/** Commands applied at once, so that they are not all decoded at the same time. */
+const maxAppliedBytes = 4 * 1024 * 1024;
 const maxTimerMs = 60_000;
 /** A leader whose disk takes longer than this for a write hands over. */
 const maxSyncMs = 1000;
@@ -60,6 +63,10 @@
   private addresses: ReadonlyMap<ControlId, Address> = new Map();
   private appliedIndex: number;
   private snapshotIndex: number;
+  private snapshotBytes: number;
+  /** Bytes of the commands applied after the last snapshot. */
+  private appliedBytes = 0;
+  private isSavingSnapshot = false;
 
   private constructor(
     private readonly options: ReplicaHostOptions<Command, Result>,
@@ -71,6 +78,7 @@
       options.machine.restoreSnapshot(snapshot.data, snapshot.index);
     this.appliedIndex = snapshot?.index ?? 0;
     this.snapshotIndex = this.appliedIndex;
+    this.snapshotBytes = snapshot?.data.byteLength ?? 0;
     this.proposals = new ProposalQueue(batch => this.appendProposals(batch));
     this.replica = new Replica(
       {
@@ -83,6 +91,7 @@
       store.recovered,
       clock.now(),
     );
+    store.forgetRecovered();
     this.updateAddresses(this.describeStatus().members);
     this.armTimer();
   }
@@ -268,20 +277,47 @@
   }
 
   private applyCommands(commands: readonly CommandEntry[]): readonly Result[] {
-    return this.options.machine.apply(
-      commands.map(({index, term, command}) => ({
-        index,
-        term,
-        command: packr.unpack(command) as Command,
-      })),
+    const results: (readonly Result[])[] = [];
+    for (let start = 0, end = 0; start < commands.length; start = end) {
+      let bytes = 0;
+      while (end < commands.length && bytes < maxAppliedBytes) {
+        bytes += commands[end++].command.byteLength;
+      }
+      this.appliedBytes += bytes;
+      const applied = commands.slice(start, end);
+      results.push(
+        this.options.machine.apply(
+          applied.map(({index, term, command}) => ({
+            index,
+            term,
+            command: packr.unpack(command) as Command,
+          })),
+        ),
+      );
+    }
+    return results.flat() as Result[];
+  }
+
+  /**
+   * Whether the log since the last snapshot is long, by entries or by bytes. The bytes are at least
+   * those of the snapshot, so that a large state is not written more often than the log.
+   */
+  private get isSnapshotDue(): boolean {
+    const {
+      snapshotInterval = defaultSnapshotInterval,
+      snapshotIntervalBytes = defaultSnapshotIntervalBytes,
+    } = this.options;
+    if (this.isSavingSnapshot) return false;
+    if (this.appliedIndex - this.snapshotIndex >= snapshotInterval) return true;
+    return (
+      this.appliedBytes >= Math.max(snapshotIntervalBytes, this.snapshotBytes)
     );
   }
 
   private snapshotIfDue(): void {
-    const interval = this.options.snapshotInterval ?? defaultSnapshotInterval;
-    if (this.appliedIndex - this.snapshotIndex < interval) return;
-    this.snapshotIndex = this.appliedIndex;
+    if (!this.isSnapshotDue) return;
     const data = this.options.machine.takeSnapshot();
+    this.recordSnapshot(this.appliedIndex, data);
     const snapshot = {
       ...this.replica.describeSnapshotMetadata(this.appliedIndex),
       data,
@@ -290,7 +326,9 @@
   }
 
   private async saveSnapshot(snapshot: Snapshot): Promise<void> {
+    this.isSavingSnapshot = true;
     const outcome = await this.store.saveSnapshot(snapshot, 'continue');
+    this.isSavingSnapshot = false;
     if (!this.handleStoreOutcome(outcome)) return;
     this.step({kind: 'snapshot-saved', snapshot});
   }
@@ -298,7 +336,13 @@
   private restoreSnapshot({data, index}: Snapshot): void {
     this.options.machine.restoreSnapshot(data, index);
     this.appliedIndex = index;
+    this.recordSnapshot(index, data);
+  }
+
+  private recordSnapshot(index: number, data: Uint8Array): void {
     this.snapshotIndex = index;
+    this.snapshotBytes = data.byteLength;
+    this.appliedBytes = 0;
   }
 
   private appendProposals(batch: readonly Proposal<Result>[]): void {
--- a/packages/storage/src/store.ts
+++ b/packages/storage/src/store.ts
@@ -78,16 +78,26 @@
     private readonly folder: string,
     private readonly lock: AsyncDisposable,
     private readonly id: ControlId,
-    /** The state that the folder held when it was opened. */
-    readonly recovered: RecoveredState,
+    private recoveredState: RecoveredState,
     private segments: readonly SegmentInfo[],
   ) {
-    const {snapshot, entries, hardState} = recovered;
+    const {snapshot, entries, hardState} = recoveredState;
     const lastEntry = entries.at(-1) ?? snapshot;
     this.hardState = hardState;
     this.lastPosition = [lastEntry?.index ?? 0, lastEntry?.term ?? 0];
   }
 
+  /** The state that the folder held when it was opened; without its log once that is forgotten. */
+  get recovered(): RecoveredState {
+    return this.recoveredState;
+  }
+
+  /** Releases the memory of the recovered snapshot and entries. */
+  forgetRecovered(): void {
+    const {hardState} = this.recoveredState;
+    this.recoveredState = {hardState, entries: []};
+  }
+
   /** Locks a folder, recovers its state and begins a new segment for writes. */
   static async open(
     folder: string,
--- a/packages/storage/test/cluster.ts
+++ b/packages/storage/test/cluster.ts
@@ -16,6 +16,7 @@
   maxInFlightBatches: 4,
   snapshotChunkBytes: 100,
   trailingEntries: 5,
+  trailingBytes: Infinity,
 };
 
 /** Collects the commands that it applies, without duplicates. */
