--- a/packages/runner/src/events.ts
+++ b/packages/runner/src/events.ts
@@ -71,13 +71,13 @@
   if (isEvacuated) {
     metrics.increment('runner.evacuation.returned', counts.returned);
     log.info(
-      {event: 'domain-evacuated', ...counts},
+      {event: 'runner-evacuated', ...counts},
       'the failure domain is evacuated; waiting runs are returned, and none is started',
     );
     return;
   }
   log.info(
-    {event: 'domain-restored'},
+    {event: 'runner-restored'},
     'the failure domain is back in service; load returns gradually',
   );
 }
