Let agents of evacuated failure domains grant and start nothing

Entries leave the targets of an evacuated domain out of their pools, but a start that an agent had queued, or that an entry with a late view sends, would still run. Agents follow the configuration at the leader; the same watch tells them the evacuated domains. They recall their grants and refuse what is queued and what arrives; running tasks go on. The first view comes before an agent is ready.

Test: packages/agent/test/control.test.ts; the fake control sends evacuations with its views.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -70,6 +70,7 @@
   private info!: TargetInfo;
   private configuration: Configuration | undefined;
   private configVersion = -1;
+  private isEvacuated = false;
   /** The configuration version that was committed when this agent was first announced. */
   private committedVersion: number | undefined;
   /** Slots of the healthy target, as sent to entries when they connect. */
@@ -219,6 +220,8 @@
         configuration: {
           getVersion: () => this.getConfigVersion(),
           onConfiguration: source => this.applyConfiguration(source),
+          onEvacuations: domains =>
+            this.setEvacuated(domains.has(settings.place.failureDomain)),
         },
       });
       this.targetHealth.start();
@@ -370,6 +373,7 @@
 
   private computeReadiness(): Readiness {
     if (this.info.leaving) return {kind: 'shut', reason: 'draining'};
+    if (this.isEvacuated) return {kind: 'shut', reason: 'no-slot'};
     const {committedVersion} = this;
     if (
       committedVersion === undefined ||
@@ -389,6 +393,19 @@
     return {kind: 'open', service, policy, slots};
   }
 
+  /** While the failure domain is evacuated, grants and starts nothing; running tasks continue. */
+  private setEvacuated(isEvacuated: boolean): void {
+    if (isEvacuated === this.isEvacuated) return;
+    this.isEvacuated = isEvacuated;
+    this.options.runtime.log.info(
+      {event: isEvacuated ? 'runner-evacuated' : 'runner-restored'},
+      isEvacuated
+        ? 'the failure domain is evacuated; no task is started'
+        : 'the failure domain is back in service',
+    );
+    this.updateReadiness();
+  }
+
   private handleHealthChange(): void {
     const {log} = this.options.runtime;
     if (this.targetHealth.isDown) {
--- a/packages/agent/src/control-link.ts
+++ b/packages/agent/src/control-link.ts
@@ -1,10 +1,11 @@
 import {type Clock, computeDeadline, type TargetInfo} from '#model';
-import type {VersionedSource, Address} from '#model';
+import type {Address, FailureDomain, VersionedSource} from '#model';
 import {
   dialPeer,
   dialTimeoutMs,
   type Liveness,
   type Peer,
+  type ViewChange,
   type ViewUpdate,
 } from '#protocol';
 import type {LeaseSettings} from '#settings';
@@ -31,6 +32,8 @@
   readonly getVersion: () => number;
   /** Called with a configuration of any version, possibly one seen before. */
   readonly onConfiguration: (configuration: VersionedSource) => void;
+  /** Called with the evacuated failure domains, before a configuration of the same view. */
+  readonly onEvacuations: (domains: ReadonlySet<FailureDomain>) => void;
 }
 
 /** Lease renewals serve as heartbeats; a probe is sent only when one is overdue. */
@@ -54,6 +57,7 @@
 export class ControlLink implements AsyncDisposable {
   private peer: Peer | undefined;
   private revision = 0;
+  private evacuated: ReadonlySet<FailureDomain> = new Set();
   private announced: TargetInfo | undefined;
   private stopped = false;
   private nextControlIndex = 0;
@@ -238,6 +242,9 @@
 
   private receiveView(update: ViewUpdate): void {
     if (update.kind === 'full') {
+      if (update.revision >= this.revision) {
+        this.setEvacuated(update.view.evacuated ?? []);
+      }
       this.revision = update.revision;
       this.owner.configuration?.onConfiguration(update.view.configuration);
       return;
@@ -248,11 +255,28 @@
     }
     this.revision = Math.max(this.revision, update.revision);
     for (const change of update.changes) {
-      if (change.kind !== 'configured') continue;
+      this.applyChange(change);
+    }
+  }
+
+  private applyChange(change: ViewChange): void {
+    if (change.kind === 'domain-evacuated') {
+      this.setEvacuated([...this.evacuated, change.domain]);
+    }
+    if (change.kind === 'domain-restored') {
+      const {domain} = change;
+      this.setEvacuated([...this.evacuated].filter(each => each !== domain));
+    }
+    if (change.kind === 'configured') {
       this.owner.configuration?.onConfiguration(change.configuration);
     }
   }
 
+  private setEvacuated(domains: readonly FailureDomain[]): void {
+    this.evacuated = new Set(domains);
+    this.owner.configuration?.onEvacuations(this.evacuated);
+  }
+
   private wakeWaiters(): void {
     for (const wake of this.waiters.splice(0)) wake();
   }
--- a/packages/agent/test/control.test.ts
+++ b/packages/agent/test/control.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {
+  answer,
   closeHarness,
   FakeControl,
   FakeEntry,
@@ -80,3 +81,34 @@
   await control[Symbol.asyncDispose]();
   await closeHarness(harness);
 });
+
+test('an agent of an evacuated failure domain starts no task until it is taken back, while running ones go on', async t => {
+  const releases: (() => void)[] = [];
+  const harness = await openHarness({
+    serve: (body, response) => void releases.push(() => answer(body, response)),
+  });
+  const {agent, control} = harness;
+  const entry = await FakeEntry.connect(harness, 1);
+  await waitUntil(() => entry.free === 4);
+  entry.start();
+  await waitUntil(() => agent.getStatus().running === 1);
+  control.evacuated = ['other', 'd'];
+  control.push(2);
+  await waitUntil(() => entry.free === 0);
+  entry.start({job: 'b', granted: false});
+  t.like(await entry.awaitFate('b.0'), {kind: 'not-run'});
+  t.is(agent.getStatus().running, 1);
+  releases[0]!();
+  t.like(await entry.awaitFate('a.0'), {kind: 'succeeded'});
+  for (const peer of control.listener.peers) {
+    peer.notify('watcher.update', {
+      kind: 'delta',
+      from: 2,
+      revision: 3,
+      changes: [{kind: 'domain-restored', domain: 'd'}],
+    });
+  }
+  await waitUntil(() => entry.free === 4);
+  t.is(releases.length, 1);
+  await closeHarness(harness);
+});
--- a/packages/agent/test/harness.ts
+++ b/packages/agent/test/harness.ts
@@ -86,6 +86,7 @@
   version = 1;
   /** The committed version that replies contain; `version` when unset. */
   committed: number | undefined;
+  evacuated: readonly string[] = [];
   listener!: PeerListener;
 
   static async open(address = '127.0.0.1:0'): Promise<FakeControl> {
@@ -113,7 +114,14 @@
     return {
       kind: 'full',
       revision: this.version,
-      view: {targets: [], gone: [], entries: [], ended: [], configuration},
+      view: {
+        targets: [],
+        gone: [],
+        entries: [],
+        ended: [],
+        configuration,
+        evacuated: this.evacuated,
+      },
     };
   }
 
