Decide how long a task waits for a target near its data

A task with data outside its rack was taken to run 1.5 times as long whatever the service, and was sent elsewhere as soon as there was room, or, where it would be late there, waited for its rack until it was late anywhere.

`computeNearWaitDeadline` weighs the detour against the expected wait, which counts the work that already waits; a task that the full rack is not expected to come to in good time starts elsewhere at once. Nothing changes without a locality policy; dispatchers pass none yet.

--- a/packages/policy/src/capacity-placement.ts
+++ b/packages/policy/src/capacity-placement.ts
@@ -5,6 +5,12 @@
   TargetId,
 } from '#model';
 import {shouldDisplace} from './rank.js';
+import {
+  computeNearWaitDeadline,
+  computeUtilization,
+  estimateCapacityWaitMs,
+  type LocalityPolicy,
+} from './locality.js';
 import {canQueueAhead, hasCapacityFor, sumDemand} from './capacity.js';
 
 /** A target as one dispatcher sees it. */
@@ -35,6 +41,12 @@
   readonly dueAt: Instant;
   readonly requiredLabel?: string;
   readonly dataRack?: string;
+  /** Unset: a task with data is taken to run half as long again outside the data's rack, and never waits for a target there. */
+  readonly locality?: LocalityPolicy;
+  /** When an earlier wait for a target in the data's rack is to end. */
+  readonly nearWaitDeadline?: Instant;
+  /** Processors that more urgent tasks wait for in the data's rack, in thousandths of a core. */
+  readonly nearWaitingMillis?: number;
   /** Target where the previous run of the task failed, stalled, got no answer or did not start. */
   readonly avoid?: TargetId;
   /** Targets that are sent other tasks of the same step in the same batch. */
@@ -47,6 +59,8 @@
   | {readonly kind: 'full'}
   /** No target is known, or the task can still meet its due time by waiting for a faster one. */
   | {readonly kind: 'wait'}
+  /** Waiting for a target in the rack of the task's data is worth while until the deadline. */
+  | {readonly kind: 'wait-near'; readonly deadline: Instant}
   /** No known target could hold the task even when empty. */
   | {readonly kind: 'impossible'};
 
@@ -58,8 +72,8 @@
 const maxFailureRatio = 0.5;
 /** Time that an agent with a third of a core takes to start a run. */
 export const agentStartMs = 5;
-/** Factor on the run time of a task outside the rack of its data. */
-const remoteDataFactor = 1.5;
+/** Factor on the run time of a task outside the rack of its data, unless a policy states one. */
+const defaultRemoteFactor = 1.5;
 /** Weight of the failure ratio in the cost of a target. */
 const failureCostFactor = 4;
 
@@ -95,17 +109,63 @@
   }
   const healthy = capable.filter(({failing}) => failing <= maxFailureRatio);
   const usable = healthy.length > 0 ? healthy : capable;
+  const free = findCheapestWithCapacity(task, usable);
   const best =
-    findCheapestWithCapacity(task, usable) ??
-    findCheapest(task, usable, target => canQueueAt(target, task));
+    free ?? findCheapest(task, usable, target => canQueueAt(target, task));
   if (best === undefined) return {kind: 'full'};
-  const minRunMs = Math.min(...usable.map(each => estimateRunMs(task, each)));
+  const deadline = free && decideNearWait(task, usable, free, now);
+  if (deadline !== undefined) return {kind: 'wait-near', deadline};
+  const comparable = listComparable(task, usable, best.target);
+  const minRunMs = Math.min(
+    ...comparable.map(each => estimateRunMs(task, each)),
+  );
   const missesDue = now + best.runMs > task.dueAt;
   const fastestMeetsDue = now + minRunMs <= task.dueAt;
   if (missesDue && fastestMeetsDue) return {kind: 'wait'};
   return {kind: 'place', target: best.target};
 }
 
+/** Lists the targets whose speed a choice is compared by: under a locality policy those in the data's rack don't count for one outside. */
+function listComparable(
+  task: ReadyTask,
+  targets: readonly CandidateTarget[],
+  chosen: TargetId,
+): readonly CandidateTarget[] {
+  if (task.locality === undefined) return targets;
+  const remote = targets.filter(target => isDataRemote(task, target));
+  return remote.some(({target}) => target === chosen) ? remote : targets;
+}
+
+/** Decides until when a task waits for a target in its data's rack; undefined when it starts at the given one, which has free capacity. */
+function decideNearWait(
+  task: ReadyTask,
+  targets: readonly CandidateTarget[],
+  free: TargetCost,
+  now: Instant,
+): Instant | undefined {
+  const {locality, nearWaitDeadline = Infinity} = task;
+  if (locality === undefined || now >= nearWaitDeadline) return undefined;
+  const near = targets.filter(target => !isDataRemote(task, target));
+  if (near.length === 0 || near.some(({target}) => target === free.target)) {
+    return undefined;
+  }
+  const nearRunMs = Math.min(...near.map(each => estimateRunMs(task, each)));
+  const deadline = computeNearWaitDeadline({
+    now,
+    dueAt: task.dueAt,
+    nearRunMs,
+    farRunMs: free.runMs,
+    nearWaitMs: estimateCapacityWaitMs(
+      task.demand.cpuMillis + (task.nearWaitingMillis ?? 0),
+      near,
+      nearRunMs,
+    ),
+    utilization: computeUtilization(targets),
+    isWaiting: task.nearWaitDeadline !== undefined,
+  });
+  return deadline && Math.min(deadline, nearWaitDeadline);
+}
+
 /** Whether a task may be queued at a full target: none is queued there, or it displaces the last one. */
 function canQueueAt(
   {capacity, used, waitingRank}: CandidateTarget,
@@ -182,11 +242,22 @@
   return best;
 }
 
-function estimateRunMs(
-  {estimateMs, dataRack}: ReadyTask,
-  {slowness, capacity}: CandidateTarget,
+function estimateRunMs(task: ReadyTask, target: CandidateTarget): number {
+  return task.estimateMs * target.slowness * computeRemoteFactor(task, target);
+}
+
+/** Computes the factor on a task's run time by the distance of its data: 1 in the data's rack. */
+export function computeRemoteFactor(
+  task: Pick<ReadyTask, 'dataRack' | 'locality'>,
+  target: Pick<CandidateTarget, 'capacity'>,
 ): number {
-  const isDataRemote =
-    dataRack !== undefined && !capacity.labels.includes(dataRack);
-  return estimateMs * slowness * (isDataRemote ? remoteDataFactor : 1);
+  if (!isDataRemote(task, target)) return 1;
+  return task.locality?.remoteFactor ?? defaultRemoteFactor;
+}
+
+function isDataRemote(
+  {dataRack}: Pick<ReadyTask, 'dataRack'>,
+  {capacity}: Pick<CandidateTarget, 'capacity'>,
+): boolean {
+  return dataRack !== undefined && !capacity.labels.includes(dataRack);
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -69,6 +69,7 @@
   chooseTarget,
   findFreeTarget,
   canHoldWhenEmpty,
+  computeRemoteFactor,
   reserveCapacity,
   agentStartMs,
 } from './capacity-placement.js';
@@ -140,3 +141,10 @@
   chooseCapableTargets,
   type TaskRequirements,
 } from './target-subset.js';
+
+export type {LocalityPolicy, NearWaitQuestion} from './locality.js';
+export {
+  computeNearWaitDeadline,
+  computeUtilization,
+  estimateCapacityWaitMs,
+} from './locality.js';
