Let queued tasks wait for targets near their data

Dispatchers with a locality policy ask it when the data's rack is full, tell the tasks behind a waiting one how much waits there, and keep the end of the wait by step. A run away from its data is sent with the run time expected there, so that its runner does not take the target for slow, and its run time counts by the factor less for the queue's estimate. Counted in `queued.locality`, logged as `near-wait`.

The new test of the placer fails without the policy: no wait has an end.

--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -40,6 +40,8 @@
   readonly chainMs: number;
   /** Tickets of the runs that are not known to have ended, and their targets. */
   readonly tickets: Map<RunTicket, TargetId>;
+  /** When the waits of its tasks for targets near their data end, by step. */
+  readonly nearWaits: Map<number, Instant>;
   /** Set once an ended run of it may have begun, here or at another dispatcher. */
   hasRun: boolean;
   /** Set once its tasks were checked against what connected targets can run when empty. */
@@ -73,6 +75,7 @@
     callerDeadline,
     chainMs: estimateCriticalPathMs(job),
     tickets: new Map(),
+    nearWaits: new Map(),
     hasRun: !isFirst,
     isFeasibilityChecked: false,
     isHeldBack: false,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,6 +26,7 @@
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
+import type {LocalityPolicy} from '#policy';
 import {Admission, sumWaitingWork} from './admission.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, resolveOwnership} from './ownership.js';
@@ -54,6 +55,8 @@
   readonly log: Logger;
   readonly metrics?: Metrics;
   readonly clock?: Clock;
+  /** How tasks are placed near their data; unset: without waiting. */
+  readonly locality?: LocalityPolicy;
   /** Returns this process's event loop lag in ms. */
   readonly readLagMs?: () => number;
 }
@@ -119,7 +122,10 @@
         this.recordEnd(target, run, end, runMs),
       onLoad: () => this.placementScheduler.schedule(),
     });
-    this.placer = new Placer(this.fleet, options.log);
+    this.placer = new Placer(this.fleet, options.log, {
+      metrics: this.metrics,
+      locality: options.locality,
+    });
     this.runMover = new RunMover(
       this.fleet,
       id => this.jobs.get(id),
@@ -409,11 +415,12 @@
 
   private observeRun(
     {submitted, queue}: ActiveJob,
-    {ref}: OutstandingRun,
+    {ref, remoteFactor}: OutstandingRun,
     target: TargetId,
-    runMs: number,
+    fullRunMs: number,
   ): void {
     const {estimateMs} = submitted.steps[ref.step]!;
+    const runMs = fullRunMs / remoteFactor;
     const relativeSlowness = this.fleet.computeRelativeSlowness(target);
     this.predictor.observe(queue.name, {estimateMs, runMs, relativeSlowness});
   }
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -31,6 +31,8 @@
   readonly placedAt: Instant;
   /** The target's slowness when the run was placed. */
   readonly slownessAtPlacement: number;
+  /** Factor on its run time by the distance of its data. */
+  readonly remoteFactor: number;
   /** Set once the run is being withdrawn so that another target can run its task. */
   isMoving: boolean;
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -16,13 +16,15 @@
 import {
   chooseTarget,
   canHoldWhenEmpty,
+  computeRemoteFactor,
   isWithinCapacity,
   reserveCapacity,
   type CandidateTarget,
+  type LocalityPolicy,
 } from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, rankJob} from './active-job.js';
-import type {Logger} from '#telemetry';
+import type {Logger, Metrics} from '#telemetry';
 import type {OutstandingRun, RunnerLink} from './link.js';
 
 /** The part of the runner fleet that placement uses. */
@@ -39,6 +41,8 @@
   readonly targets: Map<TargetId, CandidateTarget>;
   /** What fitted on no target in this round; later tasks that need at least as much won't fit either. */
   readonly unplaceable: Unplaceable[];
+  /** Processors that tasks wait for near their data, by rack, in thousandths of a core. */
+  readonly nearWaitingMillis: Map<string, number>;
 }
 
 /** A task that fitted on no target with the required label, leaving out the one to avoid. */
@@ -48,6 +52,14 @@
   readonly avoid: TargetId | undefined;
 }
 
+/** A task and the target that was chosen for it. */
+interface PlacedTask {
+  readonly pos: TaskPosition;
+  readonly target: TargetId;
+  /** Factor on its run time by the distance of its data. */
+  readonly remoteFactor: number;
+}
+
 interface PlacedRuns {
   readonly target: TargetId;
   readonly step: number;
@@ -89,6 +101,12 @@
   return task.kind === 'ready' ? task.avoid : undefined;
 }
 
+export interface PlacerOptions {
+  readonly metrics?: Metrics;
+  /** Unset: no task waits for a target near its data. */
+  readonly locality?: LocalityPolicy;
+}
+
 /** Places ready tasks on targets with enough free capacity, those of the most urgent job first. */
 export class Placer {
   /** True when some task of the last round waits for a faster target; only the passing of time may end this wait. */
@@ -98,6 +116,7 @@
   constructor(
     private readonly fleet: PlacementFleet,
     private readonly log: Logger,
+    private readonly options: PlacerOptions = {},
   ) {}
 
   /** Places what it can; returns the jobs with a task that no target can ever run. */
@@ -121,7 +140,11 @@
     if (known !== undefined) return known;
     const targets = this.fleet.listTargets(service);
     const byId = new Map(targets.map(target => [target.target, target]));
-    const pool: Pool = {targets: byId, unplaceable: []};
+    const pool: Pool = {
+      targets: byId,
+      unplaceable: [],
+      nearWaitingMillis: new Map(),
+    };
     pools.set(service, pool);
     return pool;
   }
@@ -137,7 +160,10 @@
     job.isFeasibilityChecked = pool.targets.size > 0;
     const {steps} = job.state.job;
     if (steps.every(step => isUnplaceable(step, undefined, pool))) return true;
-    const placed: [TaskPosition, TargetId][] = [];
+    const {locality} = this.options;
+    // Of earlier rounds: a wait that another task of the step begins in this one is no reason to wait.
+    const nearWaits = new Map(job.nearWaits);
+    const placed: PlacedTask[] = [];
     const targetsByStep = new Map<number, Set<TargetId>>();
     let targets = [...pool.targets.values()];
     for (const pos of listReadyTasks(job.state)) {
@@ -151,6 +177,9 @@
           dueAt: job.dueAt,
           batchTargets: targetsByStep.get(pos.step),
           avoid,
+          locality,
+          nearWaitDeadline: nearWaits.get(pos.step),
+          nearWaitingMillis: pool.nearWaitingMillis.get(step.dataRack ?? ''),
         },
         targets,
         now,
@@ -161,11 +190,18 @@
         pool.unplaceable.push({demand, requiredLabel, avoid});
       }
       if (choice.kind === 'wait') this.isWaitingForFaster = true;
+      if (choice.kind === 'wait-near') {
+        this.waitNear(job, pos.step, choice.deadline, pool, now);
+      }
       if (choice.kind !== 'place') continue;
       const target = pool.targets.get(choice.target)!;
       pool.targets.set(choice.target, reserveCapacity(target, {...step, rank}));
       targets = [...pool.targets.values()];
-      placed.push([pos, choice.target]);
+      const remoteFactor =
+        locality === undefined
+          ? 1
+          : computeRemoteFactor({...step, locality}, target);
+      placed.push({pos, target: choice.target, remoteFactor});
       const stepTargets = targetsByStep.get(pos.step) ?? new Set<TargetId>();
       targetsByStep.set(pos.step, stepTargets.add(choice.target));
     }
@@ -173,15 +209,37 @@
     return true;
   }
 
+  /** Lets a task wait for a target near its data, and those behind it know. */
+  private waitNear(
+    job: ActiveJob,
+    step: number,
+    deadline: Instant,
+    {nearWaitingMillis}: Pool,
+    now: Instant,
+  ): void {
+    const {demand, dataRack = ''} = job.state.job.steps[step]!;
+    const waiting = nearWaitingMillis.get(dataRack) ?? 0;
+    nearWaitingMillis.set(dataRack, waiting + demand.cpuMillis);
+    this.isWaitingForFaster = true;
+    if (job.nearWaits.has(step)) return;
+    job.nearWaits.set(step, deadline);
+    const waitMs = Math.round(deadline - now);
+    this.log.debug(
+      {event: 'near-wait', job: job.state.job.id, step, dataRack, waitMs},
+      'waiting for a target near the data',
+    );
+  }
+
   private sendRuns(
     job: ActiveJob,
     rank: number,
-    placed: readonly (readonly [TaskPosition, TargetId])[],
+    placed: readonly PlacedTask[],
     now: Instant,
   ): void {
     const batches = new Map<string, PlacedRuns>();
-    for (const [pos, target] of placed) {
-      const run = this.openRun(job, pos, target, now);
+    for (const task of placed) {
+      const {pos, target} = task;
+      const run = this.openRun(job, task, now);
       const key = `${target} ${pos.step}`;
       const batch = batches.get(key) ?? {
         target,
@@ -197,8 +255,7 @@
 
   private openRun(
     job: ActiveJob,
-    pos: TaskPosition,
-    target: TargetId,
+    {pos, target, remoteFactor}: PlacedTask,
     now: Instant,
   ): OutstandingRun {
     const ref = getRunRef(job.state, pos);
@@ -206,16 +263,31 @@
     const ticket = this.nextTicket++;
     job.tickets.set(ticket, target);
     const {demand} = job.state.job.steps[pos.step]!;
+    this.countDistance(job, pos.step, remoteFactor);
     return {
       ticket,
       ref,
       demand,
       placedAt: now,
       slownessAtPlacement: this.fleet.find(target)!.slowness,
+      remoteFactor,
       isMoving: false,
     };
   }
 
+  /** Counts tasks with data by where they were placed. */
+  private countDistance(
+    {queue, state, nearWaits}: ActiveJob,
+    step: number,
+    remoteFactor: number,
+  ): void {
+    if (state.job.steps[step]!.dataRack === undefined) return;
+    const place = remoteFactor === 1 ? 'near' : 'remote';
+    const waited = nearWaits.has(step) ? 'yes' : 'no';
+    const labels = {queue: queue.name, place, waited};
+    this.options.metrics?.increment('queued.locality', 1, labels);
+  }
+
   private sendBatch(
     job: ActiveJob,
     rankMs: number,
@@ -223,6 +295,7 @@
   ): void {
     const {id, payload, steps} = job.state.job;
     const {demand, estimateMs, requiredLabel} = steps[step]!;
+    const [first] = runs.values();
     this.log.debug(
       {event: 'runs-placed', job: id, step, target, runs: runs.size, rankMs},
       'placed runs on a target',
@@ -235,7 +308,8 @@
         demand,
         service: job.queue.service,
         ...(requiredLabel !== undefined && {requiredLabel}),
-        estimateMs,
+        // The runner judges the target's speed by it.
+        estimateMs: estimateMs * first!.remoteFactor,
         rankMs,
         runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
       },
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -30,6 +30,7 @@
     demand,
     placedAt: monotonicClock.now(),
     slownessAtPlacement: 1,
+    remoteFactor: 1,
     isMoving: false,
   };
   const batch: RunBatch = {
--- a/packages/dispatch/test/placer.test.ts
+++ b/packages/dispatch/test/placer.test.ts
@@ -142,3 +142,48 @@
   placer.placeAll(openJobs(1, 1), 10);
   t.true(placer.isWaitingForFaster);
 });
+
+test('tasks wait for a rack that comes to them in time, and the others start elsewhere', t => {
+  const {fleet} = buildFullFleet(4);
+  const near = fleet.listTargets('tally').map(target => ({
+    ...target,
+    capacity: {...target.capacity, labels: ['rack-0']},
+  }));
+  const used = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  const far = {...near[0]!, target: 'far', used};
+  const placed: {target: string; runs: number; estimateMs: number}[] = [];
+  const placer = new Placer(
+    {
+      listTargets: () => [
+        ...near,
+        {...far, capacity: {...far.capacity, labels: [], cpuMillis: 64_000}},
+      ],
+      find: target => ({
+        slowness: 1,
+        place: ({runs, estimateMs}) =>
+          void placed.push({target, runs: runs.length, estimateMs}),
+      }),
+    },
+    openLog('silent', 'agent', 'a'),
+    {locality: {remoteFactor: 3}},
+  );
+  const jobs = openJobs(1, 16).map(job => {
+    const [step] = job.state.job.steps;
+    const steps = [{...step!, dataRack: 'rack-0'}];
+    const state = {...job.state, job: {...job.state.job, steps}};
+    return Object.assign(job, {state});
+  });
+  placer.placeAll(jobs, 0);
+  t.true(placer.isWaitingForFaster);
+  t.true(jobs[0]!.nearWaits.get(0)! > 0);
+  t.deepEqual(
+    placed.map(({target, estimateMs}) => [target, estimateMs]),
+    [['far', 150]],
+  );
+  t.true(placed[0]!.runs < 16);
+  placer.placeAll(jobs, jobs[0]!.nearWaits.get(0)!);
+  t.is(
+    placed.reduce((sum, {runs}) => sum + runs, 0),
+    16,
+  );
+});
--- a/packages/policy/test/locality-model.ts
+++ b/packages/policy/test/locality-model.ts
@@ -61,8 +61,8 @@
 const otherLoad = 0.35;
 const demand = {cpuMillis: 1000, memoryMb: 1, accelerators: 0};
 
-/** Plays tasks of which many want one rack on a pool of targets. Deterministic by its seed. */
-export function playHotRack(options: HotRackOptions): HotRackResult {
+/** Replays tasks of which many want one rack on a pool of targets. Deterministic by its seed. */
+export function replayHotRack(options: HotRackOptions): HotRackResult {
   const draw = createDraw(options.seed);
   const targetCount = racks * targetsPerRack;
   const counts: number[] = new Array<number>(targetCount).fill(0);
--- a/packages/policy/test/locality.test.ts
+++ b/packages/policy/test/locality.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {computeNearWaitDeadline} from '#policy';
-import {playHotRack, type Waiting} from './locality-model.js';
+import {replayHotRack, type Waiting} from './locality-model.js';
 
 const question = {
   now: 0,
@@ -44,12 +44,12 @@
 
 const seeds = [1, 2, 3];
 
-function playMean(
+function replayMean(
   waiting: Waiting,
-  changes: Partial<Parameters<typeof playHotRack>[0]>,
+  changes: Partial<Parameters<typeof replayHotRack>[0]>,
 ) {
   const results = seeds.map(seed =>
-    playHotRack({
+    replayHotRack({
       hotLoad: 0.9,
       factor: 3,
       waiting,
@@ -71,9 +71,9 @@
 for (const hotLoad of [0.5, 0.9, 1.5]) {
   for (const factor of [1.5, 3]) {
     test(`with a hot rack at ${hotLoad} of its room and factor ${factor}, waiting serves no class worse`, t => {
-      const never = playMean({kind: 'never'}, {hotLoad, factor});
-      const fixed = playMean({kind: 'fixed', waitMs: 100}, {hotLoad, factor});
-      const decided = playMean(
+      const never = replayMean({kind: 'never'}, {hotLoad, factor});
+      const fixed = replayMean({kind: 'fixed', waitMs: 100}, {hotLoad, factor});
+      const decided = replayMean(
         {kind: 'decided', toldFactor: factor},
         {hotLoad, factor},
       );
@@ -87,14 +87,14 @@
 }
 
 test('with a factor of 1 nothing waits', t => {
-  const never = playMean({kind: 'never'}, {factor: 1});
-  const decided = playMean({kind: 'decided', toldFactor: 1}, {factor: 1});
+  const never = replayMean({kind: 'never'}, {factor: 1});
+  const decided = replayMean({kind: 'decided', toldFactor: 1}, {factor: 1});
   t.deepEqual(decided, never);
 });
 
 test('a wrong factor costs no class its answers', t => {
-  const right = playMean({kind: 'decided', toldFactor: 1.5}, {factor: 1.5});
-  const wrong = playMean({kind: 'decided', toldFactor: 3}, {factor: 1.5});
+  const right = replayMean({kind: 'decided', toldFactor: 1.5}, {factor: 1.5});
+  const wrong = replayMean({kind: 'decided', toldFactor: 3}, {factor: 1.5});
   t.log({right, wrong});
   t.true(wrong.hotInTime >= right.hotInTime - 0.05);
   t.true(wrong.otherInTime >= right.otherInTime - 0.05);
@@ -102,8 +102,8 @@
 
 test('tasks that wait for a rack that is lost run elsewhere', t => {
   const options = {hotLoad: 0.9, rackLostAt: 2500};
-  const never = playMean({kind: 'never'}, options);
-  const decided = playMean({kind: 'decided', toldFactor: 3}, options);
+  const never = replayMean({kind: 'never'}, options);
+  const decided = replayMean({kind: 'decided', toldFactor: 3}, options);
   t.log({never, decided});
   t.true(decided.hotInTime >= never.hotInTime - 0.01);
 });
