--- a/packages/cli/src/status-command.ts
+++ b/packages/cli/src/status-command.ts
@@ -130,13 +130,22 @@
   ]);
   return [
     `${status.member}: ${status.role} in term ${status.term}, committed ${status.commitIndex}, configuration ${status.configVersion}, jobs ${status.jobs}`,
+    ...(status.catchingUp
+      ? ['catching up with the leader: the state below may be old']
+      : []),
     renderMembers(status),
     ...(status.repair === undefined ? [] : [`repair: ${status.repair}`]),
+    ...renderEvacuated(status),
     renderTable(['TARGET', 'SERVICE', 'ADDRESS', 'DOMAIN', 'STATE'], targets),
     renderTable(['ENTRY', 'EPOCH', 'ADDRESS', 'DOMAIN'], entries),
   ];
 }
 
+function renderEvacuated({evacuated = []}: ControlStatus): readonly string[] {
+  if (evacuated.length === 0) return [];
+  return [`evacuated failure domains: ${evacuated.join(', ')}`];
+}
+
 const histogramColumns = [
   'team',
   'service',
