Follow a view that takes longer than an attempt to arrive

A request beside it, such as a lease renewal, timed out behind it, the client left the connection, and each watch after that was given up after 2 s, so that every connection began to send the same configuration anew (log: "its view cannot be followed" every 2 s).

A connection on which a message is arriving is now kept when a request times out, and the first update of a watch is waited for while its bytes arrive.

The new test, a view of 300 KB over a link of 100 KB/s beside lookups, never ends on the old source and passes now, on one connection.

--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -82,6 +82,10 @@
 ) => void;
 
 const attemptTimeoutMs = 2000;
+/** Limit for the first update of a watch, which may be large, while bytes of it keep arriving. */
+const firstUpdateTimeoutMs = 30_000;
+/** Bytes within the time of an attempt that show that a message is arriving; answers to probes are fewer. */
+const minProgressBytes = 16 * 1024;
 /** A request with less time left is not sent: it would time out with an unknown outcome. */
 const minAttemptMs = 5;
 const initialBackoffMs = 20;
@@ -224,9 +228,10 @@
       deadline,
       this.clock.now() + attemptTimeoutMs,
     );
+    const receivedBytes = peer.receivedBytes;
     const reply = await peer.request(method, params, attemptDeadline);
     return reply.caseOf<Attempt<ControlValue<Name>>>({
-      Left: failure => this.handleFailure(peer, failure),
+      Left: failure => this.handleFailure(peer, failure, receivedBytes),
       Right: result => {
         const answer = result as {kind?: string; value?: unknown};
         if (answer.kind === 'not-leader') {
@@ -238,7 +243,12 @@
     });
   }
 
-  private handleFailure(peer: Peer, failure: RpcFailure): Attempt<never> {
+  /** `receivedBytes` had arrived when the request was sent. */
+  private handleFailure(
+    peer: Peer,
+    failure: RpcFailure,
+    receivedBytes: number,
+  ): Attempt<never> {
     if (failure.kind === 'rejected') {
       return {
         kind: 'rejected',
@@ -246,7 +256,11 @@
         maybeApplied: false,
       };
     }
-    this.dropPeer(peer, failure.kind);
+    // An answer may wait behind an update that is still arriving, which a new connection would begin anew.
+    const isArriving = peer.receivedBytes - receivedBytes >= minProgressBytes;
+    if (failure.kind !== 'timeout' || !isArriving) {
+      this.dropPeer(peer, failure.kind);
+    }
     const detail =
       failure.kind === 'timeout' ? 'no answer in time' : failure.detail;
     return {kind: 'failed', detail, maybeApplied: true, redirected: false};
@@ -335,18 +349,12 @@
   private async subscribe(peer: Peer, watching: Watch): Promise<boolean> {
     watching.buffered = [];
     watching.hasGap = false;
-    const reply = await peer.request(
-      'control.watch',
-      {since: this.latest.revision, topics: watching.topics},
-      monotonicClock.now() + attemptTimeoutMs,
-    );
+    const first = await this.requestFirstUpdate(peer, watching);
     const buffered = watching.buffered;
     watching.buffered = undefined;
-    const isApplied = reply
-      .map(first =>
-        [first, ...buffered].every(update => this.applyToView(update)),
-      )
-      .orDefault(false);
+    const isApplied =
+      first !== undefined &&
+      [first, ...buffered].every(update => this.applyToView(update));
     if (isApplied) {
       const {revision} = this.latest;
       this.emit({kind: 'watching', control: this.next, revision});
@@ -356,6 +364,29 @@
     return isApplied;
   }
 
+  /**
+   * Requests the update that a watch begins with; undefined when it does not arrive. Over a slow link a
+   * large configuration takes longer than an attempt: it is waited for while it arrives.
+   */
+  private async requestFirstUpdate(
+    peer: Peer,
+    {topics}: Watch,
+  ): Promise<ViewUpdate | undefined> {
+    const request = peer.request(
+      'control.watch',
+      {since: this.latest.revision, topics},
+      monotonicClock.now() + firstUpdateTimeoutMs,
+    );
+    for (;;) {
+      const receivedBytes = peer.receivedBytes;
+      const reply = await this.waits.race(request, attemptTimeoutMs);
+      if (reply !== undefined) return reply.toMaybe().extract();
+      const arrived = peer.receivedBytes - receivedBytes;
+      if (this.waits.isCancelled || arrived < minProgressBytes)
+        return undefined;
+    }
+  }
+
   private waitForDisconnect(peer: Peer, watching: Watch): Promise<void> {
     return new Promise(resolve => {
       watching.resume = resolve;
--- a/packages/membership/test/client.test.ts
+++ b/packages/membership/test/client.test.ts
@@ -1,3 +1,4 @@
+import {connect, createServer, type Socket} from 'node:net';
 import test from 'ava';
 import {monotonicClock} from '#model';
 import {
@@ -175,3 +176,68 @@
     t.is(client.view.configuration.version, 2);
   });
 });
+
+/** Listens on loopback and passes what an address sends on at a limited rate. */
+async function openSlowLink(address: string, bytesPerSecond: number) {
+  const sockets = new Set<Socket>();
+  const intervalMs = 20;
+  const pieceBytes = (bytesPerSecond * intervalMs) / 1000;
+  const [host, port] = address.split(':');
+  const server = createServer(near => {
+    const far = connect(Number(port), host);
+    let pending = Buffer.alloc(0);
+    const timer = setInterval(() => {
+      near.write(pending.subarray(0, pieceBytes));
+      pending = pending.subarray(pieceBytes);
+    }, intervalMs);
+    far.on('data', chunk => (pending = Buffer.concat([pending, chunk])));
+    near.pipe(far);
+    for (const socket of [near, far]) {
+      sockets.add(socket);
+      socket.on('error', () => {});
+      socket.on('close', () => {
+        clearInterval(timer);
+        near.destroy();
+        far.destroy();
+      });
+    }
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port: ownPort} = server.address() as {port: number};
+  return {
+    address: `127.0.0.1:${ownPort}`,
+    async [Symbol.asyncDispose]() {
+      for (const socket of sockets) socket.destroy();
+      await new Promise(resolve => server.close(resolve));
+    },
+  };
+}
+
+test('a view that takes longer than an attempt to arrive is followed, and requests beside it keep the connection', async t => {
+  const large = full(1, 7);
+  if (large.kind !== 'full') throw new Error('expected a full view');
+  const {configuration} = large.view;
+  const source = {base: 'x'.repeat(300_000), overlays: {}};
+  const view = {...large.view, configuration: {...configuration, source}};
+  const attached = new Set<Peer>();
+  const control = await listen({
+    ...leader,
+    'control.watch': (_, peer) => {
+      attached.add(peer);
+      return {...large, view};
+    },
+  });
+  await using link = await openSlowLink(control.address, 100_000);
+  const client = new ControlClient({controls: [link.address]});
+  const followed = new Promise<View>(resolve => client.watch('all', resolve));
+  const asking = setInterval(
+    () =>
+      void client.request('control.lookup', lookup, monotonicClock.now() + 400),
+    500,
+  );
+  t.is((await followed).configuration.version, 7);
+  clearInterval(asking);
+  t.is(attached.size, 1);
+  await client[Symbol.asyncDispose]();
+  await control[Symbol.asyncDispose]();
+});
--- a/packages/protocol/src/peer.ts
+++ b/packages/protocol/src/peer.ts
@@ -93,6 +93,7 @@
   private resolveClosed!: (cause: string) => void;
   private closeCause: string | undefined;
   private lastReceivedAt: Instant = monotonicClock.now();
+  private totalReceivedBytes = 0;
   private isProbing = false;
   private lastId = 0;
   private outgoing: Buffer[] = [];
@@ -135,6 +136,11 @@
     return this.socket.writableLength;
   }
 
+  /** Bytes received so far, including those of incomplete messages. */
+  get receivedBytes(): number {
+    return this.totalReceivedBytes;
+  }
+
   /** Time since data was last received or the liveness settings changed, in ms. */
   get silentMs(): number {
     return monotonicClock.now() - this.lastReceivedAt;
@@ -254,6 +260,7 @@
 
   private receive(chunk: Buffer): void {
     this.lastReceivedAt = monotonicClock.now();
+    this.totalReceivedBytes += chunk.length;
     this.reader.readChunk(chunk).caseOf({
       Left: cause => this.close(`protocol error: ${cause}`),
       Right: messages => {
