Send watchers a configuration without the document it was made of

On the platform each configuration went to every entry twice: as another system's document and as what was made of it. Entries use the second alone; the document is read back from control.

--- a/packages/control/src/state-machine.ts
+++ b/packages/control/src/state-machine.ts
@@ -1,5 +1,10 @@
-import {assertInvariant, BrokenInvariant, failUnreachable} from '#model';
-import type {View, ViewUpdate, WatchParams} from '#protocol';
+import {
+  assertInvariant,
+  BrokenInvariant,
+  failUnreachable,
+  type VersionedSource,
+} from '#model';
+import type {View, ViewChange, ViewUpdate, WatchParams} from '#protocol';
 import {
   applyCommand,
   buildView,
@@ -74,7 +79,9 @@
   /** Builds the update for a watcher at a revision: the changes since then, or the full view. */
   buildUpdate(since: number, topics: WatchParams['topics']): ViewUpdate {
     const {revision} = this.current;
-    const changes = this.recentChanges.collectSince(since, topics);
+    const changes = this.recentChanges
+      .collectSince(since, topics)
+      ?.map(removeChangedDocument);
     if (since > 0 && changes !== undefined) {
       return {kind: 'delta', from: since, revision, changes};
     }
@@ -88,11 +95,28 @@
   }
 }
 
+/**
+ * Leaves out another system's document, which doubles the size of a large configuration; watchers use
+ * what was made of it. `control.readConfig` answers with the document.
+ */
+function removeDocument(configuration: VersionedSource): VersionedSource {
+  const {source} = configuration;
+  if (source.origin === undefined) return configuration;
+  const origin = {...source.origin, document: ''};
+  return {...configuration, source: {...source, origin}};
+}
+
+function removeChangedDocument(change: ViewChange): ViewChange {
+  if (change.kind !== 'configured') return change;
+  return {...change, configuration: removeDocument(change.configuration)};
+}
+
 function selectTopics(view: View, topics: WatchParams['topics']): View {
-  const {targets, configuration, evacuated} = view;
+  const {targets, evacuated} = view;
+  const configuration = removeDocument(view.configuration);
   switch (topics) {
     case 'all':
-      return view;
+      return {...view, configuration};
     case 'configuration':
       return {...emptyWireView, configuration, evacuated};
     case 'targets':
