--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -99,6 +99,7 @@
   estimatePoolBacklog,
   type BacklogSample,
   checkBacklog,
+  checkEvacuation,
 } from './backlog.js';
 
 export type {GrantLimits, GrantMode, SlotGrants, SlotHolder} from './grants.js';
@@ -135,8 +136,17 @@
 } from './guard.js';
 export {defaultGuardLimits, chooseGuardAction, updateUsage} from './guard.js';
 
+export type {LoadReturn, ObservedSpeed} from './load-return.js';
 export {
+  advanceLoadReturn,
+  beginLoadReturn,
+  computeOfferedRoom,
+} from './load-return.js';
+
+export {
+  chooseFollowedTargets,
   chooseTargetSubset,
+  filterInService,
   chooseHomeDispatchers,
   chooseCapableTargets,
   type TaskRequirements,
