Test the status line and views of builds without evacuations

Cause: two answers to older or newer builds had no test. Change: status with and without evacuated domains; a full view without the field.

--- a/packages/cli/test/domain.test.ts
+++ b/packages/cli/test/domain.test.ts
@@ -1,5 +1,9 @@
 import test from 'ava';
-import type {SetEvacuationParams, SetEvacuationResult} from '#protocol';
+import type {
+  ControlStatus,
+  SetEvacuationParams,
+  SetEvacuationResult,
+} from '#protocol';
 import {runCommand, serveRpc} from './command-runner.js';
 
 const buildReply = (value: SetEvacuationResult) =>
@@ -66,3 +70,24 @@
   t.regex(out, /a +in service +3 +1/);
   t.regex(out, /b +evacuated +2 +0/);
 });
+
+test('status names the evacuated domains, and nothing of a build without them', async t => {
+  const status: ControlStatus = {
+    member: 'c1',
+    role: 'leader',
+    term: 1,
+    commitIndex: 1,
+    members: [],
+    targets: [],
+    entries: [],
+    jobs: 0,
+    configVersion: 1,
+    acknowledged: [],
+  };
+  const show = async (shown: ControlStatus) => {
+    const control = await serveRpc(t, {'control.status': () => shown});
+    return (await runCommand(`status --control ${control}`)).out;
+  };
+  t.regex(await show({...status, evacuated: ['a', 'b']}), /evacuated.*: a, b/);
+  t.notRegex(await show(status), /evacuated/);
+});
--- a/packages/membership/test/evacuations.test.ts
+++ b/packages/membership/test/evacuations.test.ts
@@ -3,8 +3,11 @@
 import {Packr, Unpackr} from 'msgpackr';
 import {
   applyCommand,
+  applyUpdate,
+  buildView,
   createState,
   decodeSnapshot,
+  emptyView,
   encodeSnapshot,
   isDomainName,
   isKnownDomain,
@@ -159,3 +162,9 @@
     t.false(isDomainName(name));
   }
 });
+
+test('a full view of a build without evacuations has none', t => {
+  const view = {...buildView(createState()), evacuated: undefined};
+  const result = applyUpdate(emptyView, {kind: 'full', revision: 1, view});
+  t.true(result.kind === 'applied' && result.view.evacuated.size === 0);
+});
