Use a target again whose agent restarted while its executor ran on

Cause: an agent that stops announces its target as leaving and withdraws it. When the withdrawal is lost, the next agent announces the same incarnation, that of the executor, and leaving stuck: entries found no home there for as long as it ran. Change: on the platform an announcement carries the life of the agent; leaving ends with a higher one, and with it alone, so that a delayed announcement undoes nothing. Replicas of a group should run one build while agents restart, as older ones leave the mark.

--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -161,7 +161,7 @@
   return {result: {kind: 'done'}, changes};
 }
 
-/** Within one incarnation a leaving target stays leaving, even if a delayed older announcement says otherwise. */
+/** Within one incarnation and life a leaving target stays leaving, even if a delayed older announcement says otherwise. */
 function announceTarget(
   state: ControlState,
   target: TargetInfo,
@@ -173,8 +173,9 @@
   }
   const restarted =
     known !== undefined && known.incarnation < target.incarnation;
+  const isNewLife = (target.life ?? 0) > (known?.life ?? 0);
   const leaving =
-    target.leaving || (known?.leaving === true && restarted === false);
+    target.leaving || (known?.leaving === true && !restarted && !isNewLife);
   const announced = {...target, leaving};
   if (JSON.stringify(known) === JSON.stringify(announced)) return finish([]);
   const changes = restarted ? [endIncarnation(state, known)] : [];
--- a/packages/membership/test/state.test.ts
+++ b/packages/membership/test/state.test.ts
@@ -274,6 +274,20 @@
   t.is(log.state.gone.length, 0);
 });
 
+test('a target whose agent starts again within an incarnation is not leaving any more', t => {
+  const log = new Log();
+  const announce = (life: number, leaving: boolean) => {
+    const info = {...target('t'), life, leaving};
+    log.run({kind: 'announce-target', time: 0, target: info});
+    return log.state.targets.get('t')?.leaving;
+  };
+  t.deepEqual(
+    [announce(1, true), announce(1, false), announce(2, false)],
+    [true, true, false],
+  );
+  t.deepEqual([announce(2, true), announce(1, false)], [true, true]);
+});
+
 test('a delayed older announcement does not undo that a target is leaving', t => {
   const log = new Log();
   const announce = (leaving: boolean) =>
--- a/packages/model/src/target.ts
+++ b/packages/model/src/target.ts
@@ -50,7 +50,9 @@
   readonly address: Address;
   readonly place: Location;
   readonly capacity: Capacity | ResourceCapacity;
-  /** True once the agent has begun to drain; stays true within an incarnation. */
+  /** Increases at each start of an agent whose incarnation is that of its executor, which outlives it. */
+  readonly life?: number;
+  /** True once the agent has begun to drain; stays true within an incarnation and life. */
   readonly leaving: boolean;
 }
 
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -47,6 +47,7 @@
   address: string,
   place: location,
   capacity,
+  life: optional(count),
   leaving: boolean,
 });
 const entryInfo = Codec.interface({
