--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -189,17 +189,13 @@
   }
 
   private listDispatchers(service: ServiceName): readonly Address[] {
-    const {listDispatchers} = this.options;
-    if (listDispatchers === undefined) return this.fleet.listHomes(service);
-    return listDispatchers(this.view, service);
+    const listed = this.options.listDispatchers?.(this.view, service);
+    return listed ?? this.fleet.listHomes(service);
   }
 
   private listRegistrars(service: ServiceName): readonly Address[] {
-    const {listDispatchers} = this.options;
-    if (listDispatchers === undefined) {
-      return this.fleet.listRegistrars(service);
-    }
-    return listDispatchers(this.view, service);
+    const listed = this.options.listDispatchers?.(this.view, service);
+    return listed ?? this.fleet.listRegistrars(service);
   }
 
   /** Stops accepting jobs from other dispatchers. */
