--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -11,6 +11,7 @@
   type TargetId,
 } from '#model';
 import {cancelJob, endRun, hasReadyTask} from '#jobs';
+import type {LocalityPolicy} from '#policy';
 import type {FollowJobResult, Handlers, RelayJobParams} from '#protocol';
 import {emptyView, type View} from '#membership';
 import {type Logger, type Metrics, noopMetrics} from '#telemetry';
@@ -22,11 +23,10 @@
   openActiveJob,
 } from './active-job.js';
 import {ClaimTable} from './claims.js';
-import {logEnd, measureEnd} from './events.js';
+import {logEnd, logRunEnd, measureEnd} from './events.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
-import type {LocalityPolicy} from '#policy';
 import {Admission, sumWaitingWork} from './admission.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, resolveOwnership} from './ownership.js';
@@ -108,7 +108,8 @@
       claims: this.claims,
       peerDispatchers: this.peerDispatchers,
       log: options.log,
-      listDispatchers: service => this.listRegistrars(service),
+      listDispatchers: service =>
+        this.listStated(service) ?? this.fleet.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
     };
     this.fleet = new RunnerFleet({
@@ -189,13 +190,11 @@
   }
 
   private listDispatchers(service: ServiceName): readonly Address[] {
-    const listed = this.options.listDispatchers?.(this.view, service);
-    return listed ?? this.fleet.listHomes(service);
+    return this.listStated(service) ?? this.fleet.listHomes(service);
   }
 
-  private listRegistrars(service: ServiceName): readonly Address[] {
-    const listed = this.options.listDispatchers?.(this.view, service);
-    return listed ?? this.fleet.listRegistrars(service);
+  private listStated(service: ServiceName): readonly Address[] | undefined {
+    return this.options.listDispatchers?.(this.view, service);
   }
 
   /** Stops accepting jobs from other dispatchers. */
@@ -339,13 +338,13 @@
   }
 
   private run(
-    {job: submitted, queue, arrivedAt, callerDeadline}: JobSubmission,
+    submission: JobSubmission,
     isFirst: boolean,
   ): Promise<JobOutcome> {
     const now = this.clock.now();
-    const job = this.predictor.adjust(submitted, queue.name);
+    const {queue, callerDeadline} = submission;
+    const job = this.predictor.adjust(submission.job, queue.name);
     return new Promise(resolve => {
-      const submission = {job: submitted, queue, arrivedAt, callerDeadline};
       const active = openActiveJob(submission, job, isFirst, resolve);
       this.expiry.arm(active, active.uselessAt - active.chainMs);
       this.jobs.set(job.id, active);
@@ -399,12 +398,7 @@
       this.forgetEnded(job);
       return;
     }
-    const isUsual = end === 'succeeded' || end === 'not-run';
-    const level = isUsual ? 'debug' : 'info';
-    this.options.log[level](
-      {event: 'run-ended', target, ...run.ref, end},
-      'a run has ended',
-    );
+    logRunEnd(this.options.log, target, run.ref, end);
     switch (job.state.phase) {
       case 'completed':
         this.close(job, {kind: 'completed'});
--- a/packages/dispatch/src/events.ts
+++ b/packages/dispatch/src/events.ts
@@ -1,4 +1,4 @@
-import type {Instant} from '#model';
+import type {Instant, RunEnd, RunRef, TargetId} from '#model';
 import type {Logger, Metrics} from '#telemetry';
 import type {ActiveJob, JobOutcome} from './active-job.js';
 
@@ -33,3 +33,17 @@
   metrics.increment('queued.jobs', 1, tags);
   metrics.timing('queued.job.response', now - arrivedAt, tags);
 }
+
+/** Logs the end of a run. */
+export function logRunEnd(
+  log: Logger,
+  target: TargetId,
+  ref: RunRef,
+  end: RunEnd,
+): void {
+  const isUsual = end === 'succeeded' || end === 'not-run';
+  log[isUsual ? 'debug' : 'info'](
+    {event: 'run-ended', target, ...ref, end},
+    'a run has ended',
+  );
+}
