--- a/packages/control/src/change-buffer.ts
+++ b/packages/control/src/change-buffer.ts
@@ -54,7 +54,9 @@
       case 'targets':
         return changes.filter(isAboutTargets);
       case 'configuration':
-        return changes.filter(isConfiguration);
+        return changes.filter(
+          change => isConfiguration(change) || isEvacuation(change),
+        );
       default:
         return failUnreachable(topics);
     }
@@ -85,6 +87,14 @@
   return kind === 'configured';
 }
 
-function isAboutTargets({kind}: ViewChange): boolean {
-  return kind === 'target-joined' || kind === 'target-gone';
+function isAboutTargets(change: ViewChange): boolean {
+  return (
+    change.kind === 'target-joined' ||
+    change.kind === 'target-gone' ||
+    isEvacuation(change)
+  );
+}
+
+function isEvacuation({kind}: ViewChange): boolean {
+  return kind === 'domain-evacuated' || kind === 'domain-restored';
 }
