--- a/packages/control/test/held-bytes.test.ts
+++ b/packages/control/test/held-bytes.test.ts
@@ -24,10 +24,10 @@
   const routes = Array.from({length: routeCount}, (_, i) => ({
     name: `r-${i}`,
     host: 'h.example',
-    path_prefix: `/p${i}/`,
+    path: `/p${i}/`,
     type: 'non_idempotent',
     timeout_ms: 1500,
-    target_completion_ms: 60,
+    completion_target_ms: 60,
     priority: 0,
     backend: 'svc-a',
     attempts: 3,
