--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,7 +13,7 @@
 import {cancelJob, endRun, hasReadyTask} from '#jobs';
 import type {FollowJobResult, Handlers, RelayJobParams} from '#protocol';
 import {emptyView, type View} from '#membership';
-import {type Logger, type Metrics, noopMetrics} from '#telemetry';
+import {type Metrics, noopMetrics} from '#telemetry';
 import {
   type ActiveJob,
   isUnstarted,
@@ -22,11 +22,11 @@
   openActiveJob,
 } from './active-job.js';
 import {ClaimTable} from './claims.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
 import {logEnd, measureEnd} from './events.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
-import type {LocalityPolicy} from '#policy';
 import {Admission, sumWaitingWork} from './admission.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, resolveOwnership} from './ownership.js';
@@ -38,29 +38,6 @@
 import {SubmitterConnections} from './submitter-connections.js';
 import {sleepUntil} from './wait.js';
 
-export interface DispatcherOptions {
-  readonly id: string;
-  /** The target on the dispatcher's own host; undefined for a dispatcher without one. */
-  readonly localTarget?: TargetId;
-  /** Identifies this start of the process; increases with each start. */
-  readonly life: number;
-  readonly failureDomain: string;
-  /** Where it listens for other dispatchers; undefined when it is the only one. */
-  readonly address?: Address;
-  /** Lists the addresses of a service's dispatchers; by default, those of its homes. */
-  readonly listDispatchers?: (
-    view: View,
-    service: ServiceName,
-  ) => readonly Address[];
-  readonly log: Logger;
-  readonly metrics?: Metrics;
-  readonly clock?: Clock;
-  /** How tasks are placed near their data; unset: without waiting. */
-  readonly locality?: LocalityPolicy;
-  /** Returns this process's event loop lag in ms. */
-  readonly readLagMs?: () => number;
-}
-
 /** Short, as another dispatcher can take the job at once. */
 const leavingRetryMs = 200;
 /** Callers may ask for an ended job again; they do so within seconds. */
@@ -190,16 +167,17 @@
 
   private listDispatchers(service: ServiceName): readonly Address[] {
     const {listDispatchers} = this.options;
-    if (listDispatchers === undefined) return this.fleet.listHomes(service);
-    return listDispatchers(this.view, service);
+    return (
+      listDispatchers?.(this.view, service) ?? this.fleet.listHomes(service)
+    );
   }
 
   private listRegistrars(service: ServiceName): readonly Address[] {
     const {listDispatchers} = this.options;
-    if (listDispatchers === undefined) {
-      return this.fleet.listRegistrars(service);
-    }
-    return listDispatchers(this.view, service);
+    return (
+      listDispatchers?.(this.view, service) ??
+      this.fleet.listRegistrars(service)
+    );
   }
 
   /** Stops accepting jobs from other dispatchers. */
