--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -11,10 +11,9 @@
   type TargetId,
 } from '#model';
 import {cancelJob, endRun, hasReadyTask} from '#jobs';
-import type {LocalityPolicy} from '#policy';
 import type {FollowJobResult, Handlers, RelayJobParams} from '#protocol';
 import {emptyView, type View} from '#membership';
-import {type Logger, type Metrics, noopMetrics} from '#telemetry';
+import {type Metrics, noopMetrics} from '#telemetry';
 import {
   type ActiveJob,
   isUnstarted,
@@ -23,6 +22,7 @@
   openActiveJob,
 } from './active-job.js';
 import {ClaimTable} from './claims.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
 import {logEnd, logRunEnd, measureEnd} from './events.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
@@ -38,29 +38,6 @@
 import {SubmitterConnections} from './submitter-connections.js';
 import {sleepUntil} from './wait.js';
 
-export interface DispatcherOptions {
-  readonly id: string;
-  /** The target on the dispatcher's own host; undefined for a dispatcher without one. */
-  readonly localTarget?: TargetId;
-  /** Identifies this start of the process; increases with each start. */
-  readonly life: number;
-  readonly failureDomain: string;
-  /** Where it listens for other dispatchers; undefined when it is the only one. */
-  readonly address?: Address;
-  /** Lists the addresses of a service's dispatchers; by default, those of its homes. */
-  readonly listDispatchers?: (
-    view: View,
-    service: ServiceName,
-  ) => readonly Address[];
-  readonly log: Logger;
-  readonly metrics?: Metrics;
-  readonly clock?: Clock;
-  /** How tasks are placed near their data; unset: without waiting. */
-  readonly locality?: LocalityPolicy;
-  /** Returns this process's event loop lag in ms. */
-  readonly readLagMs?: () => number;
-}
-
 /** Short, as another dispatcher can take the job at once. */
 const leavingRetryMs = 200;
 /** Callers may ask for an ended job again; they do so within seconds. */
