--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -13,7 +13,7 @@
 import {cancelJob, endRun, hasReadyTask} from '#jobs';
 import type {FollowJobResult, Handlers, RelayJobParams} from '#protocol';
 import {emptyView, type View} from '#membership';
-import {type Logger, type Metrics, noopMetrics} from '#telemetry';
+import {type Metrics, noopMetrics} from '#telemetry';
 import {
   type ActiveJob,
   isUnstarted,
@@ -22,7 +22,8 @@
   openActiveJob,
 } from './active-job.js';
 import {ClaimTable} from './claims.js';
-import {logEnd, measureEnd} from './events.js';
+import type {DispatcherOptions} from './dispatcher-options.js';
+import {logEnd, logRunEnd, measureEnd} from './events.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
@@ -37,27 +38,6 @@
 import {SubmitterConnections} from './submitter-connections.js';
 import {sleepUntil} from './wait.js';
 
-export interface DispatcherOptions {
-  readonly id: string;
-  /** The target on the dispatcher's own host; undefined for a dispatcher without one. */
-  readonly localTarget?: TargetId;
-  /** Identifies this start of the process; increases with each start. */
-  readonly life: number;
-  readonly failureDomain: string;
-  /** Where it listens for other dispatchers; undefined when it is the only one. */
-  readonly address?: Address;
-  /** Lists the addresses of a service's dispatchers; by default, those of its homes. */
-  readonly listDispatchers?: (
-    view: View,
-    service: ServiceName,
-  ) => readonly Address[];
-  readonly log: Logger;
-  readonly metrics?: Metrics;
-  readonly clock?: Clock;
-  /** Returns this process's event loop lag in ms. */
-  readonly readLagMs?: () => number;
-}
-
 /** Short, as another dispatcher can take the job at once. */
 const leavingRetryMs = 200;
 /** Callers may ask for an ended job again; they do so within seconds. */
@@ -105,7 +85,8 @@
       claims: this.claims,
       peerDispatchers: this.peerDispatchers,
       log: options.log,
-      listDispatchers: service => this.listDispatchers(service),
+      listDispatchers: service =>
+        this.listStated(service) ?? this.fleet.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
     };
     this.fleet = new RunnerFleet({
@@ -119,7 +100,10 @@
         this.recordEnd(target, run, end, runMs),
       onLoad: () => this.placementScheduler.schedule(),
     });
-    this.placer = new Placer(this.fleet, options.log);
+    this.placer = new Placer(this.fleet, options.log, {
+      metrics: this.metrics,
+      locality: options.locality,
+    });
     this.runMover = new RunMover(
       this.fleet,
       id => this.jobs.get(id),
@@ -179,12 +163,15 @@
   follow(view: View): void {
     this.view = view;
     this.fleet.follow(view);
+    this.metrics.gauge('queued.targets.evacuated', this.fleet.evacuatedCount);
   }
 
   private listDispatchers(service: ServiceName): readonly Address[] {
-    const {listDispatchers} = this.options;
-    if (listDispatchers === undefined) return this.fleet.listHomes(service);
-    return listDispatchers(this.view, service);
+    return this.listStated(service) ?? this.fleet.listHomes(service);
+  }
+
+  private listStated(service: ServiceName): readonly Address[] | undefined {
+    return this.options.listDispatchers?.(this.view, service);
   }
 
   /** Stops accepting jobs from other dispatchers. */
@@ -328,13 +315,13 @@
   }
 
   private run(
-    {job: submitted, queue, arrivedAt, callerDeadline}: JobSubmission,
+    submission: JobSubmission,
     isFirst: boolean,
   ): Promise<JobOutcome> {
     const now = this.clock.now();
-    const job = this.predictor.adjust(submitted, queue.name);
+    const {queue, callerDeadline} = submission;
+    const job = this.predictor.adjust(submission.job, queue.name);
     return new Promise(resolve => {
-      const submission = {job: submitted, queue, arrivedAt, callerDeadline};
       const active = openActiveJob(submission, job, isFirst, resolve);
       this.expiry.arm(active, active.uselessAt - active.chainMs);
       this.jobs.set(job.id, active);
@@ -388,12 +375,7 @@
       this.forgetEnded(job);
       return;
     }
-    const isUsual = end === 'succeeded' || end === 'not-run';
-    const level = isUsual ? 'debug' : 'info';
-    this.options.log[level](
-      {event: 'run-ended', target, ...run.ref, end},
-      'a run has ended',
-    );
+    logRunEnd(this.options.log, target, run.ref, end);
     switch (job.state.phase) {
       case 'completed':
         this.close(job, {kind: 'completed'});
@@ -409,11 +391,12 @@
 
   private observeRun(
     {submitted, queue}: ActiveJob,
-    {ref}: OutstandingRun,
+    {ref, remoteFactor}: OutstandingRun,
     target: TargetId,
-    runMs: number,
+    fullRunMs: number,
   ): void {
     const {estimateMs} = submitted.steps[ref.step]!;
+    const runMs = fullRunMs / remoteFactor;
     const relativeSlowness = this.fleet.computeRelativeSlowness(target);
     this.predictor.observe(queue.name, {estimateMs, runMs, relativeSlowness});
   }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -69,6 +69,7 @@
   chooseTarget,
   findFreeTarget,
   canHoldWhenEmpty,
+  computeRemoteFactor,
   reserveCapacity,
   agentStartMs,
 } from './capacity-placement.js';
@@ -98,6 +99,7 @@
   estimatePoolBacklog,
   type BacklogSample,
   checkBacklog,
+  checkEvacuation,
 } from './backlog.js';
 
 export type {GrantLimits, GrantMode, SlotGrants, SlotHolder} from './grants.js';
@@ -134,9 +136,25 @@
 } from './guard.js';
 export {defaultGuardLimits, chooseGuardAction, updateUsage} from './guard.js';
 
+export type {LoadReturn, ObservedSpeed} from './load-return.js';
 export {
+  advanceLoadReturn,
+  beginLoadReturn,
+  computeOfferedRoom,
+} from './load-return.js';
+
+export {
+  chooseFollowedTargets,
   chooseTargetSubset,
+  filterInService,
   chooseHomeDispatchers,
   chooseCapableTargets,
   type TaskRequirements,
 } from './target-subset.js';
+
+export type {LocalityPolicy, NearWaitQuestion} from './locality.js';
+export {
+  computeNearWaitDeadline,
+  computeUtilization,
+  estimateCapacityWaitMs,
+} from './locality.js';
--- a/packages/runner/src/events.ts
+++ b/packages/runner/src/events.ts
@@ -1,4 +1,5 @@
-import type {Logger} from '#telemetry';
+import type {Instant} from '#model';
+import {type Logger, type Metrics, noopMetrics} from '#telemetry';
 import type {ExecutorInfo} from './executor.js';
 import {formatRun, type Run} from './run.js';
 
@@ -16,8 +17,9 @@
 }
 
 /** Logs that a run makes no progress and is stopped. */
-export function logStall(log: Logger, run: Run, stillMs: number): void {
+export function logStall(log: Logger, run: Run, now: Instant): void {
   const {ref, percent} = run;
+  const stillMs = Math.round(now - run.progressedAt);
   log.warn(
     {event: 'run-stalled', run: formatRun(ref), percent, stillMs},
     'run makes no progress; stopping it',
@@ -59,3 +61,23 @@
     'executor did not answer; its lease has expired',
   );
 }
+
+/** Logs and counts that the runner's failure domain was evacuated, or taken back into service. */
+export function logEvacuation(
+  {log, metrics = noopMetrics}: {log: Logger; metrics?: Metrics},
+  isEvacuated: boolean,
+  counts: {readonly returned: number; readonly running: number},
+): void {
+  if (isEvacuated) {
+    metrics.increment('runner.evacuation.returned', counts.returned);
+    log.info(
+      {event: 'runner-evacuated', ...counts},
+      'the failure domain is evacuated; waiting runs are returned, and none is started',
+    );
+    return;
+  }
+  log.info(
+    {event: 'runner-restored'},
+    'the failure domain is back in service; load returns gradually',
+  );
+}
