Refuse jobs that would end late while work waits, where a queue asks

At a cold start that meets a crest, the jobs of the last second arrive at once and each process is at the limit of its processor. Admission took every job that could end within three times its due time. Each of them costs as many messages as one in time, so that the backlog lasts for seconds and makes further jobs late.

A queue with late_jobs = "avoid" is judged by the due time while new work waits for more than 10 ms, at the targets or for the event loop of an entry or dispatcher. Without the key nothing changes.

--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -91,14 +91,20 @@
 /** The time to start a run and report its end: for each, two messages between hosts and one with the executor. */
 const startOverheadMs = 12;
 
-/** Ranks a job for placement, by the latest time at which its remaining work can start and still end in time. */
-export function rankJob(
-  {state, queue, dueAt, chainMs}: ActiveJob,
-  now: Instant,
-): number {
+/** Estimates the latest time at which a job's remaining work can start and still end in time. */
+export function estimateLatestStart({
+  state,
+  dueAt,
+  chainMs,
+}: ActiveJob): Instant {
   const remainingWorkMs = Math.min(chainMs, estimateRemainingWorkMs(state));
-  const latestStart = dueAt - remainingWorkMs - startOverheadMs;
-  return rankWork({latestStart, priority: queue.priority}, now);
+  return dueAt - remainingWorkMs - startOverheadMs;
+}
+
+/** Ranks a job for placement, by the latest start of its remaining work. */
+export function rankJob(job: ActiveJob, now: Instant): number {
+  const latestStart = estimateLatestStart(job);
+  return rankWork({latestStart, priority: job.queue.priority}, now);
 }
 
 function estimateRemainingWorkMs(state: JobState): number {
--- a/packages/dispatch/src/admission.ts
+++ b/packages/dispatch/src/admission.ts
@@ -10,6 +10,7 @@
   type DispatcherLoad,
   checkBacklog,
   checkSaturation,
+  chooseAdmissionDeadline,
   type PoolBacklog,
   type CandidateTarget,
   estimatePoolBacklog,
@@ -25,7 +26,10 @@
 const maxRetryMs = 5000;
 
 export interface AdmissionOptions {
-  readonly fleet: RunnerFleet;
+  readonly fleet: Pick<
+    RunnerFleet,
+    'isTemporarilyUnreachable' | 'listKnown' | 'listTargets'
+  >;
   /** Lists the recently reported loads of other dispatchers. */
   readonly listLoads: () => readonly DispatcherLoad[];
   /** Counts the dispatchers that share the targets of a service. */
@@ -46,7 +50,7 @@
     jobs: Iterable<ActiveJob>,
     now: Instant,
   ): Refusal | undefined {
-    const {job, queue, arrivedAt, callerDeadline} = submission;
+    const {job, queue, callerDeadline} = submission;
     const saturated = this.checkSaturation(submission, now);
     if (saturated !== undefined) return saturated;
     const targets = this.options.fleet.listTargets(queue.service);
@@ -54,17 +58,12 @@
       return undefined;
     if (targets.length === 0) return this.refuseWithoutTargets(submission);
     const chainMs = estimateCriticalPathMs(job);
-    const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, queue.objective);
     const backlog = this.estimateBacklog(queue.service, targets, jobs);
-    const decision = checkBacklog(
-      {
-        chainMs,
-        dueAt: arrivedAt + computeDueMs(job, queue.objective),
-        answerDeadline: Math.min(callerDeadline, uselessAt),
-      },
-      backlog,
-      now,
+    const answerDeadline = chooseAnswerDeadline(
+      submission,
+      estimateBacklogMs(backlog),
     );
+    const decision = checkBacklog({chainMs, answerDeadline}, backlog, now);
     if (decision.kind === 'admit') return undefined;
     this.countRefusal(queue, 'backlog');
     this.options.log.info(
@@ -91,17 +90,14 @@
 
   /** Refuses a job that this process would answer too late because its event loop lags, whatever the targets could do. */
   private checkSaturation(
-    {job, queue, arrivedAt, callerDeadline}: JobSubmission,
+    submission: JobSubmission,
     now: Instant,
   ): Refusal | undefined {
+    const {job, queue, callerDeadline} = submission;
     const lagMs = this.options.readLagMs();
-    const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, queue.objective);
     const chainMs = estimateCriticalPathMs(job);
-    const decision = checkSaturation(
-      {chainMs, answerDeadline: Math.min(callerDeadline, uselessAt)},
-      lagMs,
-      now,
-    );
+    const answerDeadline = chooseAnswerDeadline(submission, lagMs);
+    const decision = checkSaturation({chainMs, answerDeadline}, lagMs, now);
     if (decision.kind === 'admit') return undefined;
     const {retryAfterMs} = decision;
     this.countRefusal(queue, 'saturated');
@@ -180,6 +176,18 @@
   }
 }
 
+/** Chooses when a job must be expected to end to be admitted, if new work waits this long, in ms. */
+export function chooseAnswerDeadline(
+  {job, queue, arrivedAt, callerDeadline}: JobSubmission,
+  waitMs: number,
+): Instant {
+  const {objective, lateJobs} = queue;
+  const dueAt = arrivedAt + computeDueMs(job, objective);
+  const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, objective);
+  const answerDeadline = Math.min(callerDeadline, uselessAt);
+  return chooseAdmissionDeadline({dueAt, answerDeadline}, lateJobs, waitMs);
+}
+
 /** Sums the unplaced work of a service's jobs, in millicore-milliseconds. */
 export function sumWaitingWork(
   service: ServiceName,
--- a/packages/dispatch/src/router.ts
+++ b/packages/dispatch/src/router.ts
@@ -7,11 +7,12 @@
   type ServiceName,
 } from '#model';
 import type {View} from '#membership';
-import {computeUsefulLifetimeMs, estimateCriticalPathMs} from '#jobs';
+import {estimateCriticalPathMs} from '#jobs';
 import {chooseHomeDispatchers, checkSaturation} from '#policy';
 import type {Liveness, RefusalCause} from '#protocol';
 import {type Logger, type Metrics, noopMetrics} from '#telemetry';
 import type {JobOutcome, JobSubmission} from './active-job.js';
+import {chooseAnswerDeadline} from './admission.js';
 import {rankRegistrars} from './claims.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {groupTargets} from './runner-fleet.js';
@@ -193,13 +194,12 @@
 
   /** Refuses a job that this process would answer too late because its event loop lags. */
   private checkSaturation(submission: JobSubmission): JobOutcome | undefined {
-    const {job, queue, arrivedAt, callerDeadline} = submission;
+    const {job, queue} = submission;
     const lagMs = this.options.readLagMs?.() ?? 0;
-    const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, queue.objective);
     const decision = checkSaturation(
       {
         chainMs: estimateCriticalPathMs(job),
-        answerDeadline: Math.min(callerDeadline, uselessAt),
+        answerDeadline: chooseAnswerDeadline(submission, lagMs),
       },
       lagMs,
       monotonicClock.now(),
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -64,6 +64,7 @@
 export type {
   CompletionObjective,
   JobStep,
+  LateJobs,
   QueueConfig,
   QueuedJob,
   QueueName,
--- a/packages/model/src/queue.ts
+++ b/packages/model/src/queue.ts
@@ -17,8 +17,13 @@
   /** Timeout of requests that state none, in ms. */
   readonly timeoutMs: number;
   readonly objective: CompletionObjective;
+  /** What becomes of jobs that would end after they are due; `serve` when unset. */
+  readonly lateJobs?: LateJobs;
 }
 
+/** While work waits for targets, late jobs are served last, or avoided: refused at once, and urgent runs do not wait at targets that have filled up. */
+export type LateJobs = 'serve' | 'avoid';
+
 /** A job is due `stretch` times the length of its critical path plus `slackMs` after its submission. */
 export interface CompletionObjective {
   readonly stretch: number;
--- a/packages/policy/src/backlog.ts
+++ b/packages/policy/src/backlog.ts
@@ -12,7 +12,6 @@
 export interface ArrivingJob {
   /** Estimated run time of its critical path, in ms. */
   readonly chainMs: number;
-  readonly dueAt: Instant;
   /** When its answer becomes useless or its caller stops waiting. */
   readonly answerDeadline: Instant;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -92,6 +92,9 @@
 export type {WaitingWork} from './rank.js';
 export {shouldDisplace, rankWork} from './rank.js';
 
+export {chooseAdmissionDeadline, type JobDeadlines} from './overload.js';
+export {canWaitAtTarget} from './patience.js';
+
 export type {ArrivingJob, BacklogDecision, PoolBacklog} from './backlog.js';
 export {
   estimateBacklogMs,
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -199,6 +199,7 @@
   maxAttempts: count,
   timeoutMs: nonNegative,
   objective: Codec.interface({stretch: number, slackMs: nonNegative}),
+  lateJobs: optional(exactly('serve', 'avoid')),
 });
 
 const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -201,6 +201,7 @@
     maxAttempts: queue.max_attempts,
     timeoutMs: queue.timeout_ms,
     objective: {stretch: queue.stretch, slackMs: queue.slack_ms},
+    ...(queue.late_jobs !== 'serve' && {lateJobs: queue.late_jobs}),
   };
 }
 
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -1,3 +1,4 @@
+import type {LateJobs} from '#model';
 import {
   boolean,
   declareInteger,
@@ -181,6 +182,10 @@
   timeout_ms: declareRequiredKey(declareInteger(1, dayMs, 'ms')),
   stretch: declareDefaultedKey(declarePositiveNumber(1000), 1.5),
   slack_ms: declareDefaultedKey(declareInteger(0, dayMs, 'ms'), 100),
+  late_jobs: declareDefaultedKey(
+    declareTextChoice<LateJobs>('serve', 'avoid'),
+    'serve',
+  ),
 });
 
 export const regionTable = declareTable({
