Return urgent runs from targets that have filled up unseen

Several dispatchers see the same free capacity some milliseconds late.

A batch now says whether its runs may wait.

capacity-placement.test: the expected choices name the new field isQueued, true where the task is queued at a full target.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -17,11 +17,12 @@
   chooseTarget,
   canHoldWhenEmpty,
   isWithinCapacity,
+  canWaitAtTarget,
   reserveCapacity,
   type CandidateTarget,
 } from '#policy';
 import type {RunTicket} from '#protocol';
-import {type ActiveJob, rankJob} from './active-job.js';
+import {type ActiveJob, estimateLatestStart, rankJob} from './active-job.js';
 import type {Logger} from '#telemetry';
 import type {OutstandingRun, RunnerLink} from './link.js';
 
@@ -48,9 +49,18 @@
   readonly avoid: TargetId | undefined;
 }
 
+/** A task and the target that was chosen for it. */
+interface PlacedTask {
+  readonly pos: TaskPosition;
+  readonly target: TargetId;
+  /** Whether its run may wait if the target turns out to be full. */
+  readonly mayWait: boolean;
+}
+
 interface PlacedRuns {
   readonly target: TargetId;
   readonly step: number;
+  readonly mayWait: boolean;
   readonly runs: Map<RunTicket, OutstandingRun>;
 }
 
@@ -89,6 +99,12 @@
   return task.kind === 'ready' ? task.avoid : undefined;
 }
 
+/** Whether a job's runs may wait at targets that have filled up since their loads were reported. */
+function canWaitAtFullTargets(job: ActiveJob, now: Instant): boolean {
+  if (job.queue.lateJobs !== 'avoid') return true;
+  return canWaitAtTarget(estimateLatestStart(job), now);
+}
+
 /** Places ready tasks on targets with enough free capacity, those of the most urgent job first. */
 export class Placer {
   /** True when some task of the last round waits for a faster target; only the passing of time may end this wait. */
@@ -137,7 +153,8 @@
     job.isFeasibilityChecked = pool.targets.size > 0;
     const {steps} = job.state.job;
     if (steps.every(step => isUnplaceable(step, undefined, pool))) return true;
-    const placed: [TaskPosition, TargetId][] = [];
+    const placed: PlacedTask[] = [];
+    const isPatient = canWaitAtFullTargets(job, now);
     const targetsByStep = new Map<number, Set<TargetId>>();
     let targets = [...pool.targets.values()];
     for (const pos of listReadyTasks(job.state)) {
@@ -165,7 +182,8 @@
       const target = pool.targets.get(choice.target)!;
       pool.targets.set(choice.target, reserveCapacity(target, {...step, rank}));
       targets = [...pool.targets.values()];
-      placed.push([pos, choice.target]);
+      const mayWait = choice.isQueued || isPatient;
+      placed.push({pos, target: choice.target, mayWait});
       const stepTargets = targetsByStep.get(pos.step) ?? new Set<TargetId>();
       targetsByStep.set(pos.step, stepTargets.add(choice.target));
     }
@@ -176,16 +194,17 @@
   private sendRuns(
     job: ActiveJob,
     rank: number,
-    placed: readonly (readonly [TaskPosition, TargetId])[],
+    placed: readonly PlacedTask[],
     now: Instant,
   ): void {
     const batches = new Map<string, PlacedRuns>();
-    for (const [pos, target] of placed) {
+    for (const {pos, target, mayWait} of placed) {
       const run = this.openRun(job, pos, target, now);
-      const key = `${target} ${pos.step}`;
+      const key = `${target} ${pos.step} ${mayWait}`;
       const batch = batches.get(key) ?? {
         target,
         step: pos.step,
+        mayWait,
         runs: new Map(),
       };
       batch.runs.set(run.ticket, run);
@@ -219,12 +238,20 @@
   private sendBatch(
     job: ActiveJob,
     rankMs: number,
-    {target, step, runs}: PlacedRuns,
+    {target, step, mayWait, runs}: PlacedRuns,
   ): void {
     const {id, payload, steps} = job.state.job;
     const {demand, estimateMs, requiredLabel} = steps[step]!;
     this.log.debug(
-      {event: 'runs-placed', job: id, step, target, runs: runs.size, rankMs},
+      {
+        event: 'runs-placed',
+        job: id,
+        step,
+        target,
+        runs: runs.size,
+        rankMs,
+        mayWait,
+      },
       'placed runs on a target',
     );
     this.fleet.find(target)!.place(
@@ -237,6 +264,7 @@
         ...(requiredLabel !== undefined && {requiredLabel}),
         estimateMs,
         rankMs,
+        ...(!mayWait && {mayWait}),
         runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
       },
       runs,
--- /dev/null
+++ b/packages/dispatch/test/contention.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import type {Instant, LateJobs} from '#model';
+import {type LoadClass, type LoadPattern, PoolModel} from './pool-model.js';
+
+/** Classes of 100 ms, 220 ms and 830 ms of slack that use two thirds of 60 targets. */
+const classes = [
+  {name: 'short', tasks: 8, workMs: 86, perSecond: 137, priority: 0},
+  {name: 'middle', tasks: 2, workMs: 286, perSecond: 400, priority: 1},
+  {name: 'long', tasks: 4, workMs: 1286, perSecond: 25, priority: 2},
+];
+
+function replay(
+  lateJobs: LateJobs,
+  demand: (now: Instant) => number,
+  changes: Partial<LoadPattern> = {},
+): PoolModel {
+  const loads = classes.map(
+    ({name, tasks, workMs, perSecond, priority}): LoadClass => ({
+      queue: {
+        name,
+        service: 'tally',
+        host: 'h',
+        path: '/',
+        priority,
+        maxAttempts: 3,
+        timeoutMs: 2000,
+        objective: {stretch: 1.6, slackMs: 61},
+        lateJobs,
+      },
+      tasks,
+      workMs,
+      computeRate: now => perSecond * demand(now),
+    }),
+  );
+  const pool = {targets: 60, dispatchers: 30, messageMs: 1.5, seed: 1};
+  return new PoolModel({classes: loads, lengthMs: 5000, ...pool, ...changes});
+}
+
+test('after a cold start at a crest, each class earns more when late jobs are avoided', t => {
+  const pattern = {startsAt: 1500, messageMs: 4};
+  const served = replay('serve', () => 1.2, pattern);
+  const avoided = replay('avoid', () => 1.2, pattern);
+  for (const {name} of classes) {
+    const gain = avoided.computeCredit(name) - served.computeCredit(name);
+    t.true(gain > 0.05, `${name}: ${gain}`);
+  }
+  t.true(avoided.placed / avoided.begun < served.placed / served.begun);
+});
+
+test('in a pool with free capacity, urgent tasks do not wait behind others and no class is worse off', t => {
+  const served = replay('serve', () => 1);
+  const avoided = replay('avoid', () => 1);
+  const late = (pool: PoolModel) => pool.computeShare('short', 'late');
+  t.true(late(avoided) < 0.6 * late(served), `${late(avoided)}`);
+  for (const {name} of classes) {
+    const gain = avoided.computeCredit(name) - served.computeCredit(name);
+    t.true(gain > -0.01, `${name}: ${gain}`);
+    t.true(avoided.computeShare(name, 'refused') < 0.01, name);
+  }
+});
--- a/packages/policy/src/capacity-placement.ts
+++ b/packages/policy/src/capacity-placement.ts
@@ -42,7 +42,12 @@
 }
 
 export type PlacementChoice =
-  | {readonly kind: 'place'; readonly target: TargetId}
+  | {
+      readonly kind: 'place';
+      readonly target: TargetId;
+      /** True when the target has no free capacity, so that the task waits there. */
+      readonly isQueued: boolean;
+    }
   /** No target has free capacity or can queue another run. */
   | {readonly kind: 'full'}
   /** No target is known, or the task can still meet its due time by waiting for a faster one. */
@@ -95,15 +100,15 @@
   }
   const healthy = capable.filter(({failing}) => failing <= maxFailureRatio);
   const usable = healthy.length > 0 ? healthy : capable;
+  const free = findCheapestWithCapacity(task, usable);
   const best =
-    findCheapestWithCapacity(task, usable) ??
-    findCheapest(task, usable, target => canQueueAt(target, task));
+    free ?? findCheapest(task, usable, target => canQueueAt(target, task));
   if (best === undefined) return {kind: 'full'};
   const minRunMs = Math.min(...usable.map(each => estimateRunMs(task, each)));
   const missesDue = now + best.runMs > task.dueAt;
   const fastestMeetsDue = now + minRunMs <= task.dueAt;
   if (missesDue && fastestMeetsDue) return {kind: 'wait'};
-  return {kind: 'place', target: best.target};
+  return {kind: 'place', target: best.target, isQueued: free === undefined};
 }
 
 /** Whether a task may be queued at a full target: none is queued there, or it displaces the last one. */
--- a/packages/policy/test/capacity-placement.test.ts
+++ b/packages/policy/test/capacity-placement.test.ts
@@ -42,7 +42,11 @@
     buildTarget('slow', {slowness: 1.8}),
     buildTarget('fast', {slowness: 0.8}),
   ];
-  t.deepEqual(chooseTarget(task, targets, 0), {kind: 'place', target: 'fast'});
+  t.deepEqual(chooseTarget(task, targets, 0), {
+    kind: 'place',
+    target: 'fast',
+    isQueued: false,
+  });
 });
 
 test('a target in another failure domain is chosen only when it saves more than the messages cost', t => {
@@ -51,11 +55,13 @@
   t.deepEqual(chooseTarget(task, [far, near], 0), {
     kind: 'place',
     target: 'near',
+    isQueued: false,
   });
   const long = {...task, estimateMs: 1000, dueAt: 5000};
   t.deepEqual(chooseTarget(long, [far, near], 0), {
     kind: 'place',
     target: 'far',
+    isQueued: false,
   });
 });
 
@@ -70,6 +76,7 @@
   t.deepEqual(chooseTarget(long, targets, 900), {
     kind: 'place',
     target: 'slow',
+    isQueued: false,
   });
 });
 
@@ -78,20 +85,30 @@
     buildTarget('failing', {failing: 0.8, slowness: 0.2}),
     buildTarget('sound'),
   ];
-  t.deepEqual(chooseTarget(task, targets, 0), {kind: 'place', target: 'sound'});
+  t.deepEqual(chooseTarget(task, targets, 0), {
+    kind: 'place',
+    target: 'sound',
+    isQueued: false,
+  });
   t.deepEqual(chooseTarget(task, targets.slice(0, 1), 0), {
     kind: 'place',
     target: 'failing',
+    isQueued: false,
   });
 });
 
 test('the target of a failed run is avoided, unless it is the only one', t => {
   const targets = [buildTarget('one'), buildTarget('two')];
   const again = {...task, avoid: 'one'};
-  t.deepEqual(chooseTarget(again, targets, 0), {kind: 'place', target: 'two'});
+  t.deepEqual(chooseTarget(again, targets, 0), {
+    kind: 'place',
+    target: 'two',
+    isQueued: false,
+  });
   t.deepEqual(chooseTarget(again, targets.slice(0, 1), 0), {
     kind: 'place',
     target: 'one',
+    isQueued: false,
   });
 });
 
@@ -102,10 +119,12 @@
   t.deepEqual(chooseTarget(task, [slowFull, full], 0), {
     kind: 'place',
     target: 'full',
+    isQueued: true,
   });
   t.deepEqual(chooseTarget(task, [full, free], 0), {
     kind: 'place',
     target: 'free',
+    isQueued: false,
   });
   const taken = buildTarget('taken', {used: {...none, cpuMillis: 16_600}});
   t.deepEqual(chooseTarget(task, [taken], 0), {kind: 'full'});
--- a/packages/protocol/src/runner-codecs.ts
+++ b/packages/protocol/src/runner-codecs.ts
@@ -33,6 +33,7 @@
   requiredLabel: optional(string),
   estimateMs: nonNegative,
   rankMs: number,
+  mayWait: optional(boolean),
   runs: array(tuple([count, count, count])),
 });
 const runEnd = exactly(
--- a/packages/protocol/src/runner-messages.ts
+++ b/packages/protocol/src/runner-messages.ts
@@ -62,6 +62,8 @@
   readonly estimateMs: number;
   /** Runs that wait for capacity start in order of rank, lowest first. In ms from now, so that dispatchers' clocks need not agree. */
   readonly rankMs: number;
+  /** False when runs for which the target has no free capacity are to be returned at once; they wait there when unset. */
+  readonly mayWait?: boolean;
   /** Ticket, index of the task within the step, and run number of the task. */
   readonly runs: readonly (readonly [RunTicket, number, number])[];
 }
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -1,7 +1,10 @@
 import type {JobId, ResourceRequest, RunEnd, RunRef} from '#model';
-import {emptyDemand, subtractDemand, sumDemand} from '#policy';
+import {emptyDemand, hasCapacityFor, subtractDemand, sumDemand} from '#policy';
+import type {ExecutorInfo} from './executor.js';
 import {formatRun, type Run} from './run.js';
-import type {Session} from './session.js';
+import type {ClockReading, Session} from './session.js';
+
+type RunExecutor = Pick<ExecutorInfo, 'room'>;
 
 /** The accepted runs with their sessions and their total demand. */
 export class RunTable {
@@ -51,6 +54,19 @@
     this.acceptedDemand = sumDemand(this.acceptedDemand, run.demand);
   }
 
+  /** Whether a waiting run may be sent to the executor: it has capacity and the run's dispatcher permits it. */
+  canStart(run: Run, {room}: RunExecutor, now: ClockReading): boolean {
+    return (
+      hasCapacityFor(room, this.usedDemand, run.demand) &&
+      this.findOwner(run)?.canStart(now) === true
+    );
+  }
+
+  /** Whether a waiting run is to be returned because the executor is full and it may not wait. */
+  isTurnedAway({mayWait, demand}: Run, {room}: RunExecutor): boolean {
+    return !mayWait && !hasCapacityFor(room, this.usedDemand, demand);
+  }
+
   /** Notes that a waiting run is about to be sent to the executor. */
   noteStart(run: Run): void {
     this.usedDemand = sumDemand(this.usedDemand, run.demand);
--- a/packages/runner/src/run.ts
+++ b/packages/runner/src/run.ts
@@ -36,6 +36,8 @@
   readonly requiredLabel?: string;
   readonly estimateMs: number;
   readonly rank: number;
+  /** False when it is to be returned at once unless it can start. */
+  readonly mayWait: boolean;
   phase: RunPhase;
   /** When its start was sent; set once the executor is known to have started it. */
   startedAt?: Instant;
@@ -64,6 +66,7 @@
     requiredLabel,
     estimateMs,
     rank: now + rankMs,
+    mayWait: batch.mayWait ?? true,
     phase: {kind: 'waiting'},
     percent: 0,
     progressedAt: now,
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -1,5 +1,5 @@
 import {type Clock, type Instant, monotonicClock, type RunEnd} from '#model';
-import {canQueueAhead, shouldDisplace, hasCapacityFor} from '#policy';
+import {canQueueAhead, shouldDisplace} from '#policy';
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
@@ -274,6 +274,7 @@
       !this.isOpen ||
       !canRunOn(run, this.description!) ||
       this.runs.find(run.ref) !== undefined ||
+      this.runs.isTurnedAway(run, this.executor!) ||
       !this.ensureQueueSpace(run)
     ) {
       session.addEnd(run.ticket, 'not-run', 0);
@@ -298,16 +299,15 @@
     if (executor === undefined || !this.isOpen) return;
     const now = this.readClocks();
     for (;;) {
-      const run = this.backlog.takeFirst(
-        each =>
-          hasCapacityFor(executor.room, this.runs.used, each.demand) &&
-          this.runs.findOwner(each)!.canStart(now),
+      const run = this.backlog.takeFirst(each =>
+        this.runs.canStart(each, executor, now),
       );
-      if (run === undefined) return;
+      if (run === undefined) break;
       this.runs.noteStart(run);
       run.phase = {kind: 'starting', sentAt: now.monotonic};
       this.requests.start(run);
     }
+    this.returnWaiting(run => this.runs.isTurnedAway(run, executor));
   }
 
   private handleStartOutcome(run: Run, outcome: StartOutcome): void {
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -214,6 +214,18 @@
   t.is(executor.duplicateStarts, 0);
 });
 
+test('a run that may not wait is returned by a full target, and another one waits there', async t => {
+  await using harness = await startRunner();
+  const {executor} = harness;
+  const dispatcher = await harness.attach('d');
+  for (let i = 0; i < 5; i++) dispatcher.place(i + 1, i);
+  await waitUntil(() => executor.starts.length === 4);
+  dispatcher.place(6, 5, 1, {mayWait: false, rankMs: -1000});
+  await waitUntil(() => dispatcher.ends.length === 1);
+  t.deepEqual(dispatcher.ends, [[6, 'not-run', 0]]);
+  t.is(harness.runner.runCount, 5);
+});
+
 test('a draining runner returns waiting runs and lets the others finish', async t => {
   await using harness = await startRunner();
   const {executor, runner} = harness;
