Refuse late jobs also while targets are still being connected

After all power was off, a home admitted every job while its links to targets were opening, as it knew no backlog.

A queue that avoids late jobs now has such a job refused at once where it would be late even if it started now. Others are admitted as before.

--- a/packages/dispatch/src/admission.ts
+++ b/packages/dispatch/src/admission.ts
@@ -24,6 +24,7 @@
 /** The retry delay while no target is reachable, and the minimum one for a job refused after waiting. */
 const noTargetRetryMs = 500;
 const maxRetryMs = 5000;
+const emptyBacklog: PoolBacklog = {workMillicoreMs: 0, rate: 1};
 
 export interface AdmissionOptions {
   readonly fleet: Pick<
@@ -44,7 +45,11 @@
 export class Admission {
   constructor(private readonly options: AdmissionOptions) {}
 
-  /** Refuses a job that cannot end while its answer is useful; returns undefined when it is accepted. */
+  /**
+   * Refuses a job that cannot end while its answer is useful; returns undefined when it is accepted.
+   * While connections to targets are being opened, the backlog is not known: a job is then refused only
+   * where late jobs are avoided and it would be late even if it started now.
+   */
   checkAdmission(
     submission: JobSubmission,
     jobs: Iterable<ActiveJob>,
@@ -54,17 +59,24 @@
     const saturated = this.checkSaturation(submission, now);
     if (saturated !== undefined) return saturated;
     const targets = this.options.fleet.listTargets(queue.service);
-    if (this.options.fleet.isTemporarilyUnreachable(queue.service))
-      return undefined;
-    if (targets.length === 0) return this.refuseWithoutTargets(submission);
+    const isConnecting = this.options.fleet.isTemporarilyUnreachable(
+      queue.service,
+    );
+    if (isConnecting && queue.lateJobs !== 'avoid') return undefined;
+    if (!isConnecting && targets.length === 0) {
+      return this.refuseWithoutTargets(submission);
+    }
     const chainMs = estimateCriticalPathMs(job);
-    const backlog = this.estimateBacklog(queue.service, targets, jobs);
+    const backlog = isConnecting
+      ? emptyBacklog
+      : this.estimateBacklog(queue.service, targets, jobs);
     const answerDeadline = chooseAnswerDeadline(
       submission,
-      estimateBacklogMs(backlog),
+      isConnecting ? Infinity : estimateBacklogMs(backlog),
     );
     const decision = checkBacklog({chainMs, answerDeadline}, backlog, now);
     if (decision.kind === 'admit') return undefined;
+    const {retryAfterMs} = decision;
     this.countRefusal(queue, 'backlog');
     this.options.log.info(
       {
@@ -74,17 +86,19 @@
         cause: 'backlog',
         backlogMs: Math.round(estimateBacklogMs(backlog)),
         chainMs,
+        remainingMs: Math.round(answerDeadline - now),
         patienceMs: Math.round(callerDeadline - now),
         targets: targets.length,
-        retryAfterMs: decision.retryAfterMs,
+        isConnecting,
+        retryAfterMs,
       },
-      'refused a job: the backlog at the targets is too long',
+      'refused a job: the backlog at the targets is too long for it',
     );
     return {
       kind: 'refused',
       cause: 'backlog',
-      retryAfterMs: decision.retryAfterMs,
-      detail: 'the targets cannot come to it before its caller leaves',
+      retryAfterMs,
+      detail: 'the targets cannot come to it while its answer is of use',
     };
   }
 
