--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -16,14 +16,16 @@
 import {
   chooseTarget,
   canHoldWhenEmpty,
+  computeRemoteFactor,
   isWithinCapacity,
   canWaitAtTarget,
   reserveCapacity,
   type CandidateTarget,
+  type LocalityPolicy,
 } from '#policy';
 import type {RunTicket} from '#protocol';
 import {type ActiveJob, estimateLatestStart, rankJob} from './active-job.js';
-import type {Logger} from '#telemetry';
+import type {Logger, Metrics} from '#telemetry';
 import type {OutstandingRun, RunnerLink} from './link.js';
 
 /** The part of the runner fleet that placement uses. */
@@ -40,6 +42,8 @@
   readonly targets: Map<TargetId, CandidateTarget>;
   /** What fitted on no target in this round; later tasks that need at least as much won't fit either. */
   readonly unplaceable: Unplaceable[];
+  /** Processors that tasks wait for near their data, by rack, in thousandths of a core. */
+  readonly nearWaitingMillis: Map<string, number>;
 }
 
 /** A task that fitted on no target with the required label, leaving out the one to avoid. */
@@ -55,6 +59,8 @@
   readonly target: TargetId;
   /** Whether its run may wait if the target turns out to be full. */
   readonly mayWait: boolean;
+  /** Factor on its run time by the distance of its data. */
+  readonly remoteFactor: number;
 }
 
 interface PlacedRuns {
@@ -105,6 +111,12 @@
   return canWaitAtTarget(estimateLatestStart(job), now);
 }
 
+export interface PlacerOptions {
+  readonly metrics?: Metrics;
+  /** Unset: no task waits for a target near its data. */
+  readonly locality?: LocalityPolicy;
+}
+
 /** Places ready tasks on targets with enough free capacity, those of the most urgent job first. */
 export class Placer {
   /** True when some task of the last round waits for a faster target; only the passing of time may end this wait. */
@@ -114,6 +126,7 @@
   constructor(
     private readonly fleet: PlacementFleet,
     private readonly log: Logger,
+    private readonly options: PlacerOptions = {},
   ) {}
 
   /** Places what it can; returns the jobs with a task that no target can ever run. */
@@ -137,7 +150,11 @@
     if (known !== undefined) return known;
     const targets = this.fleet.listTargets(service);
     const byId = new Map(targets.map(target => [target.target, target]));
-    const pool: Pool = {targets: byId, unplaceable: []};
+    const pool: Pool = {
+      targets: byId,
+      unplaceable: [],
+      nearWaitingMillis: new Map(),
+    };
     pools.set(service, pool);
     return pool;
   }
@@ -153,8 +170,11 @@
     job.isFeasibilityChecked = pool.targets.size > 0;
     const {steps} = job.state.job;
     if (steps.every(step => isUnplaceable(step, undefined, pool))) return true;
-    const placed: PlacedTask[] = [];
     const isPatient = canWaitAtFullTargets(job, now);
+    const {locality} = this.options;
+    // Of earlier rounds: a wait that another task of the step begins in this one is no reason to wait.
+    const nearWaits = new Map(job.nearWaits);
+    const placed: PlacedTask[] = [];
     const targetsByStep = new Map<number, Set<TargetId>>();
     let targets = [...pool.targets.values()];
     for (const pos of listReadyTasks(job.state)) {
@@ -168,6 +188,9 @@
           dueAt: job.dueAt,
           batchTargets: targetsByStep.get(pos.step),
           avoid,
+          locality,
+          nearWaitDeadline: nearWaits.get(pos.step),
+          nearWaitingMillis: pool.nearWaitingMillis.get(step.dataRack ?? ''),
         },
         targets,
         now,
@@ -178,12 +201,19 @@
         pool.unplaceable.push({demand, requiredLabel, avoid});
       }
       if (choice.kind === 'wait') this.isWaitingForFaster = true;
+      if (choice.kind === 'wait-near') {
+        this.waitNear(job, pos.step, choice.deadline, pool, now);
+      }
       if (choice.kind !== 'place') continue;
       const target = pool.targets.get(choice.target)!;
       pool.targets.set(choice.target, reserveCapacity(target, {...step, rank}));
       targets = [...pool.targets.values()];
       const mayWait = choice.isQueued || isPatient;
-      placed.push({pos, target: choice.target, mayWait});
+      const remoteFactor =
+        locality === undefined
+          ? 1
+          : computeRemoteFactor({...step, locality}, target);
+      placed.push({pos, target: choice.target, mayWait, remoteFactor});
       const stepTargets = targetsByStep.get(pos.step) ?? new Set<TargetId>();
       targetsByStep.set(pos.step, stepTargets.add(choice.target));
     }
@@ -191,6 +221,27 @@
     return true;
   }
 
+  /** Lets a task wait for a target near its data, and those behind it know. */
+  private waitNear(
+    job: ActiveJob,
+    step: number,
+    deadline: Instant,
+    {nearWaitingMillis}: Pool,
+    now: Instant,
+  ): void {
+    const {demand, dataRack = ''} = job.state.job.steps[step]!;
+    const waiting = nearWaitingMillis.get(dataRack) ?? 0;
+    nearWaitingMillis.set(dataRack, waiting + demand.cpuMillis);
+    this.isWaitingForFaster = true;
+    if (job.nearWaits.has(step)) return;
+    job.nearWaits.set(step, deadline);
+    const waitMs = Math.round(deadline - now);
+    this.log.debug(
+      {event: 'near-wait', job: job.state.job.id, step, dataRack, waitMs},
+      'waiting for a target near the data',
+    );
+  }
+
   private sendRuns(
     job: ActiveJob,
     rank: number,
@@ -198,8 +249,9 @@
     now: Instant,
   ): void {
     const batches = new Map<string, PlacedRuns>();
-    for (const {pos, target, mayWait} of placed) {
-      const run = this.openRun(job, pos, target, now);
+    for (const task of placed) {
+      const {pos, target, mayWait} = task;
+      const run = this.openRun(job, task, now);
       const key = `${target} ${pos.step} ${mayWait}`;
       const batch = batches.get(key) ?? {
         target,
@@ -216,8 +268,7 @@
 
   private openRun(
     job: ActiveJob,
-    pos: TaskPosition,
-    target: TargetId,
+    {pos, target, remoteFactor}: PlacedTask,
     now: Instant,
   ): OutstandingRun {
     const ref = getRunRef(job.state, pos);
@@ -225,16 +276,31 @@
     const ticket = this.nextTicket++;
     job.tickets.set(ticket, target);
     const {demand} = job.state.job.steps[pos.step]!;
+    this.countDistance(job, pos.step, remoteFactor);
     return {
       ticket,
       ref,
       demand,
       placedAt: now,
       slownessAtPlacement: this.fleet.find(target)!.slowness,
+      remoteFactor,
       isMoving: false,
     };
   }
 
+  /** Counts tasks with data by where they were placed. */
+  private countDistance(
+    {queue, state, nearWaits}: ActiveJob,
+    step: number,
+    remoteFactor: number,
+  ): void {
+    if (state.job.steps[step]!.dataRack === undefined) return;
+    const place = remoteFactor === 1 ? 'near' : 'remote';
+    const waited = nearWaits.has(step) ? 'yes' : 'no';
+    const labels = {queue: queue.name, place, waited};
+    this.options.metrics?.increment('queued.locality', 1, labels);
+  }
+
   private sendBatch(
     job: ActiveJob,
     rankMs: number,
@@ -242,6 +308,7 @@
   ): void {
     const {id, payload, steps} = job.state.job;
     const {demand, estimateMs, requiredLabel} = steps[step]!;
+    const [first] = runs.values();
     this.log.debug(
       {
         event: 'runs-placed',
@@ -262,7 +329,8 @@
         demand,
         service: job.queue.service,
         ...(requiredLabel !== undefined && {requiredLabel}),
-        estimateMs,
+        // The runner judges the target's speed by it.
+        estimateMs: estimateMs * first!.remoteFactor,
         rankMs,
         ...(!mayWait && {mayWait}),
         runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
