--- a/packages/dispatch/test/admission.test.ts
+++ b/packages/dispatch/test/admission.test.ts
@@ -8,8 +8,9 @@
 function admitWhileConnecting(lateJobs: LateJobs, ageMs: number) {
   const admission = new Admission({
     fleet: {
+      isEvacuatedOnly: () => false,
       isTemporarilyUnreachable: () => true,
-      listKnown: () => [],
+      countInService: () => 0,
       listTargets: () => [],
     },
     log: openLog('silent', 'agent', 'a'),
--- a/packages/dispatch/test/pool-model.ts
+++ b/packages/dispatch/test/pool-model.ts
@@ -245,7 +245,8 @@
     const log = openLog('silent', 'agent', 'model');
     const fleet = {
       listTargets: () => targets.map(target => this.describe(target)),
-      listKnown: () => model.targets.map(({info}) => info),
+      countInService: () => model.targets.length,
+      isEvacuatedOnly: () => false,
       isTemporarilyUnreachable: () => false,
     };
     this.placer = new Placer({...fleet, find: id => this.findTarget(id)}, log);
