--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,6 +26,7 @@
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
+import type {LocalityPolicy} from '#policy';
 import {Admission, sumWaitingWork} from './admission.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, resolveOwnership} from './ownership.js';
@@ -54,6 +55,8 @@
   readonly log: Logger;
   readonly metrics?: Metrics;
   readonly clock?: Clock;
+  /** How tasks are placed near their data; unset: without waiting. */
+  readonly locality?: LocalityPolicy;
   /** Returns this process's event loop lag in ms. */
   readonly readLagMs?: () => number;
 }
@@ -105,7 +108,7 @@
       claims: this.claims,
       peerDispatchers: this.peerDispatchers,
       log: options.log,
-      listDispatchers: service => this.listDispatchers(service),
+      listDispatchers: service => this.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
     };
     this.fleet = new RunnerFleet({
@@ -119,7 +122,10 @@
         this.recordEnd(target, run, end, runMs),
       onLoad: () => this.placementScheduler.schedule(),
     });
-    this.placer = new Placer(this.fleet, options.log);
+    this.placer = new Placer(this.fleet, options.log, {
+      metrics: this.metrics,
+      locality: options.locality,
+    });
     this.runMover = new RunMover(
       this.fleet,
       id => this.jobs.get(id),
@@ -179,6 +185,7 @@
   follow(view: View): void {
     this.view = view;
     this.fleet.follow(view);
+    this.metrics.gauge('queued.targets.evacuated', this.fleet.evacuatedCount);
   }
 
   private listDispatchers(service: ServiceName): readonly Address[] {
@@ -187,6 +194,14 @@
     return listDispatchers(this.view, service);
   }
 
+  private listRegistrars(service: ServiceName): readonly Address[] {
+    const {listDispatchers} = this.options;
+    if (listDispatchers === undefined) {
+      return this.fleet.listRegistrars(service);
+    }
+    return listDispatchers(this.view, service);
+  }
+
   /** Stops accepting jobs from other dispatchers. */
   leave(): void {
     this.isLeaving = true;
@@ -409,11 +424,12 @@
 
   private observeRun(
     {submitted, queue}: ActiveJob,
-    {ref}: OutstandingRun,
+    {ref, remoteFactor}: OutstandingRun,
     target: TargetId,
-    runMs: number,
+    fullRunMs: number,
   ): void {
     const {estimateMs} = submitted.steps[ref.step]!;
+    const runMs = fullRunMs / remoteFactor;
     const relativeSlowness = this.fleet.computeRelativeSlowness(target);
     this.predictor.observe(queue.name, {estimateMs, runMs, relativeSlowness});
   }
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  type FailureDomain,
   type Instant,
   type JobId,
   type ResourceRequest,
@@ -31,6 +32,8 @@
   readonly placedAt: Instant;
   /** The target's slowness when the run was placed. */
   readonly slownessAtPlacement: number;
+  /** Factor on its run time by the distance of its data. */
+  readonly remoteFactor: number;
   /** Set once the run is being withdrawn so that another target can run its task. */
   isMoving: boolean;
 }
@@ -120,6 +123,10 @@
     return this.info.target;
   }
 
+  get failureDomain(): FailureDomain {
+    return this.info.place.failureDomain;
+  }
+
   get service(): string {
     return (this.executor ?? this.info).service;
   }
