Mend what the review of evacuations and locality found

A substitute home, a home for the time of an evacuation, dropped its links when the domain was taken back, and its waiting jobs had nowhere to go until another job came: a dispatcher follows the targets of a service while it has its jobs. (Read, not brought about; no test.)

A task that no target can run now ended the round of its job after the tasks before it had reserved capacity, so that it held back its own job's tasks and others': the new test of the placer fails without the mend.

The mover took a run away from its data for nearly done at a third of its time, and the place to move it to for nearer than it is. The first update of a watch over a slow link ended after 30 s whatever had arrived.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -99,16 +99,19 @@
       onEnd: (target, run, end, runMs) =>
         this.recordEnd(target, run, end, runMs),
       onLoad: () => this.placementScheduler.schedule(),
+      hasJobs: service =>
+        [...this.jobs.values()].some(({queue}) => queue.service === service),
     });
     this.placer = new Placer(this.fleet, options.log, {
       metrics: this.metrics,
       locality: options.locality,
     });
-    this.runMover = new RunMover(
-      this.fleet,
-      id => this.jobs.get(id),
-      options.log,
-    );
+    this.runMover = new RunMover({
+      fleet: this.fleet,
+      findJob: id => this.jobs.get(id),
+      log: options.log,
+      locality: options.locality,
+    });
     this.admission = new Admission({
       fleet: this.fleet,
       log: options.log,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -165,6 +165,7 @@
     const nearWaits = new Map(job.nearWaits);
     const placed: PlacedTask[] = [];
     const targetsByStep = new Map<number, Set<TargetId>>();
+    let isPossible = true;
     let targets = [...pool.targets.values()];
     for (const pos of listReadyTasks(job.state)) {
       const step = job.state.job.steps[pos.step]!;
@@ -184,8 +185,8 @@
         targets,
         now,
       );
-      if (choice.kind === 'impossible') return false;
-      if (choice.kind === 'full') {
+      if (choice.kind === 'impossible') isPossible = false;
+      if (choice.kind === 'full' || choice.kind === 'impossible') {
         const {demand, requiredLabel} = step;
         pool.unplaceable.push({demand, requiredLabel, avoid});
       }
@@ -206,7 +207,7 @@
       targetsByStep.set(pos.step, stepTargets.add(choice.target));
     }
     this.sendRuns(job, rank, placed, now);
-    return true;
+    return isPossible;
   }
 
   /** Lets a task wait for a target near its data, and those behind it know. */
--- a/packages/dispatch/src/run-mover.ts
+++ b/packages/dispatch/src/run-mover.ts
@@ -1,6 +1,7 @@
 import type {Instant, ServiceName, TargetId} from '#model';
 import {
   findFreeTarget,
+  type LocalityPolicy,
   type MovableRun,
   reserveCapacity,
   type CandidateTarget,
@@ -15,22 +16,25 @@
 /** The minimum time between two checks; a slow target is detected within some tenths of a second. */
 const checkIntervalMs = 30;
 
+export interface RunMoverOptions {
+  readonly fleet: RunnerFleet;
+  readonly findJob: (id: string) => ActiveJob | undefined;
+  readonly log: Logger;
+  readonly locality?: LocalityPolicy;
+}
+
 /** Moves runs off targets that have become slow, so that their jobs end in time elsewhere. */
 export class RunMover {
   private checkedAt: Instant = -Infinity;
 
-  constructor(
-    private readonly fleet: RunnerFleet,
-    private readonly findJob: (id: string) => ActiveJob | undefined,
-    private readonly log: Logger,
-  ) {}
+  constructor(private readonly options: RunMoverOptions) {}
 
   /** Checks the runs on slow targets, at most once per `checkIntervalMs`. */
   moveSlowRuns(now: Instant): void {
     if (now < this.checkedAt + checkIntervalMs) return;
     this.checkedAt = now;
     const pools = new Map<ServiceName, Map<TargetId, CandidateTarget>>();
-    for (const link of this.fleet.listSlowedLinks()) {
+    for (const link of this.options.fleet.listSlowedLinks()) {
       const pool = pools.get(link.service) ?? this.openPool(link.service);
       pools.set(link.service, pool);
       this.moveFrom(link, pool, now);
@@ -38,7 +42,7 @@
   }
 
   private openPool(service: ServiceName): Map<TargetId, CandidateTarget> {
-    const targets = this.fleet.listTargets(service);
+    const targets = this.options.fleet.listTargets(service);
     return new Map(targets.map(target => [target.target, target]));
   }
 
@@ -49,14 +53,14 @@
   ): void {
     const moved: RunTicket[] = [];
     for (const run of link.listRuns()) {
-      const job = this.findJob(run.ref.job);
+      const job = this.options.findJob(run.ref.job);
       if (job === undefined || job.isAnswered || run.isMoving) continue;
       if (!this.tryMove(link, run, job, pool, now)) continue;
       run.isMoving = true;
       moved.push(run.ticket);
     }
     if (moved.length === 0) return;
-    this.log.info(
+    this.options.log.info(
       {
         event: 'runs-moved',
         target: link.target,
@@ -81,10 +85,12 @@
       ({target}) => target !== link.target,
     );
     const rank = rankJob(job, now);
-    const place = findFreeTarget({...step, rank, dueAt: job.dueAt}, others);
+    const {locality} = this.options;
+    const task = {...step, rank, dueAt: job.dueAt, locality};
+    const place = findFreeTarget(task, others);
     if (place === undefined) return false;
     const movable: MovableRun = {
-      estimateMs: step.estimateMs,
+      estimateMs: step.estimateMs * run.remoteFactor,
       placedAt: run.placedAt,
       slownessAtPlacement: run.slownessAtPlacement,
       dueAt: job.dueAt,
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -24,6 +24,11 @@
 
 const clearLiveness: Liveness = {probeAfterMs: 200, silenceLimitMs: 600};
 
+export interface RunnerFleetOwner extends RunnerLinkOwner {
+  /** True while the dispatcher has jobs of a service. */
+  readonly hasJobs: (service: ServiceName) => boolean;
+}
+
 /** Connections to the runners of the targets that this dispatcher places tasks on. */
 export class RunnerFleet implements AsyncDisposable {
   private readonly links = new Map<TargetId, RunnerLink>();
@@ -37,7 +42,7 @@
   private readonly homes = new Map<ServiceName, readonly TargetInfo[]>();
   private evacuated: ReadonlySet<FailureDomain> = new Set();
 
-  constructor(private readonly owner: RunnerLinkOwner) {}
+  constructor(private readonly owner: RunnerFleetOwner) {}
 
   /** True when runs can be placed on some target. */
   get isConnected(): boolean {
@@ -77,7 +82,8 @@
     if (localTarget === undefined || this.extraServices.has(service))
       return true;
     const all = this.listKnown(service);
-    // A former home in an evacuated domain still owns jobs.
+    // A former home, in an evacuated domain or for the time of an evacuation, still owns jobs.
+    if (this.owner.hasJobs(service)) return true;
     return [
       ...this.findHomes(service),
       ...(this.evacuated.size > 0 ? chooseHomeDispatchers(service, all) : []),
--- a/packages/dispatch/test/placer.test.ts
+++ b/packages/dispatch/test/placer.test.ts
@@ -187,3 +187,29 @@
     16,
   );
 });
+
+test('a task that no target can run now holds back neither its job nor others', t => {
+  const {fleet} = buildFullFleet(1);
+  const [full] = fleet.listTargets('tally');
+  const used = {cpuMillis: 0, memoryMb: 0, accelerators: 0};
+  const placed: string[] = [];
+  const placer = new Placer(
+    {
+      listTargets: () => [{...full!, used}],
+      find: () => ({slowness: 1, place: ({job}) => void placed.push(job)}),
+    },
+    openLog('silent', 'agent', 'a'),
+  );
+  const [job, other] = openJobs(2, 1);
+  const [step] = job!.state.job.steps;
+  const rare = {...step!, requiredLabel: 'rare'};
+  const [tasks] = job!.state.steps;
+  const state = {
+    ...job!.state,
+    job: {...job!.state.job, steps: [step!, rare]},
+    steps: [tasks!, tasks!],
+  };
+  const checked = Object.assign(job!, {state, isFeasibilityChecked: true});
+  t.deepEqual(placer.placeAll([checked, other!], 10), [checked]);
+  t.deepEqual(placed, ['job-0', 'job-1']);
+});
--- a/packages/membership/src/client.ts
+++ b/packages/membership/src/client.ts
@@ -82,8 +82,8 @@
 ) => void;
 
 const attemptTimeoutMs = 2000;
-/** Limit for the first update of a watch, which may be large, while bytes of it keep arriving. */
-const firstUpdateTimeoutMs = 30_000;
+/** Limit for the first update of a watch while bytes of it keep arriving: enough for several MB at the lowest rate that counts as progress. */
+const firstUpdateTimeoutMs = 600_000;
 /** Bytes within the time of an attempt that show that a message is arriving; answers to probes are fewer. */
 const minProgressBytes = 16 * 1024;
 /** A request with less time left is not sent: it would time out with an unknown outcome. */
