Separate urgent runs from the refusal of late jobs

Both hung on `late_jobs`, which every route of the platform that states a stretch would have turned on. One of the new customers wants a late answer shown as late and not refused, so refusing is left to queues that ask for it by `late_jobs`, and no document of the platform does; returning urgent runs is `urgent_runs`, which a route that states by when its jobs are due asks for.

Without the refusal the replay's calm pool still halves the short jobs that are late (test of contention, now with urgent runs alone); the test of the cold start keeps both.

--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -107,7 +107,7 @@
 
 /** Whether a job's runs may wait at targets that have filled up since their loads were reported. */
 function canWaitAtFullTargets(job: ActiveJob, now: Instant): boolean {
-  if (job.queue.lateJobs !== 'avoid') return true;
+  if (job.queue.urgentRuns !== 'return') return true;
   return canWaitAtTarget(estimateLatestStart(job), now);
 }
 
--- a/packages/dispatch/test/contention.test.ts
+++ b/packages/dispatch/test/contention.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import type {Instant, LateJobs} from '#model';
+import type {Instant, QueueConfig} from '#model';
 import {type LoadClass, type LoadPattern, PoolModel} from './pool-model.js';
 
 /** Classes of 100 ms, 220 ms and 830 ms of slack that use two thirds of 60 targets. */
@@ -10,7 +10,7 @@
 ];
 
 function replay(
-  lateJobs: LateJobs,
+  asked: Pick<QueueConfig, 'lateJobs' | 'urgentRuns'>,
   demand: (now: Instant) => number,
   changes: Partial<LoadPattern> = {},
 ): PoolModel {
@@ -25,7 +25,7 @@
         maxAttempts: 3,
         timeoutMs: 2000,
         objective: {stretch: 1.6, slackMs: 61},
-        lateJobs,
+        ...asked,
       },
       tasks,
       workMs,
@@ -38,8 +38,9 @@
 
 test('after a cold start at a crest, each class earns more when late jobs are avoided', t => {
   const pattern = {startsAt: 1500, messageMs: 4};
-  const served = replay('serve', () => 1.2, pattern);
-  const avoided = replay('avoid', () => 1.2, pattern);
+  const served = replay({}, () => 1.2, pattern);
+  const asked = {lateJobs: 'avoid', urgentRuns: 'return'} as const;
+  const avoided = replay(asked, () => 1.2, pattern);
   for (const {name} of classes) {
     const gain = avoided.computeCredit(name) - served.computeCredit(name);
     t.true(gain > 0.05, `${name}: ${gain}`);
@@ -47,14 +48,14 @@
   t.true(avoided.placed / avoided.begun < served.placed / served.begun);
 });
 
-test('in a pool with free capacity, urgent tasks do not wait behind others and no class is worse off', t => {
-  const served = replay('serve', () => 1);
-  const avoided = replay('avoid', () => 1);
+test('in a pool with free capacity, urgent runs that are returned do not wait behind others and no class is worse off', t => {
+  const waiting = replay({}, () => 1);
+  const returned = replay({urgentRuns: 'return'}, () => 1);
   const late = (pool: PoolModel) => pool.computeShare('short', 'late');
-  t.true(late(avoided) < 0.6 * late(served), `${late(avoided)}`);
+  t.true(late(returned) < 0.6 * late(waiting), `${late(returned)}`);
   for (const {name} of classes) {
-    const gain = avoided.computeCredit(name) - served.computeCredit(name);
+    const gain = returned.computeCredit(name) - waiting.computeCredit(name);
     t.true(gain > -0.01, `${name}: ${gain}`);
-    t.true(avoided.computeShare(name, 'refused') < 0.01, name);
+    t.true(returned.computeShare(name, 'refused') < 0.01, name);
   }
 });
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -68,6 +68,7 @@
   QueueConfig,
   QueuedJob,
   QueueName,
+  UrgentRuns,
   ResourceRequest,
   RunEnd,
   RunRef,
--- a/packages/model/src/queue.ts
+++ b/packages/model/src/queue.ts
@@ -19,11 +19,16 @@
   readonly objective: CompletionObjective;
   /** What becomes of jobs that would end after they are due; `serve` when unset. */
   readonly lateJobs?: LateJobs;
+  /** What becomes of urgent runs at a target that has filled up; `wait` when unset. */
+  readonly urgentRuns?: UrgentRuns;
 }
 
-/** While work waits for targets, late jobs are served last, or avoided: refused at once, and urgent runs do not wait at targets that have filled up. */
+/** While work waits for targets, late jobs are served last, or avoided: refused at once. */
 export type LateJobs = 'serve' | 'avoid';
 
+/** Whether a run whose job would become late waits at a target that has filled up, or is returned to be placed elsewhere. */
+export type UrgentRuns = 'wait' | 'return';
+
 /** A job is due `stretch` times the length of its critical path plus `slackMs` after its submission. */
 export interface CompletionObjective {
   readonly stretch: number;
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -204,6 +204,7 @@
   timeoutMs: nonNegative,
   objective: Codec.interface({stretch: number, slackMs: nonNegative}),
   lateJobs: optional(exactly('serve', 'avoid')),
+  urgentRuns: optional(exactly('wait', 'return')),
 });
 
 const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
--- a/packages/settings/src/configuration.ts
+++ b/packages/settings/src/configuration.ts
@@ -202,6 +202,7 @@
     timeoutMs: queue.timeout_ms,
     objective: {stretch: queue.stretch, slackMs: queue.slack_ms},
     ...(queue.late_jobs !== 'serve' && {lateJobs: queue.late_jobs}),
+    ...(queue.urgent_runs !== 'wait' && {urgentRuns: queue.urgent_runs}),
   };
 }
 
--- a/packages/settings/src/layout.ts
+++ b/packages/settings/src/layout.ts
@@ -1,4 +1,4 @@
-import type {LateJobs} from '#model';
+import type {LateJobs, UrgentRuns} from '#model';
 import {
   boolean,
   declareInteger,
@@ -186,6 +186,10 @@
     declareTextChoice<LateJobs>('serve', 'avoid'),
     'serve',
   ),
+  urgent_runs: declareDefaultedKey(
+    declareTextChoice<UrgentRuns>('wait', 'return'),
+    'wait',
+  ),
 });
 
 export const regionTable = declareTable({
