--- a/packages/dispatch/src/admission.ts
+++ b/packages/dispatch/src/admission.ts
@@ -11,6 +11,7 @@
   checkBacklog,
   checkEvacuation,
   checkSaturation,
+  chooseAdmissionDeadline,
   type PoolBacklog,
   type CandidateTarget,
   estimatePoolBacklog,
@@ -24,9 +25,16 @@
 /** The retry delay while no target is reachable, and the minimum one for a job refused after waiting. */
 const noTargetRetryMs = 500;
 const maxRetryMs = 5000;
+const emptyBacklog: PoolBacklog = {workMillicoreMs: 0, rate: 1};
 
 export interface AdmissionOptions {
-  readonly fleet: RunnerFleet;
+  readonly fleet: Pick<
+    RunnerFleet,
+    | 'isEvacuatedOnly'
+    | 'isTemporarilyUnreachable'
+    | 'countInService'
+    | 'listTargets'
+  >;
   /** Lists the recently reported loads of other dispatchers. */
   readonly listLoads: () => readonly DispatcherLoad[];
   /** Counts the dispatchers that share the targets of a service. */
@@ -41,35 +49,41 @@
 export class Admission {
   constructor(private readonly options: AdmissionOptions) {}
 
-  /** Refuses a job that cannot end while its answer is useful; returns undefined when it is accepted. */
+  /**
+   * Refuses a job that cannot end while its answer is useful; returns undefined when it is accepted.
+   * While connections to targets are being opened, the backlog is not known: a job is then refused only
+   * where late jobs are avoided and it would be late even if it started now.
+   */
   checkAdmission(
     submission: JobSubmission,
     jobs: Iterable<ActiveJob>,
     now: Instant,
   ): Refusal | undefined {
-    const {job, queue, arrivedAt, callerDeadline} = submission;
+    const {job, queue, callerDeadline} = submission;
     const saturated = this.checkSaturation(submission, now);
     if (saturated !== undefined) return saturated;
     if (this.options.fleet.isEvacuatedOnly(queue.service, job)) {
       return this.checkEvacuation(submission, now);
     }
     const targets = this.options.fleet.listTargets(queue.service);
-    if (this.options.fleet.isTemporarilyUnreachable(queue.service))
-      return undefined;
-    if (targets.length === 0) return this.refuseWithoutTargets(submission);
+    const isConnecting = this.options.fleet.isTemporarilyUnreachable(
+      queue.service,
+    );
+    if (isConnecting && queue.lateJobs !== 'avoid') return undefined;
+    if (!isConnecting && targets.length === 0) {
+      return this.refuseWithoutTargets(submission);
+    }
     const chainMs = estimateCriticalPathMs(job);
-    const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, queue.objective);
-    const backlog = this.estimateBacklog(queue.service, targets, jobs);
-    const decision = checkBacklog(
-      {
-        chainMs,
-        dueAt: arrivedAt + computeDueMs(job, queue.objective),
-        answerDeadline: Math.min(callerDeadline, uselessAt),
-      },
-      backlog,
-      now,
+    const backlog = isConnecting
+      ? emptyBacklog
+      : this.estimateBacklog(queue.service, targets, jobs);
+    const answerDeadline = chooseAnswerDeadline(
+      submission,
+      isConnecting ? Infinity : estimateBacklogMs(backlog),
     );
+    const decision = checkBacklog({chainMs, answerDeadline}, backlog, now);
     if (decision.kind === 'admit') return undefined;
+    const {retryAfterMs} = decision;
     this.countRefusal(queue, 'backlog');
     this.options.log.info(
       {
@@ -79,33 +93,32 @@
         cause: 'backlog',
         backlogMs: Math.round(estimateBacklogMs(backlog)),
         chainMs,
+        remainingMs: Math.round(answerDeadline - now),
         patienceMs: Math.round(callerDeadline - now),
         targets: targets.length,
-        retryAfterMs: decision.retryAfterMs,
+        isConnecting,
+        retryAfterMs,
       },
-      'refused a job: the backlog at the targets is too long',
+      'refused a job: the backlog at the targets is too long for it',
     );
     return {
       kind: 'refused',
       cause: 'backlog',
-      retryAfterMs: decision.retryAfterMs,
-      detail: 'the targets cannot come to it before its caller leaves',
+      retryAfterMs,
+      detail: 'the targets cannot come to it while its answer is of use',
     };
   }
 
   /** Refuses a job that this process would answer too late because its event loop lags, whatever the targets could do. */
   private checkSaturation(
-    {job, queue, arrivedAt, callerDeadline}: JobSubmission,
+    submission: JobSubmission,
     now: Instant,
   ): Refusal | undefined {
+    const {job, queue, callerDeadline} = submission;
     const lagMs = this.options.readLagMs();
-    const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, queue.objective);
     const chainMs = estimateCriticalPathMs(job);
-    const decision = checkSaturation(
-      {chainMs, answerDeadline: Math.min(callerDeadline, uselessAt)},
-      lagMs,
-      now,
-    );
+    const answerDeadline = chooseAnswerDeadline(submission, lagMs);
+    const decision = checkSaturation({chainMs, answerDeadline}, lagMs, now);
     if (decision.kind === 'admit') return undefined;
     const {retryAfterMs} = decision;
     this.countRefusal(queue, 'saturated');
@@ -135,7 +148,6 @@
     const decision = checkEvacuation(
       {
         chainMs: estimateCriticalPathMs(job),
-        dueAt: arrivedAt + computeDueMs(job, queue.objective),
         answerDeadline: Math.min(callerDeadline, uselessAt),
       },
       now,
@@ -216,6 +228,18 @@
   }
 }
 
+/** Chooses when a job must be expected to end to be admitted, if new work waits this long, in ms. */
+export function chooseAnswerDeadline(
+  {job, queue, arrivedAt, callerDeadline}: JobSubmission,
+  waitMs: number,
+): Instant {
+  const {objective, lateJobs} = queue;
+  const dueAt = arrivedAt + computeDueMs(job, objective);
+  const uselessAt = arrivedAt + computeUsefulLifetimeMs(job, objective);
+  const answerDeadline = Math.min(callerDeadline, uselessAt);
+  return chooseAdmissionDeadline({dueAt, answerDeadline}, lateJobs, waitMs);
+}
+
 /** Sums the unplaced work of a service's jobs, in millicore-milliseconds. */
 export function sumWaitingWork(
   service: ServiceName,
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -64,9 +64,11 @@
 export type {
   CompletionObjective,
   JobStep,
+  LateJobs,
   QueueConfig,
   QueuedJob,
   QueueName,
+  UrgentRuns,
   ResourceRequest,
   RunEnd,
   RunRef,
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -203,6 +203,8 @@
   maxAttempts: count,
   timeoutMs: nonNegative,
   objective: Codec.interface({stretch: number, slackMs: nonNegative}),
+  lateJobs: optional(exactly('serve', 'avoid')),
+  urgentRuns: optional(exactly('wait', 'return')),
 });
 
 const checks: {readonly [Name in MethodName]: Check<ParamsOf<Name>>} = {
