--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -18,12 +18,13 @@
   canHoldWhenEmpty,
   computeRemoteFactor,
   isWithinCapacity,
+  canWaitAtTarget,
   reserveCapacity,
   type CandidateTarget,
   type LocalityPolicy,
 } from '#policy';
 import type {RunTicket} from '#protocol';
-import {type ActiveJob, rankJob} from './active-job.js';
+import {type ActiveJob, estimateLatestStart, rankJob} from './active-job.js';
 import type {Logger, Metrics} from '#telemetry';
 import type {OutstandingRun, RunnerLink} from './link.js';
 
@@ -56,6 +57,8 @@
 interface PlacedTask {
   readonly pos: TaskPosition;
   readonly target: TargetId;
+  /** Whether its run may wait if the target turns out to be full. */
+  readonly mayWait: boolean;
   /** Factor on its run time by the distance of its data. */
   readonly remoteFactor: number;
 }
@@ -63,6 +66,7 @@
 interface PlacedRuns {
   readonly target: TargetId;
   readonly step: number;
+  readonly mayWait: boolean;
   readonly runs: Map<RunTicket, OutstandingRun>;
 }
 
@@ -101,6 +105,12 @@
   return task.kind === 'ready' ? task.avoid : undefined;
 }
 
+/** Whether a job's runs may wait at targets that have filled up since their loads were reported. */
+function canWaitAtFullTargets(job: ActiveJob, now: Instant): boolean {
+  if (job.queue.urgentRuns !== 'return') return true;
+  return canWaitAtTarget(estimateLatestStart(job), now);
+}
+
 export interface PlacerOptions {
   readonly metrics?: Metrics;
   /** Unset: no task waits for a target near its data. */
@@ -160,11 +170,13 @@
     job.isFeasibilityChecked = pool.targets.size > 0;
     const {steps} = job.state.job;
     if (steps.every(step => isUnplaceable(step, undefined, pool))) return true;
+    const isPatient = canWaitAtFullTargets(job, now);
     const {locality} = this.options;
     // Of earlier rounds: a wait that another task of the step begins in this one is no reason to wait.
     const nearWaits = new Map(job.nearWaits);
     const placed: PlacedTask[] = [];
     const targetsByStep = new Map<number, Set<TargetId>>();
+    let isPossible = true;
     let targets = [...pool.targets.values()];
     for (const pos of listReadyTasks(job.state)) {
       const step = job.state.job.steps[pos.step]!;
@@ -184,8 +196,8 @@
         targets,
         now,
       );
-      if (choice.kind === 'impossible') return false;
-      if (choice.kind === 'full') {
+      if (choice.kind === 'impossible') isPossible = false;
+      if (choice.kind === 'full' || choice.kind === 'impossible') {
         const {demand, requiredLabel} = step;
         pool.unplaceable.push({demand, requiredLabel, avoid});
       }
@@ -197,16 +209,17 @@
       const target = pool.targets.get(choice.target)!;
       pool.targets.set(choice.target, reserveCapacity(target, {...step, rank}));
       targets = [...pool.targets.values()];
+      const mayWait = choice.isQueued || isPatient;
       const remoteFactor =
         locality === undefined
           ? 1
           : computeRemoteFactor({...step, locality}, target);
-      placed.push({pos, target: choice.target, remoteFactor});
+      placed.push({pos, target: choice.target, mayWait, remoteFactor});
       const stepTargets = targetsByStep.get(pos.step) ?? new Set<TargetId>();
       targetsByStep.set(pos.step, stepTargets.add(choice.target));
     }
     this.sendRuns(job, rank, placed, now);
-    return true;
+    return isPossible;
   }
 
   /** Lets a task wait for a target near its data, and those behind it know. */
@@ -238,12 +251,13 @@
   ): void {
     const batches = new Map<string, PlacedRuns>();
     for (const task of placed) {
-      const {pos, target} = task;
+      const {pos, target, mayWait} = task;
       const run = this.openRun(job, task, now);
-      const key = `${target} ${pos.step}`;
+      const key = `${target} ${pos.step} ${mayWait}`;
       const batch = batches.get(key) ?? {
         target,
         step: pos.step,
+        mayWait,
         runs: new Map(),
       };
       batch.runs.set(run.ticket, run);
@@ -291,13 +305,21 @@
   private sendBatch(
     job: ActiveJob,
     rankMs: number,
-    {target, step, runs}: PlacedRuns,
+    {target, step, mayWait, runs}: PlacedRuns,
   ): void {
     const {id, payload, steps} = job.state.job;
     const {demand, estimateMs, requiredLabel} = steps[step]!;
     const [first] = runs.values();
     this.log.debug(
-      {event: 'runs-placed', job: id, step, target, runs: runs.size, rankMs},
+      {
+        event: 'runs-placed',
+        job: id,
+        step,
+        target,
+        runs: runs.size,
+        rankMs,
+        mayWait,
+      },
       'placed runs on a target',
     );
     this.fleet.find(target)!.place(
@@ -311,6 +333,7 @@
         // The runner judges the target's speed by it.
         estimateMs: estimateMs * first!.remoteFactor,
         rankMs,
+        ...(!mayWait && {mayWait}),
         runs: [...runs].map(([ticket, {ref}]) => [ticket, ref.index, ref.run]),
       },
       runs,
--- a/packages/policy/src/capacity-placement.ts
+++ b/packages/policy/src/capacity-placement.ts
@@ -54,7 +54,12 @@
 }
 
 export type PlacementChoice =
-  | {readonly kind: 'place'; readonly target: TargetId}
+  | {
+      readonly kind: 'place';
+      readonly target: TargetId;
+      /** True when the target has no free capacity, so that the task waits there. */
+      readonly isQueued: boolean;
+    }
   /** No target has free capacity or can queue another run. */
   | {readonly kind: 'full'}
   /** No target is known, or the task can still meet its due time by waiting for a faster one. */
@@ -122,7 +127,7 @@
   const missesDue = now + best.runMs > task.dueAt;
   const fastestMeetsDue = now + minRunMs <= task.dueAt;
   if (missesDue && fastestMeetsDue) return {kind: 'wait'};
-  return {kind: 'place', target: best.target};
+  return {kind: 'place', target: best.target, isQueued: free === undefined};
 }
 
 /** Lists the targets whose speed a choice is compared by: under a locality policy those in the data's rack don't count for one outside. */
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -252,23 +252,17 @@
       {event: 'dispatcher-attached', dispatcher, life, runs: session.runs.size},
       'dispatcher attached',
     );
-    return {
-      target: info.target,
-      incarnation: info.incarnation,
-      service: info.service,
-      capacity: info.room,
-      ended: session.listEnded(tickets),
-      load: this.describeLoad(session),
-    };
+    const {target, incarnation, service, room: capacity} = info;
+    const ended = session.listEnded(tickets);
+    const load = this.describeLoad(session);
+    return {target, incarnation, service, capacity, ended, load};
   }
 
   private place(batches: readonly RunBatch[], peer: Peer): void {
     const session = this.sessions.find(peer);
     if (session === undefined) return;
-    const now = this.clock.now();
-    for (const batch of batches) {
-      for (const run of openRuns(batch, now)) this.accept(session, run);
-    }
+    const runs = batches.flatMap(each => openRuns(each, this.clock.now()));
+    for (const run of runs) this.accept(session, run);
     this.startWaiting();
     if (this.sessions.ensurePermission(session)) this.reporter.report();
     else this.reporter.schedule();
@@ -280,6 +274,7 @@
       !this.isOpen ||
       !canRunOn(run, this.description!) ||
       this.runs.find(run.ref) !== undefined ||
+      (!run.mayWait && !this.hasRoomFor(run)) ||
       !this.ensureQueueSpace(run)
     ) {
       session.addEnd(run.ticket, 'not-run', 0);
@@ -300,20 +295,22 @@
   }
 
   private startWaiting(): void {
-    const {backlog, executor} = this;
-    if (executor === undefined || !this.isOpen) return;
+    if (!this.isOpen) return;
     const now = this.readClocks();
-    for (;;) {
-      const run = backlog.takeFirst(
-        each =>
-          this.intake.hasRoomFor(each, executor.room, this.runs, backlog) &&
-          this.runs.findOwner(each)!.canStart(now),
-      );
-      if (run === undefined) return;
+    const canStart = (each: Run) =>
+      this.hasRoomFor(each) && this.runs.findOwner(each)!.canStart(now);
+    let run: Run | undefined;
+    while ((run = this.backlog.takeFirst(canStart)) !== undefined) {
       this.runs.noteStart(run);
       run.phase = {kind: 'starting', sentAt: now.monotonic};
       this.requests.start(run);
     }
+    this.returnWaiting(each => !each.mayWait && !this.hasRoomFor(each));
+  }
+
+  private hasRoomFor(run: Run): boolean {
+    const {room} = this.executor!;
+    return this.intake.hasRoomFor(run, room, this.runs, this.backlog);
   }
 
   private handleStartOutcome(run: Run, outcome: StartOutcome): void {
