--- a/packages/policy/src/admission.ts
+++ b/packages/policy/src/admission.ts
@@ -173,7 +173,7 @@
 /**
  * Applies the queue limit, which is divided between teams by weight. A team
  * within its share is admitted even when other teams fill the whole queue; the
- * total stays below twice the limit.
+ * total stays within twice the limit.
  */
 function checkLoad(
   {limits, load, runs}: AdmissionState,
