--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -24,7 +24,7 @@
   logStall,
   logStart,
 } from './events.js';
-import {Intake} from './intake.js';
+import {StartGate} from './start-gate.js';
 import {LeaseLoop} from './lease.js';
 import {computeFreeCapacity, describeLoad} from './load.js';
 import {ExecutorRequests} from './executor-requests.js';
@@ -57,7 +57,7 @@
   private readonly requests: ExecutorRequests;
   private readonly lease: LeaseLoop;
   private readonly reporter: Reporter;
-  private readonly intake: Intake;
+  private readonly startGate: StartGate;
   private readonly ticker: NodeJS.Timeout;
   private executor: ExecutorInfo | undefined;
   /** The part of the announcement that dispatchers place by; replaced only when it has changed. */
@@ -73,7 +73,10 @@
     this.clock = options.clock ?? monotonicClock;
     this.readWall = options.readWall ?? Date.now;
     const {evacuationWaitMs = 0} = options;
-    this.intake = new Intake(this.clock, this.clock.now() + evacuationWaitMs);
+    this.startGate = new StartGate(
+      this.clock,
+      this.clock.now() + evacuationWaitMs,
+    );
     this.sessions = new SessionTable(
       () => this.readClocks(),
       run => this.stop(run, 'stopped'),
@@ -91,7 +94,7 @@
       log: options.log,
       firstFence: Math.floor(this.readWall()),
       canStart: run =>
-        this.intake.isOpen &&
+        this.startGate.isOpen &&
         this.runs.findOwner(run)?.canStart(this.readClocks()) === true &&
         canRunOn(run, this.description!),
       onStartSent: sentAt => this.lease.noteLease(sentAt),
@@ -151,7 +154,7 @@
    */
   setEvacuated(isEvacuated: boolean): void {
     const {backlog, runs} = this;
-    if (!this.intake.setEvacuated(isEvacuated, this.stats.current)) return;
+    if (!this.startGate.setEvacuated(isEvacuated, this.stats.current)) return;
     const counts = {returned: backlog.size, running: runs.size - backlog.size};
     logEvacuation(this.options, isEvacuated, counts);
     if (isEvacuated) this.returnWaiting();
@@ -198,12 +201,12 @@
       !this.draining &&
       this.adopted &&
       this.lease.isResponsive &&
-      this.intake.isOpen
+      this.startGate.isOpen
     );
   }
 
   private get offeredRoom() {
-    return this.intake.limitRoom(this.executor?.room);
+    return this.startGate.limitRoom(this.executor?.room);
   }
 
   private get isLeaseNeeded(): boolean {
@@ -223,7 +226,7 @@
   private describeLoad({demand}: Session): TargetLoad {
     const {isOpen, runs, backlog} = this;
     const stats = this.stats.current;
-    const withheld = this.intake.computeWithheld(this.executor?.room);
+    const withheld = this.startGate.computeWithheld(this.executor?.room);
     const sources = {isOpen, withheld, runs, backlog, stats};
     return describeLoad(sources, demand, this.clock.now());
   }
@@ -234,7 +237,7 @@
       if (run.phase.kind !== 'waiting') this.endRun(run, 'lapsed');
     }
     this.stats.reset();
-    this.intake.restartReturn(this.stats.current);
+    this.startGate.restartReturn(this.stats.current);
     this.acknowledgements.reset();
     this.adopted = false;
   }
@@ -310,7 +313,7 @@
 
   private hasRoomFor(run: Run): boolean {
     const {room} = this.executor!;
-    return this.intake.hasRoomFor(run, room, this.runs, this.backlog);
+    return this.startGate.hasRoomFor(run, room, this.runs, this.backlog);
   }
 
   private handleStartOutcome(run: Run, outcome: StartOutcome): void {
@@ -427,7 +430,7 @@
   private tick(): void {
     for (const session of this.sessions.renew()) this.expire(session);
     this.stats.tick(this.runs.size === 0);
-    this.intake.advance(this.stats.current);
+    this.startGate.advance(this.stats.current);
     this.startWaiting();
     this.lease.wakeUp();
     this.reporter.schedule();
--- a/packages/runner/src/intake.ts
+++ b/packages/runner/src/start-gate.ts
@@ -14,7 +14,7 @@
 import type {Run} from './run.js';
 import type {RunTable} from './run-table.js';
 
-type IntakeState =
+type StartGateState =
   /** Nothing has been heard of the failure domain since this process started. */
   | {readonly kind: 'unknown'; readonly openAt: Instant}
   | {readonly kind: 'evacuated'}
@@ -22,8 +22,8 @@
   | {readonly kind: 'full'};
 
 /** Whether a runner's failure domain lets it start runs, and for how much of its executor's room. */
-export class Intake {
-  private state: IntakeState;
+export class StartGate {
+  private state: StartGateState;
 
   /** Waits until `openAt` to hear of the failure domain. */
   constructor(
