--- a/packages/policy/src/target-subset.ts
+++ b/packages/policy/src/target-subset.ts
@@ -75,10 +75,10 @@
 
 /**
  * Chooses a service's homes, the targets whose dispatchers accept its jobs. The choice depends only on
- * the service and its targets, so all that know the same targets agree. While a failure domain
- * is evacuated, homes are chosen from the other targets, if there are any; most homes there remain. When a service is nearly full,
- * each dispatcher beyond those needed makes load reports older for all and splits the waiting work into
- * one more separately ordered queue.
+ * the service and its targets, so all that know the same targets agree. While a failure domain is
+ * evacuated, homes are chosen from the other targets, if there are any; most homes outside the domain
+ * stay homes. When a service is nearly full, each dispatcher beyond those needed makes load reports
+ * older for all and splits the waiting work into one more separately ordered queue.
  */
 export function chooseHomeDispatchers(
   service: string,
