Wait for the first configuration before the test of a whole restart changes it

Nothing was lost: the change was sent before the group had its first version, and was refused as a conflict, which the test did not look at.

--- a/packages/control/test/group.test.ts
+++ b/packages/control/test/group.test.ts
@@ -103,6 +103,7 @@
 test('a group keeps its state when all of its replicas restart', async t => {
   await using group = await Group.start();
   const first = group.connect();
+  await first.awaitVersion(1);
   const {epoch} = await first.open('gilgit-1');
   await first.request('control.admit', {
     admissions: [createAdmission('a', epoch)],
@@ -111,6 +112,7 @@
     'control.applyConfig',
     createChange('c', 1),
   );
+  t.is(accepted.kind, 'accepted');
   for (const id of [...group.running.keys()]) await group.stop(id);
   for (const id of ['c1', 'c2', 'c3']) await group.start(id);
   const client = group.connect();
