Take no runs on an incarnation that its executor has not announced

What callers could see: a task that starts on an executor without its label, or that runs twice at a time, after its executor has crashed and come back under the id that it had.

Cause: the runner learned of an incarnation from announcements alone. Lists that came from a later one were dropped, but they counted as an answer, so that the runner stayed open and sent starts by the old description until the first heartbeat. Then it gave up all runs as lapsed, also those that the new incarnation had begun, and dispatchers started their tasks again. An executor whose lists show another start time than its announcement was asked for them as fast as it answered.

Change: ExecutorIdentity holds the latest announcement and the latest incarnation met in it or in lists. A runner that meets a later one in lists takes no runs until that one has announced itself, and a delayed announcement of an earlier one changes nothing. Each new incarnation gets a higher fence, so that orders under way are refused; runs that the one before never listed are judged by the new one's lists, asked for with that fence. A queued start is sent only while the runner is open. A start refused by another executor closes the runner until the next list.

--- a/packages/runner/src/events.ts
+++ b/packages/runner/src/events.ts
@@ -1,7 +1,8 @@
-import type {Instant} from '#model';
+import type {Instant, RunEnd} from '#model';
 import {type Logger, type Metrics, noopMetrics} from '#telemetry';
 import type {ExecutorInfo} from './executor.js';
 import {formatRun, type Run} from './run.js';
+import type {Session} from './session.js';
 
 /** Logs that the executor has started a run. */
 export function logStart(log: Logger, {ref}: Run): void {
@@ -38,6 +39,32 @@
   );
 }
 
+/** Counts a run's end, and its run time if it ran. */
+export function measureRunEnd(
+  {metrics = noopMetrics}: {readonly metrics?: Metrics},
+  end: RunEnd,
+  runMs: number,
+): void {
+  metrics.increment('runner.runs', 1, {end});
+  if (runMs > 0) metrics.timing('runner.run', runMs, {end});
+}
+
+/** Logs that a dispatcher has attached. */
+export function logAttachment(
+  log: Logger,
+  {dispatcher, life, runs: {size: runs}}: Session,
+): void {
+  log.info(
+    {event: 'dispatcher-attached', dispatcher, life, runs},
+    'dispatcher attached',
+  );
+}
+
+/** Logs that the executor has no runs that the runner does not know. */
+export function logAdoption(log: Logger, {target}: ExecutorInfo): void {
+  log.info({event: 'executor-adopted', target}, 'no orphans');
+}
+
 /** Logs that the executor has announced a new incarnation. */
 export function logIncarnation(
   log: Logger,
@@ -50,6 +77,18 @@
   );
 }
 
+/** Logs that the executor's lists come from a later incarnation than the one that has announced itself. */
+export function logReplacement(
+  log: Logger,
+  {target, incarnation: announced}: ExecutorInfo,
+  incarnation: number,
+): void {
+  log.info(
+    {event: 'executor-replaced', target, announced, incarnation},
+    'another incarnation of the executor answers; nothing starts until it has announced itself',
+  );
+}
+
 /** Logs that the executor's lease has expired while it did not answer. */
 export function logLeaseExpiry(
   log: Logger,
--- a/packages/runner/src/executor-requests.ts
+++ b/packages/runner/src/executor-requests.ts
@@ -39,6 +39,11 @@
     return this.currentFence;
   }
 
+  /** Makes the executor refuse all orders sent so far, from its first request with the new fence on. */
+  advanceFence(): void {
+    this.currentFence++;
+  }
+
   /** Queues the start of a run; its outcome is `late` when it may no longer start at its turn. */
   start(run: Run): void {
     void this.queue.add(() => this.sendStart(run));
@@ -74,13 +79,16 @@
     const sentAt = clock.now();
     run.phase = {kind: 'starting', sentAt};
     onStartSent(sentAt);
+    const {fence} = this;
     const outcome = await port.startRun({
       ref: run.ref,
       payload: run.payload,
-      fence: this.fence,
+      fence,
       leaseMs: executorLeaseMs,
     });
-    if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+    const isFenced = outcome.kind === 'refused' && outcome.reason === 'fenced';
+    // A start from before the fence was raised says nothing about the present one.
+    if (isFenced && fence === this.fence) {
       this.currentFence = Math.max(this.fence + 1, Math.floor(Date.now()));
     }
     onStartOutcome(run, outcome);
--- /dev/null
+++ b/packages/runner/src/job-clearance.ts
@@ -0,0 +1,44 @@
+import {type JobId, RecentMap, type RunEnd} from '#model';
+import type {Peer} from '#protocol';
+import type {Run} from './run.js';
+import type {RunTable} from './run-table.js';
+import type {SessionTable} from './session-table.js';
+
+/** Capacity. It suffices because jobs change their dispatcher only after a fault. */
+const maxRestrictions = 4096;
+const checkIntervalMs = 50;
+
+export interface JobClearanceOwner {
+  readonly sessions: SessionTable;
+  readonly runs: RunTable;
+  readonly stop: (run: Run, end: RunEnd) => void;
+  /** False while the executor may have runs that the runner does not know. */
+  readonly isAdopted: () => boolean;
+}
+
+/** Jobs that were cleared for one dispatcher: no other one may place them on this target. At capacity the oldest are dropped. */
+export class JobClearance {
+  private readonly allowed = new RecentMap<JobId, string>(maxRestrictions);
+
+  constructor(private readonly owner: JobClearanceOwner) {}
+
+  /** True when a job was cleared for another dispatcher. */
+  isExcluded(job: JobId, dispatcher: string): boolean {
+    const allowed = this.allowed.get(job);
+    return allowed !== undefined && allowed !== dispatcher;
+  }
+
+  /** Stops a job's runs for dispatchers other than the one that asks; resolves once all of them have ended. */
+  async clear(job: JobId, peer: Peer): Promise<Record<string, never>> {
+    const {sessions, runs, stop, isAdopted} = this.owner;
+    const own = sessions.find(peer);
+    if (own === undefined) throw new Error('this dispatcher is not attached');
+    this.allowed.set(job, own.dispatcher);
+    for (const run of runs.listOthers(job, own)) stop(run, 'stopped');
+    while (runs.listOthers(job, own).length > 0 || !isAdopted()) {
+      await new Promise(resolve => setTimeout(resolve, checkIntervalMs));
+      if (!peer.isOpen) throw new Error('the dispatcher has disconnected');
+    }
+    return {};
+  }
+}
--- a/packages/runner/src/lease.ts
+++ b/packages/runner/src/lease.ts
@@ -14,7 +14,7 @@
 const cautionPeriodMs = 5000;
 /** An executor that has not answered for this long gets no new runs and no lease extension, in ms. */
 const maxSilenceMs = 400;
-/** Delay before the next renewal after an unanswered one, in ms. */
+/** Delay before the next renewal after one that was unanswered or shows runs that the runner does not know, in ms. */
 const retryPauseMs = 10;
 
 export interface LeaseOwner {
@@ -134,6 +134,8 @@
     if (typeof report !== 'string') {
       this.silentSince = undefined;
       this.owner.onReport(report, askedAt);
+      // Answers are not delayed then, so that nothing else keeps requests apart.
+      if (!this.owner.isAdopted()) await this.pause(retryPauseMs);
       return;
     }
     const now = this.owner.clock.now();
--- a/packages/runner/src/reconcile.ts
+++ b/packages/runner/src/reconcile.ts
@@ -57,6 +57,7 @@
       continue;
     }
     present.add(run);
+    run.isListed = true;
     if (run.phase.kind === 'starting') markStarted(run, run.phase.sentAt);
     work.push(updateProgress(run, percent, now));
     if (isStalled(run, baselineSlowness, now)) stalled.push(run);
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -37,6 +37,11 @@
     return [...this.runs.values()];
   }
 
+  /** Lists the runs that are, or may be, at the executor. */
+  listSent(): readonly Run[] {
+    return this.list().filter(({phase}) => phase.kind !== 'waiting');
+  }
+
   /** Lists the runs of a job that belong to other sessions. */
   listOthers(job: JobId, own: Session): readonly Run[] {
     return this.list().filter(
--- a/packages/runner/src/run.ts
+++ b/packages/runner/src/run.ts
@@ -39,6 +39,8 @@
   /** False when it is to be returned at once unless it can start. */
   readonly mayWait: boolean;
   phase: RunPhase;
+  /** True once the executor's lists have shown it at work. */
+  isListed: boolean;
   /** When its start was sent; set once the executor is known to have started it. */
   startedAt?: Instant;
   /** The last reported progress, from 0 to 100, and when it changed. */
@@ -68,6 +70,7 @@
     rank: now + rankMs,
     mayWait: batch.mayWait ?? true,
     phase: {kind: 'waiting'},
+    isListed: false,
     percent: 0,
     progressedAt: now,
     measuredAt: now,
@@ -103,3 +106,10 @@
   run.startedAt = at;
   run.measuredAt = at;
 }
+
+/** Records that the executor has confirmed the start of a run, which was sent at `sentAt`. */
+export function confirmStart(run: Run, sentAt: Instant, now: Instant): void {
+  markStarted(run, sentAt);
+  run.progressedAt = now;
+  run.phase = {kind: 'running', confirmedAt: now};
+}
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -1,28 +1,37 @@
-import {type Clock, type Instant, monotonicClock, type RunEnd} from '#model';
+import {
+  type Clock,
+  failUnreachable,
+  type Instant,
+  monotonicClock,
+  type RunEnd,
+} from '#model';
 import {canQueueAhead, shouldDisplace} from '#policy';
 import type {
   AttachRunnerParams,
   AttachRunnerResult,
-  ExecutorDescription,
   Handlers,
   Peer,
   RunBatch,
   TargetLoad,
   WithdrawRunsParams,
 } from '#protocol';
-import {noopMetrics} from '#telemetry';
 import {Acknowledgements} from './acknowledgements.js';
 import {Backlog} from './backlog.js';
-import {JobRestrictions} from './job-restrictions.js';
+import {JobClearance} from './job-clearance.js';
 import type {ExecutorInfo, ExecutorReport, StartOutcome} from './executor.js';
+import {ExecutorIdentity} from './executor-identity.js';
 import {
+  logAdoption,
+  logAttachment,
   logEvacuation,
   logStartFailure,
   logLeaseExpiry,
   logIncarnation,
+  logReplacement,
   logDispatcherTimeout,
   logStall,
   logStart,
+  measureRunEnd,
 } from './events.js';
 import {StartGate} from './start-gate.js';
 import {LeaseLoop} from './lease.js';
@@ -30,13 +39,7 @@
 import {ExecutorRequests} from './executor-requests.js';
 import {compareReport} from './reconcile.js';
 import {Reporter} from './reporter.js';
-import {
-  canRunOn,
-  describeExecutor,
-  markStarted,
-  openRuns,
-  type Run,
-} from './run.js';
+import {canRunOn, confirmStart, openRuns, type Run} from './run.js';
 import {RunTable} from './run-table.js';
 import type {RunnerOptions} from './runner-options.js';
 import type {ClockReading, Session} from './session.js';
@@ -53,15 +56,13 @@
   private readonly sessions: SessionTable;
   private readonly runs = new RunTable();
   private readonly backlog = new Backlog();
-  private readonly restrictions = new JobRestrictions();
+  private readonly clearance: JobClearance;
   private readonly requests: ExecutorRequests;
   private readonly lease: LeaseLoop;
   private readonly reporter: Reporter;
   private readonly startGate: StartGate;
   private readonly ticker: NodeJS.Timeout;
-  private executor: ExecutorInfo | undefined;
-  /** The part of the announcement that dispatchers place by; replaced only when it has changed. */
-  private description: ExecutorDescription | undefined;
+  private readonly identity = new ExecutorIdentity();
   private readonly stats = new StatsRecorder();
   private readonly acknowledgements = new Acknowledgements();
   /** False until the executor has reported no runs that are unknown to this process. */
@@ -82,10 +83,16 @@
       run => this.stop(run, 'stopped'),
       () => this.startWaiting(),
     );
+    this.clearance = new JobClearance({
+      sessions: this.sessions,
+      runs: this.runs,
+      stop: (run, end) => this.stop(run, end),
+      isAdopted: () => this.adopted,
+    });
     this.reporter = new Reporter({
       sessions: this.sessions,
       describeLoad: session => this.describeLoad(session),
-      getDescription: () => this.description,
+      getDescription: () => this.identity.description,
       computeFree: () => computeFreeCapacity(this.offeredRoom, this.runs),
     });
     this.requests = new ExecutorRequests({
@@ -94,9 +101,9 @@
       log: options.log,
       firstFence: Math.floor(this.readWall()),
       canStart: run =>
-        this.startGate.isOpen &&
+        this.isOpen &&
         this.runs.findOwner(run)?.canStart(this.readClocks()) === true &&
-        canRunOn(run, this.description!),
+        this.isFitting(run),
       onStartSent: sentAt => this.lease.noteLease(sentAt),
       onStartOutcome: (run, outcome) => this.handleStartOutcome(run, outcome),
       onStopped: () => void this.lease.fetchReport(),
@@ -118,7 +125,7 @@
 
   /** The executor as it last announced itself. */
   get info(): ExecutorInfo | undefined {
-    return this.executor;
+    return this.identity.info;
   }
 
   /** The number of runs accepted and not yet ended. */
@@ -128,22 +135,32 @@
 
   /** Handles the executor's announcement. One from an earlier incarnation is ignored. */
   announce(info: ExecutorInfo): void {
-    const known = this.executor;
-    if (known !== undefined && info.incarnation < known.incarnation) return;
-    const isNew = info.incarnation !== known?.incarnation;
-    this.executor = info;
-    this.description = describeExecutor(info, this.description);
-    this.returnWaiting(run => !canRunOn(run, this.description!));
-    if (isNew) this.beginIncarnation(info);
-    else if (info.draining && !known.draining) this.returnWaiting();
+    const change = this.identity.announce(info, this.clock.now());
+    if (change.kind === 'outdated') return;
+    this.returnWaiting(run => !this.isFitting(run));
+    switch (change.kind) {
+      case 'replaced':
+        logIncarnation(this.options.log, info, this.runs.size);
+        if (!change.isMet) this.enterIncarnation(change.isSameId);
+        // It may have begun runs that were placed for its predecessor.
+        for (const run of this.runs.list()) {
+          if (!this.isFitting(run)) this.stop(run, 'lapsed');
+        }
+        break;
+      case 'same':
+        if (change.startsDraining) this.returnWaiting();
+        break;
+      default:
+        failUnreachable(change);
+    }
     this.reporter.schedule();
     this.lease.wakeUp();
   }
 
   /** Handles the executor's notice that it is terminating. */
   withdraw(incarnation: number): void {
-    if (this.executor?.incarnation !== incarnation) return;
-    this.executor = {...this.executor, draining: true};
+    if (this.info?.incarnation !== incarnation) return;
+    this.identity.markDraining();
     this.returnWaiting();
     this.reporter.schedule();
   }
@@ -169,7 +186,7 @@
       'runner.withdraw': (params, peer) => this.withdrawRuns(params, peer),
       'runner.permit': ({question}, peer) =>
         this.sessions.grant(question, peer),
-      'runner.clear': ({job}, peer) => this.clearJob(job, peer),
+      'runner.clear': ({job}, peer) => this.clearance.clear(job, peer),
     };
   }
 
@@ -196,8 +213,7 @@
 
   private get isOpen(): boolean {
     return (
-      this.executor !== undefined &&
-      !this.executor.draining &&
+      this.info?.draining === false &&
       !this.draining &&
       this.adopted &&
       this.lease.isResponsive &&
@@ -206,13 +222,13 @@
   }
 
   private get offeredRoom() {
-    return this.startGate.limitRoom(this.executor?.room);
+    return this.startGate.limitRoom(this.info?.room);
   }
 
   private get isLeaseNeeded(): boolean {
-    if (this.executor === undefined) return false;
+    if (this.info === undefined) return false;
     return (
-      !this.adopted ||
+      (!this.adopted && !this.identity.isSuperseded) ||
       !this.lease.isAnswered ||
       !this.acknowledgements.isComplete ||
       this.runs.size > this.backlog.size
@@ -226,15 +242,20 @@
   private describeLoad({demand}: Session): TargetLoad {
     const {isOpen, runs, backlog} = this;
     const stats = this.stats.current;
-    const withheld = this.startGate.computeWithheld(this.executor?.room);
+    const withheld = this.startGate.computeWithheld(this.info?.room);
     const sources = {isOpen, withheld, runs, backlog, stats};
     return describeLoad(sources, demand, this.clock.now());
   }
 
-  private beginIncarnation(info: ExecutorInfo): void {
-    logIncarnation(this.options.log, info, this.runs.size);
-    for (const run of this.runs.list()) {
-      if (run.phase.kind !== 'waiting') this.endRun(run, 'lapsed');
+  /**
+   * Notes that the executor is another incarnation than before. Runs of the one before have lapsed. Under the
+   * same id, the new one may have begun those that the one before never listed: its lists will tell. Orders
+   * that are still under way are refused for their lower fence from the first request with the new one.
+   */
+  private enterIncarnation(isSameId: boolean): void {
+    this.requests.advanceFence();
+    for (const run of this.runs.listSent()) {
+      if (!isSameId || run.isListed) this.endRun(run, 'lapsed');
     }
     this.stats.reset();
     this.startGate.restartReturn(this.stats.current);
@@ -246,15 +267,12 @@
     {dispatcher, life, tickets}: AttachRunnerParams,
     peer: Peer,
   ): AttachRunnerResult {
-    const info = this.executor;
+    const {info} = this;
     if (info === undefined) throw new Error('no executor has announced itself');
     if (!this.adopted) throw new Error('the executor has not answered yet');
     const session = this.sessions.attach(dispatcher, life, tickets, peer);
-    session.noteDescription(this.description!);
-    this.options.log.info(
-      {event: 'dispatcher-attached', dispatcher, life, runs: session.runs.size},
-      'dispatcher attached',
-    );
+    session.noteDescription(this.identity.description!);
+    logAttachment(this.options.log, session);
     const {target, incarnation, service, room: capacity} = info;
     const ended = session.listEnded(tickets);
     const load = this.describeLoad(session);
@@ -273,9 +291,9 @@
 
   private accept(session: Session, run: Run): void {
     if (
-      this.restrictions.isExcluded(run.ref.job, session.dispatcher) ||
+      this.clearance.isExcluded(run.ref.job, session.dispatcher) ||
       !this.isOpen ||
-      !canRunOn(run, this.description!) ||
+      !this.isFitting(run) ||
       this.runs.find(run.ref) !== undefined ||
       (!run.mayWait && !this.hasRoomFor(run)) ||
       !this.ensureQueueSpace(run)
@@ -297,6 +315,10 @@
     return true;
   }
 
+  private isFitting(run: Run): boolean {
+    return canRunOn(run, this.identity.description!);
+  }
+
   private startWaiting(): void {
     if (!this.isOpen) return;
     const now = this.readClocks();
@@ -312,7 +334,7 @@
   }
 
   private hasRoomFor(run: Run): boolean {
-    const {room} = this.executor!;
+    const {room} = this.info!;
     return this.startGate.hasRoomFor(run, room, this.runs, this.backlog);
   }
 
@@ -322,14 +344,13 @@
     switch (outcome.kind) {
       case 'started':
         if (run.phase.kind !== 'starting') return;
-        markStarted(run, run.phase.sentAt);
-        run.progressedAt = this.clock.now();
-        run.phase = {kind: 'running', confirmedAt: this.clock.now()};
+        confirmStart(run, run.phase.sentAt, this.clock.now());
         logStart(this.options.log, run);
         return;
       case 'refused':
         logStartFailure(this.options.log, run, outcome.reason);
         if (outcome.reason === 'unhealthy') this.stats.recordFailure();
+        if (outcome.reason === 'replaced') this.adopted = false;
         this.endRun(run, 'not-run');
         return;
       case 'unanswered':
@@ -345,22 +366,6 @@
     for (const run of runs) this.stop(run, 'stopped');
   }
 
-  /** Stops a job's runs for other dispatchers; resolves once all of them have ended. */
-  private async clearJob(
-    job: string,
-    peer: Peer,
-  ): Promise<Record<string, never>> {
-    const own = this.sessions.find(peer);
-    if (own === undefined) throw new Error('this dispatcher is not attached');
-    this.restrictions.set(job, own.dispatcher);
-    for (const run of this.runs.listOthers(job, own)) this.stop(run, 'stopped');
-    while (this.runs.listOthers(job, own).length > 0 || !this.adopted) {
-      await new Promise(resolve => setTimeout(resolve, tickMs));
-      if (!peer.isOpen) throw new Error('the dispatcher has disconnected');
-    }
-    return {};
-  }
-
   /** Ends a run: at once while it waits, otherwise once the executor no longer has it. */
   private stop(run: Run, end: RunEnd): void {
     if (run.phase.kind === 'stopping') return;
@@ -373,8 +378,12 @@
   }
 
   private receiveReport(report: ExecutorReport, askedAt: Instant): void {
-    const info = this.executor;
-    if (info === undefined || report.incarnation !== info.incarnation) return;
+    if (this.identity.noteReport(report, this.clock.now())) {
+      logReplacement(this.options.log, this.info!, report.incarnation);
+      this.enterIncarnation(true);
+      this.returnWaiting();
+    }
+    if (!this.identity.isCurrent(report, askedAt)) return;
     this.acknowledgements.note(report.ended);
     const {ends, orphans, stalled, work} = compareReport(this.runs, report, {
       askedAt,
@@ -386,10 +395,9 @@
     for (const [run, end] of ends) this.endRun(run, end);
     for (const ref of orphans) this.requests.stopOrphan(ref);
     for (const run of stalled) this.stopStalled(run);
-    if (!this.adopted && orphans.length === 0) {
+    if (!this.adopted && !this.identity.isSuperseded && orphans.length === 0) {
       this.adopted = true;
-      const {target} = info;
-      this.options.log.info({event: 'executor-adopted', target}, 'no orphans');
+      logAdoption(this.options.log, this.info!);
     }
     this.startWaiting();
     this.reporter.schedule();
@@ -403,7 +411,7 @@
   }
 
   private handleLapsedLease(detail: string): void {
-    const sent = this.runs.list().filter(({phase}) => phase.kind !== 'waiting');
+    const sent = this.runs.listSent();
     if (this.adopted) logLeaseExpiry(this.options.log, detail, sent.length);
     this.adopted = false;
     for (const run of sent) this.endRun(run, 'lapsed');
@@ -420,9 +428,7 @@
     const runMs =
       run.startedAt === undefined ? 0 : this.clock.now() - run.startedAt;
     if (!this.runs.remove(run, end, runMs)) return;
-    const {metrics = noopMetrics} = this.options;
-    metrics.increment('runner.runs', 1, {end});
-    if (runMs > 0) metrics.timing('runner.run', runMs, {end});
+    measureRunEnd(this.options, end, runMs);
     this.stats.recordEnd(end);
     this.reporter.schedule();
   }
@@ -437,9 +443,7 @@
   }
 
   private expire(session: Session): void {
-    const active = [...session.runs.values()].filter(
-      ({phase}) => phase.kind === 'starting' || phase.kind === 'running',
-    );
+    const active = session.listStarted();
     if (active.length === 0) return;
     logDispatcherTimeout(this.options.log, session.dispatcher, active.length);
     for (const run of active) this.stop(run, 'stopped');
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -175,6 +175,13 @@
     this.demand = subtractDemand(this.demand, run.demand);
   }
 
+  /** Lists the runs that the executor was told to start and not yet to stop. */
+  listStarted(): readonly Run[] {
+    return [...this.runs.values()].filter(
+      ({phase}) => phase.kind === 'starting' || phase.kind === 'running',
+    );
+  }
+
   /** Lists the runs that the dispatcher withdraws; a run that it wants ended only if it waits is left out once it has begun. */
   listWithdrawn({tickets, waitingOnly}: WithdrawRunsParams): readonly Run[] {
     return tickets
--- a/packages/runner/test/harness.ts
+++ b/packages/runner/test/harness.ts
@@ -37,6 +37,10 @@
   incarnation = 1;
   /** The `waitMs` of each lease request. */
   readonly waits: number[] = [];
+  /** The fences of all requests for its lists. */
+  readonly fences: number[] = [];
+  /** False to leave requests for its lists unanswered. */
+  isListing = true;
   isDelayingStarts = false;
   private readonly stopped = new Set<string>();
   private ended: ExecutorEndedRun[] = [];
@@ -73,13 +77,15 @@
   }
 
   async renewLease({
+    fence,
     leaseMs,
     acknowledged,
     waitMs,
   }: LeaseRequest): Promise<Either<string, ExecutorReport>> {
     this.waits.push(waitMs);
-    if (waitMs > 0) await sleep(Math.min(waitMs, 20));
-    if (this.isSilent) return Left('silent');
+    this.fences.push(fence);
+    await sleep(Math.min(waitMs, 20));
+    if (this.isSilent || !this.isListing) return Left('silent');
     if (leaseMs !== undefined) this.leaseEndsAt = performance.now() + leaseMs;
     this.ended = this.ended.filter(({number}) => number > acknowledged);
     return Right({
@@ -92,6 +98,15 @@
     });
   }
 
+  /** Drops all runs and continues as another incarnation, which has not announced itself yet. */
+  restart(incarnation: number): void {
+    this.incarnation = incarnation;
+    this.running.clear();
+    this.stopped.clear();
+    this.ended = [];
+    this.count = 0;
+  }
+
   /** Ends a run, as if its task had finished. */
   end(ref: RunRef, end: ExecutorRunEnd): void {
     this.running.delete(formatTask(ref));
