Refuse a task at an agent of another service

What callers could see: a task of one service that runs at a target of another, after its agent was restarted for that service at the same address.

Cause: an entry kept the link of such a target in the pool of its former service, which also missed that the connection had closed and went on using its slots; a start did not name its service, so the agent could not compare.

Change: a start names its service (optional on the wire, for older entries), and an agent of another one refuses it as wrong-service, not run. An entry replaces the link when the view shows another service, and opens no session with an agent that already serves another one than the view says.

--- a/packages/agent/src/task-scheduler.ts
+++ b/packages/agent/src/task-scheduler.ts
@@ -264,6 +264,8 @@
   private findRefusal(task: StartTask): TaskRefusal | undefined {
     if (task.remainingMs <= 0) return 'expired';
     if (this.readiness.kind === 'shut') return this.readiness.reason;
+    const {service = this.readiness.service.name} = task;
+    if (service !== this.readiness.service.name) return 'wrong-service';
     if (this.taskTable.size >= maxKnownTasks) return 'no-slot';
     if (this.slots.hasQueued(formatTask(task))) return 'no-slot';
     return undefined;
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -317,6 +317,23 @@
   await closeHarness(harness);
 });
 
+// Guards against a task that reaches an agent which was restarted for another service.
+test('a task of another service is refused and its slot returned', async t => {
+  const harness = await openHarness({slots: 1});
+  const entry = await FakeEntry.connect(harness, 1);
+  await waitUntil(() => entry.free === 1);
+  entry.start({service: 'renewal'});
+  t.deepEqual(await entry.awaitFate('a.0'), {
+    kind: 'not-run',
+    reason: 'wrong-service',
+  });
+  t.is(harness.target.seen.length, 0);
+  await waitUntil(() => entry.free === 1);
+  entry.start({task: 1, service: 'tally'});
+  t.is((await entry.awaitFate('a.1')).kind, 'succeeded');
+  await closeHarness(harness);
+});
+
 test('cancelling many tasks stops running ones and refuses queued ones', async t => {
   const {held, serve} = holdAnswers();
   const placement = {kind: 'random'} as const;
--- a/packages/entry/src/agent-link.ts
+++ b/packages/entry/src/agent-link.ts
@@ -282,6 +282,11 @@
     const welcome = await openSession(peer, hello, clock);
     if (welcome === undefined) return undefined;
     if (welcome.target.target !== this.target.target) return undefined;
+    if (welcome.target.service !== this.target.service) {
+      // The link is in the pool of the former service until a view replaces it.
+      this.endTasksAsUnknown('the agent restarted for another service');
+      return undefined;
+    }
     if (welcome.target.incarnation !== this.target.incarnation) {
       this.update(welcome.target);
     }
--- a/packages/entry/src/pool.ts
+++ b/packages/entry/src/pool.ts
@@ -335,6 +335,7 @@
     const end = await link.start({
       job: submission.job,
       task,
+      service: this.service.name,
       payload: submission.tasks[task]!.payload,
       remainingMs: computeRemainingMs(now, deadline),
       keepMs: this.owner.getRetentionMs(),
--- a/packages/entry/src/service-pools.ts
+++ b/packages/entry/src/service-pools.ts
@@ -190,7 +190,7 @@
   private putTarget(target: TargetInfo): void {
     if (target.capacity.kind === 'room') return;
     const known = this.links.get(target.target);
-    if (known !== undefined && known.target.address === target.address) {
+    if (known !== undefined && isSameDestination(known.target, target)) {
       known.update(target);
       return;
     }
@@ -271,3 +271,8 @@
     );
   }
 }
+
+/** True when a target can keep its link: the link stays in the pool of one service. */
+function isSameDestination(known: TargetInfo, target: TargetInfo): boolean {
+  return known.address === target.address && known.service === target.service;
+}
--- a/packages/entry/test/service-pools.test.ts
+++ b/packages/entry/test/service-pools.test.ts
@@ -2,7 +2,7 @@
 import {type Epoch, monotonicClock, type TargetInfo} from '#model';
 import {emptyView} from '#membership';
 import {createRandom} from '#policy';
-import {type Peer, PeerListener} from '#protocol';
+import {type Peer, PeerListener, type StartTask} from '#protocol';
 import {openLog} from '#telemetry';
 import {Execution} from '../src/execution.js';
 import {ServicePools} from '../src/service-pools.js';
@@ -13,6 +13,8 @@
 
 /** An agent that grants two slots per session, completes every task at once and keeps older connections open. */
 async function openAgent() {
+  const identity = {incarnation: 1, service: 'tally'};
+  const received: StartTask[] = [];
   const sessions: Peer[] = [];
   const listener = (
     await PeerListener.listen('127.0.0.1:0', {
@@ -21,7 +23,8 @@
         peer.notify('entry.grant', {slots: 2});
         return {kind: 'welcome', target: describe(), slots: 2};
       },
-      'agent.start': ({tasks}, peer) =>
+      'agent.start': ({tasks}, peer) => {
+        received.push(...tasks);
         peer.notify('entry.report', {
           tasks: tasks.map(({job, task}) => ({
             job,
@@ -30,20 +33,20 @@
             runMs: 1,
           })),
           slots: tasks.length,
-        }),
+        });
+      },
       'agent.demand': () => {},
     })
   ).unsafeCoerce();
   const describe = (): TargetInfo => ({
     target: 't1',
-    incarnation: 1,
-    service: 'tally',
+    ...identity,
     address: listener.address,
     place: {site: 's', region: 'r', failureDomain: 'd', rack: 'k'},
     capacity: {kind: 'executor', slots: 2, maxConnections: 2},
     leaving: false,
   });
-  return {listener, sessions, describe};
+  return {listener, sessions, received, identity, describe};
 }
 
 function openPools(
@@ -172,3 +175,42 @@
   await pools[Symbol.asyncDispose]();
   await agent.listener[Symbol.asyncDispose]();
 });
+
+for (const isInView of [true, false]) {
+  const when = isInView ? 'in the view' : 'at its agent, before the view';
+  // Guards against tasks sent to an agent which was restarted for another service, over a link that its former pool kept.
+  test(`a target that serves another service ${when} gets no tasks of its former one`, async t => {
+    const agent = await openAgent();
+    const pools = openPools(() => 1);
+    pools.applyView(emptyView, [
+      {kind: 'target-joined', target: agent.describe()},
+    ]);
+    while (!pools.listLinks()[0]!.isReady) await new Promise(setImmediate);
+    Object.assign(agent.identity, {incarnation: 2, service: 'renewal'});
+    if (isInView) {
+      pools.applyView(emptyView, [
+        {kind: 'target-joined', target: agent.describe()},
+      ]);
+    } else {
+      agent.sessions[0]!.close('restarted');
+    }
+    while (agent.sessions.length < 2) await new Promise(setImmediate);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const job = createJob(buildSubmission('k', 2), monotonicClock.now() + 5000);
+    pools.start(new Execution(job, 3));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.is(agent.received.length, 0);
+    Object.assign(agent.identity, {incarnation: 3, service: 'tally'});
+    agent.sessions.at(-1)!.close('restarted');
+    pools.applyView(emptyView, [
+      {kind: 'target-joined', target: agent.describe()},
+    ]);
+    while (agent.received.length < 2) await new Promise(setImmediate);
+    t.deepEqual(
+      new Set(agent.received.map(({service}) => service)),
+      new Set(['tally']),
+    );
+    await pools[Symbol.asyncDispose]();
+    await agent.listener[Symbol.asyncDispose]();
+  });
+}
--- a/packages/protocol/src/agent-messages.ts
+++ b/packages/protocol/src/agent-messages.ts
@@ -1,6 +1,7 @@
 import type {
   EntryId,
   Epoch,
+  ServiceName,
   TargetInfo,
   TargetId,
   TaskResult,
@@ -26,6 +27,8 @@
   | {readonly kind: 'fenced'};
 
 export interface StartTask extends TaskRef {
+  /** The service whose target may run the task; unset by entries that do not send it. */
+  readonly service?: ServiceName;
   readonly payload: unknown;
   /** Time until the job's deadline, in ms. */
   readonly remainingMs: number;
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -91,6 +91,7 @@
 ]);
 const startTask = Codec.interface({
   ...taskRef,
+  service: optional(string),
   payload: unknown,
   remainingMs: nonNegative,
   keepMs: nonNegative,
