Cancel a best-effort job at its owner before its DELETE is answered

Cause: entries keep no jobs, and answered DELETE without asking for the job.

Change: the entry asks the job's home (dispatcher.cancel), which has the owner end it, as the registrars know it. The owner remembers the cancellation, so that a late copy of the submission does not run; a job that nobody owns is claimed for that. An owner out of reach has its runs cleared at the targets first; until that is confirmed the answer is 503. The POST is answered 200 with the state `cancelled`, after which it isn't sent again.

--- a/packages/dispatch/src/active-job.ts
+++ b/packages/dispatch/src/active-job.ts
@@ -1,4 +1,10 @@
-import type {Instant, QueueConfig, QueuedJob, TargetId} from '#model';
+import {
+  failUnreachable,
+  type Instant,
+  type QueueConfig,
+  type QueuedJob,
+  type TargetId,
+} from '#model';
 import {
   computeDueMs,
   computeUsefulLifetimeMs,
@@ -8,7 +14,7 @@
   openJob,
 } from '#jobs';
 import {rankWork} from '#policy';
-import type {JobEnd, RunTicket} from '#protocol';
+import type {JobEnd, RelayJobParams, RunTicket} from '#protocol';
 
 /** A queued job and how long its caller waits for it. */
 export interface JobSubmission {
@@ -22,6 +28,37 @@
 
 export type JobOutcome = JobEnd;
 
+/** Describes the outcome of a relayed job to the dispatcher or entry that it came from. */
+export function describeEnd(
+  {knowsCancelled = false}: RelayJobParams,
+  outcome: JobOutcome,
+): JobEnd {
+  return outcome.kind === 'cancelled' && !knowsCancelled
+    ? {kind: 'expired'}
+    : outcome;
+}
+
+/** An outcome after which the job is not run again. */
+export type FinalOutcome = Extract<
+  JobOutcome,
+  {kind: 'completed' | 'failed' | 'cancelled'}
+>;
+
+/** True for an outcome after which the job is not run again. */
+export function isFinal(outcome: JobOutcome): outcome is FinalOutcome {
+  switch (outcome.kind) {
+    case 'completed':
+    case 'failed':
+    case 'cancelled':
+      return true;
+    case 'refused':
+    case 'expired':
+      return false;
+    default:
+      return failUnreachable(outcome);
+  }
+}
+
 /** An accepted job that has not been forgotten yet, and what is known of its runs. */
 export interface ActiveJob {
   /** The estimates in it are predicted ones, not the caller's. */
--- a/packages/dispatch/src/admission.ts
+++ b/packages/dispatch/src/admission.ts
@@ -25,6 +25,15 @@
 /** The retry delay while no target is reachable, and the minimum one for a job refused after waiting. */
 const noTargetRetryMs = 500;
 const maxRetryMs = 5000;
+/** Short, as another dispatcher can take the job at once. */
+const leavingRetryMs = 200;
+/** Refuses jobs while a dispatcher is shutting down. */
+export const leavingRefusal: Refusal = {
+  kind: 'refused',
+  cause: 'leaving',
+  retryAfterMs: leavingRetryMs,
+  detail: 'this dispatcher is about to stop',
+};
 const emptyBacklog: PoolBacklog = {workMillicoreMs: 0, rate: 1};
 
 export interface AdmissionOptions {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -5,29 +5,37 @@
   type Instant,
   type JobId,
   monotonicClock,
-  RecentMap,
   type RunEnd,
   type ServiceName,
   type TargetId,
 } from '#model';
 import {cancelJob, endRun, hasReadyTask} from '#jobs';
-import type {FollowJobResult, Handlers, RelayJobParams} from '#protocol';
+import type {
+  CancelJobResult,
+  FollowJobResult,
+  Handlers,
+  RelayJobParams,
+} from '#protocol';
 import {emptyView, type View} from '#membership';
 import {type Metrics, noopMetrics} from '#telemetry';
 import {
   type ActiveJob,
+  describeEnd,
+  isFinal,
   isUnstarted,
   type JobOutcome,
   type JobSubmission,
   openActiveJob,
 } from './active-job.js';
+import {type CancellationOptions, cancelForCaller} from './cancellation.js';
 import {ClaimTable} from './claims.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
+import {EndedJobs} from './ended-jobs.js';
 import {logEnd, logRunEnd, measureEnd} from './events.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
-import {Admission, sumWaitingWork} from './admission.js';
+import {Admission, leavingRefusal, sumWaitingWork} from './admission.js';
 import type {OutstandingRun} from './link.js';
 import {type OwnershipOptions, resolveOwnership} from './ownership.js';
 import {Placer} from './placer.js';
@@ -38,11 +46,6 @@
 import {SubmitterConnections} from './submitter-connections.js';
 import {sleepUntil} from './wait.js';
 
-/** Short, as another dispatcher can take the job at once. */
-const leavingRetryMs = 200;
-/** Callers may ask for an ended job again; they do so within seconds. */
-const maxRememberedJobs = 8192;
-
 /** Owns callers' queued jobs and places their tasks on targets with free capacity. */
 export class Dispatcher implements AsyncDisposable {
   private readonly clock: Clock;
@@ -54,12 +57,7 @@
   private readonly jobs = new Map<JobId, ActiveJob>();
   /** Jobs that may have ready tasks: the ones that placement considers. */
   private readonly waiting = new Set<ActiveJob>();
-  /** Outcomes of jobs that completed or failed here. */
-  private readonly finished = new RecentMap<JobId, JobOutcome>(
-    maxRememberedJobs,
-  );
-  /** Jobs that were closed here without a result. */
-  private readonly abandoned = new RecentMap<JobId, true>(maxRememberedJobs);
+  private readonly ended = new EndedJobs();
   private readonly predictor = new RunTimePredictor();
   private readonly claims = new ClaimTable();
   private readonly peerDispatchers = new PeerDispatchers();
@@ -71,6 +69,7 @@
   private isLeaving = false;
   private view: View = emptyView;
   private readonly ownership: OwnershipOptions;
+  private readonly cancellation: CancellationOptions;
   private readonly placementScheduler = new PlacementScheduler(() =>
     this.placeWaiting(),
   );
@@ -89,6 +88,11 @@
         this.listStated(service) ?? this.fleet.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
     };
+    this.cancellation = {
+      ownership: this.ownership,
+      cancelLocal: job => this.cancelLocal(job),
+      markCancelled: job => this.ended.markCancelled(job),
+    };
     this.fleet = new RunnerFleet({
       clock: this.clock,
       log: options.log,
@@ -210,12 +214,13 @@
     switch (status.kind) {
       case 'completed':
       case 'failed':
+      case 'cancelled':
         return status;
       case 'uncertain':
         return {kind: 'expired'};
       case 'own':
         // Checked and run in one turn of the event loop, as the same job may be admitted twice concurrently.
-        return this.jobs.has(job.id) || this.finished.has(job.id)
+        return this.jobs.has(job.id) || this.ended.find(job.id) !== undefined
           ? this.submit(submission)
           : this.run(submission, status.isFirst);
     }
@@ -232,13 +237,22 @@
         }),
       }),
       'dispatcher.relay': async (params, peer) => ({
-        end: await this.submitterConnections.track(
-          params.job.id,
-          peer,
-          this.admitRelayed(params),
+        end: describeEnd(
+          params,
+          await this.submitterConnections.track(
+            params.job.id,
+            peer,
+            this.admitRelayed(params),
+          ),
         ),
         waiting: this.countWaiting(params.queue.name),
       }),
+      'dispatcher.cancel': ({job, service, remainingMs}) =>
+        cancelForCaller(
+          this.cancellation,
+          {job, service},
+          computeDeadline(this.clock.now(), remainingMs),
+        ),
       'dispatcher.abandon': ({job}) => this.cancel(job),
       'dispatcher.follow': ({job, remainingMs}) =>
         this.answerFollow(job, computeDeadline(this.clock.now(), remainingMs)),
@@ -254,6 +268,20 @@
     }
   }
 
+  /** Cancels a job of this dispatcher for its caller; undefined when it has none, or has given it up. */
+  private cancelLocal(id: JobId): CancelJobResult | undefined {
+    const ended = this.ended.find(id);
+    if (ended !== undefined) {
+      return {kind: ended.kind === 'cancelled' ? 'cancelled' : 'ended'};
+    }
+    const job = this.jobs.get(id);
+    if (job === undefined) return undefined;
+    // Of a job that was answered already, runs may not have ended yet.
+    if (job.isAnswered) this.ended.markCancelled(id);
+    else this.close(job, {kind: 'cancelled'});
+    return {kind: 'cancelled'};
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.placementScheduler[Symbol.dispose]();
     for (const {expiry} of this.jobs.values()) clearTimeout(expiry);
@@ -267,12 +295,12 @@
    */
   private async findLocal(id: JobId): Promise<JobOutcome | undefined> {
     const known = this.jobs.get(id);
-    if (known === undefined) return this.finished.get(id);
+    if (known === undefined) return this.ended.find(id);
     if (!known.isAnswered) {
       return new Promise(resolve => known.waiters.push(resolve));
     }
     await new Promise<void>(resolve => known.runsEndedWaiters.push(resolve));
-    return this.finished.get(id);
+    return this.ended.find(id);
   }
 
   private async admitRelayed({
@@ -281,15 +309,7 @@
     ageMs,
     remainingMs,
   }: RelayJobParams): Promise<JobOutcome> {
-    if (this.isLeaving) {
-      const detail = 'this dispatcher is about to stop';
-      return {
-        kind: 'refused',
-        cause: 'leaving',
-        retryAfterMs: leavingRetryMs,
-        detail,
-      };
-    }
+    if (this.isLeaving) return leavingRefusal;
     const now = this.clock.now();
     const callerDeadline = computeDeadline(now, remainingMs);
     const submission = {job, queue, arrivedAt: now - ageMs, callerDeadline};
@@ -300,21 +320,19 @@
     id: JobId,
     deadline: Instant,
   ): Promise<FollowJobResult> {
-    const isKnown = this.jobs.has(id) || this.abandoned.has(id);
+    const isKnown = this.jobs.has(id) || this.ended.isAbandoned(id);
     const outcome = await Promise.race([
       this.findLocal(id),
       sleepUntil(deadline, this.clock),
     ]);
-    if (outcome?.kind === 'completed' || outcome?.kind === 'failed') {
-      return {kind: outcome.kind};
-    }
+    if (outcome !== undefined && isFinal(outcome)) return {kind: outcome.kind};
     if (!isKnown) return {kind: 'unknown'};
     const known = this.jobs.get(id);
     if (known !== undefined) {
       this.cancel(id);
       await new Promise<void>(resolve => known.runsEndedWaiters.push(resolve));
     }
-    return {kind: 'closed'};
+    return this.ended.find(id) ?? {kind: 'closed'};
   }
 
   private run(
@@ -379,12 +397,11 @@
       return;
     }
     logRunEnd(this.options.log, target, run.ref, end);
-    switch (job.state.phase) {
+    const {phase} = job.state;
+    switch (phase) {
       case 'completed':
-        this.close(job, {kind: 'completed'});
-        return;
       case 'failed':
-        this.close(job, {kind: 'failed'});
+        this.close(job, {kind: phase});
         return;
       case 'open':
       case 'cancelled':
@@ -408,11 +425,7 @@
     clearTimeout(job.expiry);
     job.isAnswered = true;
     job.state = cancelJob(job.state);
-    if (outcome.kind === 'completed' || outcome.kind === 'failed') {
-      this.finished.set(job.state.job.id, outcome);
-    } else {
-      this.abandoned.set(job.state.job.id, true);
-    }
+    this.ended.note(job, outcome);
     withdrawRuns(this.fleet, job, false);
     logEnd(this.options.log, job, outcome, this.clock.now());
     measureEnd(this.metrics, job, outcome, this.clock.now());
--- a/packages/dispatch/src/ownership.ts
+++ b/packages/dispatch/src/ownership.ts
@@ -33,6 +33,8 @@
   /** The job has ended at another dispatcher. */
   | {readonly kind: 'completed'}
   | {readonly kind: 'failed'}
+  /** Its caller has cancelled the job. */
+  | {readonly kind: 'cancelled'}
   /** Runs of the job may exist that cannot be stopped. */
   | {readonly kind: 'uncertain'};
 
@@ -70,6 +72,7 @@
     switch (status?.kind) {
       case 'completed':
       case 'failed':
+      case 'cancelled':
         return status;
       case 'closed':
         break;
@@ -84,7 +87,8 @@
   return {kind: 'uncertain'};
 }
 
-function clearOthers(
+/** Ends other dispatchers' runs of a job at all targets; false when a target does not confirm in time. */
+export function clearOthers(
   {clear}: OwnershipOptions,
   job: JobId,
   deadline: Instant,
@@ -94,7 +98,7 @@
 }
 
 /** Claims a job at its first reachable registrars, one after another. Returns the other owner that a registrar knows, or this dispatcher if none does. */
-async function findOwner(
+export async function findOwner(
   {address, claims, peerDispatchers, listDispatchers}: OwnershipOptions,
   {job, service}: ClaimedJob,
   replaces: Address | undefined,
--- a/packages/dispatch/src/peer-dispatchers.ts
+++ b/packages/dispatch/src/peer-dispatchers.ts
@@ -5,6 +5,8 @@
   monotonicClock,
 } from '#model';
 import {
+  type CancelJobParams,
+  type CancelJobResult,
   type ClaimJobParams,
   dialPeer,
   dialTimeoutMs,
@@ -116,6 +118,23 @@
     peer?.notify('dispatcher.abandon', {job});
   }
 
+  /** Has a dispatcher cancel a job for its caller; undefined when it is unreachable or stops responding. */
+  async cancelForCaller(
+    address: Address,
+    {job, service}: Pick<CancelJobParams, 'job' | 'service'>,
+    deadline: Instant,
+  ): Promise<CancelJobResult | undefined> {
+    const remainingMs = computeRemainingMs(monotonicClock.now(), deadline);
+    const params = {job, service, remainingMs};
+    const reply = await this.request(
+      address,
+      'dispatcher.cancel',
+      params,
+      deadline,
+    );
+    return typeof reply === 'string' ? undefined : reply;
+  }
+
   /** Waits for a job to end at its owner; undefined when the owner is unreachable or stops responding. */
   async awaitOutcome(
     address: Address,
--- a/packages/dispatch/src/relay.ts
+++ b/packages/dispatch/src/relay.ts
@@ -66,7 +66,7 @@
       },
       'relayed a job to another dispatcher: the event loop lags',
     );
-    const params = {job, queue, ageMs, remainingMs};
+    const params = {job, queue, ageMs, remainingMs, knowsCancelled: true};
     const relayed = await peerDispatchers.relay(
       peerAddress,
       params,
--- a/packages/dispatch/src/router.ts
+++ b/packages/dispatch/src/router.ts
@@ -2,14 +2,16 @@
   type Address,
   computeRemainingMs,
   failUnreachable,
+  type Instant,
   type JobId,
   monotonicClock,
+  type QueueConfig,
   type ServiceName,
 } from '#model';
 import type {View} from '#membership';
 import {estimateCriticalPathMs} from '#jobs';
 import {chooseHomeDispatchers, checkSaturation} from '#policy';
-import type {Liveness, RefusalCause} from '#protocol';
+import type {CancelJobResult, Liveness, RefusalCause} from '#protocol';
 import {type Logger, type Metrics, noopMetrics} from '#telemetry';
 import type {JobOutcome, JobSubmission} from './active-job.js';
 import {chooseAnswerDeadline} from './admission.js';
@@ -129,6 +131,27 @@
     if (home !== undefined) void this.peerDispatchers.cancel(home, id);
   }
 
+  /**
+   * Cancels a job for its caller, wherever it was submitted. The first home in rank that answers has its
+   * owner end it. The result is `uncertain` when none answers in time.
+   */
+  async cancelForCaller(
+    job: JobId,
+    {service}: QueueConfig,
+    deadline: Instant,
+  ): Promise<CancelJobResult> {
+    const homes = this.listReachableHomes(service);
+    for (const home of rankRegistrars(job, homes).slice(0, maxHomes)) {
+      const result = await this.peerDispatchers.cancelForCaller(
+        home,
+        {job, service},
+        deadline,
+      );
+      if (result !== undefined) return result;
+    }
+    return {kind: 'uncertain'};
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     clearInterval(this.reconnectTimer);
     await this.peerDispatchers[Symbol.asyncDispose]();
@@ -159,6 +182,7 @@
           queue,
           ageMs: Math.max(0, now - arrivedAt),
           remainingMs: computeRemainingMs(now, callerDeadline),
+          knowsCancelled: true,
         },
         callerDeadline,
       );
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -334,8 +334,12 @@
       queue: queueConfig,
       ageMs: nonNegative,
       remainingMs: nonNegative,
+      knowsCancelled: optional(boolean),
     }),
   ),
+  'dispatcher.cancel': toCheck(
+    Codec.interface({job: string, service: string, remainingMs: nonNegative}),
+  ),
   'dispatcher.abandon': toCheck(Codec.interface({job: string})),
   'dispatcher.follow': toCheck(
     Codec.interface({job: string, remainingMs: nonNegative}),
--- a/packages/protocol/src/dispatcher-messages.ts
+++ b/packages/protocol/src/dispatcher-messages.ts
@@ -28,6 +28,8 @@
   readonly ageMs: number;
   /** How long the caller will still wait, in ms. */
   readonly remainingMs: number;
+  /** True when the sender knows the end `cancelled`; others are told `expired`. */
+  readonly knowsCancelled?: boolean;
 }
 
 /** Why a job was refused, or accepted but not run. */
@@ -54,6 +56,8 @@
 export type JobEnd =
   | {readonly kind: 'completed'}
   | {readonly kind: 'failed'}
+  /** Its caller has cancelled it. */
+  | {readonly kind: 'cancelled'}
   /** No task of the job has run or will run. */
   | {
       readonly kind: 'refused';
@@ -73,11 +77,30 @@
 export type FollowJobResult =
   | {readonly kind: 'completed'}
   | {readonly kind: 'failed'}
+  | {readonly kind: 'cancelled'}
   /** Given up; no part of it is still running. */
   | {readonly kind: 'closed'}
   /** The dispatcher has not had the job since its last start, or no longer remembers it. */
   | {readonly kind: 'unknown'};
 
+/** Asks a dispatcher to cancel a job for its caller, wherever it runs. */
+export interface CancelJobParams {
+  readonly job: string;
+  /** The service whose targets run the job. */
+  readonly service: ServiceName;
+  /** How long the caller will still wait, in ms. */
+  readonly remainingMs: number;
+}
+
+export type CancelJobResult =
+  /** It had not ended, and none of its tasks starts any more. */
+  | {readonly kind: 'cancelled'}
+  | {readonly kind: 'ended'}
+  /** No dispatcher in reach has it; a later submission of it is answered as cancelled. */
+  | {readonly kind: 'unknown'}
+  /** Some of its tasks may still start: a target or its owner is out of reach. */
+  | {readonly kind: 'uncertain'};
+
 /** The caller of a relayed job has disconnected. */
 export interface AbandonJobParams {
   readonly job: string;
--- a/packages/protocol/src/methods.ts
+++ b/packages/protocol/src/methods.ts
@@ -28,6 +28,8 @@
   EvacuationStatus,
   FenceParams,
   FenceResult,
+  CancelJobParams,
+  CancelJobResult,
   FollowJobParams,
   FollowJobResult,
   GrantParams,
@@ -155,6 +157,7 @@
   'runner.clear': {params: ClearJobParams; result: EmptyMessage};
   'dispatcher.claim': {params: ClaimJobParams; result: ClaimJobResult};
   'dispatcher.follow': {params: FollowJobParams; result: FollowJobResult};
+  'dispatcher.cancel': {params: CancelJobParams; result: CancelJobResult};
   'dispatcher.relay': {params: RelayJobParams; result: RelayJobResult};
   /** Served by both ends. The result proves that all messages sent before have arrived. */
   'peer.sync': {params: EmptyMessage; result: EmptyMessage};
