Keep the description of a report that follows the attach answer at once

Cause: a link handles a report when it is read, and the answer to its attach request a turn later. When both are read together, the answer's older description and load replaced the report's, and the dispatcher placed by them: the runner returned such runs as not begun until something else changed.

Change: a description or load reported on a connection takes precedence over the one in its attach answer.

Evidence: the new test waits for ever on the code before and passes now.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -15,6 +15,7 @@
   type Liveness,
   type ExecutorDescription,
   type Peer,
+  type ReportRunsParams,
   type RunBatch,
   type RunEndRow,
   type RunTicket,
@@ -279,6 +280,7 @@
 
   private async connect(): Promise<Peer | undefined> {
     const {clock, dispatcher, life} = this.owner;
+    let reported: Pick<ReportRunsParams, 'load' | 'executor'> | undefined;
     const dialled = await dialPeer(
       this.info.address,
       {
@@ -286,6 +288,7 @@
           if (question !== undefined) this.grantPermission(question, peer);
           else if (ends.length === 0) this.loadOnlyCount++;
           if (peer !== this.peer) return;
+          reported = {load, executor: executor ?? reported?.executor};
           if (executor !== undefined) this.executor = executor;
           this.applyReport(ends, load);
         },
@@ -315,8 +318,9 @@
         this.lossTimer = undefined;
         this.disconnectedSince = undefined;
         this.attached = peer;
-        this.executor = capacity && {service, capacity};
-        this.applyReport(ended, load);
+        // A report that follows the answer closely is handled before it and is newer.
+        this.executor = reported?.executor ?? (capacity && {service, capacity});
+        this.applyReport(ended, reported?.load ?? load);
         this.withdrawAgain(peer);
         this.owner.log.info(
           {event: 'runner-attached', target: this.target, load},
--- a/packages/dispatch/test/link.test.ts
+++ b/packages/dispatch/test/link.test.ts
@@ -178,3 +178,34 @@
   t.is(link.service, 'renewal');
   t.deepEqual(link.describe()!.capacity.labels, []);
 });
+
+// Guards against placement by a description that the runner has replaced: a report right after the answer is handled before it.
+test('a description in a report that follows the attach answer at once stands', async t => {
+  const capacity = {
+    kind: 'room' as const,
+    cpuMillis: 2000,
+    memoryMb: 1024,
+    accelerators: 0,
+    labels: ['b'],
+  };
+  const executor = {service: 'renewal', capacity: {...capacity, labels: []}};
+  await using listener = (
+    await PeerListener.listen('127.0.0.1:0', {
+      'runner.attach': (_, peer) => {
+        process.nextTick(() =>
+          peer.notify('dispatcher.report', {
+            ends: [],
+            load: {...load, slowness: 2},
+            executor,
+          }),
+        );
+        return {...welcome, service: 'tally', capacity};
+      },
+    })
+  ).unsafeCoerce();
+  await using link = openLink(listener.address);
+  await waitUntil(() => link.isOpen);
+  await waitUntil(() => link.slowness === 2);
+  t.is(link.service, 'renewal');
+  t.deepEqual(link.describe()!.capacity.labels, []);
+});
