Refuse no job as not run that may have run before

What callers could see: 503, which says that a job was not accepted and never runs, for a job sent again after 504 or a broken connection, though some of it had run: at a home lost since, or at the home that gave it up.

Cause: a dispatcher refused for saturation, backlog or want of targets before it looked at the job's id.

Change: a job that another dispatcher owns by this registrar's claims, or that was given up here after it began, is not refused before its owner is asked; when it then cannot be run here, its answer is `expired` at once, not a refusal. Both look-ups are local, so that other refusals cost what they did. Entries that are saturated, stopping or without a home still refuse without asking: they keep no jobs.

--- a/packages/dispatch/src/claims.ts
+++ b/packages/dispatch/src/claims.ts
@@ -21,6 +21,12 @@
     this.owners.set(job, claimant);
     return claimant;
   }
+
+  /** True when a dispatcher other than the one at this address owns the job. */
+  isOther(job: JobId, address: Address | undefined): boolean {
+    const owner = this.owners.get(job);
+    return owner !== undefined && owner !== address;
+  }
 }
 
 /**
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -149,10 +149,9 @@
 
   /** Counts the accepted jobs of a queue that have no run begun or placed. */
   countWaiting(queue: string): number {
-    const jobs = [...this.jobs.values()].filter(
+    return [...this.jobs.values()].filter(
       job => job.queue.name === queue && isUnstarted(job) && !job.isAnswered,
-    );
-    return jobs.length;
+    ).length;
   }
 
   /** Returns counts of jobs and messages for the log. */
@@ -204,7 +203,10 @@
       this.jobs.values(),
       this.clock.now(),
     );
-    if (refusal !== undefined) return refusal;
+    const isUnknown =
+      !this.ended.hasBegun(job.id) &&
+      !this.claims.isOther(job.id, this.options.address);
+    if (refusal !== undefined && isUnknown) return refusal;
     const claimed = {job: job.id, service: submission.queue.service};
     const status = await resolveOwnership(
       this.ownership,
@@ -219,6 +221,8 @@
       case 'uncertain':
         return {kind: 'expired'};
       case 'own':
+        // Some of it may have run, so that it cannot be refused as not run.
+        if (refusal !== undefined) return {kind: 'expired'};
         // Checked and run in one turn of the event loop, as the same job may be admitted twice concurrently.
         return this.jobs.has(job.id) || this.ended.find(job.id) !== undefined
           ? this.submit(submission)
@@ -270,12 +274,8 @@
 
   /** Cancels a job of this dispatcher for its caller; undefined when it has none, or has given it up. */
   private cancelLocal(id: JobId): CancelJobResult | undefined {
-    const ended = this.ended.find(id);
-    if (ended !== undefined) {
-      return {kind: ended.kind === 'cancelled' ? 'cancelled' : 'ended'};
-    }
     const job = this.jobs.get(id);
-    if (job === undefined) return undefined;
+    if (job === undefined) return this.ended.answerCancellation(id);
     // Of a job that was answered already, runs may not have ended yet.
     if (job.isAnswered) this.ended.markCancelled(id);
     else this.close(job, {kind: 'cancelled'});
--- a/packages/dispatch/src/ended-jobs.ts
+++ b/packages/dispatch/src/ended-jobs.ts
@@ -1,4 +1,5 @@
 import {type JobId, RecentMap} from '#model';
+import type {CancelJobResult} from '#protocol';
 import {
   type ActiveJob,
   type FinalOutcome,
@@ -34,6 +35,13 @@
     return this.outcomes.get(job);
   }
 
+  /** Answers the cancellation of a job by its outcome; undefined when it has none. */
+  answerCancellation(job: JobId): CancelJobResult | undefined {
+    const outcome = this.outcomes.get(job);
+    if (outcome === undefined) return undefined;
+    return {kind: outcome.kind === 'cancelled' ? 'cancelled' : 'ended'};
+  }
+
   /** True for a job that was closed here without a result. */
   isAbandoned(job: JobId): boolean {
     return this.abandoned.get(job) !== undefined;
--- a/packages/dispatch/test/router.test.ts
+++ b/packages/dispatch/test/router.test.ts
@@ -314,6 +314,47 @@
   t.is(site.countStarts(), 6);
 });
 
+/** Submits a job to a dispatcher whose event loop lags so much that it refuses new jobs. */
+async function submitWhileSaturated(
+  {homes, lags}: Awaited<ReturnType<typeof startSite>>,
+  {dispatcher}: Home,
+  id: string,
+) {
+  homes.forEach((_, i) => lags.set(`target-${i}`, 5000));
+  const now = performance.now();
+  const callerDeadline = now + 2000;
+  const job = buildLongJob(id, 1);
+  return dispatcher.submit({job, queue, arrivedAt: now, callerDeadline});
+}
+
+// Guards against "not run" as the answer for a job that another dispatcher may have run before it was lost.
+test('a saturated dispatcher does not refuse a job that another one owned', async t => {
+  await using site = await startSite();
+  const [home] = site.rank('job');
+  const claim = home!.dispatcher.createHandlers()['dispatcher.claim']!;
+  const lost = '127.0.0.1:1';
+  await claim({job: 'job', claimant: lost, service: queue.service}, undefined!);
+  const known = await submitWhileSaturated(site, home!, 'job');
+  t.deepEqual(known, {kind: 'expired'});
+  t.is((await submitWhileSaturated(site, home!, 'new')).kind, 'refused');
+});
+
+// Guards against "not run" as the answer for a job that was given up here after some of it had run.
+test('a saturated dispatcher does not refuse a job that it ran before', async t => {
+  await using site = await startSite();
+  const [home] = site.rank('job');
+  const outcome = site.entries[0].submit(buildLongJob('job', 1));
+  await waitUntil(() => site.countStarts() === 1);
+  site.entries[0].router.cancel('job');
+  t.deepEqual(await outcome, {kind: 'expired'});
+  await waitUntil(() =>
+    site.homes.every(({executor}) => executor.running.size === 0),
+  );
+  t.deepEqual(await submitWhileSaturated(site, home!, 'job'), {
+    kind: 'expired',
+  });
+});
+
 test('a job that is cancelled before it arrives does not run', async t => {
   await using site = await startSite();
   const [one, two] = site.entries;
