Answer heartbeats without waiting for the sync of entries before them

Cause, read in the code and shown by a test: a follower answered each append, heartbeats too, once everything written before was synced. While syncs take longer than an election timeout the leader hears nothing and steps down, and the next one does the same.

Change: a message without entries is answered at once, for what is synced, if the term is synced. The answer renews the leader's contact and lease; commits still count synced entries alone.

Evidence: the new test fails on the code before; one more shows that a term is synced before it is answered.

--- a/packages/consensus/src/follow.ts
+++ b/packages/consensus/src/follow.ts
@@ -38,7 +38,8 @@
 
 /**
  * Handles AppendEntries: appends the entries if the previous one matches, and
- * replies after the sync.
+ * replies after the sync. A message without entries is answered at once, for
+ * what is synced.
  */
 export function handleAppend(
   core: ReplicaCore,
@@ -75,7 +76,18 @@
   if (firstNew >= 0) replaceSuffix(core, entries.slice(firstNew));
   const matchIndex = previousIndex + entries.length;
   core.commit(Math.min(request.commitIndex, matchIndex));
-  replyAccepted(core, from, request, matchIndex);
+  if (entries.length > 0 || !core.outbox.isHardStateSynced) {
+    replyAccepted(core, from, request, matchIndex);
+    return;
+  }
+  // A heartbeat does not wait for the entries before it: without an answer within an election timeout
+  // the leader steps down, and a group whose disks are slow has none for long.
+  core.outbox.send(from, {
+    kind: 'append-accepted',
+    term: core.term,
+    round: request.round,
+    matchIndex: Math.min(matchIndex, core.durableIndex),
+  });
 }
 
 /** Truncates the log at the first new entry if it conflicts, then appends the entries. */
--- a/packages/consensus/src/outbox.ts
+++ b/packages/consensus/src/outbox.ts
@@ -30,6 +30,8 @@
   private hasStagedWrites = false;
   private lastSequence = 0;
   private syncedSequence = 0;
+  /** The sequence number whose sync covers the latest hard state. */
+  private hardStateSequence = 0;
   private deferred: DeferredMessage[] = [];
   private unsyncedTails: UnsyncedTail[] = [];
 
@@ -60,6 +62,7 @@
   writeHardState(hardState: HardState): void {
     this.hardState = hardState;
     this.hasStagedWrites = true;
+    this.hardStateSequence = this.sequence;
   }
 
   /** Stages entries, which replace the stored ones from the first one's index on. */
@@ -77,6 +80,11 @@
     this.unsyncedTails.push({sequence: this.sequence, index, term});
   }
 
+  /** True when the term and the vote are on disk. */
+  get isHardStateSynced(): boolean {
+    return this.isSynced(this.hardStateSequence);
+  }
+
   isSynced(sequence: number): boolean {
     return sequence <= this.syncedSequence;
   }
--- a/packages/consensus/test/replica.test.ts
+++ b/packages/consensus/test/replica.test.ts
@@ -58,6 +58,32 @@
   t.like(harness.sent[0], {kind: 'append-accepted', matchIndex: 2});
 });
 
+// Guards against a group without a leader while disks are slow: the leader steps down unless its heartbeats are answered within an election timeout.
+test('a heartbeat is answered while entries wait for their sync', t => {
+  const harness = new ReplicaHarness(1);
+  harness.autoSync = false;
+  const entries = [makeBlank(2, 1)];
+  harness.receive('b', {...append(1), entries} as Message);
+  const {sequence} = harness.find('persist')[0];
+  harness.receive('b', {...append(1, 2), round: 2, previousTerm: 1} as Message);
+  t.like(harness.sent[0], {
+    kind: 'append-accepted',
+    round: 2,
+    matchIndex: 1,
+  });
+  harness.step({kind: 'synced', sequence});
+  t.like(harness.sent[0], {kind: 'append-accepted', matchIndex: 2});
+});
+
+test('a heartbeat of a new term is answered only after the sync of the term', t => {
+  const harness = new ReplicaHarness();
+  harness.autoSync = false;
+  harness.receive('b', append(1));
+  t.deepEqual(harness.sent, []);
+  harness.step({kind: 'synced', sequence: harness.find('persist')[0].sequence});
+  t.like(harness.sent[0], {kind: 'append-accepted', matchIndex: 1});
+});
+
 test('a replica starts an election one to one and a half timeouts after its start', t => {
   const members = createMembers(['a', 'b', 'c'].map(id => ({id, address: id})));
   for (let seed = 0; seed < 50; seed++) {
