--- a/packages/runner/test/replaced-executor.test.ts
+++ b/packages/runner/test/replaced-executor.test.ts
@@ -32,6 +32,8 @@
   },
 ];
 
+// Guards against tasks that start on an executor without their label, of another service or too small, because it
+// took the place of the one that a dispatcher placed them for (docs/incidents/replaced-executor.md).
 for (const {what, first, next, needs} of replacements) {
   for (const incarnation of [1, 2]) {
     const how = incarnation === 1 ? 'turns into one' : 'is replaced by one';
@@ -68,6 +70,7 @@
   });
 }
 
+// Guards against runs that are returned again and again because their dispatcher goes by an older view.
 test('dispatchers learn from the runner what an executor has turned into', async t => {
   await using harness = await startRunner();
   const dispatcher = await harness.attach('d');
