--- a/packages/runner/src/executor-identity.ts
+++ b/packages/runner/src/executor-identity.ts
@@ -23,7 +23,7 @@
  */
 export class ExecutorIdentity {
   private announced: ExecutorInfo | undefined;
-  private shown: ExecutorDescription | undefined;
+  private knownDescription: ExecutorDescription | undefined;
   private latestIncarnation = -Infinity;
   private metAt: Instant = -Infinity;
 
@@ -34,7 +34,7 @@
 
   /** The part of the announcement that dispatchers place by; replaced only when it has changed. */
   get description(): ExecutorDescription | undefined {
-    return this.shown;
+    return this.knownDescription;
   }
 
   /** True while the latest incarnation met has not announced itself. */
@@ -48,7 +48,7 @@
     if (info.incarnation < this.latestIncarnation) return {kind: 'outdated'};
     const {announced: known, isSuperseded} = this;
     this.announced = info;
-    this.shown = describeExecutor(info, this.shown);
+    this.knownDescription = describeExecutor(info, this.knownDescription);
     const isSameId = info.target === known?.target;
     if (isSameId && info.incarnation === known.incarnation) {
       return {kind: 'same', startsDraining: info.draining && !known.draining};
--- a/packages/runner/src/job-clearance.ts
+++ b/packages/runner/src/job-clearance.ts
@@ -6,6 +6,7 @@
 
 /** Capacity. It suffices because jobs change their dispatcher only after a fault. */
 const maxRestrictions = 4096;
+/** How often it is checked whether the stopped runs have ended, in ms. */
 const checkIntervalMs = 50;
 
 export interface JobClearanceOwner {
