Call no job not run that is submitted again after it had begun here

Cause: a dispatcher that gave a job up and is its own registrar took the next copy of it as a first submission, and refused it as not run when no room was found for it. A cancellation of a job that had failed here, with runs still ending, replaced its outcome.

Change: a job that had begun here is not treated as new; an outcome that is final stays.

Evidence: the new test gets a refusal without the change.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -203,10 +203,9 @@
       this.jobs.values(),
       this.clock.now(),
     );
-    const isUnknown =
-      !this.ended.hasBegun(job.id) &&
-      !this.claims.isOther(job.id, this.options.address);
-    if (refusal !== undefined && isUnknown) return refusal;
+    const hasBegun = this.ended.hasBegun(job.id);
+    const isOther = this.claims.isOther(job.id, this.options.address);
+    if (refusal !== undefined && !hasBegun && !isOther) return refusal;
     const claimed = {job: job.id, service: submission.queue.service};
     const status = await resolveOwnership(
       this.ownership,
@@ -226,7 +225,7 @@
         // Checked and run in one turn of the event loop, as the same job may be admitted twice concurrently.
         return this.jobs.has(job.id) || this.ended.find(job.id) !== undefined
           ? this.submit(submission)
-          : this.run(submission, status.isFirst);
+          : this.run(submission, status.isFirst && !hasBegun);
     }
   }
 
@@ -275,7 +274,8 @@
   /** Cancels a job of this dispatcher for its caller; undefined when it has none, or has given it up. */
   private cancelLocal(id: JobId): CancelJobResult | undefined {
     const job = this.jobs.get(id);
-    if (job === undefined) return this.ended.answerCancellation(id);
+    const answer = this.ended.answerCancellation(id);
+    if (job === undefined || answer !== undefined) return answer;
     // Of a job that was answered already, runs may not have ended yet.
     if (job.isAnswered) this.ended.markCancelled(id);
     else this.close(job, {kind: 'cancelled'});
--- a/packages/dispatch/test/dispatcher.test.ts
+++ b/packages/dispatch/test/dispatcher.test.ts
@@ -170,6 +170,23 @@
   t.is(site.countStarts(), 8);
 });
 
+// Guards against "not run" as the answer for a job that was submitted again after some of it had run.
+test('a job that ran before expires, rather than being refused, when no room is found for it', async t => {
+  await using site = await startSite();
+  const first = site.a.submit(buildJob('job', 8));
+  await waitUntil(() => site.countStarts() === 8);
+  site.a.dispatcher.cancel('job');
+  t.deepEqual(await first, {kind: 'expired'});
+  await waitUntil(() =>
+    site.executors.every(({running}) => running.size === 0),
+  );
+  void site.a.submit(buildLongJob('other', 8), 60_000);
+  await waitUntil(() => site.countStarts() === 16);
+  t.deepEqual(await site.a.submit(buildJob('job', 16), 1500), {
+    kind: 'expired',
+  });
+});
+
 test('a job with a running task expires, rather than being refused, when its caller stops waiting', async t => {
   await using site = await startSite();
   const outcome = site.a.submit(buildJob('job', 9), 900);
