--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -205,7 +205,10 @@
     );
     const hasBegun = this.ended.hasBegun(job.id);
     const isOther = this.claims.isOther(job.id, this.options.address);
-    if (refusal !== undefined && !hasBegun && !isOther) return refusal;
+    if (refusal !== undefined) {
+      // Some of it may have run, so that it cannot be refused as not run.
+      return hasBegun || isOther ? {kind: 'expired'} : refusal;
+    }
     const claimed = {job: job.id, service: submission.queue.service};
     const status = await resolveOwnership(
       this.ownership,
@@ -220,8 +223,6 @@
       case 'uncertain':
         return {kind: 'expired'};
       case 'own':
-        // Some of it may have run, so that it cannot be refused as not run.
-        if (refusal !== undefined) return {kind: 'expired'};
         // Checked and run in one turn of the event loop, as the same job may be admitted twice concurrently.
         return this.jobs.has(job.id) || this.ended.find(job.id) !== undefined
           ? this.submit(submission)
