--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -74,6 +74,18 @@
     this.child.kill(name);
   }
 
+  /** Ends the process without a restart until `powerOn`. */
+  powerOff() {
+    this.shouldRun = false;
+    this.signal('SIGKILL');
+  }
+
+  powerOn() {
+    this.site.note('power on', {process: `${this.role} ${this.host}`});
+    this.shouldRun = true;
+    this.start();
+  }
+
   readLog() {
     return readFileSync(this.log, 'utf8');
   }
