--- a/review/lib-2/executor.mjs
+++ b/review/lib-2/executor.mjs
@@ -12,9 +12,10 @@
  * fence. `onStart` and `onEnd` are told of each run with the time of `performance.now()`.
  */
 export class Executor {
-  constructor({name, service, control, labels = ['a', 'r1-1'], room, onStart, onEnd}) {
-    Object.assign(this, {name, service, control, labels, onStart, onEnd});
-    this.room = room ?? {cpu: 16000, mem_mb: 65536, gpu: 0};
+  constructor({name, service, zone, control, onStart, onEnd}) {
+    Object.assign(this, {name, service, zone, control, onStart, onEnd});
+    this.labels = ['a', 'r1-1'];
+    this.room = {cpu: 64_000, mem_mb: 131_072, gpu: 0};
     this.id = `i-${randomBytes(4).toString('hex')}`;
     this.born = Date.now();
     this.clockBase = performance.now() - 1000;
@@ -52,11 +53,10 @@
 
   /** Announces the executor to the agent beside it; a lost announcement is followed by the next one. */
   announce() {
-    if (this.gone === true) return;
     const body = JSON.stringify({
       backend: this.service,
       address: this.address,
-      zone: 'z1',
+      zone: this.zone,
       version: 'v1',
       slots: 8,
       state: this.state,
--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -16,7 +16,16 @@
 };
 /** The platform starts a process again this long after its end, in ms. */
 const restartMs = 200;
-const service = 'tally';
+/** The machines beside executors, named and placed as on the site; the last ones are spare. */
+const sideNames = [
+  ...['waw-a-1', 'waw-a-2', 'waw-a-3', 'waw-a-4'],
+  ...['waw-b-1', 'waw-b-2', 'waw-b-3', 'waw-b-4'],
+  ...['rad-c-1', 'rad-c-2', 'rad-c-3'],
+  ...['waw-a-5', 'waw-b-5', 'rad-c-4', 'waw-a-6', 'waw-b-6'],
+];
+const zones = ['waw-a', 'waw-b', 'rad-c'];
+const service = 'odnowienia';
+const callersHost = 'wuny96.example';
 
 /** Reads the command of each role from the deploy file. */
 function readCommands(root) {
@@ -122,28 +131,30 @@
     this.record.push(`${String(at).padStart(6)} ${what} ${JSON.stringify(detail)}`);
   }
 
-  async open({entries = 2, agents = 4}) {
+  async open({entries, agents}) {
     await this.pickAddresses();
     const controls = [1, 2, 3].map(i => `127.${this.network}.1.${i}`);
     this.seeds = controls.map(host => `${host}:${this.ports.control}`);
-    for (const host of controls) {
+    for (const [i, host] of controls.entries()) {
       const data = join(this.folder, `data-${host}`);
       mkdirSync(data);
-      this.addProcess('control', host, {data_dir: data});
+      this.addProcess('control', host, `core-${zones[i]}-1`, {data_dir: data});
     }
-    for (let i = 1; i <= entries; i++) {
-      this.addProcess('entry', `127.${this.network}.2.${i}`, {});
+    for (let i = 0; i < entries; i++) {
+      const host = `127.${this.network}.2.${i + 1}`;
+      this.addProcess('entry', host, `edge-${zones[i]}-1`, {});
     }
     for (let i = 1; i <= agents; i++) await this.addAgent();
   }
 
   /** Adds a side machine: an agent and the executor beside it. */
-  async addAgent(options = {}) {
+  async addAgent() {
     const number = this.executors.length + 1;
     const host = `127.${this.network}.3.${number}`;
     const executor = new Executor({
       name: `x${number}`,
       service,
+      zone: sideNames[number - 1].slice(0, 5),
       control: `${host}:${this.ports.control}`,
       onStart: start => {
         this.starts.push(start);
@@ -153,25 +164,26 @@
         this.ends.push(end);
         this.note('end', {executor: end.executor, task: end.task, run: end.run, how: end.how});
       },
-      ...options,
     });
     await executor.listen();
     this.executors.push(executor);
-    const agent = this.addProcess('agent', host, {app: options.app ?? executor.address});
+    const agent = this.addProcess('agent', host, `side-${sideNames[number - 1]}`, {
+      app: executor.address,
+    });
     agent.executor = executor;
     return agent;
   }
 
-  addProcess(role, host, fields) {
+  addProcess(role, host, node, fields) {
     const listen = {
       frontend: `${host}:${this.ports.frontend}`,
       readiness: `${host}:${this.ports.readiness}`,
       control: `${host}:${this.ports.control}`,
     };
     const added = new Process(this, role, host, {
-      node: `${role}-${host.replaceAll('.', '-')}`,
-      region: 'r',
-      zone: `z${1 + (this.processes.length % 3)}`,
+      node,
+      region: 'mazowsze',
+      zone: node.split('-').slice(1, 3).join('-'),
       ip: host,
       internal_ports: [this.ports.inner, this.ports.inner + 15],
       seeds: this.seeds,
@@ -207,25 +219,24 @@
     throw new Error('no free ports');
   }
 
-  /** Sends a configuration until a control process acknowledges it. */
-  async configure({timeoutMs = 1500, prefix = '/p/', host = 'tally.example'} = {}) {
+  /** Sends the next configuration until a control process acknowledges it; further routes differ in the fields given. */
+  async configure({timeoutMs = 1500, furtherRoutes = []} = {}) {
     const version = ++this.version;
+    const route = {
+      name: 'r-1',
+      host: callersHost,
+      path_prefix: '/p/',
+      type: 'non_idempotent',
+      timeout_ms: timeoutMs,
+      target_completion_ms: 60,
+      priority: 0,
+      backend: service,
+      attempts: 3,
+      stretch: 1.6,
+    };
     const body = JSON.stringify({
       version,
-      routes: [
-        {
-          name: 'r-1',
-          host,
-          path_prefix: prefix,
-          type: 'non_idempotent',
-          timeout_ms: timeoutMs,
-          target_completion_ms: 60,
-          priority: 0,
-          backend: service,
-          attempts: 3,
-          stretch: 1.6,
-        },
-      ],
+      routes: [route, ...furtherRoutes.map(each => ({...route, ...each}))],
       services: [
         {
           name: service,
@@ -237,7 +248,12 @@
           spare: false,
         },
       ],
-      limits: {max_header_bytes: 16384, max_body_bytes: 262144, header_timeout_ms: 3000, idle_timeout_ms: 15000},
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 262_144,
+        header_timeout_ms: 3000,
+        idle_timeout_ms: 15_000,
+      },
     });
     for (let attempt = 0; attempt < 200; attempt++) {
       const control = this.list('control')[attempt % 3];
@@ -249,9 +265,9 @@
         body,
         limitMs: 1000,
       });
-      if (answer?.status === 200) {
-        this.note('configured', {version});
-        return;
+      if (answer !== undefined && (answer.status === 200 || answer.status === 400)) {
+        this.note('configured', {version, status: answer.status});
+        return answer.status;
       }
       await sleep(100);
     }
@@ -308,7 +324,7 @@
       port: this.ports.frontend,
       method: 'POST',
       path: `/p/${id}`,
-      headers: {host: 'tally.example', 'wasabiring-deadline-ms': String(deadlineMs)},
+      headers: {host: callersHost, 'wasabiring-deadline-ms': String(deadlineMs)},
       body,
       limitMs: deadlineMs + 500,
     }).then(answer => {
@@ -318,6 +334,20 @@
     return {id, done, spec};
   }
 
+  /** Asks an entry how many jobs wait in the queue of a path; resolves with the status of the answer. */
+  async askWaiting(entry, path) {
+    const answer = await send({
+      host: entry.host,
+      port: this.ports.frontend,
+      method: 'GET',
+      path,
+      headers: {host: callersHost},
+      limitMs: 1000,
+    });
+    this.note('waiting', {entry: entry.host, path, status: answer?.status});
+    return answer?.status;
+  }
+
   /** Cancels a job; resolves with the status of the answer. */
   async cancel({id, entry, limitMs = 1500}) {
     const target = entry ?? this.list('entry')[0];
@@ -327,7 +357,7 @@
       port: this.ports.frontend,
       method: 'DELETE',
       path: `/p/${id}`,
-      headers: {host: 'tally.example', 'wasabiring-deadline-ms': String(limitMs)},
+      headers: {host: callersHost, 'wasabiring-deadline-ms': String(limitMs)},
       limitMs: limitMs + 500,
     });
     this.note('cancel-answer', {id, entry: target.host, status: answer?.status});
