--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -37,3 +37,4 @@
 export {renderValue} from './value.js';
 export type {RepeatedKey} from './repeated-keys.js';
 export {findRepeatedKeys} from './repeated-keys.js';
+export {isTableName} from './value-types.js';
--- a/packages/settings/src/value-types.ts
+++ b/packages/settings/src/value-types.ts
@@ -63,6 +63,14 @@
   input => typeof input === 'string' && namePattern.test(input),
 );
 
+/** A key that the TOML parser refuses, as an object has such a property anyway. */
+const refusedKey = 'constructor';
+
+/** True for a text that can name a service, queue, team or region in a configuration. */
+export function isTableName(text: string): boolean {
+  return namePattern.test(text) && text !== refusedKey;
+}
+
 export const folderPath: ValueType<string> = declareValueType(
   'the path of a folder',
   input =>
