Divide the quota of a team named like a property of all objects

What callers would have seen: where several entries share the quota of a team named toString or valueOf, an entry admitted none of its jobs once it had heard of the others' demands. Read in the code, not seen at a site.

Cause: demands come as objects by team, and a team that they do not name was found on the prototype, so that the share was not a number. The leader chose the teams to answer with in the same way.

Change: the entry keeps demands as maps, the leader looks at own properties.

--- a/packages/control/src/term-state.ts
+++ b/packages/control/src/term-state.ts
@@ -131,6 +131,6 @@
 
 function pickTeams(reported: TeamDemands, wanted: TeamDemands): TeamDemands {
   return Object.fromEntries(
-    Object.entries(reported).filter(([team]) => wanted[team] !== undefined),
+    Object.entries(reported).filter(([team]) => Object.hasOwn(wanted, team)),
   );
 }
--- a/packages/control/test/term-state.test.ts
+++ b/packages/control/test/term-state.test.ts
@@ -91,3 +91,14 @@
   termState.enter(2);
   t.deepEqual(termState.exchangeDemands(2, {a: 1}), {});
 });
+
+// Guards against demands of a team that the entry has not named: every object has a property `toString`.
+test('a team named like a property of all objects has its demands exchanged like the others', t => {
+  const {termState} = createTermState(2);
+  termState.enter(1);
+  termState.exchangeDemands(1, {toString: 5, b: 7});
+  t.deepEqual(termState.exchangeDemands(2, {b: 1}), {e1: {b: 7}});
+  t.deepEqual(termState.exchangeDemands(2, {toString: 1}), {
+    e1: {toString: 5},
+  });
+});
--- a/packages/entry/src/admission-controller.ts
+++ b/packages/entry/src/admission-controller.ts
@@ -32,7 +32,8 @@
   private readonly refusals = new Map<string, number>();
   private readonly demands = new Map<TeamName, DemandRate>();
   private entries: readonly EntryId[];
-  private peerDemands: Readonly<Record<EntryId, TeamDemands>> = {};
+  private peerDemands: ReadonlyMap<EntryId, ReadonlyMap<TeamName, number>> =
+    new Map();
   private demandsDueAt: Instant = -Infinity;
 
   constructor(
@@ -74,7 +75,12 @@
 
   /** Redistributes the quotas according to the demand reported by the other entries. */
   setPeerDemands(others: Readonly<Record<EntryId, TeamDemands>>): void {
-    this.peerDemands = others;
+    this.peerDemands = new Map(
+      Object.entries(others).map(([entry, demands]) => [
+        entry,
+        new Map(Object.entries(demands)),
+      ]),
+    );
     this.adjustBuckets();
   }
 
@@ -170,8 +176,8 @@
   /** Demand of a team at an entry, in tasks per second; undefined when not known. */
   private findDemand(entry: EntryId, {name}: TeamConfig): number | undefined {
     if (entry !== this.entry) {
-      const reported = this.peerDemands[entry];
-      return reported && (reported[name] ?? 0);
+      const reported = this.peerDemands.get(entry);
+      return reported && (reported.get(name) ?? 0);
     }
     const own = this.demands.get(name);
     return own && computeDemandRate(own, this.clock.now());
--- a/packages/entry/test/admission-controller.test.ts
+++ b/packages/entry/test/admission-controller.test.ts
@@ -3,9 +3,6 @@
 import type {Pool} from '../src/pool.js';
 import {buildConfiguration, buildSubmission} from './builders.js';
 
-const configuration = buildConfiguration([
-  {name: 'team', tasksPerSecond: 100, burstTasks: 100, weight: 1},
-]);
 const tasksPerJob = 10;
 
 /** A pool with idle slots and no tasks. */
@@ -23,8 +20,11 @@
 } as unknown as Pool;
 
 /** The admission controller of one of two entries, with a clock that the test advances. */
-function openController() {
+function openController(team = 'team') {
   let now = 0;
+  const configuration = buildConfiguration([
+    {name: team, tasksPerSecond: 100, burstTasks: 100, weight: 1},
+  ]);
   const controller = new AdmissionController(
     'e1',
     {now: () => now},
@@ -32,7 +32,7 @@
   );
   controller.setEntries(['e1', 'e2']);
   const admit = (name: string) => {
-    const submission = buildSubmission(name, tasksPerJob);
+    const submission = buildSubmission(name, tasksPerJob, {team});
     return controller.check(submission, now + 60_000, pool) === undefined;
   };
   /** Submits jobs until one is refused and returns how many were admitted. */
@@ -83,3 +83,14 @@
   advance(10_000);
   t.deepEqual(controller.takeDueDemands(), {team: 1});
 });
+
+// Guards against a quota that is not a number: every object has a property `toString`.
+test('a team named like a property of all objects has its share of the quota', t => {
+  const [inherited, usual] = ['toString', 'team'].map(name => {
+    const {controller, countAdmitted, advance} = openController(name);
+    controller.setPeerDemands({e2: {}});
+    advance(10_000);
+    return countAdmitted();
+  });
+  t.is(inherited, usual);
+});
