List queues in config diff and settings show

What operators saw: "no difference" when queues were added, removed, changed or exchanged their names. Read in the code.

Cause: the keys of queues were left out of listConfigurationKeys, which its comment said but not the output of the command.

--- a/packages/settings/src/diff.ts
+++ b/packages/settings/src/diff.ts
@@ -1,4 +1,9 @@
-import type {Configuration, ServiceConfig, TeamConfig} from '#model';
+import type {
+  Configuration,
+  QueueConfig,
+  ServiceConfig,
+  TeamConfig,
+} from '#model';
 import type {TomlTable} from './document.js';
 import {listTableKeys} from './keys.js';
 import {renderValue} from './value.js';
@@ -32,17 +37,18 @@
   return oldText === newText ? [] : [`~ ${key} = ${oldText} -> ${newText}`];
 }
 
-/** Lists the keys of a configuration, as spelled in TOML, with their values; those of queues are not included. */
+/** Lists the keys of a configuration, as spelled in TOML, with their values. */
 export function listConfigurationKeys(
   configuration: Configuration,
 ): ReadonlyMap<string, unknown> {
-  const {services, teams, regions, limits} = configuration;
+  const {services, teams, regions, queues, limits} = configuration;
   return new Map(
     listTableKeys({
       limits: toSnakeCase(limits),
       services: toNamedTables(services, listServiceKeys),
       teams: toNamedTables(teams, listTeamKeys),
       regions: toNamedTables(regions, ({entries}) => ({entries})),
+      queues: toNamedTables(queues, listQueueKeys),
     }),
   );
 }
@@ -71,6 +77,22 @@
   return toSnakeCase({homeRegion, tasksPerSecond, burstTasks, weight});
 }
 
+function listQueueKeys(queue: QueueConfig): TomlTable {
+  const {service, host, path, priority, maxAttempts, timeoutMs} = queue;
+  const {objective, lateJobs = 'serve', urgentRuns = 'wait'} = queue;
+  return toSnakeCase({
+    service,
+    host,
+    path,
+    priority,
+    maxAttempts,
+    timeoutMs,
+    ...objective,
+    lateJobs,
+    urgentRuns,
+  });
+}
+
 function toSnakeCase(fields: object): TomlTable {
   return Object.fromEntries(
     Object.entries(fields).map(([key, value]) => [
--- a/packages/settings/test/configuration.test.ts
+++ b/packages/settings/test/configuration.test.ts
@@ -177,6 +177,50 @@
   ]);
 });
 
+// Guards against a difference that is empty although a queue was added, removed or moved to another path.
+test('a difference lists the changes of queues, also when a name moves to another path', t => {
+  const parse = (queues: string) =>
+    parseConfiguration(
+      {base: `[services.tally]\n${queues}`, overlays: {}},
+      'gilgit',
+    ).unsafeCoerce();
+  const buildQueue = (name: string, path: string, changes = '') =>
+    `[queues."${name}"]\nservice = "tally"\nhost = "h"\npath = "${path}"\ntimeout_ms = 1500\n${changes}`;
+  const before = parse(buildQueue('a', '/p/') + buildQueue('a.b', '/q/'));
+  const swapped = parse(buildQueue('a', '/q/') + buildQueue('a.b', '/p/'));
+  t.deepEqual(diffConfiguration(before, swapped), [
+    '~ queues."a.b".path = "/q/" -> "/p/"',
+    '~ queues.a.path = "/p/" -> "/q/"',
+  ]);
+  const late = parse(buildQueue('a', '/p/', 'late_jobs = "avoid"\n'));
+  t.deepEqual(diffConfiguration(before, late), [
+    '- queues."a.b".host = "h"',
+    '- queues."a.b".late_jobs = "serve"',
+    '- queues."a.b".max_attempts = 3',
+    '- queues."a.b".path = "/q/"',
+    '- queues."a.b".priority = 0',
+    '- queues."a.b".service = "tally"',
+    '- queues."a.b".slack_ms = 100',
+    '- queues."a.b".stretch = 1.5',
+    '- queues."a.b".timeout_ms = 1500',
+    '- queues."a.b".urgent_runs = "wait"',
+    '~ queues.a.late_jobs = "serve" -> "avoid"',
+  ]);
+});
+
+test('two tables of one name, and a name that every object has as a property, are refused', t => {
+  const [twice, inherited] = ['tally', 'constructor'].map(name =>
+    listErrors(
+      checkConfigurationSource({
+        base: `[services.${name}]\n${name === 'tally' ? '[services.tally]\n' : ''}`,
+        overlays: {},
+      }),
+    ),
+  );
+  t.regex(twice!.join(), /redefine/);
+  t.regex(inherited!.join(), /unsafe property/);
+});
+
 test('keys of an overlay that repeat the base are found', t => {
   const source = withOverlay(
     '[services.tally]\nmax_task_ms = 5000\nmax_placements = 2',
