Count answers to names that are not configured together

What operators would have seen: a series of metrics for each name of a team or service that a caller made up, without bound at the metrics server. Read in the code, not seen at a site.

Cause: the counter of answers took its labels from the submission, whatever admission had found.

Evidence: entry/test/recorder, "answers to teams and services that are not configured are counted together", failed on.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -74,7 +74,11 @@
     private readonly listener: PeerListener,
   ) {
     const {clock, log} = runtime;
-    this.recorder = new MetricsRecorder(clock, runtime.metrics);
+    this.recorder = new MetricsRecorder(
+      clock,
+      runtime.metrics,
+      () => this.configuration,
+    );
     this.admission = new AdmissionController(settings.id, clock, configuration);
     this.pools = new ServicePools(configuration, {
       entry: settings.id,
--- a/packages/entry/src/recorder.ts
+++ b/packages/entry/src/recorder.ts
@@ -1,8 +1,17 @@
-import type {Clock, Instant, JobAnswer} from '#model';
+import type {
+  Clock,
+  Configuration,
+  Instant,
+  JobAnswer,
+  Submission,
+} from '#model';
 import {Histograms, type HistogramSummary, type Metrics} from '#telemetry';
 import type {Execution} from './execution.js';
 import type {TaskEnd} from './sent-tasks.js';
 
+/** Stands for names that callers made up, each of which would otherwise be a series of its own. */
+const unknownName = '(unknown)';
+
 /** Records measurements of jobs and tasks by team and service, for the status page and metrics. */
 export class MetricsRecorder {
   private readonly histograms = new Histograms();
@@ -11,6 +20,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly metrics: Metrics,
+    private readonly getConfiguration: () => Pick<
+      Configuration,
+      'teams' | 'services'
+    >,
   ) {}
 
   /** Records the end of a task; `queuedMs` is the time it waited in the queue. */
@@ -36,7 +49,10 @@
   ): void {
     const {team, service} = execution.job.submission;
     this.answers.set(answer.kind, (this.answers.get(answer.kind) ?? 0) + 1);
-    this.metrics.increment('jobs', 1, {team, service, answer: answer.kind});
+    this.metrics.increment('jobs', 1, {
+      ...this.describeOrigin(execution.job.submission),
+      answer: answer.kind,
+    });
     if (answer.kind !== 'complete') return;
     const responseMs = this.clock.now() - receivedAt;
     this.histograms.record(team, service, 'response', responseMs);
@@ -46,6 +62,16 @@
     this.histograms.record(team, service, 'response-over-ideal', ratio);
   }
 
+  private describeOrigin({team, service}: Submission) {
+    const {teams, services} = this.getConfiguration();
+    const isTeam = teams.some(({name}) => name === team);
+    const isService = services.some(({name}) => name === service);
+    return {
+      team: isTeam ? team : unknownName,
+      service: isService ? service : unknownName,
+    };
+  }
+
   /** Number of answers since the start, by kind. */
   countAnswers(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.answers);
