--- a/packages/entry/src/recorder.ts
+++ b/packages/entry/src/recorder.ts
@@ -9,7 +9,7 @@
 import type {Execution} from './execution.js';
 import type {TaskEnd} from './sent-tasks.js';
 
-/** Stands for names that callers made up, each of which would otherwise be a series of its own. */
+/** Replaces names that callers made up, so that these don't each become a series of metrics. */
 const unknownName = '(unknown)';
 
 /** Records measurements of jobs and tasks by team and service, for the status page and metrics. */
@@ -50,7 +50,7 @@
     const {team, service} = execution.job.submission;
     this.answers.set(answer.kind, (this.answers.get(answer.kind) ?? 0) + 1);
     this.metrics.increment('jobs', 1, {
-      ...this.describeOrigin(execution.job.submission),
+      ...this.getConfiguredNames(execution.job.submission),
       answer: answer.kind,
     });
     if (answer.kind !== 'complete') return;
@@ -62,16 +62,6 @@
     this.histograms.record(team, service, 'response-over-ideal', ratio);
   }
 
-  private describeOrigin({team, service}: Submission) {
-    const {teams, services} = this.getConfiguration();
-    const isTeam = teams.some(({name}) => name === team);
-    const isService = services.some(({name}) => name === service);
-    return {
-      team: isTeam ? team : unknownName,
-      service: isService ? service : unknownName,
-    };
-  }
-
   /** Number of answers since the start, by kind. */
   countAnswers(): Readonly<Record<string, number>> {
     return Object.fromEntries(this.answers);
@@ -80,4 +70,14 @@
   summarize(): readonly HistogramSummary[] {
     return this.histograms.summarize();
   }
+  /** Returns the team and the service of a submission, each replaced when it is not configured. */
+  private getConfiguredNames({team, service}: Submission) {
+    const {teams, services} = this.getConfiguration();
+    const isTeam = teams.some(({name}) => name === team);
+    const isService = services.some(({name}) => name === service);
+    return {
+      team: isTeam ? team : unknownName,
+      service: isService ? service : unknownName,
+    };
+  }
 }
--- a/packages/settings/src/value-types.ts
+++ b/packages/settings/src/value-types.ts
@@ -63,7 +63,7 @@
   input => typeof input === 'string' && namePattern.test(input),
 );
 
-/** A key that the TOML parser refuses, as an object has such a property anyway. */
+/** The TOML parser refuses this key, since every object inherits a property of that name. */
 const refusedKey = 'constructor';
 
 /** True for a text that can name a service, queue, team or region in a configuration. */
