Review: a home that starts again runs its jobs beside the runs of its earlier life

The case: agents are killed while executors leave orders unanswered. The client sends its job again after resend_ms, and the new process at the home's address takes it for its own and starts it, before the runs of its earlier life have ended.

--- a/review/lib-3/executor.mjs
+++ b/review/lib-3/executor.mjs
@@ -20,6 +20,8 @@
   id = `i-${randomBytes(4).toString('hex')}`;
   born = Date.now();
   state = 'ready';
+  /** Share of the orders (starts and stops) that get no answer and are carried out 2 to 12 s later. */
+  lateShare = 0;
 
   constructor(options) {
     this.#options = options;
@@ -51,7 +53,7 @@
   }
 
   async stop() {
-    for (const timer of this.#timers) clearInterval(timer);
+    for (const timer of this.#timers) clearTimeout(timer);
     for (const {timer} of this.#runs.values()) clearTimeout(timer);
     this.#server.closeAllConnections();
     await new Promise(resolve => this.#server.close(resolve));
@@ -100,14 +102,18 @@
     } catch {
       return reply(400, {});
     }
+    const isOrder = req.url === '/v1/run-start' || req.url === '/v1/run-stop';
+    if (isOrder && Math.random() < this.lateShare) {
+      const delayMs = 2000 + 10_000 * Math.random();
+      this.#timers.push(setTimeout(() => this.#carryOut(req.url, {...body, isLate: true}), delayMs));
+      this.#options.record({at: Date.now(), what: 'left unanswered', order: req.url, executor: this.#options.host, task: body.task, run: body.run});
+      return;
+    }
+    if (isOrder) return reply(...this.#carryOut(req.url, body));
     const fence = body.fencing_token ?? 0;
     if (fence < this.#fence) return reply(409, {reason: 'fence'});
     this.#fence = fence;
     switch (req.url) {
-      case '/v1/run-start':
-        return reply(...this.#start(body));
-      case '/v1/run-stop':
-        return reply(...this.#stop(body));
       case '/v1/hold':
         await this.#hold(body);
         return reply(200, this.#describe());
@@ -116,12 +122,19 @@
     }
   }
 
+  #carryOut(url, body) {
+    const fence = body.fencing_token ?? 0;
+    if (fence < this.#fence) return [409, {reason: 'fence'}];
+    this.#fence = fence;
+    return url === '/v1/run-start' ? this.#start(body) : this.#stop(body);
+  }
+
   #extend(deadline) {
     const most = this.clock + this.#options.holdMaxMs;
     this.#deadline = Math.max(this.#deadline, Math.min(deadline, most));
   }
 
-  #start({task, run, spec, deadline_ms: deadline}) {
+  #start({task, run, spec, deadline_ms: deadline, isLate = false}) {
     if (deadline <= this.clock) return [409, {reason: 'late'}];
     const present = this.#runs.get(task);
     if (present?.run === run) {
@@ -149,7 +162,7 @@
     const startedAt = this.clock;
     const timer = setTimeout(() => this.#end(task, run, 'done'), need.workMs);
     this.#runs.set(task, {run, need, startedAt, timer});
-    this.#options.record({at: Date.now(), what: 'start', executor: this.#options.host, task, run});
+    this.#options.record({at: Date.now(), what: 'start', executor: this.#options.host, task, run, ...(isLate && {isLate})});
     return [200, {}];
   }
 
