Let the runs of a killed dispatcher lapse although its next process attaches

Callers saw two runs of one task at work: a home was killed and started again at its address, executors left stops unanswered, and a job that was sent again started beside the runs of the home's earlier process.

Cause, on the runner's side: when the next process of a dispatcher attached, its session replaced the earlier one in the session table. The earlier runs were told to stop, but where the stop went unanswered their missing permission no longer kept the executor's lease from being renewed. Besides, each start extends the lease of all runs at the executor, whoever placed them.

Now a replaced session counts until its runs have ended, and neither renewals nor starts are sent while a run at the executor has no permission. A job can be cleared by a process that has not attached, and what was cleared for one process of a dispatcher is closed to its earlier ones, whose last messages may come late. A runner that has not met its executor yet confirms once the lease of the runner before it is over.

The two new tests of runner.test failed before: the run did not lapse within the minute that the test was given, and runner.clear was answered although the earlier process's runs were at work.

--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -314,7 +314,13 @@
   'runner.attach': toCheck(
     Codec.interface({dispatcher: string, life: count, tickets: array(count)}),
   ),
-  'runner.clear': toCheck(Codec.interface({job: string})),
+  'runner.clear': toCheck(
+    Codec.interface({
+      job: string,
+      dispatcher: optional(string),
+      life: optional(count),
+    }),
+  ),
   'runner.place': toCheck(Codec.interface({batches: array(runBatch)})),
   'runner.withdraw': toCheck(
     Codec.interface({tickets: array(count), waitingOnly: optional(boolean)}),
@@ -324,7 +330,9 @@
     Codec.interface({
       job: string,
       claimant: string,
+      claimantLife: optional(count),
       replaces: optional(string),
+      replacesLife: optional(count),
       service: string,
     }),
   ),
--- a/packages/protocol/src/dispatcher-messages.ts
+++ b/packages/protocol/src/dispatcher-messages.ts
@@ -5,8 +5,12 @@
   readonly job: string;
   /** Address of the claiming dispatcher. */
   readonly claimant: Address;
+  /** Identifies its process among those at its address; unset by builds that do not send it. */
+  readonly claimantLife?: number;
   /** A previous owner that the claimant knows to have given up the job. */
   readonly replaces?: Address;
+  /** Identifies the process of `replaces`, as its claim did. */
+  readonly replacesLife?: number;
   /** The service whose targets run the job. */
   readonly service: ServiceName;
 }
@@ -14,6 +18,10 @@
 export interface ClaimJobResult {
   /** The dispatcher that runs the job now: the claimant or an earlier one. */
   readonly owner: Address;
+  /** Identifies the owner's process, as its claim did. */
+  readonly ownerLife?: number;
+  /** How long the registrar's process has kept claims, in ms; unset by builds that do not send it. */
+  readonly knownForMs?: number;
   /** Event loop lag of the registrar, in ms. A dispatcher relays jobs only to one with much less lag than its own. */
   readonly lagMs?: number;
   /** Backlog of the job's service at the registrar, in millicore-milliseconds. */
--- a/packages/protocol/src/runner-messages.ts
+++ b/packages/protocol/src/runner-messages.ts
@@ -95,7 +95,14 @@
   readonly question: number;
 }
 
-/** Asks the runner to stop the runs of a job that other dispatchers placed, and from now on to accept runs of the job only from the requesting dispatcher. */
+/**
+ * Asks the runner to stop the runs of a job that other dispatcher processes placed, and from now on to
+ * accept runs of the job only from the requesting one. An earlier process of the same dispatcher is another one.
+ */
 export interface ClearJobParams {
   readonly job: string;
+  /** The requesting dispatcher, which need not be attached; unset by builds that attach first. */
+  readonly dispatcher?: string;
+  /** Its process, as in `runner.attach`. */
+  readonly life?: number;
 }
--- a/packages/runner/src/job-clearance.ts
+++ b/packages/runner/src/job-clearance.ts
@@ -1,7 +1,8 @@
 import {type JobId, RecentMap, type RunEnd} from '#model';
-import type {Peer} from '#protocol';
+import type {ClearJobParams, Peer} from '#protocol';
 import type {Run} from './run.js';
 import type {RunTable} from './run-table.js';
+import {type DispatcherProcess, isSameProcess} from './session.js';
 import type {SessionTable} from './session-table.js';
 
 /** Capacity. It suffices because jobs change their dispatcher only after a fault. */
@@ -13,30 +14,38 @@
   readonly sessions: SessionTable;
   readonly runs: RunTable;
   readonly stop: (run: Run, end: RunEnd) => void;
-  /** False while the executor may have runs that the runner does not know. */
-  readonly isAdopted: () => boolean;
+  /** True while the executor may have runs that the runner does not know. */
+  readonly hasUnknownRuns: () => boolean;
 }
 
-/** Jobs that were cleared for one dispatcher: no other one may place them on this target. At capacity the oldest are dropped. */
+/** Jobs that were cleared for one dispatcher process: no other one may place them on this target. At capacity the oldest are dropped. */
 export class JobClearance {
-  private readonly allowed = new RecentMap<JobId, string>(maxRestrictions);
+  private readonly allowed = new RecentMap<JobId, DispatcherProcess>(
+    maxRestrictions,
+  );
 
   constructor(private readonly owner: JobClearanceOwner) {}
 
-  /** True when a job was cleared for another dispatcher. */
-  isExcluded(job: JobId, dispatcher: string): boolean {
+  /** True when a job was cleared for another dispatcher process. */
+  isExcluded(job: JobId, dispatcher: DispatcherProcess): boolean {
     const allowed = this.allowed.get(job);
-    return allowed !== undefined && allowed !== dispatcher;
+    return allowed !== undefined && !isSameProcess(allowed, dispatcher);
   }
 
-  /** Stops a job's runs for dispatchers other than the one that asks; resolves once all of them have ended. */
-  async clear(job: JobId, peer: Peer): Promise<Record<string, never>> {
-    const {sessions, runs, stop, isAdopted} = this.owner;
-    const own = sessions.find(peer);
+  /** Stops a job's runs for dispatcher processes other than the one that asks; resolves once all of them have ended. */
+  async clear(
+    {job, dispatcher, life}: ClearJobParams,
+    peer: Peer,
+  ): Promise<Record<string, never>> {
+    const {sessions, runs, stop, hasUnknownRuns} = this.owner;
+    const own =
+      dispatcher === undefined || life === undefined
+        ? sessions.find(peer)
+        : {dispatcher, life};
     if (own === undefined) throw new Error('this dispatcher is not attached');
-    this.allowed.set(job, own.dispatcher);
+    this.allowed.set(job, {dispatcher: own.dispatcher, life: own.life});
     for (const run of runs.listOthers(job, own)) stop(run, 'stopped');
-    while (runs.listOthers(job, own).length > 0 || !isAdopted()) {
+    while (runs.listOthers(job, own).length > 0 || hasUnknownRuns()) {
       await new Promise(resolve => setTimeout(resolve, checkIntervalMs));
       if (!peer.isOpen) throw new Error('the dispatcher has disconnected');
     }
--- a/packages/runner/src/lease.ts
+++ b/packages/runner/src/lease.ts
@@ -39,7 +39,7 @@
 
 /** Renews the executor's lease and collects its reports by long polling, one request at a time. */
 export class LeaseLoop implements AsyncDisposable {
-  private expiresAt: Instant = 0;
+  private expiresAt: Instant;
   private silentSince: Instant | undefined;
   private cautiousUntil: Instant = -Infinity;
   private wake: () => void = () => {};
@@ -47,13 +47,14 @@
   private readonly loop: Promise<void>;
 
   constructor(private readonly owner: LeaseOwner) {
+    // An earlier process may have extended the lease just before this one started.
+    this.expiresAt = computeLatestExpiry(owner.clock.now());
     this.loop = this.run();
   }
 
   /** Notes that a request with a lease was sent, which may extend the time that the executor keeps its runs. */
   noteLease(sentAt: Instant): void {
-    const latest = sentAt + executorLeaseMs * (1 + maxClockDrift);
-    this.expiresAt = Math.max(this.expiresAt, latest);
+    this.expiresAt = Math.max(this.expiresAt, computeLatestExpiry(sentAt));
   }
 
   /** True unless the last renewal was unanswered. */
@@ -73,6 +74,11 @@
     return this.expiresAt;
   }
 
+  /** True once the lease has expired, so that the executor has no runs. */
+  get isExpired(): boolean {
+    return this.owner.clock.now() > this.expiresAt;
+  }
+
   /** Makes the loop check again whether it is needed. */
   wakeUp(): void {
     this.wake();
@@ -156,3 +162,8 @@
     });
   }
 }
+
+/** Computes when a lease that was sent at an instant expires by the slowest permitted executor clock. */
+function computeLatestExpiry(sentAt: Instant): Instant {
+  return sentAt + executorLeaseMs * (1 + maxClockDrift);
+}
--- a/packages/runner/src/run-table.ts
+++ b/packages/runner/src/run-table.ts
@@ -1,7 +1,11 @@
 import type {JobId, ResourceRequest, RunEnd, RunRef} from '#model';
 import {emptyDemand, subtractDemand, sumDemand} from '#policy';
 import {formatRun, type Run} from './run.js';
-import type {Session} from './session.js';
+import {
+  type DispatcherProcess,
+  isSameProcess,
+  type Session,
+} from './session.js';
 
 /** The accepted runs with their sessions and their total demand. */
 export class RunTable {
@@ -42,10 +46,10 @@
     return this.list().filter(({phase}) => phase.kind !== 'waiting');
   }
 
-  /** Lists the runs of a job that belong to other sessions. */
-  listOthers(job: JobId, own: Session): readonly Run[] {
+  /** Lists the runs of a job that other dispatcher processes placed. */
+  listOthers(job: JobId, own: DispatcherProcess): readonly Run[] {
     return this.list().filter(
-      run => run.ref.job === job && this.owners.get(run) !== own,
+      run => run.ref.job === job && !isSameProcess(this.owners.get(run)!, own),
     );
   }
 
--- a/packages/runner/src/runner.ts
+++ b/packages/runner/src/runner.ts
@@ -87,7 +87,7 @@
       sessions: this.sessions,
       runs: this.runs,
       stop: (run, end) => this.stop(run, end),
-      isAdopted: () => this.adopted,
+      hasUnknownRuns: () => !this.adopted && !this.lease.isExpired,
     });
     this.reporter = new Reporter({
       sessions: this.sessions,
@@ -102,6 +102,7 @@
       firstFence: Math.floor(this.readWall()),
       canStart: run =>
         this.isOpen &&
+        this.sessions.isCurrent() &&
         this.runs.findOwner(run)?.canStart(this.readClocks()) === true &&
         this.isFitting(run),
       onStartSent: sentAt => this.lease.noteLease(sentAt),
@@ -186,7 +187,7 @@
       'runner.withdraw': (params, peer) => this.withdrawRuns(params, peer),
       'runner.permit': ({question}, peer) =>
         this.sessions.grant(question, peer),
-      'runner.clear': ({job}, peer) => this.clearance.clear(job, peer),
+      'runner.clear': (params, peer) => this.clearance.clear(params, peer),
     };
   }
 
@@ -291,7 +292,7 @@
 
   private accept(session: Session, run: Run): void {
     if (
-      this.clearance.isExcluded(run.ref.job, session.dispatcher) ||
+      this.clearance.isExcluded(run.ref.job, session) ||
       !this.isOpen ||
       !this.isFitting(run) ||
       this.runs.find(run.ref) !== undefined ||
@@ -320,7 +321,8 @@
   }
 
   private startWaiting(): void {
-    if (!this.isOpen) return;
+    // A start extends the lease of all runs, so that one without a permission would not lapse.
+    if (!this.isOpen || !this.sessions.isCurrent()) return;
     const now = this.readClocks();
     const canStart = (each: Run) =>
       this.hasRoomFor(each) && this.runs.findOwner(each)!.canStart(now);
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -7,6 +7,8 @@
 /** The sessions of dispatchers that have runs here or may place some. */
 export class SessionTable {
   private readonly sessions = new Map<string, Session>();
+  /** Sessions of earlier dispatcher processes whose runs have not all ended. */
+  private readonly replaced = new Set<Session>();
 
   constructor(
     private readonly readClocks: () => ClockReading,
@@ -32,7 +34,7 @@
     if (known !== undefined && known.life > life) {
       throw new Error(`a later life of dispatcher "${dispatcher}" is attached`);
     }
-    if (known !== undefined && known.life < life) this.stopAll(known);
+    if (known !== undefined && known.life < life) this.replace(known);
     const resumed = known?.life === life ? known : undefined;
     const session = resumed ?? new Session(dispatcher, life, peer, now);
     this.sessions.set(dispatcher, session);
@@ -64,11 +66,14 @@
     return undefined;
   }
 
-  /** True while every dispatcher with runs here has a current permission. */
+  /**
+   * True while every run that is, or may be, at the executor has a current permission. Only then may a request
+   * be sent that extends the executor's lease, which holds for all its runs.
+   */
   isCurrent(): boolean {
     const now = this.readClocks();
-    for (const session of this.sessions.values()) {
-      if (session.runs.size > 0 && !session.isCurrent(now)) return false;
+    for (const session of [...this.sessions.values(), ...this.replaced]) {
+      if (session.hasSentRuns && !session.isCurrent(now)) return false;
     }
     return true;
   }
@@ -79,6 +84,9 @@
    */
   renew(): readonly Session[] {
     const expired: Session[] = [];
+    for (const session of this.replaced) {
+      if (session.runs.size === 0) this.replaced.delete(session);
+    }
     const now = this.readClocks();
     for (const [name, session] of this.sessions) {
       if (session.runs.size === 0 && !session.peer.isOpen) {
@@ -116,7 +124,9 @@
     return delaysMs.length === 0 ? undefined : Math.min(...delaysMs);
   }
 
-  private stopAll(session: Session): void {
+  /** Stops the runs of an earlier process, and keeps its session until they have ended. */
+  private replace(session: Session): void {
     for (const run of [...session.runs.values()]) this.stop(run);
+    if (session.runs.size > 0) this.replaced.add(session);
   }
 }
--- a/packages/runner/src/session.ts
+++ b/packages/runner/src/session.ts
@@ -62,7 +62,20 @@
   readonly executor: ExecutorDescription | undefined;
 }
 
-/** One dispatcher's runs here, and its permission to run them. */
+/** One process of a dispatcher. */
+export interface DispatcherProcess {
+  readonly dispatcher: string;
+  readonly life: number;
+}
+
+export function isSameProcess(
+  one: DispatcherProcess,
+  other: DispatcherProcess,
+): boolean {
+  return one.dispatcher === other.dispatcher && one.life === other.life;
+}
+
+/** The runs here of one process of a dispatcher, and its permission to run them. */
 export class Session {
   readonly runs = new Map<RunTicket, Run>();
   /** The total demand of its runs, including waiting ones. */
@@ -175,6 +188,14 @@
     this.demand = subtractDemand(this.demand, run.demand);
   }
 
+  /** True while some of its runs are, or may be, at the executor. */
+  get hasSentRuns(): boolean {
+    for (const {phase} of this.runs.values()) {
+      if (phase.kind !== 'waiting') return true;
+    }
+    return false;
+  }
+
   /** Lists the runs that the executor was told to start and not yet to stop. */
   listStarted(): readonly Run[] {
     return [...this.runs.values()].filter(
--- a/packages/runner/test/harness.ts
+++ b/packages/runner/test/harness.ts
@@ -42,6 +42,14 @@
   /** False to leave requests for its lists unanswered. */
   isListing = true;
   isDelayingStarts = false;
+  /** False to leave stops unanswered and not execute them. */
+  isStopping = true;
+  /** True to end all runs when the lease expires. */
+  isLapsing = false;
+  /** How many runs have ended so. */
+  lapses = 0;
+  /** Called before a run is started. */
+  onStart: (ref: RunRef) => void = () => {};
   private readonly stopped = new Set<string>();
   private ended: ExecutorEndedRun[] = [];
   private count = 0;
@@ -63,6 +71,7 @@
       return {kind: 'refused', reason: 'outdated'};
     }
     if (this.running.has(name)) this.duplicateStarts++;
+    this.onStart(ref);
     this.leaseEndsAt = performance.now() + leaseMs;
     this.running.set(name, ref);
     this.starts.push(ref);
@@ -70,7 +79,7 @@
   }
 
   async stopRun(ref: RunRef): Promise<Either<string, void>> {
-    if (this.isSilent) return Left('silent');
+    if (this.isSilent || !this.isStopping) return Left('silent');
     this.stopped.add(`${formatTask(ref)}#${ref.run}`);
     if (this.running.has(formatTask(ref))) this.end(ref, 'stopped');
     return Right(undefined);
@@ -85,6 +94,7 @@
     this.waits.push(waitMs);
     this.fences.push(fence);
     await sleep(Math.min(waitMs, 20));
+    this.expireLease();
     if (this.isSilent || !this.isListing) return Left('silent');
     if (leaseMs !== undefined) this.leaseEndsAt = performance.now() + leaseMs;
     this.ended = this.ended.filter(({number}) => number > acknowledged);
@@ -113,6 +123,13 @@
     this.ended.push({number: ++this.count, ref, end});
   }
 
+  /** Ends all runs if the lease has expired. */
+  expireLease(): void {
+    if (!this.isLapsing || !this.isLapsed) return;
+    this.lapses += this.running.size;
+    this.running.clear();
+  }
+
   /** True once the lease has expired. */
   get isLapsed(): boolean {
     return performance.now() > this.leaseEndsAt;
@@ -171,9 +188,15 @@
   orphans: readonly RunRef[] = [],
   /** Further handlers served at the runner's address. */
   extraHandlers: Handlers = {},
-  options: Partial<RunnerOptions> = {},
+  {
+    executor = new FakeExecutor(),
+    address = '127.0.0.1:0',
+    ...options
+  }: Partial<RunnerOptions> & {
+    readonly executor?: FakeExecutor;
+    readonly address?: string;
+  } = {},
 ) {
-  const executor = new FakeExecutor();
   for (const ref of orphans) executor.running.set(formatTask(ref), ref);
   const runner = new Runner({
     log: openLog('silent', 'agent', 'r'),
@@ -182,7 +205,7 @@
   });
   const listener = (
     await PeerListener.listen(
-      '127.0.0.1:0',
+      address,
       Object.assign(extraHandlers, runner.createHandlers()),
     )
   ).unsafeCoerce();
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -242,3 +242,48 @@
   await waitUntil(() => dispatcher.ends.length === 5);
   t.is(runner.runCount, 0);
 });
+
+// Guards against runs of a killed dispatcher that go on for as long as its next process, or others, extend the lease.
+test('the runs of an earlier process of a dispatcher lapse when stops are unanswered, whatever others do', async t => {
+  await using site = await startRunner();
+  site.executor.isStopping = false;
+  site.executor.isLapsing = true;
+  const first = await site.attach('a', 1);
+  const other = await site.attach('b');
+  first.place(1);
+  await waitUntil(() => site.executor.running.size === 1);
+  first.peer.close('killed');
+  await site.attach('a', 2);
+  let ticket = 0;
+  const placing = setInterval(() => {
+    ticket++;
+    other.place(ticket, ticket, 1, {job: 'other'});
+    for (const ref of [...site.executor.running.values()]) {
+      if (ref.job === 'other') site.executor.end(ref, 'succeeded');
+    }
+  }, 50);
+  await waitUntil(() => {
+    site.executor.expireLease();
+    return !site.executor.running.has('job.0.0');
+  });
+  const startsBefore = site.executor.starts.length;
+  await waitUntil(() => site.executor.starts.length > startsBefore);
+  clearInterval(placing);
+  t.true(site.executor.lapses > 0);
+});
+
+test('a job is cleared for the next process of a dispatcher once the runs of the earlier one have ended', async t => {
+  await using site = await startRunner();
+  const first = await site.attach('a', 1);
+  first.place(1);
+  await waitUntil(() => site.executor.running.size === 1);
+  const deadline = performance.now() + 5000;
+  const clearing = {job: 'job', dispatcher: 'a', life: 2};
+  const cleared = await first.peer.request('runner.clear', clearing, deadline);
+  t.true(cleared.isRight());
+  t.is(site.executor.running.size, 0);
+  // A message of the earlier process may arrive after that.
+  first.place(2, 1);
+  await waitUntil(() => first.ends.length === 2);
+  t.deepEqual(first.ends[1], [2, 'not-run', 0]);
+});
