Tell the processes of a dispatcher apart as owners of jobs

Cause: claims named a job's owner by its address. A home that was killed and started again found itself as the owner, took the job for its own and for a first one, and started it at once. The log of the home shows the job accepted twice, by both processes, without an earlier owner being looked at.

Now an owner is an address and a process. A home that is told of an earlier process at its address has the job cleared at the targets, and waits for those that do not confirm until the permissions and leases of that process are over. Registrars tell how long they have kept claims: a job that none of its first two registrars can know of, as they have started too recently, waits as long, or until all targets have confirmed. An owner that gave up a job may have had it cleared for itself, so that its successor has it cleared again.

--- a/packages/dispatch/src/cancellation.ts
+++ b/packages/dispatch/src/cancellation.ts
@@ -1,8 +1,11 @@
-import type {Instant, JobId} from '#model';
+import {type Instant, type JobId, monotonicClock} from '#model';
 import type {CancelJobResult} from '#protocol';
+import {isSameOwner, type JobOwner} from './claims.js';
 import {
   type ClaimedJob,
   clearOthers,
+  endEarlierRuns,
+  endForgottenRuns,
   findOwner,
   type OwnershipOptions,
 } from './ownership.js';
@@ -18,39 +21,61 @@
 /**
  * Cancels a job for its caller, wherever it runs. Its owner remembers that, so that a late copy of its
  * submission is answered as cancelled; a job that nobody owns is claimed for that. The runs of an owner
- * that is out of reach are cleared at the targets.
+ * that is out of reach, or was an earlier process at this address, are cleared at the targets.
  */
 export async function cancelForCaller(
-  {ownership, cancelLocal, markCancelled}: CancellationOptions,
+  options: CancellationOptions,
   claimed: ClaimedJob,
   deadline: Instant,
 ): Promise<CancelJobResult> {
-  const {job, service} = claimed;
+  const {ownership, cancelLocal, markCancelled} = options;
+  const {job} = claimed;
   const local = cancelLocal(job);
   if (local !== undefined) return local;
-  const {address, peerDispatchers} = ownership;
-  const owner =
-    address === undefined
+  const {self} = ownership;
+  const found =
+    self === undefined
       ? undefined
       : await findOwner(ownership, claimed, undefined);
-  if (owner === address || owner === undefined) {
+  if (found === undefined || isSameOwner(found.owner, self!)) {
     // It may have been accepted here meanwhile.
     const accepted = cancelLocal(job);
     if (accepted !== undefined) return accepted;
     markCancelled(job);
-    return {kind: 'unknown'};
+    const lapsedAt = found?.forgottenEndAt ?? -Infinity;
+    return lapsedAt <= monotonicClock.now() ||
+      (await endForgottenRuns(ownership, job, lapsedAt, deadline))
+      ? {kind: 'unknown'}
+      : {kind: 'uncertain'};
   }
-  const answer = await peerDispatchers.cancelForCaller(
-    owner,
-    {job, service},
-    deadline,
-  );
+  const {owner} = found;
+  const answer = await cancelAtOwner(options, claimed, owner, deadline);
   if (answer !== undefined) return answer;
-  if (!(await clearOthers(ownership, job, deadline))) {
-    return {kind: 'uncertain'};
-  }
   const next = await findOwner(ownership, claimed, owner);
-  if (next !== address) return {kind: 'uncertain'};
+  if (!isSameOwner(next.owner, self!)) return {kind: 'uncertain'};
   markCancelled(job);
   return {kind: 'cancelled'};
 }
+
+/** Has a job's owner cancel it; undefined when the owner is lost and its runs have ended. */
+async function cancelAtOwner(
+  {ownership}: CancellationOptions,
+  {job, service}: ClaimedJob,
+  owner: JobOwner,
+  deadline: Instant,
+): Promise<CancelJobResult | undefined> {
+  if (owner.address === ownership.self?.address) {
+    return (await endEarlierRuns(ownership, job, deadline))
+      ? undefined
+      : {kind: 'uncertain'};
+  }
+  const answer = await ownership.peerDispatchers.cancelForCaller(
+    owner.address,
+    {job, service},
+    deadline,
+  );
+  if (answer !== undefined) return answer;
+  return (await clearOthers(ownership, job, deadline))
+    ? undefined
+    : {kind: 'uncertain'};
+}
--- a/packages/dispatch/src/claims.ts
+++ b/packages/dispatch/src/claims.ts
@@ -1,31 +1,63 @@
 import {
   type Address,
+  type Clock,
+  type Instant,
   type JobId,
+  monotonicClock,
   RecentMap,
   computeRendezvousWeight,
 } from '#model';
+import type {Claim, ClaimAnswer} from './claim-messages.js';
 
 /** Enough for a minute at some hundreds of jobs per second. */
 const maxClaims = 20_000;
 
+/** One process of a dispatcher, as the owner of jobs. The next process at its address is another owner. */
+export interface JobOwner {
+  readonly address: Address;
+  /** Identifies the process among those at its address; undefined for builds that do not send it. */
+  readonly life: number | undefined;
+}
+
+export function isSameOwner(one: JobOwner, other: JobOwner): boolean {
+  return one.address === other.address && one.life === other.life;
+}
+
 /** The job owners that this registrar knows. The oldest claims are evicted first. */
 export class ClaimTable {
-  private readonly owners = new RecentMap<JobId, Address>(maxClaims);
+  private readonly owners = new RecentMap<JobId, JobOwner>(maxClaims);
 
-  /** Records a claim unless a dispatcher other than `claimant` and `replaces` owns the job; returns the owner. */
-  record(job: JobId, claimant: Address, replaces?: Address): Address {
+  constructor(
+    /** When it was opened. Owners that had claimed their jobs before are unknown. */
+    readonly openedAt: Instant = monotonicClock.now(),
+    private readonly clock: Clock = monotonicClock,
+  ) {}
+
+  /** Records a claim and tells who owns the job now. */
+  answer({job, claimant, replaces}: Claim): ClaimAnswer {
+    const owner = this.record(job, claimant, replaces);
+    return {owner, knownForMs: this.clock.now() - this.openedAt};
+  }
+
+  /** Records a claim unless an owner other than `claimant` and `replaces` is known; returns the owner. */
+  record(job: JobId, claimant: JobOwner, replaces?: JobOwner): JobOwner {
     const known = this.owners.get(job);
-    if (known !== undefined && known !== claimant && known !== replaces) {
+    if (
+      known !== undefined &&
+      !isSameOwner(known, claimant) &&
+      !(replaces !== undefined && isSameOwner(known, replaces))
+    ) {
       return known;
     }
     this.owners.set(job, claimant);
     return claimant;
   }
 
-  /** True when a dispatcher other than the one at this address owns the job. */
-  isOther(job: JobId, address: Address | undefined): boolean {
-    const owner = this.owners.get(job);
-    return owner !== undefined && owner !== address;
+  /** True when the job is known to have an owner other than this one. */
+  isOther(job: JobId, owner: JobOwner | undefined): boolean {
+    const known = this.owners.get(job);
+    if (known === undefined) return false;
+    return owner === undefined || !isSameOwner(known, owner);
   }
 }
 
--- a/packages/dispatch/src/dispatcher-options.ts
+++ b/packages/dispatch/src/dispatcher-options.ts
@@ -1,5 +1,5 @@
 import type {View} from '#membership';
-import type {Address, Clock, ServiceName, TargetId} from '#model';
+import type {Address, Clock, Instant, ServiceName, TargetId} from '#model';
 import type {LocalityPolicy} from '#policy';
 import type {Logger, Metrics} from '#telemetry';
 
@@ -9,6 +9,8 @@
   readonly localTarget?: TargetId;
   /** Identifies this start of the process; increases with each start. */
   readonly life: number;
+  /** When it began to take claims, and earlier processes at its address had ended; by default, when it is created. */
+  readonly startedAt?: Instant;
   readonly failureDomain: string;
   /** Where it listens for other dispatchers; undefined when it is the only one. */
   readonly address?: Address;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -2,7 +2,6 @@
   type Address,
   type Clock,
   computeDeadline,
-  type Instant,
   type JobId,
   monotonicClock,
   type RunEnd,
@@ -10,29 +9,25 @@
   type TargetId,
 } from '#model';
 import {cancelJob, endRun, hasReadyTask} from '#jobs';
-import type {
-  CancelJobResult,
-  FollowJobResult,
-  Handlers,
-  RelayJobParams,
-} from '#protocol';
+import type {CancelJobResult, Handlers, RelayJobParams} from '#protocol';
 import {emptyView, type View} from '#membership';
 import {type Metrics, noopMetrics} from '#telemetry';
 import {
   type ActiveJob,
   describeEnd,
-  isFinal,
   isUnstarted,
   type JobOutcome,
   type JobSubmission,
   openActiveJob,
 } from './active-job.js';
 import {type CancellationOptions, cancelForCaller} from './cancellation.js';
-import {ClaimTable} from './claims.js';
+import {ClaimTable, type JobOwner} from './claims.js';
 import type {DispatcherOptions} from './dispatcher-options.js';
 import {EndedJobs} from './ended-jobs.js';
 import {logEnd, logRunEnd, measureEnd} from './events.js';
+import {answerFollow, type FollowedJobs} from './follow.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
+import {decodeClaim, encodeClaimAnswer} from './claim-messages.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
 import {Admission, leavingRefusal, sumWaitingWork} from './admission.js';
@@ -44,7 +39,6 @@
 import {RunMover} from './run-mover.js';
 import {RunnerFleet} from './runner-fleet.js';
 import {SubmitterConnections} from './submitter-connections.js';
-import {sleepUntil} from './wait.js';
 
 /** Owns callers' queued jobs and places their tasks on targets with free capacity. */
 export class Dispatcher implements AsyncDisposable {
@@ -59,7 +53,9 @@
   private readonly waiting = new Set<ActiveJob>();
   private readonly ended = new EndedJobs();
   private readonly predictor = new RunTimePredictor();
-  private readonly claims = new ClaimTable();
+  private readonly claims: ClaimTable;
+  /** This process as the owner of jobs; undefined when it is the only dispatcher. */
+  private readonly self: JobOwner | undefined;
   private readonly peerDispatchers = new PeerDispatchers();
   private readonly relay: Relay;
   private readonly submitterConnections = new SubmitterConnections(id =>
@@ -70,6 +66,7 @@
   private view: View = emptyView;
   private readonly ownership: OwnershipOptions;
   private readonly cancellation: CancellationOptions;
+  private readonly followed: FollowedJobs;
   private readonly placementScheduler = new PlacementScheduler(() =>
     this.placeWaiting(),
   );
@@ -79,14 +76,25 @@
     this.clock = options.clock ?? monotonicClock;
     this.metrics = options.metrics ?? noopMetrics;
     this.readLagMs = options.readLagMs ?? (() => 0);
+    const {address, life, startedAt = this.clock.now()} = options;
+    this.self = address === undefined ? undefined : {address, life};
+    this.claims = new ClaimTable(startedAt, this.clock);
     this.ownership = {
-      address: options.address,
+      self: this.self,
       claims: this.claims,
       peerDispatchers: this.peerDispatchers,
       log: options.log,
       listDispatchers: service =>
         this.listStated(service) ?? this.fleet.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
+      isFollowingAll: () => this.fleet.isFollowingAll,
+    };
+    this.followed = {
+      clock: this.clock,
+      jobs: this.jobs,
+      ended: this.ended,
+      findOutcome: job => this.findLocal(job),
+      cancel: job => this.cancel(job),
     };
     this.cancellation = {
       ownership: this.ownership,
@@ -204,7 +212,7 @@
       this.clock.now(),
     );
     const hasBegun = this.ended.hasBegun(job.id);
-    const isOther = this.claims.isOther(job.id, this.options.address);
+    const isOther = this.claims.isOther(job.id, this.self);
     if (refusal !== undefined) {
       // Some of it may have run, so that it cannot be refused as not run.
       return hasBegun || isOther ? {kind: 'expired'} : refusal;
@@ -233,11 +241,11 @@
   /** Creates the handlers for requests of other dispatchers and entries. */
   createHandlers(): Handlers {
     return {
-      'dispatcher.claim': ({job, claimant, replaces, service}) => ({
-        owner: this.claims.record(job, claimant, replaces),
+      'dispatcher.claim': params => ({
+        ...encodeClaimAnswer(this.claims.answer(decodeClaim(params))),
         ...(!this.isLeaving && {
           lagMs: this.readLagMs(),
-          waitingCoreMs: sumWaitingWork(service, this.jobs.values()),
+          waitingCoreMs: sumWaitingWork(params.service, this.jobs.values()),
         }),
       }),
       'dispatcher.relay': async (params, peer) => ({
@@ -259,7 +267,11 @@
         ),
       'dispatcher.abandon': ({job}) => this.cancel(job),
       'dispatcher.follow': ({job, remainingMs}) =>
-        this.answerFollow(job, computeDeadline(this.clock.now(), remainingMs)),
+        answerFollow(
+          this.followed,
+          job,
+          computeDeadline(this.clock.now(), remainingMs),
+        ),
     };
   }
 
@@ -317,25 +329,6 @@
     return (await this.findLocal(job.id)) ?? this.admit(submission);
   }
 
-  private async answerFollow(
-    id: JobId,
-    deadline: Instant,
-  ): Promise<FollowJobResult> {
-    const isKnown = this.jobs.has(id) || this.ended.isAbandoned(id);
-    const outcome = await Promise.race([
-      this.findLocal(id),
-      sleepUntil(deadline, this.clock),
-    ]);
-    if (outcome !== undefined && isFinal(outcome)) return {kind: outcome.kind};
-    if (!isKnown) return {kind: 'unknown'};
-    const known = this.jobs.get(id);
-    if (known !== undefined) {
-      this.cancel(id);
-      await new Promise<void>(resolve => known.runsEndedWaiters.push(resolve));
-    }
-    return this.ended.find(id) ?? {kind: 'closed'};
-  }
-
   private run(
     submission: JobSubmission,
     isFirst: boolean,
--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -75,7 +75,7 @@
 /** Allows for the drift between two hosts' clocks over a lease, and for the time that stopping a run takes. */
 const safetyMarginMs = 130;
 /** After this long without a new permission, a target's runs have ended: its runner has stopped them or they have lapsed at its executor. */
-const runLossMs = permissionTtlMs + executorLeaseMs + safetyMarginMs;
+export const runLossMs = permissionTtlMs + executorLeaseMs + safetyMarginMs;
 
 /** A dispatcher's connection to the runner of one target, and the dispatcher's runs there. */
 export class RunnerLink implements AsyncDisposable {
@@ -243,9 +243,14 @@
     this.attached?.notify('runner.withdraw', {tickets, waitingOnly});
   }
 
-  /** Ends other dispatchers' runs of a job at the target; false when the target does not confirm in time. */
+  /** Ends other dispatcher processes' runs of a job at the target; false when the target does not confirm in time. */
   async clear(job: JobId, deadline: Instant): Promise<boolean> {
-    const reply = await this.peer?.request('runner.clear', {job}, deadline);
+    const {dispatcher, life} = this.owner;
+    const reply = await this.peer?.request(
+      'runner.clear',
+      {job, dispatcher, life},
+      deadline,
+    );
     return reply?.isRight() === true;
   }
 
--- a/packages/dispatch/src/ownership.ts
+++ b/packages/dispatch/src/ownership.ts
@@ -6,19 +6,29 @@
   type ServiceName,
 } from '#model';
 import type {Logger} from '#telemetry';
-import {type ClaimTable, rankRegistrars} from './claims.js';
+import type {Claim, ClaimAnswer} from './claim-messages.js';
+import {
+  type ClaimTable,
+  isSameOwner,
+  type JobOwner,
+  rankRegistrars,
+} from './claims.js';
+import {runLossMs} from './link.js';
 import type {PeerDispatchers} from './peer-dispatchers.js';
+import {sleepUntil} from './wait.js';
 
 export interface OwnershipOptions {
-  /** Where this dispatcher listens; undefined when it is the only one. */
-  readonly address: Address | undefined;
+  /** This process as an owner; undefined when it is the only dispatcher. */
+  readonly self: JobOwner | undefined;
   readonly claims: ClaimTable;
   readonly peerDispatchers: PeerDispatchers;
   readonly log: Logger;
   /** Returns the addresses of all dispatchers of a service, including this one. */
   readonly listDispatchers: (service: ServiceName) => readonly Address[];
-  /** Ends other dispatchers' runs of a job at all targets; false when a target does not confirm. */
+  /** Ends other dispatcher processes' runs of a job at all targets; false when a target does not confirm. */
   readonly clear: (job: JobId, deadline: Instant) => Promise<boolean>;
+  /** True when this dispatcher is connected, or connects, to all known targets. */
+  readonly isFollowingAll: () => boolean;
 }
 
 /** A job that a dispatcher wants to run, and the service whose targets would run it. */
@@ -41,53 +51,91 @@
 /** A registrar that does not respond within this is skipped. */
 const claimTimeoutMs = 120;
 const clearTimeoutMs = 700;
+/** Pause between attempts to clear the runs of an earlier process, in ms: a connection may be opened meanwhile. */
+const clearRetryMs = 100;
 /** After this many attempts, each of which replaces the owner found by the one before, ownership is left uncertain. */
 const maxClaimAttempts = 3;
 /** Registrars that store a claim: one may be lost, as may the owner, which usually is the first registrar. */
 const registrarsPerJob = 2;
+/** Registrars that are asked while some have started too recently to know of an owner that has just been lost. */
+const maxRegistrars = 3;
 
 /**
- * Ensures that one dispatcher at a time runs a job, even when its caller submits it to several. The
+ * Ensures that one dispatcher process at a time runs a job, even when its caller submits it to several. The
  * job's registrars know its owner. If there is another owner, it is asked to report the job's outcome or
- * close it; if it is unreachable or does not know the job, the job's runs are cleared at the targets.
+ * close it; if it is unreachable or does not know the job, the job's runs are cleared at the targets. An earlier
+ * process at this address is an owner that has ended: its runs may still be at work.
  */
 export async function resolveOwnership(
   options: OwnershipOptions,
-  {job, service}: ClaimedJob,
+  claimed: ClaimedJob,
   deadline: Instant,
 ): Promise<OwnershipStatus> {
-  const {address, peerDispatchers, log} = options;
-  if (address === undefined) return {kind: 'own', isFirst: true};
-  let replaces: Address | undefined;
+  const {self} = options;
+  if (self === undefined) return {kind: 'own', isFirst: true};
+  let replaces: JobOwner | undefined;
   for (let attempt = 0; attempt < maxClaimAttempts; attempt++) {
-    const owner = await findOwner(options, {job, service}, replaces);
-    if (owner === address) {
-      return {kind: 'own', isFirst: replaces === undefined};
-    }
-    const status = await peerDispatchers.awaitOutcome(owner, job, deadline);
-    log.info(
-      {event: 'job-elsewhere', job, owner, standing: status?.kind ?? 'none'},
-      'a job was previously submitted to another dispatcher',
-    );
-    switch (status?.kind) {
-      case 'completed':
-      case 'failed':
-      case 'cancelled':
-        return status;
-      case 'closed':
-        break;
-      case 'unknown':
-      case undefined:
-        if (!(await clearOthers(options, job, deadline))) {
-          return {kind: 'uncertain'};
-        }
+    const {owner, forgottenEndAt} = await findOwner(options, claimed, replaces);
+    if (isSameOwner(owner, self)) {
+      if (replaces !== undefined) return {kind: 'own', isFirst: false};
+      if (forgottenEndAt <= monotonicClock.now()) {
+        return {kind: 'own', isFirst: true};
+      }
+      return (await endForgottenRuns(
+        options,
+        claimed.job,
+        forgottenEndAt,
+        deadline,
+      ))
+        ? {kind: 'own', isFirst: false}
+        : {kind: 'uncertain'};
     }
+    const status = await endAtOwner(options, claimed.job, owner, deadline);
+    if (status.kind !== 'closed') return status;
     replaces = owner;
   }
   return {kind: 'uncertain'};
 }
 
-/** Ends other dispatchers' runs of a job at all targets; false when a target does not confirm in time. */
+type OwnerEnd =
+  | Exclude<OwnershipStatus, {readonly kind: 'own'}>
+  /** No run of the job is at work, and this owner starts no more. */
+  | {readonly kind: 'closed'};
+
+/** Waits for a job's outcome at its owner, or until all runs that the owner has placed have ended. */
+async function endAtOwner(
+  options: OwnershipOptions,
+  job: JobId,
+  owner: JobOwner,
+  deadline: Instant,
+): Promise<OwnerEnd> {
+  const {self, peerDispatchers, log} = options;
+  const isEarlierProcess = owner.address === self?.address;
+  const status = isEarlierProcess
+    ? undefined
+    : await peerDispatchers.awaitOutcome(owner.address, job, deadline);
+  log.info(
+    {
+      event: 'job-elsewhere',
+      job,
+      owner: owner.address,
+      life: owner.life,
+      standing: isEarlierProcess ? 'restarted' : (status?.kind ?? 'none'),
+    },
+    'a job was previously submitted to another dispatcher process',
+  );
+  if (status !== undefined && status.kind !== 'unknown') {
+    // The owner may have cleared the job for itself, so that targets take it from no other process.
+    if (status.kind === 'closed') void clearOthers(options, job, deadline);
+    return status;
+  }
+  const hasEnded = isEarlierProcess
+    ? await endEarlierRuns(options, job, deadline)
+    : await clearOthers(options, job, deadline);
+  return {kind: hasEnded ? 'closed' : 'uncertain'};
+}
+
+/** Ends other dispatcher processes' runs of a job at all targets; false when a target does not confirm in time. */
 export function clearOthers(
   {clear}: OwnershipOptions,
   job: JobId,
@@ -97,27 +145,99 @@
   return clear(job, limit);
 }
 
-/** Claims a job at its first reachable registrars, one after another. Returns the other owner that a registrar knows, or this dispatcher if none does. */
+/**
+ * Ends the runs of a job that earlier processes at this address have placed. Where a target does not confirm,
+ * waits until their permissions and leases have expired; false when the deadline passes first.
+ */
+export function endEarlierRuns(
+  options: OwnershipOptions,
+  job: JobId,
+  deadline: Instant,
+): Promise<boolean> {
+  // Earlier processes had ended when this one opened its table of claims.
+  const lapsedAt = options.claims.openedAt + runLossMs;
+  return clearUntil(options, job, lapsedAt, deadline);
+}
+
+/**
+ * Ends the runs of a job whose registrars may have forgotten its owner, as `endEarlierRuns` does. Targets that
+ * are not followed are not asked: after the loss of many dispatchers, each job would be cleared at all of them.
+ */
+export async function endForgottenRuns(
+  options: OwnershipOptions,
+  job: JobId,
+  lapsedAt: Instant,
+  deadline: Instant,
+): Promise<boolean> {
+  if (options.isFollowingAll()) {
+    return clearUntil(options, job, lapsedAt, deadline);
+  }
+  await sleepUntil(Math.min(lapsedAt, deadline), monotonicClock);
+  return lapsedAt <= deadline;
+}
+
+/** Clears a job until all targets have confirmed, at most until its runs have lapsed; false when the deadline passes first. */
+async function clearUntil(
+  {clear}: OwnershipOptions,
+  job: JobId,
+  lapsedAt: Instant,
+  deadline: Instant,
+): Promise<boolean> {
+  const limit = Math.min(deadline, lapsedAt);
+  while (monotonicClock.now() < limit) {
+    if (await clear(job, limit)) return true;
+    const retryAt = monotonicClock.now() + clearRetryMs;
+    await sleepUntil(Math.min(limit, retryAt), monotonicClock);
+  }
+  return lapsedAt <= deadline;
+}
+
+/** What a job's registrars know of its owner. */
+export interface FoundOwner {
+  readonly owner: JobOwner;
+  /**
+   * When the runs of owners that the registrars may have forgotten have ended, as they forget claims with each
+   * start. In the past when a registrar has kept claims for long enough, or when none of the first ones answered.
+   */
+  readonly forgottenEndAt: Instant;
+}
+
+/** Claims a job at its first reachable registrars, one after another. Returns the other owner that a registrar knows, or this process if none does. */
 export async function findOwner(
-  {address, claims, peerDispatchers, listDispatchers}: OwnershipOptions,
+  options: OwnershipOptions,
   {job, service}: ClaimedJob,
-  replaces: Address | undefined,
-): Promise<Address> {
-  const claimant = address!;
-  const replaced = replaces === undefined ? {} : {replaces};
-  let confirmations = 0;
-  for (const registrar of rankRegistrars(job, listDispatchers(service))) {
-    const owner =
-      registrar === claimant
-        ? claims.record(job, claimant, replaces)
-        : await peerDispatchers.sendClaim(
-            registrar,
-            {job, claimant, service, ...replaced},
-            monotonicClock.now() + claimTimeoutMs,
-          );
-    if (owner === undefined) continue;
-    if (owner !== claimant) return owner;
-    if (++confirmations === registrarsPerJob) return claimant;
+  replaces: JobOwner | undefined,
+): Promise<FoundOwner> {
+  const {self, claims, listDispatchers} = options;
+  const claim: Claim = {job, service, claimant: self!, replaces};
+  const registrars = rankRegistrars(job, listDispatchers(service));
+  let answers = 0;
+  let lasting = 0;
+  let forgottenEndAt: Instant | undefined;
+  for (const [rank, registrar] of registrars.entries()) {
+    const answer = await askRegistrar(options, registrar, claim);
+    if (answer === undefined) continue;
+    const {owner, knownForMs = Infinity} = answer;
+    if (!isSameOwner(owner, self!)) return {owner, forgottenEndAt: -Infinity};
+    const lapsedAt = monotonicClock.now() - knownForMs + runLossMs;
+    if (rank < registrarsPerJob) {
+      forgottenEndAt = Math.min(forgottenEndAt ?? Infinity, lapsedAt);
+    }
+    answers++;
+    if (lapsedAt <= monotonicClock.now()) lasting++;
+    if (lasting === registrarsPerJob || answers === maxRegistrars) break;
   }
-  return claims.record(job, claimant, replaces);
+  const owner =
+    answers >= registrarsPerJob ? self! : claims.record(job, self!, replaces);
+  return {owner, forgottenEndAt: forgottenEndAt ?? -Infinity};
+}
+
+async function askRegistrar(
+  {self, claims, peerDispatchers}: OwnershipOptions,
+  registrar: Address,
+  claim: Claim,
+): Promise<ClaimAnswer | undefined> {
+  if (registrar === self?.address) return claims.answer(claim);
+  const deadline = monotonicClock.now() + claimTimeoutMs;
+  return peerDispatchers.sendClaim(registrar, claim, deadline);
 }
--- a/packages/dispatch/src/peer-dispatchers.ts
+++ b/packages/dispatch/src/peer-dispatchers.ts
@@ -7,7 +7,6 @@
 import {
   type CancelJobParams,
   type CancelJobResult,
-  type ClaimJobParams,
   dialPeer,
   dialTimeoutMs,
   type FollowJobResult,
@@ -20,6 +19,12 @@
   type ResultOf,
 } from '#protocol';
 import type {DispatcherLoad} from '#policy';
+import {
+  type Claim,
+  type ClaimAnswer,
+  decodeClaimAnswer,
+  encodeClaim,
+} from './claim-messages.js';
 
 /** While a request is pending: silence of a second is a fault. */
 const busyLiveness: Liveness = {probeAfterMs: 500, silenceLimitMs: 1200};
@@ -61,16 +66,16 @@
 
   constructor(private readonly idleLiveness: Liveness = defaultIdleLiveness) {}
 
-  /** Claims a job at a registrar; returns the owner, or undefined when the registrar does not respond in time. */
+  /** Claims a job at a registrar; undefined when the registrar does not respond in time. */
   async sendClaim(
     address: Address,
-    params: ClaimJobParams,
+    claim: Claim,
     deadline: Instant,
-  ): Promise<Address | undefined> {
+  ): Promise<ClaimAnswer | undefined> {
     const reply = await this.request(
       address,
       'dispatcher.claim',
-      params,
+      encodeClaim(claim),
       deadline,
     );
     if (typeof reply === 'string') this.startBackoff(address);
@@ -84,7 +89,9 @@
         reportedAt,
       });
     }
-    return typeof reply === 'string' ? undefined : reply.owner;
+    return typeof reply === 'string'
+      ? undefined
+      : decodeClaimAnswer(reply, claim);
   }
 
   /** Lists the recently reported loads of other dispatchers. */
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -250,7 +250,14 @@
     );
   }
 
-  /** Ends other dispatchers' runs of a job at all known targets; false when a target does not confirm in time. */
+  /** True when all known targets are followed. */
+  get isFollowingAll(): boolean {
+    return [...this.known.values()].every(targets =>
+      targets.every(({target}) => this.links.has(target)),
+    );
+  }
+
+  /** Ends other dispatcher processes' runs of a job at all known targets; false when a target does not confirm in time. */
   async clear(job: JobId, deadline: Instant): Promise<boolean> {
     const followed = [...this.links.values()].map(link =>
       link.clear(job, deadline),
@@ -273,13 +280,11 @@
     const dialled = await dialPeer(address, {}, deadline, clearLiveness);
     const peer = dialled.toMaybe().extract();
     if (peer === undefined) return false;
-    const attaching = {dispatcher, life, tickets: []};
-    const attached = await peer.request('runner.attach', attaching, deadline);
-    const cleared =
-      attached.isRight() &&
-      (await peer.request('runner.clear', {job}, deadline)).isRight();
+    // Without attaching, which would move the session from a connection that clears another job.
+    const clearing = {job, dispatcher, life};
+    const cleared = await peer.request('runner.clear', clearing, deadline);
     peer.close('closed by this end');
-    return cleared;
+    return cleared.isRight();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/packages/dispatch/test/claims.test.ts
+++ b/packages/dispatch/test/claims.test.ts
@@ -1,13 +1,29 @@
 import test from 'ava';
-import {ClaimTable, rankRegistrars} from '../src/claims.js';
+import {ClaimTable, type JobOwner, rankRegistrars} from '../src/claims.js';
+
+const [a, b, c]: readonly JobOwner[] = ['a:1', 'b:1', 'c:1'].map(address => ({
+  address,
+  life: 1,
+}));
 
 test('the first claimant stays the owner until it is replaced', t => {
   const claims = new ClaimTable();
-  t.is(claims.record('job', 'a:1'), 'a:1');
-  t.is(claims.record('job', 'b:1'), 'a:1');
-  t.is(claims.record('job', 'a:1'), 'a:1');
-  t.is(claims.record('job', 'b:1', 'c:1'), 'a:1');
-  t.is(claims.record('job', 'b:1', 'a:1'), 'b:1');
+  t.is(claims.record('job', a!), a);
+  t.is(claims.record('job', b!), a);
+  t.is(claims.record('job', a!), a);
+  t.is(claims.record('job', b!, c), a);
+  t.is(claims.record('job', b!, a), b);
+});
+
+// Guards against a process that takes the jobs of an earlier one at its address for its own.
+test('the next process at an address is another owner', t => {
+  const claims = new ClaimTable();
+  const next = {...a!, life: 2};
+  t.is(claims.record('job', a!), a);
+  t.deepEqual(claims.record('job', next), a);
+  t.true(claims.isOther('job', next));
+  t.is(claims.record('job', next, a), next);
+  t.false(claims.isOther('job', next));
 });
 
 test('all dispatchers rank the registrars of a job equally, and jobs are spread over them', t => {
--- a/packages/dispatch/test/harness.ts
+++ b/packages/dispatch/test/harness.ts
@@ -1,9 +1,9 @@
 import {emptyView, PersistentMap, type View} from '#membership';
-import type {QueueConfig, QueuedJob, TargetInfo} from '#model';
+import type {Clock, QueueConfig, QueuedJob, TargetInfo} from '#model';
 import {PeerListener} from '#protocol';
 import {Dispatcher, JobRouter} from '#dispatch';
 import {openLog} from '#telemetry';
-import {startRunner} from '../../runner/test/harness.js';
+import {type FakeExecutor, startRunner} from '../../runner/test/harness.js';
 
 export const queue: QueueConfig = {
   name: 'counts',
@@ -89,20 +89,48 @@
   };
 }
 
+/** How long a dispatcher has kept claims, so that it knows the owners of all jobs. */
+const settledMs = 60_000;
+
 export interface DispatcherHarnessOptions {
   readonly readLagMs?: () => number;
   /** Called synchronously when a job is accepted, to add to the cost of accepting it. */
   readonly onAccepted?: () => void;
 }
 
+export interface HomeOptions {
+  readonly readLagMs?: () => number;
+  /** Identifies the process; 1 when unset. */
+  readonly life?: number;
+  /** Where it listens; a free port when unset. */
+  readonly address?: string;
+  /** The executor of an earlier process; a new one when unset. */
+  readonly executor?: FakeExecutor;
+  readonly clock?: Clock;
+  /** True for a process that has just started and may not know the owners of jobs. */
+  readonly isNew?: boolean;
+}
+
 /** Starts a dispatcher and a runner that share an address, as an agent does for its target. */
-export async function startHome(id: string, readLagMs?: () => number) {
+export async function startHome(
+  id: string,
+  {
+    readLagMs,
+    life = 1,
+    address,
+    executor,
+    clock,
+    isNew = false,
+  }: HomeOptions = {},
+) {
   const handlers = {};
-  const runner = await startRunner([], handlers);
+  const runner = await startRunner([], handlers, {address, executor});
   const dispatcher = new Dispatcher({
     id,
     localTarget: id,
-    life: 1,
+    life,
+    clock,
+    startedAt: performance.now() - (isNew ? 0 : settledMs),
     failureDomain: 'f',
     address: runner.address,
     log: openLog('silent', 'agent', id),
@@ -110,9 +138,17 @@
   });
   Object.assign(handlers, dispatcher.createHandlers());
   return {
+    id,
     dispatcher,
     runner,
     executor: runner.executor,
+    submit: (job: QueuedJob, callerTimeoutMs = 60_000) =>
+      dispatcher.submit({
+        job,
+        queue,
+        arrivedAt: performance.now(),
+        callerDeadline: performance.now() + callerTimeoutMs,
+      }),
     address: runner.address,
     async [Symbol.asyncDispose]() {
       await dispatcher[Symbol.asyncDispose]();
@@ -156,6 +192,7 @@
   const dispatcher = new Dispatcher({
     id,
     life: 1,
+    startedAt: performance.now() - settledMs,
     failureDomain: 'f',
     address,
     listDispatchers: ({entries}) =>
--- a/packages/dispatch/test/site.ts
+++ b/packages/dispatch/test/site.ts
@@ -1,4 +1,4 @@
-import {sleep, waitUntil} from '../../runner/test/harness.js';
+import {formatTask, sleep, waitUntil} from '../../runner/test/harness.js';
 import {rankRegistrars} from '../src/claims.js';
 import {
   buildView,
@@ -13,7 +13,15 @@
   const lags = new Map<string, number>();
   const homes: Home[] = [];
   for (const id of ['target-0', 'target-1', 'target-2']) {
-    homes.push(await startHome(id, () => lags.get(id) ?? 0));
+    homes.push(await startHome(id, {readLagMs: () => lags.get(id) ?? 0}));
+  }
+  let overlaps = 0;
+  for (const {executor} of homes) {
+    executor.onStart = ref => {
+      const task = formatTask(ref);
+      for (const each of homes) each.executor.expireLease();
+      if (homes.some(each => each.executor.running.has(task))) overlaps++;
+    };
   }
   const addresses = homes.map(({address}) => address);
   const view = buildView(addresses, []);
@@ -45,6 +53,18 @@
       ),
     countStarts: () =>
       homes.reduce((sum, {executor}) => sum + executor.starts.length, 0),
+    /** Counts the runs that began while another run of the same task was at work, at any executor. */
+    countOverlaps: () => overlaps,
+    /** Ends a home's process without notice and starts another one at its address, for the same executor. */
+    async restart(home: Home, life: number): Promise<Home> {
+      const {id, address, executor} = home;
+      await home.dispatcher[Symbol.asyncDispose]();
+      await home.runner[Symbol.asyncDispose]();
+      const next = await startHome(id, {life, address, executor, isNew: true});
+      homes[homes.indexOf(home)] = next;
+      next.dispatcher.follow(view);
+      return next;
+    },
     countDuplicateStarts: () =>
       homes.reduce((sum, {executor}) => sum + executor.duplicateStarts, 0),
     endAll: () => {
