Clear jobs at targets whose runner takes no dispatchers yet

A caller whose job's home had started again waited for the leases of the earlier process although no stop was unanswered: the runner beside the home refuses sessions until its executor has announced itself, up to a heartbeat later, and its link, without a connection, confirmed nothing. A runner knows before that when its executor has no runs left. Now a target without a connection is asked over one of its own.

--- a/packages/dispatch/src/link.ts
+++ b/packages/dispatch/src/link.ts
@@ -1,4 +1,5 @@
 import {
+  type Address,
   type Clock,
   type FailureDomain,
   type Instant,
@@ -124,6 +125,15 @@
     return this.info.target;
   }
 
+  get address(): Address {
+    return this.info.address;
+  }
+
+  /** True while a connection is open, also one that is not attached yet. */
+  get isConnected(): boolean {
+    return this.peer?.isOpen === true;
+  }
+
   get failureDomain(): FailureDomain {
     return this.info.place.failureDomain;
   }
--- a/packages/dispatch/src/runner-fleet.ts
+++ b/packages/dispatch/src/runner-fleet.ts
@@ -259,20 +259,26 @@
 
   /** Ends other dispatcher processes' runs of a job at all known targets; false when a target does not confirm in time. */
   async clear(job: JobId, deadline: Instant): Promise<boolean> {
-    const followed = [...this.links.values()].map(link =>
-      link.clear(job, deadline),
-    );
-    const others = [...this.known.values()]
-      .flat()
-      .filter(({target}) => !this.links.has(target))
-      .map(info => this.clearUnfollowed(info, job, deadline));
-    const cleared = await Promise.all([...followed, ...others]);
+    const links = [...this.links.values()];
+    const connected = links.filter(({isConnected}) => isConnected);
+    const asked = new Set(connected.map(({target}) => target));
+    const others = [
+      ...[...this.known.values()].flat(),
+      ...links.map(({target, address}) => ({target, address})),
+    ].filter(({target}) => !asked.has(target) && asked.add(target));
+    const cleared = await Promise.all([
+      ...connected.map(link => link.clear(job, deadline)),
+      ...others.map(({address}) => this.clearAt(address, job, deadline)),
+    ]);
     return cleared.every(done => done);
   }
 
-  /** Clears a job at a target that is not followed, over a temporary connection. */
-  private async clearUnfollowed(
-    {address}: TargetInfo,
+  /**
+   * Clears a job at a target over a temporary connection. A runner takes dispatchers only once its executor has
+   * announced itself, but knows before when the executor has no runs.
+   */
+  private async clearAt(
+    address: Address,
     job: JobId,
     deadline: Instant,
   ): Promise<boolean> {
