Repeat claims at registrars that have forgotten them

A registrar that starts again has lost its claims. Of two kills in a row, that of the registrar and then that of the home, the second left nobody who knew the owner, so that the job started beside its earlier runs. Now owners repeat the claims of their jobs at a registrar whose connection was lost, or that did not answer a claim, before it counts as knowing all owners. A job that another one owns then is given up.

A registrar that was out of reach once was not asked again while claims were made more often than every 700 ms, as each claim that was not sent postponed the next attempt to connect.

A home that had just started and refused a job before claiming it told "not run" of a job that its earlier process had begun. Now it asks the registrars before it refuses, for as long as callers send jobs again.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -27,12 +27,17 @@
 import {logEnd, logRunEnd, measureEnd} from './events.js';
 import {answerFollow, type FollowedJobs} from './follow.js';
 import {JobExpiry, withdrawRuns} from './job-expiry.js';
+import {ClaimKeeper} from './claim-keeper.js';
 import {decodeClaim, encodeClaimAnswer} from './claim-messages.js';
 import {PeerDispatchers} from './peer-dispatchers.js';
 import {RunTimePredictor} from './run-time-predictor.js';
 import {Admission, leavingRefusal, sumWaitingWork} from './admission.js';
 import type {OutstandingRun} from './link.js';
-import {type OwnershipOptions, resolveOwnership} from './ownership.js';
+import {
+  hasOtherOwner,
+  type OwnershipOptions,
+  resolveOwnership,
+} from './ownership.js';
 import {Placer} from './placer.js';
 import {PlacementScheduler} from './placement-scheduler.js';
 import {Relay} from './relay.js';
@@ -56,7 +61,10 @@
   private readonly claims: ClaimTable;
   /** This process as the owner of jobs; undefined when it is the only dispatcher. */
   private readonly self: JobOwner | undefined;
-  private readonly peerDispatchers = new PeerDispatchers();
+  private readonly peerDispatchers = new PeerDispatchers(undefined, address =>
+    this.claimKeeper.noteLost(address),
+  );
+  private readonly claimKeeper: ClaimKeeper;
   private readonly relay: Relay;
   private readonly submitterConnections = new SubmitterConnections(id =>
     this.cancel(id),
@@ -87,8 +95,14 @@
       listDispatchers: service =>
         this.listStated(service) ?? this.fleet.listRegistrars(service),
       clear: (job, deadline) => this.fleet.clear(job, deadline),
+      onMissed: registrar => this.claimKeeper.noteLost(registrar),
       isFollowingAll: () => this.fleet.isFollowingAll,
     };
+    this.claimKeeper = new ClaimKeeper({
+      ownership: this.ownership,
+      listJobs: () => this.jobs.values(),
+      giveUp: job => this.cancel(job),
+    });
     this.followed = {
       clock: this.clock,
       jobs: this.jobs,
@@ -212,12 +226,12 @@
       this.clock.now(),
     );
     const hasBegun = this.ended.hasBegun(job.id);
-    const isOther = this.claims.isOther(job.id, this.self);
+    const claimed = {job: job.id, service: submission.queue.service};
     if (refusal !== undefined) {
-      // Some of it may have run, so that it cannot be refused as not run.
-      return hasBegun || isOther ? {kind: 'expired'} : refusal;
+      const mayHaveRun =
+        hasBegun || (await hasOtherOwner(this.ownership, claimed));
+      return mayHaveRun ? {kind: 'expired'} : refusal;
     }
-    const claimed = {job: job.id, service: submission.queue.service};
     const status = await resolveOwnership(
       this.ownership,
       claimed,
@@ -297,6 +311,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.placementScheduler[Symbol.dispose]();
+    this.claimKeeper[Symbol.dispose]();
     for (const {expiry} of this.jobs.values()) clearTimeout(expiry);
     await this.fleet[Symbol.asyncDispose]();
     await this.peerDispatchers[Symbol.asyncDispose]();
@@ -380,7 +395,10 @@
   ): void {
     const job = this.jobs.get(run.ref.job);
     if (job === undefined) return;
-    if (end === 'succeeded') this.observeRun(job, run, target, runMs);
+    if (end === 'succeeded') {
+      const relativeSlowness = this.fleet.computeRelativeSlowness(target);
+      this.predictor.observe(job, run, {runMs, relativeSlowness});
+    }
     job.tickets.delete(run.ticket);
     job.state = endRun(job.state, run.ref, end);
     this.waiting.add(job);
@@ -403,18 +421,6 @@
     }
   }
 
-  private observeRun(
-    {submitted, queue}: ActiveJob,
-    {ref, remoteFactor}: OutstandingRun,
-    target: TargetId,
-    fullRunMs: number,
-  ): void {
-    const {estimateMs} = submitted.steps[ref.step]!;
-    const runMs = fullRunMs / remoteFactor;
-    const relativeSlowness = this.fleet.computeRelativeSlowness(target);
-    this.predictor.observe(queue.name, {estimateMs, runMs, relativeSlowness});
-  }
-
   private close(job: ActiveJob, outcome: JobOutcome): void {
     clearTimeout(job.expiry);
     job.isAnswered = true;
--- a/packages/dispatch/src/ownership.ts
+++ b/packages/dispatch/src/ownership.ts
@@ -27,6 +27,8 @@
   readonly listDispatchers: (service: ServiceName) => readonly Address[];
   /** Ends other dispatcher processes' runs of a job at all targets; false when a target does not confirm. */
   readonly clear: (job: JobId, deadline: Instant) => Promise<boolean>;
+  /** Called when one of a job's first registrars did not answer a claim. */
+  readonly onMissed: (registrar: Address) => void;
   /** True when this dispatcher is connected, or connects, to all known targets. */
   readonly isFollowingAll: () => boolean;
 }
@@ -49,14 +51,16 @@
   | {readonly kind: 'uncertain'};
 
 /** A registrar that does not respond within this is skipped. */
-const claimTimeoutMs = 120;
+export const claimTimeoutMs = 120;
 const clearTimeoutMs = 700;
 /** Pause between attempts to clear the runs of an earlier process, in ms: a connection may be opened meanwhile. */
 const clearRetryMs = 100;
 /** After this many attempts, each of which replaces the owner found by the one before, ownership is left uncertain. */
 const maxClaimAttempts = 3;
 /** Registrars that store a claim: one may be lost, as may the owner, which usually is the first registrar. */
-const registrarsPerJob = 2;
+export const registrarsPerJob = 2;
+/** Callers do not send a job again for longer after its first submission. */
+const maxJobAgeMs = 15_000;
 /** Registrars that are asked while some have started too recently to know of an owner that has just been lost. */
 const maxRegistrars = 3;
 
@@ -216,7 +220,10 @@
   let forgottenEndAt: Instant | undefined;
   for (const [rank, registrar] of registrars.entries()) {
     const answer = await askRegistrar(options, registrar, claim);
-    if (answer === undefined) continue;
+    if (answer === undefined) {
+      if (rank < registrarsPerJob) options.onMissed(registrar);
+      continue;
+    }
     const {owner, knownForMs = Infinity} = answer;
     if (!isSameOwner(owner, self!)) return {owner, forgottenEndAt: -Infinity};
     const lapsedAt = monotonicClock.now() - knownForMs + runLossMs;
@@ -232,6 +239,23 @@
   return {owner, forgottenEndAt: forgottenEndAt ?? -Infinity};
 }
 
+/**
+ * True when a process other than this one may have run a part of a job, so that it cannot be refused as not run.
+ * The registrars are asked only for some time after this process has started, as it has known its own jobs since.
+ */
+export async function hasOtherOwner(
+  options: OwnershipOptions,
+  claimed: ClaimedJob,
+): Promise<boolean> {
+  const {self, claims} = options;
+  if (self === undefined) return false;
+  if (claims.isOther(claimed.job, self)) return true;
+  const now = monotonicClock.now();
+  if (now > claims.openedAt + maxJobAgeMs) return false;
+  const {owner, forgottenEndAt} = await findOwner(options, claimed, undefined);
+  return !isSameOwner(owner, self) || forgottenEndAt > now;
+}
+
 async function askRegistrar(
   {self, claims, peerDispatchers}: OwnershipOptions,
   registrar: Address,
--- a/packages/dispatch/src/peer-dispatchers.ts
+++ b/packages/dispatch/src/peer-dispatchers.ts
@@ -64,7 +64,11 @@
   private readonly backoffUntil = new Map<Address, Instant>();
   private readonly loads = new Map<Address, ReportedLoad>();
 
-  constructor(private readonly idleLiveness: Liveness = defaultIdleLiveness) {}
+  constructor(
+    private readonly idleLiveness: Liveness = defaultIdleLiveness,
+    /** Called when a connection was closed: the dispatcher's process may have ended. */
+    private readonly onLost: (address: Address) => void = () => {},
+  ) {}
 
   /** Claims a job at a registrar; undefined when the registrar does not respond in time. */
   async sendClaim(
@@ -78,7 +82,8 @@
       encodeClaim(claim),
       deadline,
     );
-    if (typeof reply === 'string') this.startBackoff(address);
+    // A claim that was not sent says nothing new: it must not delay the next attempt to connect.
+    if (reply === 'lost') this.startBackoff(address);
     if (typeof reply === 'string' || reply.lagMs === undefined) {
       this.loads.delete(address);
     } else {
@@ -227,7 +232,10 @@
       this.connections.delete(address);
       this.startBackoff(address);
     } else {
-      void peer.closed.then(() => this.connections.delete(address));
+      void peer.closed.then(() => {
+        this.connections.delete(address);
+        this.onLost(address);
+      });
     }
     return peer;
   }
--- a/packages/dispatch/src/run-time-predictor.ts
+++ b/packages/dispatch/src/run-time-predictor.ts
@@ -6,6 +6,8 @@
   type WorkModel,
   type WorkSample,
 } from '#policy';
+import type {ActiveJob} from './active-job.js';
+import type {OutstandingRun} from './link.js';
 
 /** Predicts run times per queue from callers' estimates and observed run times. */
 export class RunTimePredictor {
@@ -21,9 +23,16 @@
     return {...job, steps};
   }
 
-  /** Records the run time of a successful task. */
-  observe(queue: string, sample: WorkSample): void {
-    this.models.set(queue, observeRun(this.findModel(queue), sample));
+  /** Records the run time of a successful task, in ms. */
+  observe(
+    {submitted, queue: {name}}: ActiveJob,
+    {ref, remoteFactor}: OutstandingRun,
+    {runMs, relativeSlowness}: Omit<WorkSample, 'estimateMs'>,
+  ): void {
+    const {estimateMs} = submitted.steps[ref.step]!;
+    const nearRunMs = runMs / remoteFactor;
+    const sample = {estimateMs, runMs: nearRunMs, relativeSlowness};
+    this.models.set(name, observeRun(this.findModel(name), sample));
   }
 
   private findModel(queue: string): WorkModel {
--- a/packages/dispatch/test/site.ts
+++ b/packages/dispatch/test/site.ts
@@ -56,11 +56,18 @@
     /** Counts the runs that began while another run of the same task was at work, at any executor. */
     countOverlaps: () => overlaps,
     /** Ends a home's process without notice and starts another one at its address, for the same executor. */
-    async restart(home: Home, life: number): Promise<Home> {
+    async restart(home: Home, life: number, isNew = true): Promise<Home> {
       const {id, address, executor} = home;
       await home.dispatcher[Symbol.asyncDispose]();
       await home.runner[Symbol.asyncDispose]();
-      const next = await startHome(id, {life, address, executor, isNew: true});
+      const readLagMs = () => lags.get(id) ?? 0;
+      const next = await startHome(id, {
+        readLagMs,
+        life,
+        address,
+        executor,
+        isNew,
+      });
       homes[homes.indexOf(home)] = next;
       next.dispatcher.follow(view);
       return next;
