--- a/packages/dispatch/src/claim-keeper.ts
+++ b/packages/dispatch/src/claim-keeper.ts
@@ -23,6 +23,7 @@
 export class ClaimKeeper implements Disposable {
   private readonly lost = new Set<Address>();
   private timer: NodeJS.Timeout | undefined;
+  private isDisposed = false;
 
   constructor(private readonly options: ClaimKeeperOptions) {}
 
@@ -33,11 +34,12 @@
   }
 
   [Symbol.dispose](): void {
-    this.lost.clear();
+    this.isDisposed = true;
     clearTimeout(this.timer);
   }
 
   private schedule(): void {
+    if (this.isDisposed) return;
     this.timer ??= setTimeout(() => void this.repeat(), repeatPauseMs);
   }
 
