Open a job to others once the process it was cleared for has ended

A job that was cleared for a dispatcher process can be placed by no other one. When that process had ended, and its registrars had forgotten it, the next owner did not clear the job again, so that its tasks were placed and returned until the caller's deadline.

A process of which a later one has attached closes a job to nobody now.

--- a/packages/runner/src/job-clearance.ts
+++ b/packages/runner/src/job-clearance.ts
@@ -26,10 +26,14 @@
 
   constructor(private readonly owner: JobClearanceOwner) {}
 
-  /** True when a job was cleared for another dispatcher process. */
+  /** True when a job was cleared for another dispatcher process, unless that one is known to have ended. */
   isExcluded(job: JobId, dispatcher: DispatcherProcess): boolean {
     const allowed = this.allowed.get(job);
-    return allowed !== undefined && !isSameProcess(allowed, dispatcher);
+    return (
+      allowed !== undefined &&
+      !isSameProcess(allowed, dispatcher) &&
+      !this.owner.sessions.isReplaced(allowed)
+    );
   }
 
   /** Stops a job's runs for dispatcher processes other than the one that asks; resolves once all of them have ended. */
--- a/packages/runner/src/session-table.ts
+++ b/packages/runner/src/session-table.ts
@@ -2,7 +2,12 @@
 import type {ExecutorDescription, Peer, RunTicket, TargetLoad} from '#protocol';
 import type {FreeCapacity} from './load.js';
 import type {Run} from './run.js';
-import {chooseLoadInterval, type ClockReading, Session} from './session.js';
+import {
+  chooseLoadInterval,
+  type ClockReading,
+  type DispatcherProcess,
+  Session,
+} from './session.js';
 
 /** The sessions of dispatchers that have runs here or may place some. */
 export class SessionTable {
@@ -66,6 +71,12 @@
     return undefined;
   }
 
+  /** True when a later process of the same dispatcher has attached. */
+  isReplaced({dispatcher, life}: DispatcherProcess): boolean {
+    const known = this.sessions.get(dispatcher);
+    return known !== undefined && known.life > life;
+  }
+
   /**
    * True while every run that is, or may be, at the executor has a current permission. Only then may a request
    * be sent that extends the executor's lease, which holds for all its runs.
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -287,3 +287,20 @@
   await waitUntil(() => first.ends.length === 2);
   t.deepEqual(first.ends[1], [2, 'not-run', 0]);
 });
+
+// Guards against a job that no dispatcher can place, as it was cleared for a process that has ended.
+test('a job that was cleared for a process is open to others once a later process of its dispatcher attaches', async t => {
+  await using site = await startRunner();
+  const first = await site.attach('a', 1);
+  const deadline = performance.now() + 5000;
+  await first.peer.request('runner.clear', {job: 'job'}, deadline);
+  const other = await site.attach('b');
+  other.place(1);
+  await waitUntil(() => other.ends.length === 1);
+  t.deepEqual(other.ends[0], [1, 'not-run', 0]);
+  const next = await site.attach('a', 2);
+  other.place(2, 1);
+  next.place(1, 2);
+  await waitUntil(() => site.executor.running.size === 2);
+  t.is(other.ends.length, 1);
+});
