Ask registrars before a refusal without claiming the job

Since a home that had just started claimed a job that it then refused. Now the question leaves no claim.

--- a/packages/dispatch/src/claim-messages.ts
+++ b/packages/dispatch/src/claim-messages.ts
@@ -8,6 +8,8 @@
   readonly service: ServiceName;
   readonly claimant: JobOwner;
   readonly replaces: JobOwner | undefined;
+  /** True to learn the owner without becoming it. */
+  readonly isQuery?: boolean;
 }
 
 export interface ClaimAnswer {
@@ -25,6 +27,7 @@
   claimantLife,
   replaces,
   replacesLife,
+  isQuery = false,
 }: ClaimJobParams): Claim {
   return {
     job,
@@ -34,6 +37,7 @@
       replaces === undefined
         ? undefined
         : {address: replaces, life: replacesLife},
+    isQuery,
   };
 }
 
@@ -43,6 +47,7 @@
   service,
   claimant,
   replaces,
+  isQuery = false,
 }: Claim): ClaimJobParams {
   return {
     job,
@@ -53,6 +58,7 @@
       replaces: replaces.address,
       replacesLife: replaces.life,
     }),
+    ...(isQuery && {isQuery}),
   };
 }
 
--- a/packages/dispatch/src/claims.ts
+++ b/packages/dispatch/src/claims.ts
@@ -33,9 +33,11 @@
     private readonly clock: Clock = monotonicClock,
   ) {}
 
-  /** Records a claim and tells who owns the job now. */
-  answer({job, claimant, replaces}: Claim): ClaimAnswer {
-    const owner = this.record(job, claimant, replaces);
+  /** Records a claim, unless it is a query, and tells who owns the job now. */
+  answer({job, claimant, replaces, isQuery = false}: Claim): ClaimAnswer {
+    const owner = isQuery
+      ? (this.owners.get(job) ?? claimant)
+      : this.record(job, claimant, replaces);
     return {owner, knownForMs: this.clock.now() - this.openedAt};
   }
 
--- a/packages/dispatch/src/ownership.ts
+++ b/packages/dispatch/src/ownership.ts
@@ -59,7 +59,7 @@
 const maxClaimAttempts = 3;
 /** Registrars that store a claim: one may be lost, as may the owner, which usually is the first registrar. */
 export const registrarsPerJob = 2;
-/** Callers do not send a job again for longer after its first submission. */
+/** Callers may send a job again for this long, in ms. */
 const maxJobAgeMs = 15_000;
 /** Registrars that are asked while some have started too recently to know of an owner that has just been lost. */
 const maxRegistrars = 3;
@@ -212,8 +212,24 @@
   {job, service}: ClaimedJob,
   replaces: JobOwner | undefined,
 ): Promise<FoundOwner> {
-  const {self, claims, listDispatchers} = options;
-  const claim: Claim = {job, service, claimant: self!, replaces};
+  const claim = {job, service, claimant: options.self!, replaces};
+  const found = await askRegistrars(options, claim);
+  if (found.isConfirmed) return found;
+  return {...found, owner: options.claims.record(job, options.self!, replaces)};
+}
+
+interface RegistrarsAnswer extends FoundOwner {
+  /** True when another owner is known, or enough registrars confirmed that none is. */
+  readonly isConfirmed: boolean;
+}
+
+/** Sends a claim to a job's first reachable registrars, one after another, until one names another owner. */
+async function askRegistrars(
+  options: OwnershipOptions,
+  claim: Claim,
+): Promise<RegistrarsAnswer> {
+  const {self, listDispatchers} = options;
+  const {job, service} = claim;
   const registrars = rankRegistrars(job, listDispatchers(service));
   let answers = 0;
   let lasting = 0;
@@ -225,7 +241,9 @@
       continue;
     }
     const {owner, knownForMs = Infinity} = answer;
-    if (!isSameOwner(owner, self!)) return {owner, forgottenEndAt: -Infinity};
+    if (!isSameOwner(owner, self!)) {
+      return {owner, forgottenEndAt: -Infinity, isConfirmed: true};
+    }
     const lapsedAt = monotonicClock.now() - knownForMs + runLossMs;
     if (rank < registrarsPerJob) {
       forgottenEndAt = Math.min(forgottenEndAt ?? Infinity, lapsedAt);
@@ -234,9 +252,11 @@
     if (lapsedAt <= monotonicClock.now()) lasting++;
     if (lasting === registrarsPerJob || answers === maxRegistrars) break;
   }
-  const owner =
-    answers >= registrarsPerJob ? self! : claims.record(job, self!, replaces);
-  return {owner, forgottenEndAt: forgottenEndAt ?? -Infinity};
+  return {
+    owner: self!,
+    forgottenEndAt: forgottenEndAt ?? -Infinity,
+    isConfirmed: answers >= registrarsPerJob,
+  };
 }
 
 /**
@@ -252,8 +272,13 @@
   if (claims.isOther(claimed.job, self)) return true;
   const now = monotonicClock.now();
   if (now > claims.openedAt + maxJobAgeMs) return false;
-  const {owner, forgottenEndAt} = await findOwner(options, claimed, undefined);
-  return !isSameOwner(owner, self) || forgottenEndAt > now;
+  const {owner} = await askRegistrars(options, {
+    ...claimed,
+    claimant: self,
+    replaces: undefined,
+    isQuery: true,
+  });
+  return !isSameOwner(owner, self);
 }
 
 async function askRegistrar(
--- a/packages/protocol/src/checks.ts
+++ b/packages/protocol/src/checks.ts
@@ -334,6 +334,7 @@
       replaces: optional(string),
       replacesLife: optional(count),
       service: string,
+      isQuery: optional(boolean),
     }),
   ),
   'dispatcher.relay': toCheck(
--- a/packages/protocol/src/dispatcher-messages.ts
+++ b/packages/protocol/src/dispatcher-messages.ts
@@ -13,6 +13,8 @@
   readonly replacesLife?: number;
   /** The service whose targets run the job. */
   readonly service: ServiceName;
+  /** True to learn the owner without becoming it. */
+  readonly isQuery?: boolean;
 }
 
 export interface ClaimJobResult {
