--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -42,11 +42,7 @@
       for (const other of runs) {
         if (other.executor !== executor) found.push({task, first: other, second: {run, executor, at, isLate}});
       }
-      const began = {run, executor, at, isLate};
-      for (const pair of found) {
-        if (pair.task === task && pair.second.at === at && pair.second.executor === executor) pair.second = began;
-      }
-      present.set(task, [...runs, began]);
+      present.set(task, [...runs, {run, executor, at, isLate}]);
     } else if (['done', 'failed', 'stopped', 'lapsed'].includes(what)) {
       const ended = runs.find(each => each.run === run && each.executor === executor);
       if (ended !== undefined) ended.endedAt = at;
@@ -87,9 +83,9 @@
     const all = findTwice(site.events);
     const twice = all.filter(({first, second}) => !first.isLate && !second.isLate);
     for (const {task, first, second} of twice) {
-      const endedAt = Math.min(first.endedAt ?? Date.now(), second.endedAt ?? Date.now());
+      const endedAt = first.endedAt ?? Date.now();
       say(
-        `task ${task}: run ${first.run} on ${first.executor} and run ${second.run} on ${second.executor} were at work together for ${endedAt - second.at} ms`,
+        `task ${task}: run ${first.run} on ${first.executor} was at work until ${endedAt - second.at} ms after run ${second.run} had begun on ${second.executor}`,
       );
     }
     say(`two runs at the same time: ${twice.length} tasks; with starts that were carried out late: ${all.length - twice.length} more, not counted`);
--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -9,7 +9,6 @@
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 export const service = 'tally';
-export const otherService = 'tally-b';
 export const hostName = 'pens.example';
 export const prefix = '/count/';
 const restartMs = 300;
@@ -64,12 +63,6 @@
     this.#child.kill(name);
   }
 
-  /** Ends the process, which is started again only after this time: its machine has no power meanwhile. */
-  holdDown(ms) {
-    this.restartMs = ms;
-    this.#child.kill('SIGKILL');
-  }
-
   async finish() {
     this.#wanted = false;
     this.#child.kill('SIGCONT');
@@ -92,9 +85,7 @@
       child.once('exit', () => {
         children.delete(child);
         resolve();
-        const delayMs = this.restartMs ?? restartMs;
-        this.restartMs = undefined;
-        if (this.#wanted) setTimeout(() => this.#wanted && this.#start(), delayMs);
+        if (this.#wanted) setTimeout(() => this.#wanted && this.#start(), restartMs);
       }),
     );
   }
@@ -140,7 +131,7 @@
       host,
       port: this.appPort,
       control: `${host}:${this.controlPort}`,
-      backend: this.options.findService?.(host) ?? service,
+      backend: service,
       zone: this.zoneOf(host),
       room,
       labels: ['a', 'r1'],
@@ -207,13 +198,13 @@
     return this.programs.find(each => each.host === host);
   }
 
-  describeConfiguration(version, {timeoutMs = 1500, attempts = 3, backend = service, services = [service]} = {}) {
+  describeConfiguration(version, {timeoutMs = 1500, attempts = 3} = {}) {
     return {
       version,
       routes: [
-        {name: 'r-1', host: hostName, path_prefix: prefix, type: 'non_idempotent', timeout_ms: timeoutMs, target_completion_ms: 60, priority: 0, backend, attempts, stretch: 1.6},
+        {name: 'r-1', host: hostName, path_prefix: prefix, type: 'non_idempotent', timeout_ms: timeoutMs, target_completion_ms: 60, priority: 0, backend: service, attempts, stretch: 1.6},
       ],
-      services: services.map(name => ({name, health_path: '/healthz', max_connections: 64, protocol: 'h1', tls: false, enforces_capacity: true, spare: false})),
+      services: [{name: service, health_path: '/healthz', max_connections: 64, protocol: 'h1', tls: false, enforces_capacity: true, spare: false}],
       limits: {max_header_bytes: 16384, max_body_bytes: 262144, header_timeout_ms: 3000, idle_timeout_ms: 15000},
     };
   }
